Build skeleton: two modules, launchers, identifiers, failures, events

Cause: the repository was empty. Change: a runtime library and a thin tool as Maven modules; launchers that find a JDK 21 or later; formatter, linter and Error Prone bound to the build; value types for identifiers, the failure catalogue with its three outcomes, numbered events and the project's clock. Conclusion: the slices can be built on this; nothing serves a request yet.

--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/clock/SystemClock.java
@@ -0,0 +1,15 @@
+package org.hornbeamusher.clock;
+
+/** The machine's clock. */
+public final class SystemClock implements Clock {
+
+  /** The only instance. */
+  public static final SystemClock INSTANCE = new SystemClock();
+
+  private SystemClock() {}
+
+  @Override
+  public long millis() {
+    return System.currentTimeMillis();
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/events/EventType.java
@@ -0,0 +1,68 @@
+package org.hornbeamusher.events;
+
+import java.util.logging.Level;
+
+/**
+ * The catalogue of log events: number, level and what the event says.
+ *
+ * <p>Numbers are never reused. Ranges: 1000 processes, 1100 requests, 1200 endpoints and loads,
+ * 1300 service documents, 1400 claims, 1500 connections and membership, 1600 the platform, 1700
+ * settings.
+ */
+public enum EventType {
+  // 1000: processes
+  PROCESS_STARTED(1001, Level.INFO, "A process listens for work."),
+  PROCESS_STOPPING(1002, Level.INFO, "A process takes no new work and finishes what it has."),
+  PROCESS_STOPPED(1003, Level.INFO, "A process has ended its work."),
+  // 1100: requests
+  REQUEST_REFUSED(1101, Level.FINE, "A request was refused."),
+  REQUEST_FAILED(1102, Level.WARNING, "A request failed after it was admitted."),
+  // 1200: endpoints and loads
+  ADAPTER_LOADED(1201, Level.FINE, "An adapter became resident."),
+  ADAPTER_LOAD_FAILED(1202, Level.WARNING, "An adapter could not be loaded."),
+  ENDPOINT_RESTARTED(1203, Level.WARNING, "An endpoint lost its resident adapters."),
+  // 1300: service documents
+  DOCUMENT_IN_FORCE(1301, Level.INFO, "A newer version of a document is in force here."),
+  // 1500: connections and membership
+  PEER_CONNECTED(1501, Level.INFO, "A connection to a peer was opened."),
+  PEER_LOST(1502, Level.WARNING, "A connection to a peer was lost or abandoned."),
+  // 1600: the platform
+  PLATFORM_OUTAGE(1601, Level.WARNING, "The platform does not answer.");
+
+  private final int number;
+  private final Level level;
+  private final String meaning;
+
+  EventType(int number, Level level, String meaning) {
+    this.number = number;
+    this.level = level;
+    this.meaning = meaning;
+  }
+
+  /**
+   * Returns the number.
+   *
+   * @return the number in the catalogue
+   */
+  public int number() {
+    return number;
+  }
+
+  /**
+   * Returns the level.
+   *
+   * @return the level the event is logged at
+   */
+  public Level level() {
+    return level;
+  }
+
+  /**
+   * Returns what the event says.
+   *
+   * @return one sentence for the catalogue
+   */
+  public String meaning() {
+    return meaning;
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/events/package-info.java
@@ -0,0 +1,2 @@
+/** Numbered, structured log events. */
+package org.hornbeamusher.events;
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/failure/Outcome.java
@@ -0,0 +1,40 @@
+package org.hornbeamusher.failure;
+
+/**
+ * What a failure promises about the request it ended.
+ *
+ * <p>Each constant is its own type, so that a switch over outcomes is checked by the compiler.
+ */
+public sealed interface Outcome {
+
+  /**
+   * The form callers see.
+   *
+   * @return {@code not-run}, {@code ran} or {@code unknown}
+   */
+  default String label() {
+    return switch (this) {
+      case NotRun notRun -> "not-run";
+      case Ran ran -> "ran";
+      case Unknown unknown -> "unknown";
+    };
+  }
+
+  /** No endpoint started the request, and none will. Said only where it is proven. */
+  record NotRun() implements Outcome {}
+
+  /** An endpoint ran the request to its end. */
+  record Ran() implements Outcome {}
+
+  /** An endpoint may have started the request. */
+  record Unknown() implements Outcome {}
+
+  /** The request was not run. */
+  Outcome NOT_RUN = new NotRun();
+
+  /** The request ran. */
+  Outcome RAN = new Ran();
+
+  /** It is not known whether the request ran. */
+  Outcome UNKNOWN = new Unknown();
+}
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/ids/AdapterRef.java
@@ -0,0 +1,63 @@
+package org.hornbeamusher.ids;
+
+/**
+ * One version of one adapter of one service: what a request names and what an endpoint holds.
+ *
+ * <p>Written {@code service/adapter@version}.
+ *
+ * @param service the service that owns the adapter
+ * @param adapter the adapter
+ * @param version its version, from 1
+ */
+public record AdapterRef(ServiceName service, AdapterName adapter, int version)
+    implements Comparable<AdapterRef> {
+
+  /** Refuses a version below 1. */
+  public AdapterRef {
+    if (version < 1) {
+      throw new InvalidIdentifierException("AdapterRef", service + "/" + adapter + "@" + version);
+    }
+  }
+
+  /**
+   * Reads the written form.
+   *
+   * @param text {@code service/adapter@version}
+   * @return what it names
+   * @throws InvalidIdentifierException when the text has another form
+   */
+  public static AdapterRef parse(String text) {
+    int slash = text.indexOf('/');
+    int at = text.lastIndexOf('@');
+    if (slash < 0 || at < slash) {
+      throw new InvalidIdentifierException("AdapterRef", text);
+    }
+    return new AdapterRef(
+        new ServiceName(text.substring(0, slash)),
+        new AdapterName(text.substring(slash + 1, at)),
+        parseVersion(text, text.substring(at + 1)));
+  }
+
+  private static int parseVersion(String whole, String digits) {
+    try {
+      return Integer.parseInt(digits);
+    } catch (NumberFormatException e) {
+      throw new InvalidIdentifierException("AdapterRef", whole);
+    }
+  }
+
+  @Override
+  public int compareTo(AdapterRef other) {
+    int byService = service.compareTo(other.service);
+    if (byService != 0) {
+      return byService;
+    }
+    int byAdapter = adapter.compareTo(other.adapter);
+    return byAdapter != 0 ? byAdapter : Integer.compare(version, other.version);
+  }
+
+  @Override
+  public String toString() {
+    return service + "/" + adapter + "@" + version;
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/ids/ServiceName.java
@@ -0,0 +1,24 @@
+package org.hornbeamusher.ids;
+
+/**
+ * A service, the unit that one document describes.
+ *
+ * @param value for example {@code lm-dispatch}
+ */
+public record ServiceName(String value) implements Comparable<ServiceName> {
+
+  /** Refuses a text that is not an identifier. */
+  public ServiceName {
+    Identifiers.requireName("ServiceName", value);
+  }
+
+  @Override
+  public int compareTo(ServiceName other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/ids/package-info.java
@@ -0,0 +1,2 @@
+/** Value types for the identifiers that cross slices. */
+package org.hornbeamusher.ids;
--- /dev/null
+++ b/tool/src/main/java/org/hornbeamusher/tool/package-info.java
@@ -0,0 +1,2 @@
+/** The command line: parses options from one table and calls the library. */
+package org.hornbeamusher.tool;
