--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/routing/AttemptResult.java
@@ -0,0 +1,24 @@
+package org.hornbeamusher.routing;
+
+/** How an attempt ended, as routing sees it. */
+public sealed interface AttemptResult {
+
+  /**
+   * The answer was whole.
+   *
+   * @param firstTokenMillis from dispatch to first token
+   * @param totalMillis from dispatch to the end
+   * @param loadStallMillis the part of it that waited for a load
+   */
+  record Answered(long firstTokenMillis, long totalMillis, long loadStallMillis)
+      implements AttemptResult {}
+
+  /** The agent refused the attempt before it started. */
+  record Refused() implements AttemptResult {}
+
+  /** The endpoint or the way to it failed. */
+  record Failed() implements AttemptResult {}
+
+  /** The caller went away; it says nothing about the endpoint. */
+  record Cancelled() implements AttemptResult {}
+}
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Decides which endpoint gets a request. No network, no threads. */
+package org.hornbeamusher.routing;
