HTTP client with pooled connections over Undertow's client

Cause: agents, the platform client, the load tool and operators' commands all speak HTTP, and Undertow's client brings no pool. Change: an exchange owns a connection from first byte to last; a failed or cancelled exchange closes it. A refused connection is told apart from an exchange that may have arrived. Responses can be paused, which holds back the sender through TCP.

--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/http/HttpClient.java
@@ -0,0 +1,149 @@
+package org.hornbeamusher.http;
+
+import io.undertow.client.UndertowClient;
+import io.undertow.server.DefaultByteBufferPool;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.URI;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.hornbeamusher.failure.FailureType;
+import org.hornbeamusher.failure.HornbeamusherException;
+import org.hornbeamusher.failure.Outcome;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/**
+ * Sends HTTP/1.1 requests over pooled connections, one exchange a connection at a time.
+ *
+ * <p>Undertow's client is used below its proxying layer: it brings connections and framing, and the
+ * pool here decides which connection an exchange gets. An exchange that fails or is cancelled
+ * closes its connection, so that the rest of its answer can never be read as another exchange's.
+ */
+public final class HttpClient {
+
+  private static final int BUFFER_BYTES = 16 * 1024;
+
+  private final int ioThreads;
+  private final ConnectionPool connections = new ConnectionPool();
+  private XnioWorker worker;
+
+  /**
+   * Creates a client that is not started.
+   *
+   * @param ioThreads how many threads carry its connections
+   */
+  public HttpClient(int ioThreads) {
+    this.ioThreads = ioThreads;
+  }
+
+  /** Starts the I/O threads. */
+  public void start() {
+    OptionMap options =
+        OptionMap.builder()
+            .set(Options.WORKER_IO_THREADS, ioThreads)
+            .set(Options.WORKER_TASK_CORE_THREADS, 1)
+            .set(Options.WORKER_TASK_MAX_THREADS, 1)
+            .set(Options.THREAD_DAEMON, true)
+            .set(Options.TCP_NODELAY, true)
+            .getMap();
+    try {
+      worker = Xnio.getInstance(HttpClient.class.getClassLoader()).createWorker(options);
+    } catch (IOException e) {
+      throw HornbeamusherException.notRun(FailureType.INTERNAL, e).causedBy(e);
+    }
+    connections.start(
+        UndertowClient.getInstance(), worker, new DefaultByteBufferPool(true, BUFFER_BYTES));
+  }
+
+  /** Closes every connection and ends the I/O threads. */
+  public void stop() {
+    connections.stop();
+    if (worker != null) {
+      worker.shutdownNow();
+    }
+  }
+
+  /**
+   * Sends a request and streams its response.
+   *
+   * @param call the request
+   * @param listener hears the response
+   * @return control over the exchange
+   */
+  public HttpStream stream(HttpCall call, HttpStreamListener listener) {
+    HttpExchange exchange = new HttpExchange(call, listener, connections);
+    exchange.begin();
+    return exchange;
+  }
+
+  /**
+   * Sends a request and collects its response.
+   *
+   * @param call the request
+   * @param timeoutMillis how long the whole exchange may take
+   * @return the response; fails with {@code CONNECT_FAILED} when nothing was sent and {@code
+   *     CONNECTION_CLOSED} when the request may have arrived
+   */
+  public CompletableFuture<HttpReply> send(HttpCall call, long timeoutMillis) {
+    CompletableFuture<HttpReply> future = new CompletableFuture<>();
+    HttpStream stream = stream(call, new Collector(call.uri(), future));
+    CompletableFuture<HttpReply> bounded = future.orTimeout(timeoutMillis, TimeUnit.MILLISECONDS);
+    return bounded.handle(
+        (reply, thrown) -> {
+          if (thrown == null) {
+            return reply;
+          }
+          stream.cancel();
+          throw typed(call.uri(), thrown);
+        });
+  }
+
+  private static HornbeamusherException typed(URI uri, Throwable thrown) {
+    HornbeamusherException failure = HornbeamusherException.from(thrown);
+    return failure.type() == FailureType.INTERNAL ? HttpExchange.cut(uri, thrown) : failure;
+  }
+
+  private static final class Collector implements HttpStreamListener {
+
+    private final URI uri;
+    private final CompletableFuture<HttpReply> future;
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private int status;
+    private Map<String, String> headers = Map.of();
+
+    Collector(URI uri, CompletableFuture<HttpReply> future) {
+      this.uri = uri;
+      this.future = future;
+    }
+
+    @Override
+    public void head(int status, Map<String, String> headers) {
+      this.status = status;
+      this.headers = headers;
+    }
+
+    @Override
+    public void data(byte[] bytes) {
+      body.writeBytes(bytes);
+    }
+
+    @Override
+    public void end() {
+      future.complete(new HttpReply(status, headers, body.toByteArray()));
+    }
+
+    @Override
+    public void failed(Throwable failure) {
+      future.completeExceptionally(
+          failure instanceof HornbeamusherException
+              ? failure
+              : HornbeamusherException.of(
+                      FailureType.CONNECTION_CLOSED, Outcome.UNKNOWN, uri.getAuthority())
+                  .causedBy(failure));
+    }
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/http/HttpExchange.java
@@ -0,0 +1,232 @@
+package org.hornbeamusher.http;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.ClientExchange;
+import io.undertow.client.ClientRequest;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.HeaderValues;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import io.undertow.util.Protocols;
+import java.io.IOException;
+import java.net.URI;
+import java.nio.ByteBuffer;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.hornbeamusher.failure.FailureType;
+import org.hornbeamusher.failure.HornbeamusherException;
+import org.hornbeamusher.failure.Outcome;
+import org.xnio.IoUtils;
+import org.xnio.channels.StreamSinkChannel;
+import org.xnio.channels.StreamSourceChannel;
+
+/** One request and its response on one connection. */
+final class HttpExchange implements HttpStream {
+
+  private static final int READ_BYTES = 16 * 1024;
+
+  private final HttpCall call;
+  private final HttpStreamListener listener;
+  private final ConnectionPool connections;
+  private final AtomicBoolean ended = new AtomicBoolean();
+  private volatile ClientConnection connection;
+  private volatile StreamSourceChannel source;
+  private volatile boolean paused;
+
+  HttpExchange(HttpCall call, HttpStreamListener listener, ConnectionPool connections) {
+    this.call = call;
+    this.listener = listener;
+    this.connections = connections;
+  }
+
+  void begin() {
+    connections.acquire(call.uri(), callback(this::connected, this::connectFailed));
+  }
+
+  @Override
+  public void cancel() {
+    if (ended.compareAndSet(false, true)) {
+      closeConnection();
+    }
+  }
+
+  @Override
+  public void pause() {
+    paused = true;
+  }
+
+  @Override
+  public void resume() {
+    paused = false;
+    StreamSourceChannel channel = source;
+    if (channel != null) {
+      connection.getIoThread().execute(channel::resumeReads);
+    }
+  }
+
+  static HornbeamusherException cut(URI uri, Throwable cause) {
+    return HornbeamusherException.of(
+            FailureType.CONNECTION_CLOSED, Outcome.UNKNOWN, uri.getAuthority())
+        .causedBy(cause);
+  }
+
+  private void connected(ClientConnection opened) {
+    connection = opened;
+    if (ended.get()) {
+      IoUtils.safeClose(opened);
+      return;
+    }
+    opened
+        .getIoThread()
+        .execute(() -> opened.sendRequest(request(), callback(this::sendBody, this::fail)));
+  }
+
+  private ClientRequest request() {
+    URI uri = call.uri();
+    String path = uri.getRawPath().isEmpty() ? "/" : uri.getRawPath();
+    ClientRequest request =
+        new ClientRequest()
+            .setMethod(new HttpString(call.method()))
+            .setProtocol(Protocols.HTTP_1_1)
+            .setPath(uri.getRawQuery() == null ? path : path + "?" + uri.getRawQuery());
+    HeaderMap headers = request.getRequestHeaders();
+    headers.put(Headers.HOST, uri.getAuthority());
+    headers.put(Headers.CONTENT_LENGTH, call.body().length);
+    call.headers().forEach((name, value) -> headers.put(new HttpString(name), value));
+    return request;
+  }
+
+  private void sendBody(ClientExchange exchange) {
+    exchange.setResponseListener(callback(this::head, this::fail));
+    StreamSinkChannel sink = exchange.getRequestChannel();
+    ByteBuffer body = ByteBuffer.wrap(call.body());
+    try {
+      if (!writeAll(sink, body)) {
+        sink.getWriteSetter().set(channel -> continueBody(channel, body));
+        sink.resumeWrites();
+      }
+    } catch (IOException e) {
+      fail(e);
+    }
+  }
+
+  private void continueBody(StreamSinkChannel sink, ByteBuffer body) {
+    try {
+      if (writeAll(sink, body)) {
+        sink.suspendWrites();
+      }
+    } catch (IOException e) {
+      fail(e);
+    }
+  }
+
+  private static boolean writeAll(StreamSinkChannel sink, ByteBuffer body) throws IOException {
+    while (body.hasRemaining()) {
+      if (sink.write(body) == 0) {
+        return false;
+      }
+    }
+    sink.shutdownWrites();
+    return sink.flush();
+  }
+
+  private void head(ClientExchange exchange) {
+    if (ended.get()) {
+      return;
+    }
+    source = exchange.getResponseChannel();
+    listener.head(
+        exchange.getResponse().getResponseCode(),
+        firstValues(exchange.getResponse().getResponseHeaders()));
+    source.getReadSetter().set(this::read);
+    read(source);
+    if (!ended.get()) {
+      source.resumeReads();
+    }
+  }
+
+  private void read(StreamSourceChannel channel) {
+    try {
+      ByteBuffer buffer = ByteBuffer.allocate(READ_BYTES);
+      while (!ended.get()) {
+        if (paused) {
+          channel.suspendReads();
+          return;
+        }
+        buffer.clear();
+        int count = channel.read(buffer);
+        if (count == 0) {
+          return;
+        }
+        if (count < 0) {
+          finish();
+          return;
+        }
+        byte[] bytes = new byte[count];
+        buffer.flip().get(bytes);
+        listener.data(bytes);
+      }
+    } catch (IOException e) {
+      fail(e);
+    }
+  }
+
+  private void finish() {
+    if (ended.compareAndSet(false, true)) {
+      connections.release(call.uri(), connection);
+      listener.end();
+    }
+  }
+
+  private void connectFailed(IOException e) {
+    if (ended.compareAndSet(false, true)) {
+      listener.failed(
+          HornbeamusherException.notRun(
+                  FailureType.CONNECT_FAILED, call.uri().getAuthority(), e.getMessage())
+              .causedBy(e));
+    }
+  }
+
+  private void fail(IOException e) {
+    if (ended.compareAndSet(false, true)) {
+      closeConnection();
+      listener.failed(cut(call.uri(), e));
+    }
+  }
+
+  private void closeConnection() {
+    ClientConnection open = connection;
+    if (open != null) {
+      open.getIoThread().execute(() -> IoUtils.safeClose(open));
+    }
+  }
+
+  private static Map<String, String> firstValues(HeaderMap headers) {
+    Map<String, String> values = new HashMap<>();
+    for (HeaderValues header : headers) {
+      values.put(header.getHeaderName().toString().toLowerCase(Locale.ROOT), header.getFirst());
+    }
+    return values;
+  }
+
+  private interface Step<T> {
+    void accept(T value);
+  }
+
+  private static <T> ClientCallback<T> callback(Step<T> completed, Step<IOException> failed) {
+    return new ClientCallback<>() {
+      @Override
+      public void completed(T result) {
+        completed.accept(result);
+      }
+
+      @Override
+      public void failed(IOException e) {
+        failed.accept(e);
+      }
+    };
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/http/package-info.java
@@ -0,0 +1,2 @@
+/** An HTTP client for many concurrent exchanges, on Undertow. */
+package org.hornbeamusher.http;
