Frames between entries and agents

Cause: entry and agent need one connection that carries many attempts. Figures: 10,000 random and damaged frames each give a message or the typed failure FRAME_MALFORMED. Lengths inside a frame are bounded by what is left of it.

--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/wire/Message.java
@@ -0,0 +1,254 @@
+package org.hornbeamusher.wire;
+
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What entries and agents say to each other.
+ *
+ * <p>A message travels as a MessagePack array: its type number, then its fields in order. A
+ * receiver skips fields it does not know and takes the default (zero, empty) for fields that an
+ * older sender left out, so that both directions of a rolling upgrade work; a type number it does
+ * not know becomes {@link Unknown} and is ignored.
+ */
+public sealed interface Message {
+
+  /**
+   * The first message in both directions.
+   *
+   * @param lowestProtocol the oldest protocol the sender speaks
+   * @param highestProtocol the newest protocol the sender speaks
+   * @param role {@code entry} or {@code agent}
+   * @param instance the sender's instance id
+   * @param incarnation tells the sender from an earlier process at its address
+   * @param zone the sender's availability zone
+   * @param endpoint an agent's endpoint, empty from an entry
+   * @param pool an agent's pool, empty from an entry
+   */
+  record Hello(
+      int lowestProtocol,
+      int highestProtocol,
+      String role,
+      String instance,
+      long incarnation,
+      String zone,
+      String endpoint,
+      String pool)
+      implements Message {}
+
+  /**
+   * Run this attempt (entry to agent).
+   *
+   * @param attempt identifies it on this connection
+   * @param requestId the caller's request
+   * @param method HTTP method of the endpoint's request
+   * @param path its path and query
+   * @param contentType its content type
+   * @param body its content
+   * @param adapter {@code service/adapter@version}, empty for a plain service
+   * @param partner the partner
+   * @param service the service
+   * @param caller the caller
+   * @param costTokens expected work
+   * @param deadlineMillis when the answer is worthless, milliseconds since the epoch
+   * @param expiresMillis an attempt not started by then is dropped
+   * @param loadStallWeight the service's weight of load stalls
+   * @param batchWeight the service's weight of batch efficiency
+   * @param serviceShare the service's part of its partner's share
+   * @param callerWeight the caller's part of the service's share
+   * @param queueLimit most requests of the service that may wait
+   * @param idempotencyKey the caller's key, empty for a repeatable request
+   * @param credit how many bytes of answer may be sent before more credit comes
+   */
+  record Dispatch(
+      long attempt,
+      String requestId,
+      String method,
+      String path,
+      String contentType,
+      byte[] body,
+      String adapter,
+      String partner,
+      String service,
+      String caller,
+      int costTokens,
+      long deadlineMillis,
+      long expiresMillis,
+      double loadStallWeight,
+      double batchWeight,
+      int serviceShare,
+      int callerWeight,
+      int queueLimit,
+      String idempotencyKey,
+      long credit)
+      implements Message {}
+
+  /**
+   * The endpoint has been given the attempt (agent to entry). From here on it may have run.
+   *
+   * @param attempt the attempt
+   * @param loadStallMillis how long it waited for a load
+   */
+  record Started(long attempt, long loadStallMillis) implements Message {}
+
+  /**
+   * The head of the endpoint's answer (agent to entry).
+   *
+   * @param attempt the attempt
+   * @param status the endpoint's HTTP status
+   * @param contentType the answer's content type
+   */
+  record Head(long attempt, int status, String contentType) implements Message {}
+
+  /**
+   * A part of the answer (agent to entry).
+   *
+   * @param attempt the attempt
+   * @param sequence counts the parts from 0
+   * @param bytes the part
+   */
+  record Chunk(long attempt, long sequence, byte[] bytes) implements Message {}
+
+  /**
+   * The answer is whole (agent to entry).
+   *
+   * @param attempt the attempt
+   * @param chunks how many parts there were
+   * @param checksum CRC-32C over all parts
+   */
+  record Closing(long attempt, long chunks, long checksum) implements Message {}
+
+  /**
+   * The attempt ended without a whole answer (agent to entry).
+   *
+   * @param attempt the attempt
+   * @param failure the failure's number in the catalogue
+   * @param outcome {@code not-run}, {@code ran} or {@code unknown}
+   * @param retryAfterMillis when to try again, or -1
+   * @param detail fills the failure's message
+   * @param crashed whether the endpoint crashed while it ran the attempt
+   */
+  record Failed(
+      long attempt,
+      int failure,
+      String outcome,
+      long retryAfterMillis,
+      String detail,
+      boolean crashed)
+      implements Message {}
+
+  /**
+   * The caller no longer wants the attempt (entry to agent).
+   *
+   * @param attempt the attempt
+   */
+  record Cancel(long attempt) implements Message {}
+
+  /**
+   * More of the answer may be sent (entry to agent).
+   *
+   * @param attempt the attempt
+   * @param bytes how much more
+   */
+  record Credit(long attempt, long bytes) implements Message {}
+
+  /**
+   * The sender lives (both ways).
+   *
+   * @param sequence counts the sender's heartbeats on this connection
+   * @param documents the sender's digest of documents, for spreading
+   */
+  record Heartbeat(long sequence, long documents) implements Message {}
+
+  /**
+   * What an agent's endpoint holds and does (agent to entry).
+   *
+   * @param running requests in the batch
+   * @param queued requests that wait
+   * @param batch most requests it runs at once
+   * @param slots most adapters it holds
+   * @param queueWaitMillis expected wait with a resident adapter
+   * @param loadWaitMillis expected wait for a load
+   * @param resident the adapters it holds, {@code service/adapter@version}
+   */
+  record LoadReport(
+      int running,
+      int queued,
+      int batch,
+      int slots,
+      long queueWaitMillis,
+      long loadWaitMillis,
+      List<String> resident)
+      implements Message {}
+
+  /** The agent takes no new work (agent to entry). */
+  record Leaving() implements Message {}
+
+  /**
+   * The versions the sender holds (both ways).
+   *
+   * @param versions the version by service
+   */
+  record DocumentDigest(Map<String, Long> versions) implements Message {}
+
+  /**
+   * Asks for a document (both ways).
+   *
+   * @param service the service
+   * @param have the version the sender holds, 0 for none
+   */
+  record DocumentPull(String service, long have) implements Message {}
+
+  /**
+   * A document or the difference to one (both ways).
+   *
+   * @param service the service
+   * @param base the version a difference applies to, 0 for a whole document
+   * @param version the version that results
+   * @param content the content
+   */
+  record DocumentPush(String service, long base, long version, byte[] content) implements Message {}
+
+  /**
+   * An agent asks for a turn at the weight store (agent to agent).
+   *
+   * @param store the weight store
+   * @param endpoint who asks
+   * @param partner for whom
+   * @param demand weighted waiting demand; 0 withdraws
+   */
+  record PermitAsk(String store, String endpoint, String partner, double demand)
+      implements Message {}
+
+  /**
+   * A turn at the weight store (agent to agent).
+   *
+   * @param store the weight store
+   * @param grant identifies the turn
+   * @param expiresMillis when the turn ends by itself
+   */
+  record PermitGrant(String store, long grant, long expiresMillis) implements Message {}
+
+  /**
+   * The turn is over (agent to agent).
+   *
+   * @param store the weight store
+   * @param grant the turn
+   */
+  record PermitDone(String store, long grant) implements Message {}
+
+  /**
+   * Endpoints crashed while they ran this request (both ways).
+   *
+   * @param fingerprint identifies the request's content
+   * @param crashes how many endpoints crashed
+   */
+  record CrashNotice(long fingerprint, int crashes) implements Message {}
+
+  /**
+   * A message of a type this process does not know; it is ignored.
+   *
+   * @param type the type number
+   */
+  record Unknown(int type) implements Message {}
+}
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/wire/WireConnection.java
@@ -0,0 +1,232 @@
+package org.hornbeamusher.wire;
+
+import java.io.BufferedInputStream;
+import java.io.BufferedOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.Socket;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
+import org.hornbeamusher.clock.Clock;
+import org.hornbeamusher.failure.FailureType;
+import org.hornbeamusher.failure.HornbeamusherException;
+import org.hornbeamusher.failure.Outcome;
+
+/**
+ * One TCP connection between two processes.
+ *
+ * <p>Two virtual threads carry it, one that reads and one that writes; blocking reads and writes
+ * keep the code straight and cost no platform thread. Sent messages go through a bounded queue:
+ * what an attempt may have under way is bounded by its credit, so a full queue means that the peer
+ * stopped reading, and the connection is given up rather than memory filled.
+ *
+ * <p>Something between the ends may lose track of a connection, and then neither end hears of it:
+ * reads block for good while new connections work. Both ends therefore send heartbeats, and an end
+ * that hears nothing for {@link WireSettings#silenceMillis} closes the connection.
+ */
+public final class WireConnection {
+
+  private static final int BUFFER_BYTES = 32 * 1024;
+
+  private final Socket socket;
+  private final Message.Hello own;
+  private final WireListener listener;
+  private final WireSettings settings;
+  private final Clock clock;
+  private final BlockingQueue<Message> outgoing;
+  private final AtomicBoolean closed = new AtomicBoolean();
+  private final AtomicReference<HornbeamusherException> reason = new AtomicReference<>();
+  private volatile Message.Hello peer;
+  private volatile long lastHeardMillis;
+  private long heartbeats;
+
+  /**
+   * Wraps a connected socket.
+   *
+   * @param socket the socket
+   * @param own what this process says of itself
+   * @param listener hears what happens
+   * @param settings intervals and bounds
+   * @param clock the clock
+   */
+  public WireConnection(
+      Socket socket, Message.Hello own, WireListener listener, WireSettings settings, Clock clock) {
+    this.socket = socket;
+    this.own = own;
+    this.listener = listener;
+    this.settings = settings;
+    this.clock = clock;
+    this.outgoing = new ArrayBlockingQueue<>(settings.outgoingMessages());
+    this.lastHeardMillis = clock.millis();
+  }
+
+  /** Starts both threads. */
+  public void start() {
+    Thread.ofVirtual().name("wire-read").start(this::readLoop);
+    Thread.ofVirtual().name("wire-write").start(this::writeLoop);
+  }
+
+  /** Closes the connection; the listener hears of it. */
+  public void stop() {
+    fail(closedFailure());
+  }
+
+  /**
+   * Sends a message.
+   *
+   * @param message what to send
+   * @return whether it was taken; what was taken may still not arrive
+   */
+  public boolean send(Message message) {
+    if (closed.get()) {
+      return false;
+    }
+    if (outgoing.offer(message)) {
+      return !closed.get();
+    }
+    fail(
+        HornbeamusherException.of(
+            FailureType.CONNECTION_SILENT, Outcome.UNKNOWN, peerName(), silentMillis()));
+    return false;
+  }
+
+  /**
+   * Returns what the peer said of itself.
+   *
+   * @return its hello, or null before it came
+   */
+  public Message.Hello peer() {
+    return peer;
+  }
+
+  /**
+   * Tells whether messages can be sent.
+   *
+   * @return false once the connection ended
+   */
+  public boolean isOpen() {
+    return !closed.get();
+  }
+
+  private void readLoop() {
+    try {
+      DataInputStream in =
+          new DataInputStream(new BufferedInputStream(socket.getInputStream(), BUFFER_BYTES));
+      while (!closed.get()) {
+        Message message = MessageCodec.decode(FrameStream.read(in));
+        lastHeardMillis = clock.millis();
+        deliver(message);
+      }
+    } catch (IOException e) {
+      fail(closedFailure().causedBy(e));
+    } catch (HornbeamusherException e) {
+      fail(e);
+    } finally {
+      listener.closed(this, reason.get() == null ? closedFailure() : reason.get());
+    }
+  }
+
+  private void deliver(Message message) {
+    switch (message) {
+      case Message.Hello hello -> greet(hello);
+      case Message.Heartbeat heartbeat -> {}
+      case Message.Unknown unknown -> {}
+      default -> {
+        if (peer == null) {
+          throw HornbeamusherException.notRun(FailureType.FRAME_MALFORMED, "no hello came first");
+        }
+        listener.received(this, message);
+      }
+    }
+  }
+
+  private void greet(Message.Hello hello) {
+    if (hello.highestProtocol() < own.lowestProtocol()
+        || hello.lowestProtocol() > own.highestProtocol()) {
+      throw HornbeamusherException.notRun(
+          FailureType.PROTOCOL_MISMATCH, hello.highestProtocol(), own.highestProtocol());
+    }
+    if (peer == null) {
+      peer = hello;
+      listener.opened(this, hello);
+    }
+  }
+
+  private void writeLoop() {
+    try {
+      DataOutputStream out =
+          new DataOutputStream(new BufferedOutputStream(socket.getOutputStream(), BUFFER_BYTES));
+      write(out, own);
+      out.flush();
+      long nextHeartbeat = clock.millis() + settings.heartbeatMillis();
+      while (!closed.get()) {
+        long wait = Math.max(0, nextHeartbeat - clock.millis());
+        Message next = outgoing.poll(wait, TimeUnit.MILLISECONDS);
+        writeReady(out, next);
+        if (clock.millis() >= nextHeartbeat) {
+          write(out, new Message.Heartbeat(heartbeats++, 0));
+          nextHeartbeat = clock.millis() + settings.heartbeatMillis();
+        }
+        out.flush();
+        checkSilence();
+      }
+    } catch (IOException e) {
+      fail(closedFailure().causedBy(e));
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      fail(closedFailure().causedBy(e));
+    }
+  }
+
+  private void writeReady(DataOutputStream out, Message first) throws IOException {
+    Message next = first;
+    while (next != null) {
+      write(out, next);
+      next = outgoing.poll();
+    }
+  }
+
+  private static void write(DataOutputStream out, Message message) throws IOException {
+    FrameStream.write(out, MessageCodec.encode(message));
+  }
+
+  private void checkSilence() {
+    long silent = silentMillis();
+    if (silent > settings.silenceMillis()) {
+      fail(
+          HornbeamusherException.of(
+              FailureType.CONNECTION_SILENT, Outcome.UNKNOWN, peerName(), silent));
+    }
+  }
+
+  private long silentMillis() {
+    return clock.millis() - lastHeardMillis;
+  }
+
+  private HornbeamusherException closedFailure() {
+    return HornbeamusherException.of(FailureType.CONNECTION_CLOSED, Outcome.UNKNOWN, peerName());
+  }
+
+  private String peerName() {
+    return peer == null ? String.valueOf(socket.getRemoteSocketAddress()) : peer.instance();
+  }
+
+  private void fail(HornbeamusherException why) {
+    if (closed.compareAndSet(false, true)) {
+      reason.set(why);
+      closeSocket();
+    }
+  }
+
+  private void closeSocket() {
+    try {
+      socket.close();
+    } catch (IOException ignored) {
+      // The connection is given up; that its socket cannot be closed cleanly changes nothing.
+    }
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/wire/WireConnector.java
@@ -0,0 +1,135 @@
+package org.hornbeamusher.wire;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ThreadLocalRandom;
+import org.hornbeamusher.clock.Clock;
+import org.hornbeamusher.failure.HornbeamusherException;
+
+/**
+ * Keeps one connection to a peer: opens it, and opens a new one whenever it ends.
+ *
+ * <p>Attempts to connect back off up to {@link #MAX_BACKOFF_MILLIS} with jitter, so that the
+ * entries of a whole zone do not all knock at a restarting agent in the same moment.
+ */
+public final class WireConnector {
+
+  private static final long MIN_BACKOFF_MILLIS = 50;
+  private static final long MAX_BACKOFF_MILLIS = 1_000;
+
+  private final InetSocketAddress address;
+  private final Message.Hello own;
+  private final WireListener listener;
+  private final WireSettings settings;
+  private final WireSockets sockets;
+  private final Clock clock;
+  private volatile boolean stopped;
+  private volatile WireConnection current;
+  private volatile Thread thread;
+
+  /**
+   * Creates a connector that is not started.
+   *
+   * @param address the peer's address
+   * @param own what this process says of itself
+   * @param listener hears what happens on every connection
+   * @param settings intervals and bounds
+   * @param sockets plain or TLS
+   * @param clock the clock
+   */
+  public WireConnector(
+      InetSocketAddress address,
+      Message.Hello own,
+      WireListener listener,
+      WireSettings settings,
+      WireSockets sockets,
+      Clock clock) {
+    this.address = address;
+    this.own = own;
+    this.listener = listener;
+    this.settings = settings;
+    this.sockets = sockets;
+    this.clock = clock;
+  }
+
+  /** Starts connecting. */
+  public void start() {
+    thread = Thread.ofVirtual().name("wire-connect").start(this::run);
+  }
+
+  /** Closes the connection and opens no other. */
+  public void stop() {
+    stopped = true;
+    WireConnection open = current;
+    if (open != null) {
+      open.stop();
+    }
+    thread.interrupt();
+  }
+
+  private void run() {
+    long backoff = MIN_BACKOFF_MILLIS;
+    while (!stopped) {
+      try {
+        backoff = connectOnce() ? MIN_BACKOFF_MILLIS : Math.min(backoff * 2, MAX_BACKOFF_MILLIS);
+        Thread.sleep(ThreadLocalRandom.current().nextLong(backoff / 2, backoff + 1));
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        return;
+      }
+    }
+  }
+
+  /** Opens a connection and waits for its end; tells whether the peer introduced itself. */
+  private boolean connectOnce() throws InterruptedException {
+    Socket socket;
+    try {
+      socket = sockets.connect();
+      socket.setTcpNoDelay(true);
+      socket.connect(address, settings.connectMillis());
+    } catch (IOException e) {
+      return false;
+    }
+    EndSignal end = new EndSignal(listener);
+    WireConnection connection = new WireConnection(socket, own, end, settings, clock);
+    current = connection;
+    connection.start();
+    if (stopped) {
+      connection.stop();
+    }
+    end.await();
+    return connection.peer() != null;
+  }
+
+  private static final class EndSignal implements WireListener {
+
+    private final WireListener listener;
+    private final CountDownLatch ended = new CountDownLatch(1);
+
+    EndSignal(WireListener listener) {
+      this.listener = listener;
+    }
+
+    void await() throws InterruptedException {
+      ended.await();
+    }
+
+    @Override
+    public void opened(WireConnection connection, Message.Hello peer) {
+      listener.opened(connection, peer);
+    }
+
+    @Override
+    public void received(WireConnection connection, Message message) {
+      listener.received(connection, message);
+    }
+
+    @Override
+    public void closed(WireConnection connection, HornbeamusherException reason) {
+      ended.countDown();
+      listener.closed(connection, reason);
+    }
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/wire/WireListener.java
@@ -0,0 +1,31 @@
+package org.hornbeamusher.wire;
+
+import org.hornbeamusher.failure.HornbeamusherException;
+
+/** Hears what happens on a connection. Called by one thread at a time for each connection. */
+public interface WireListener {
+
+  /**
+   * The peer introduced itself; messages may be sent.
+   *
+   * @param connection the connection
+   * @param peer what the peer said of itself
+   */
+  void opened(WireConnection connection, Message.Hello peer);
+
+  /**
+   * A message arrived.
+   *
+   * @param connection the connection
+   * @param message the message, never a hello, heartbeat or unknown one
+   */
+  void received(WireConnection connection, Message message);
+
+  /**
+   * The connection ended; heard once, also when the peer never introduced itself.
+   *
+   * @param connection the connection
+   * @param reason why
+   */
+  void closed(WireConnection connection, HornbeamusherException reason);
+}
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/wire/WireSockets.java
@@ -0,0 +1,56 @@
+package org.hornbeamusher.wire;
+
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.function.Supplier;
+import javax.net.ssl.SSLContext;
+import javax.net.ssl.SSLServerSocket;
+
+/** Makes the sockets of connections. */
+public sealed interface WireSockets {
+
+  /**
+   * Makes a listening socket that is not bound.
+   *
+   * @return the socket
+   * @throws IOException when none can be made
+   */
+  default ServerSocket listen() throws IOException {
+    return switch (this) {
+      case Plain plain -> new ServerSocket();
+      case MutualTls tls -> tls.listenTls();
+    };
+  }
+
+  /**
+   * Makes a socket that is not connected.
+   *
+   * @return the socket
+   * @throws IOException when none can be made
+   */
+  default Socket connect() throws IOException {
+    return switch (this) {
+      case Plain plain -> new Socket();
+      case MutualTls tls -> tls.context().get().getSocketFactory().createSocket();
+    };
+  }
+
+  /** Neither encrypted nor authenticated; for loopback and tests. */
+  record Plain() implements WireSockets {}
+
+  /**
+   * Both ends show a certificate.
+   *
+   * @param context gives the keys in force now, so that they can be replaced without a restart
+   */
+  record MutualTls(Supplier<SSLContext> context) implements WireSockets {
+
+    private ServerSocket listenTls() throws IOException {
+      SSLServerSocket socket =
+          (SSLServerSocket) context.get().getServerSocketFactory().createServerSocket();
+      socket.setNeedClientAuth(true);
+      return socket;
+    }
+  }
+}
--- /dev/null
+++ b/runtime/src/test/java/org/hornbeamusher/wire/MessageCodecTest.java
@@ -0,0 +1,140 @@
+package org.hornbeamusher.wire;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.hornbeamusher.failure.FailureType;
+import org.hornbeamusher.failure.HornbeamusherException;
+import org.junit.jupiter.api.Test;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+
+class MessageCodecTest {
+
+  private static final List<Message> SAMPLES =
+      List.of(
+          new Message.Hello(1, 2, "entry", "e-1", 7, "marka", "", ""),
+          new Message.Started(1, 2),
+          new Message.Head(1, 200, "text/plain"),
+          new Message.Closing(4, 5, 6),
+          new Message.Failed(1, 201, "unknown", -1, "x", true),
+          new Message.Cancel(9),
+          new Message.Credit(9, 100),
+          new Message.Heartbeat(3, 4),
+          new Message.LoadReport(1, 2, 3, 4, 5, 6, List.of("a/b@1")),
+          new Message.Leaving(),
+          new Message.DocumentDigest(Map.of("lm-dispatch", 3L)),
+          new Message.DocumentPull("lm-dispatch", 2),
+          new Message.PermitAsk("s", "e", "p", 1.5),
+          new Message.PermitGrant("s", 1, 2),
+          new Message.PermitDone("s", 1),
+          new Message.CrashNotice(5, 1));
+
+  @Test
+  void everyMessageReadsBack() {
+    for (Message sample : SAMPLES) {
+      assertEquals(sample, MessageCodec.decode(MessageCodec.encode(sample)));
+    }
+  }
+
+  @Test
+  void bytesReadBack() {
+    Message.Chunk chunk = new Message.Chunk(1, 2, new byte[] {3, 4});
+    Message.Chunk back =
+        assertInstanceOf(Message.Chunk.class, MessageCodec.decode(MessageCodec.encode(chunk)));
+    assertArrayEquals(chunk.bytes(), back.bytes());
+  }
+
+  /**
+   * During a rolling upgrade a newer process sends a message type and a field that this one does
+   * not know. If that ended the connection, every upgrade would cut requests.
+   */
+  @Test
+  void newerMessagesAndFieldsAreSkipped() throws IOException {
+    MessageBufferPacker packer = MessagePack.newDefaultBufferPacker();
+    packer.packArrayHeader(2).packInt(900).packString("later");
+    assertEquals(new Message.Unknown(900), MessageCodec.decode(packer.toByteArray()));
+
+    packer.clear();
+    packer.packArrayHeader(3).packInt(8).packLong(4).packString("later");
+    assertEquals(new Message.Cancel(4), MessageCodec.decode(packer.toByteArray()));
+  }
+
+  /** An older process leaves out a field that was added later; it reads as zero. */
+  @Test
+  void missingFieldsReadAsDefaults() throws IOException {
+    MessageBufferPacker packer = MessagePack.newDefaultBufferPacker();
+    packer.packArrayHeader(2).packInt(9).packLong(4);
+    assertEquals(new Message.Credit(4, 0), MessageCodec.decode(packer.toByteArray()));
+  }
+
+  /**
+   * A peer is broken or hostile and sends random bytes. The reader must answer with its one typed
+   * failure or with a message, never with another exception that would end a thread unseen.
+   */
+  @Property(seed = "4711", tries = 5_000)
+  void randomBytesFailTyped(@ForAll byte[] bytes) {
+    decodeOrTypedFailure(bytes);
+  }
+
+  /** As above, with frames that are almost right: one byte of a valid message is changed. */
+  @Property(seed = "4712", tries = 5_000)
+  void damagedMessagesFailTyped(@ForAll int sample, @ForAll int position, @ForAll byte value) {
+    byte[] bytes = MessageCodec.encode(SAMPLES.get(Math.floorMod(sample, SAMPLES.size())));
+    bytes[Math.floorMod(position, bytes.length)] = value;
+    decodeOrTypedFailure(bytes);
+  }
+
+  /** A frame claims a length far beyond what may be sent; memory must not be set aside for it. */
+  @Test
+  void lengthBombsAreRefused() throws IOException {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    new DataOutputStream(bytes).writeInt(Integer.MAX_VALUE);
+    HornbeamusherException failure =
+        assertThrows(
+            HornbeamusherException.class, () -> FrameStream.read(input(bytes.toByteArray())));
+    assertEquals(FailureType.FRAME_TOO_LONG, failure.type());
+  }
+
+  /** A string inside a frame claims more bytes than the frame holds. */
+  @Test
+  void lengthBombsInsideFramesAreRefused() {
+    byte[] frame = {(byte) 0x92, 14, (byte) 0xdb, 0x7f, (byte) 0xff, (byte) 0xff, (byte) 0xff};
+    HornbeamusherException failure =
+        assertThrows(HornbeamusherException.class, () -> MessageCodec.decode(frame));
+    assertEquals(FailureType.FRAME_MALFORMED, failure.type());
+  }
+
+  /** The peer goes away in the middle of a frame. */
+  @Test
+  void truncatedFramesEndTheStream() throws IOException {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    FrameStream.write(new DataOutputStream(bytes), new byte[10]);
+    byte[] cut = java.util.Arrays.copyOf(bytes.toByteArray(), 9);
+    assertThrows(EOFException.class, () -> FrameStream.read(input(cut)));
+  }
+
+  private static DataInputStream input(byte[] bytes) {
+    return new DataInputStream(new ByteArrayInputStream(bytes));
+  }
+
+  private static void decodeOrTypedFailure(byte[] bytes) {
+    try {
+      MessageCodec.decode(bytes);
+    } catch (HornbeamusherException e) {
+      assertEquals(FailureType.FRAME_MALFORMED, e.type());
+    }
+  }
+}
