Routing by adapter locality, measured demand, own outstanding work and endpoint speed

Cause: the first form sent to the least outstanding work and ignored residency, so nearly every request for a cold adapter waits for a load.

Change: rendezvous order per adapter corrected by residency reports and own dispatches, one cost estimate in milliseconds, homes by demand with hysteresis, slow endpoints ejected against the median of their pool, at most a fifth of it. AttemptResult.Answered may carry the tokens.

--- a/runtime/src/main/java/org/hornbeamusher/routing/AttemptResult.java
+++ b/runtime/src/main/java/org/hornbeamusher/routing/AttemptResult.java
@@ -9,9 +9,22 @@
    * @param firstTokenMillis from dispatch to first token
    * @param totalMillis from dispatch to the end
    * @param loadStallMillis the part of it that waited for a load
+   * @param tokens length of the answer; 0 when the endpoint does not generate tokens
    */
-  record Answered(long firstTokenMillis, long totalMillis, long loadStallMillis)
-      implements AttemptResult {}
+  record Answered(long firstTokenMillis, long totalMillis, long loadStallMillis, int tokens)
+      implements AttemptResult {
+
+    /**
+     * An answer that is not counted in tokens.
+     *
+     * @param firstTokenMillis from dispatch to first byte
+     * @param totalMillis from dispatch to the end
+     * @param loadStallMillis the part of it that waited for a load
+     */
+    public Answered(long firstTokenMillis, long totalMillis, long loadStallMillis) {
+      this(firstTokenMillis, totalMillis, loadStallMillis, 0);
+    }
+  }
 
   /** The agent refused the attempt before it started. */
   record Refused() implements AttemptResult {}
--- a/runtime/src/main/java/org/hornbeamusher/routing/Router.java
+++ b/runtime/src/main/java/org/hornbeamusher/routing/Router.java
@@ -1,8 +1,9 @@
 package org.hornbeamusher.routing;
 
-import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.hornbeamusher.failure.FailureType;
 import org.hornbeamusher.ids.AdapterRef;
 import org.hornbeamusher.ids.AvailabilityZone;
@@ -12,14 +13,54 @@
 /**
  * Chooses an endpoint for each attempt. Not safe for use by several threads at once.
  *
- * <p>This first form sends to the endpoint with the least outstanding work of this entry.
+ * <p><b>Pattern.</b> Thousands of adapters with skewed popularity share endpoints that hold a few
+ * each, and the weight store gives about two loads a second. Spread without regard to residency,
+ * each endpoint sees all adapters and keeps the same few hot ones; nearly every other request waits
+ * for a load, and the store falls behind for good.
+ *
+ * <p><b>Order.</b> Every adapter and version orders its pool's endpoints by rendezvous hashing, so
+ * that entries send it to the same place without talking and the pool as a whole holds as many
+ * different adapters as it has slots. The order alone is blind: it sends to a full endpoint, and
+ * the first of the order does not hold what was evicted there. So it is only where adapters go that
+ * are nowhere resident.
+ *
+ * <p><b>Correction.</b> Reports say where an adapter is resident, and own dispatches say where it
+ * soon will be. These homes and the first few of the order are weighed by {@link CostEstimate}, and
+ * the cheapest gets the attempt. Endpoints beyond those are never looked at, so the time does not
+ * grow with the pool.
+ *
+ * <p><b>Growth.</b> A queue at the only home makes the load elsewhere the cheaper choice; so a hot
+ * adapter gets another home, which all entries learn from the next report. Its homes are as many as
+ * its demand fills ({@link AdapterHomes#wanted}); those beyond cost a little more, fall idle, and
+ * are evicted by their agents. A cold adapter has one.
+ *
+ * <p>Example: an adapter is resident at A, whose queue takes 400 ms. A load at B takes 500 ms and
+ * counts 1.5 times, and it delays nobody: 750 + 500 / uses. A demand of 5 a second makes 51 uses. B
+ * costs 760, so the request stays at A. At a queue of 800 ms it goes to B.
+ *
+ * <p><b>Restart of all endpoints.</b> No adapter is resident, every load wait is long. Requests for
+ * one adapter follow the first of them to the place that loads it, so loads are as many as adapters
+ * asked for, not as many as requests.
+ *
+ * <p>Rejected: least outstanding work alone (it has no locality), rendezvous alone (a hot adapter
+ * drowns its endpoint), a shared map of adapters to endpoints in the table (a write for each load,
+ * and routing stops with the table).
  */
 public final class Router {
 
   private static final long RETRY_AFTER_MILLIS = 1_000;
 
   private final AvailabilityZone ownZone;
-  private final Map<EndpointId, State> endpoints = new HashMap<>();
+  private final RoutingSettings settings;
+  private final CostEstimate cost;
+  private final Map<EndpointId, EndpointState> endpoints = new HashMap<>();
+  private final Map<PoolName, EndpointPool> pools = new HashMap<>();
+  private final PrefixMemory prefixes = new PrefixMemory();
+  private int entries = 1;
+
+  private EndpointState best;
+  private double bestCost;
+  private long bestWaitMillis;
 
   /**
    * Creates a router that knows no endpoint.
@@ -27,7 +68,29 @@
    * @param ownZone the availability zone of this entry
    */
   public Router(AvailabilityZone ownZone) {
+    this(ownZone, RoutingSettings.DEFAULT);
+  }
+
+  /**
+   * Creates a router that knows no endpoint.
+   *
+   * @param ownZone the availability zone of this entry
+   * @param settings figures and switches
+   */
+  public Router(AvailabilityZone ownZone, RoutingSettings settings) {
     this.ownZone = ownZone;
+    this.settings = settings;
+    this.cost = new CostEstimate(settings);
+  }
+
+  /**
+   * Tells how many entries share the traffic, from which the whole demand of an adapter is
+   * estimated.
+   *
+   * @param count entries, this one included
+   */
+  public void entryCount(int count) {
+    entries = Math.max(1, count);
   }
 
   /**
@@ -38,19 +101,27 @@
    * @param pool what it belongs to
    * @param now milliseconds
    */
-  public void endpointJoined(
-      EndpointId id, AvailabilityZone zone, PoolName pool, @SuppressWarnings("unused") long now) {
-    endpoints.put(id, new State(zone, pool));
+  public void endpointJoined(EndpointId id, AvailabilityZone zone, PoolName pool, long now) {
+    endpointLeft(id, now);
+    EndpointPool joined = pools.computeIfAbsent(pool, name -> new EndpointPool());
+    long hop = zone.equals(ownZone) ? 0 : settings.crossZoneMillis();
+    EndpointState state = new EndpointState(id, joined, hop, settings.loadMillis());
+    endpoints.put(id, state);
+    joined.add(state);
   }
 
   /**
-   * Takes an endpoint out: it is leaving, or its connection is lost.
+   * Takes an endpoint out: it is leaving, or its connection is lost. Reports and ends of attempts
+   * that arrive later are ignored.
    *
    * @param id the endpoint
    * @param now milliseconds
    */
   public void endpointLeft(EndpointId id, @SuppressWarnings("unused") long now) {
-    endpoints.remove(id);
+    EndpointState state = endpoints.remove(id);
+    if (state != null) {
+      state.pool.remove(state);
+    }
   }
 
   /**
@@ -60,10 +131,13 @@
    * @param load what it said
    * @param now milliseconds
    */
-  public void loadReported(EndpointId id, EndpointLoad load, @SuppressWarnings("unused") long now) {
-    State state = endpoints.get(id);
+  public void loadReported(EndpointId id, EndpointLoad load, long now) {
+    EndpointState state = endpoints.get(id);
     if (state != null) {
-      state.load = load;
+      state.take(load, settings.loadMillis());
+      if (settings.residency()) {
+        state.pool.residency(state, load.resident(), now);
+      }
     }
   }
 
@@ -72,18 +146,97 @@
    *
    * @param request what is to be sent
    * @param now milliseconds
-   * @return where it goes
+   * @return where it goes; the estimate is time until its first token
    */
-  public RouteDecision route(RouteRequest request, @SuppressWarnings("unused") long now) {
-    return endpoints.entrySet().stream()
-        .filter(e -> e.getValue().pool.equals(request.pool()))
-        .filter(e -> !request.excluded().contains(e.getKey()))
-        .min(
-            Comparator.<Map.Entry<EndpointId, State>>comparingInt(e -> e.getValue().outstanding)
-                .thenComparing(e -> !e.getValue().zone.equals(ownZone))
-                .thenComparing(Map.Entry::getKey))
-        .<RouteDecision>map(e -> new RouteDecision.SendTo(e.getKey(), 0))
-        .orElse(new RouteDecision.Refuse(FailureType.NO_ENDPOINT, RETRY_AFTER_MILLIS));
+  public RouteDecision route(RouteRequest request, long now) {
+    EndpointPool pool = pools.get(request.pool());
+    best = null;
+    bestCost = Double.POSITIVE_INFINITY;
+    if (pool != null) {
+      weigh(pool, request, now);
+    }
+    if (best == null) {
+      return new RouteDecision.Refuse(FailureType.NO_ENDPOINT, RETRY_AFTER_MILLIS);
+    }
+    prefixes.sent(request.prefixHash(), best);
+    return new RouteDecision.SendTo(best.id, bestWaitMillis);
+  }
+
+  private void weigh(EndpointPool pool, RouteRequest request, long now) {
+    if (request.adapter().isEmpty()) {
+      weighAll(pool, request, now, false);
+    } else {
+      weighHomes(pool, request, now);
+    }
+    if (best == null) {
+      weighAll(pool, request, now, true);
+    }
+  }
+
+  /** For plain services, and when every candidate is excluded: any endpoint may do. */
+  private void weighAll(EndpointPool pool, RouteRequest request, long now, boolean ejectedToo) {
+    List<EndpointState> all = pool.endpoints;
+    for (int i = 0; i < all.size(); i++) {
+      EndpointState endpoint = all.get(i);
+      boolean lastResort = ejectedToo && !request.excluded().contains(endpoint.id);
+      if (lastResort || may(endpoint, request, now)) {
+        offer(endpoint, cost.resident(endpoint) + prefixLoss(endpoint, request));
+      }
+    }
+  }
+
+  private void weighHomes(EndpointPool pool, RouteRequest request, long now) {
+    AdapterHomes homes = pool.homes(request.adapter().orElseThrow(), now);
+    EndpointState[] order = homes.order(pool, settings.candidates());
+    double demand = homes.demandPerSecond(now);
+    double stallFactor = CostEstimate.stallFactor(request.weights());
+    List<Home> known = homes.homes();
+    int surplusFrom = settings.homeCount() ? wantedHomes(homes, demand, pool) : known.size();
+    for (int i = 0; i < known.size(); i++) {
+      Home home = known.get(i);
+      if (may(home.endpoint, request, now)) {
+        double base =
+            home.resident ? cost.resident(home.endpoint) : cost.pending(home, stallFactor, now);
+        double surplus = i < surplusFrom ? 0 : settings.surplusMillis();
+        offer(home.endpoint, base + surplus + prefixLoss(home.endpoint, request));
+      }
+    }
+    for (int rank = 0; rank < order.length; rank++) {
+      EndpointState endpoint = order[rank];
+      if (homes.home(endpoint) == null && may(endpoint, request, now)) {
+        double base = cost.absent(endpoint, stallFactor, demand);
+        offer(endpoint, base + rank * settings.rankMillis() + prefixLoss(endpoint, request));
+      }
+    }
+  }
+
+  private int wantedHomes(AdapterHomes homes, double demand, EndpointPool pool) {
+    double concurrency = entries * demand * pool.serviceMillis / 1_000;
+    List<Home> known = homes.homes();
+    int batch = known.isEmpty() ? 1 : known.getFirst().endpoint.batch;
+    return homes.wanted(concurrency, batch);
+  }
+
+  private void offer(EndpointState endpoint, double offeredCost) {
+    if (offeredCost < bestCost) {
+      best = endpoint;
+      bestCost = offeredCost;
+      bestWaitMillis = cost.waitMillis(endpoint);
+    }
+  }
+
+  /** An ejected endpoint gets one attempt when its test is due, and otherwise none. */
+  private boolean may(EndpointState endpoint, RouteRequest request, long now) {
+    Set<EndpointId> excluded = request.excluded();
+    if (!excluded.isEmpty() && excluded.contains(endpoint.id)) {
+      return false;
+    }
+    return !endpoint.speed.ejected() || endpoint.speed.probeDue(now);
+  }
+
+  private double prefixLoss(EndpointState endpoint, RouteRequest request) {
+    boolean kept = request.prefixHash() == 0 || prefixes.cached(request.prefixHash(), endpoint);
+    return kept ? 0 : settings.prefixMillis();
   }
 
   /**
@@ -93,11 +246,17 @@
    * @param adapter what it runs on, or null for a plain service
    * @param now milliseconds
    */
-  public void attemptStarted(
-      EndpointId id, AdapterRef adapter, @SuppressWarnings("unused") long now) {
-    State state = endpoints.get(id);
-    if (state != null) {
-      state.outstanding++;
+  public void attemptStarted(EndpointId id, AdapterRef adapter, long now) {
+    EndpointState state = endpoints.get(id);
+    if (state == null) {
+      return;
+    }
+    state.started();
+    if (state.speed.probeDue(now)) {
+      state.speed.probing = true;
+    }
+    if (adapter != null && settings.residency()) {
+      state.pool.homes(adapter, now).started(state, now);
     }
   }
 
@@ -109,26 +268,36 @@
    * @param result how it ended
    * @param now milliseconds
    */
-  public void attemptEnded(
-      EndpointId id,
-      AdapterRef adapter,
-      AttemptResult result,
-      @SuppressWarnings("unused") long now) {
-    State state = endpoints.get(id);
-    if (state != null && state.outstanding > 0) {
-      state.outstanding--;
-    }
-  }
-
-  private static final class State {
-    final AvailabilityZone zone;
-    final PoolName pool;
-    int outstanding;
-    EndpointLoad load;
-
-    State(AvailabilityZone zone, PoolName pool) {
-      this.zone = zone;
-      this.pool = pool;
+  public void attemptEnded(EndpointId id, AdapterRef adapter, AttemptResult result, long now) {
+    EndpointState state = endpoints.get(id);
+    if (state == null) {
+      return;
+    }
+    state.ended();
+    if (adapter != null && settings.residency()) {
+      state.pool.homes(adapter, now).ended(state);
+    }
+    switch (result) {
+      case AttemptResult.Answered answered -> answered(state, answered, now);
+      case AttemptResult.Failed failed -> failed(state, now);
+      case AttemptResult.Refused refused -> state.speed.probing = false;
+      case AttemptResult.Cancelled cancelled -> state.speed.probing = false;
+    }
+  }
+
+  private void answered(EndpointState state, AttemptResult.Answered answered, long now) {
+    long busy = answered.totalMillis() - answered.firstTokenMillis();
+    boolean counted = answered.tokens() > 0;
+    long work = counted ? busy : answered.totalMillis() - answered.loadStallMillis();
+    state.pool.served(work);
+    if (settings.ejection()) {
+      SlowEndpoints.answered(state, counted ? (double) work / answered.tokens() : work, now);
+    }
+  }
+
+  private void failed(EndpointState state, long now) {
+    if (settings.ejection()) {
+      SlowEndpoints.failed(state, now);
     }
   }
 }
