--- a/runtime/src/main/java/org/hornbeamusher/documents/ServiceDocument.java
+++ b/runtime/src/main/java/org/hornbeamusher/documents/ServiceDocument.java
@@ -40,6 +40,18 @@
     callerWeights = Map.copyOf(callerWeights);
   }
 
+  /**
+   * Returns this declaration as another version.
+   *
+   * @param newVersion its number
+   * @param newDeleted whether that version withdraws the service
+   * @return a copy
+   */
+  public ServiceDocument at(long newVersion, boolean newDeleted) {
+    return new ServiceDocument(
+        service, partner, team, newVersion, newDeleted, pool, kind, weights, limits, callerWeights);
+  }
+
   /** What runs a service's requests. */
   public sealed interface Kind {
 
--- /dev/null
+++ b/runtime/src/test/java/org/hornbeamusher/documents/FollowedTable.java
@@ -0,0 +1,41 @@
+package org.hornbeamusher.documents;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.hornbeamusher.platform.CommitResult;
+import org.hornbeamusher.platform.Row;
+import org.hornbeamusher.platform.RowKey;
+import org.hornbeamusher.platform.Table;
+import org.hornbeamusher.platform.Transaction;
+
+/** Lets something happen right after the first commit, before its caller does anything else. */
+final class FollowedTable implements Table {
+
+  private final Table table;
+  private Runnable after;
+
+  FollowedTable(Table table, Runnable after) {
+    this.table = table;
+    this.after = after;
+  }
+
+  @Override
+  public CompletableFuture<Optional<Row>> read(RowKey key) {
+    return table.read(key);
+  }
+
+  @Override
+  public CompletableFuture<List<Row>> scan(String name, String prefix, String after, int limit) {
+    return table.scan(name, prefix, after, limit);
+  }
+
+  @Override
+  public CompletableFuture<CommitResult> commit(Transaction transaction) {
+    CompletableFuture<CommitResult> result = table.commit(transaction);
+    Runnable next = after;
+    after = () -> {};
+    next.run();
+    return result;
+  }
+}
