--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/security/Identity.java
@@ -0,0 +1,55 @@
+package org.hornbeamusher.security;
+
+import java.util.Set;
+import org.hornbeamusher.ids.CallerId;
+import org.hornbeamusher.ids.InstanceId;
+import org.hornbeamusher.ids.OperatorId;
+import org.hornbeamusher.ids.PartnerId;
+import org.hornbeamusher.ids.ServiceName;
+import org.hornbeamusher.ids.TeamId;
+
+/** Whom a token or a certificate stands for, and with that the role. */
+public sealed interface Identity {
+
+  /**
+   * Sends requests to services of its own partner.
+   *
+   * @param id the caller
+   * @param partner the partner it belongs to
+   * @param services what it may call; empty means every service of its partner
+   */
+  record Caller(CallerId id, PartnerId partner, Set<ServiceName> services) implements Identity {
+
+    /** Copies the set. */
+    public Caller {
+      services = Set.copyOf(services);
+    }
+
+    /**
+     * Tells whether the caller may send requests to a service.
+     *
+     * @param service the service
+     * @param owner the partner that the service belongs to
+     * @return whether it may
+     */
+    public boolean mayCall(ServiceName service, PartnerId owner) {
+      return partner.equals(owner) && (services.isEmpty() || services.contains(service));
+    }
+  }
+
+  /**
+   * Changes documents of its own team and reads those of its own partner.
+   *
+   * @param id the operator
+   * @param partner the partner it belongs to
+   * @param team the team it belongs to
+   */
+  record Operator(OperatorId id, PartnerId partner, TeamId team) implements Identity {}
+
+  /**
+   * Another process of the system.
+   *
+   * @param id its name in its certificate
+   */
+  record Instance(InstanceId id) implements Identity {}
+}
