--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/documents/DocumentCodec.java
@@ -0,0 +1,348 @@
+package org.hornbeamusher.documents;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.zip.DeflaterOutputStream;
+import java.util.zip.InflaterInputStream;
+import org.hornbeamusher.documents.ServiceDocument.Adapter;
+import org.hornbeamusher.documents.ServiceDocument.CallPattern;
+import org.hornbeamusher.documents.ServiceDocument.Kind;
+import org.hornbeamusher.documents.ServiceDocument.Limits;
+import org.hornbeamusher.documents.ServiceDocument.Weights;
+import org.hornbeamusher.failure.FailureType;
+import org.hornbeamusher.failure.HornbeamusherException;
+import org.hornbeamusher.failure.Outcome;
+import org.hornbeamusher.ids.AdapterName;
+import org.hornbeamusher.ids.CallerId;
+import org.hornbeamusher.ids.PartnerId;
+import org.hornbeamusher.ids.PoolName;
+import org.hornbeamusher.ids.ServiceName;
+import org.hornbeamusher.ids.TeamId;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * Encodes what peers tell each other about documents: MessagePack, deflated because adapter names
+ * and locations repeat.
+ */
+public final class DocumentCodec {
+
+  /** Longest decoded form; a document of 900,000 characters is shorter. */
+  private static final int MAXIMUM_INFLATED_LENGTH = 16 << 20;
+
+  private static final int NOTHING = 0;
+  private static final int WHOLE = 1;
+  private static final int DIFFERENCES = 2;
+  private static final int MODEL = 1;
+  private static final int PLAIN = 2;
+
+  private DocumentCodec() {}
+
+  /**
+   * Encodes an update.
+   *
+   * @param update what a peer is sent
+   * @return its bytes
+   */
+  public static byte[] encodeUpdate(DocumentUpdate update) {
+    return encoded(
+        packer -> {
+          switch (update) {
+            case DocumentUpdate.Nothing nothing -> packer.packInt(NOTHING);
+            case DocumentUpdate.Whole whole -> {
+              packer.packInt(WHOLE);
+              packDocument(packer, whole.document());
+            }
+            case DocumentUpdate.Differences differences -> {
+              packer.packInt(DIFFERENCES);
+              packer.packArrayHeader(differences.deltas().size());
+              for (DocumentDelta delta : differences.deltas()) {
+                packDelta(packer, delta);
+              }
+            }
+          }
+        });
+  }
+
+  /**
+   * Decodes an update.
+   *
+   * @param bytes what a peer sent
+   * @return the update; throws {@code FRAME_MALFORMED} when it has another form
+   */
+  public static DocumentUpdate decodeUpdate(byte[] bytes) {
+    return decoded(
+        bytes,
+        unpacker -> {
+          int kind = unpacker.unpackInt();
+          return switch (kind) {
+            case NOTHING -> new DocumentUpdate.Nothing();
+            case WHOLE -> new DocumentUpdate.Whole(unpackDocument(unpacker));
+            case DIFFERENCES -> new DocumentUpdate.Differences(unpackDeltas(unpacker));
+            default -> throw malformed("document update " + kind);
+          };
+        });
+  }
+
+  /**
+   * Encodes a digest.
+   *
+   * @param digest versions by service
+   * @return its bytes
+   */
+  public static byte[] encodeDigest(Map<ServiceName, Long> digest) {
+    return encoded(
+        packer -> {
+          packer.packMapHeader(digest.size());
+          for (Map.Entry<ServiceName, Long> entry : digest.entrySet()) {
+            packer.packString(entry.getKey().value());
+            packer.packLong(entry.getValue());
+          }
+        });
+  }
+
+  /**
+   * Decodes a digest.
+   *
+   * @param bytes what a peer sent
+   * @return versions by service; throws {@code FRAME_MALFORMED} when it has another form
+   */
+  public static Map<ServiceName, Long> decodeDigest(byte[] bytes) {
+    return decoded(
+        bytes,
+        unpacker -> {
+          int size = unpacker.unpackMapHeader();
+          Map<ServiceName, Long> digest = new HashMap<>();
+          for (int i = 0; i < size; i++) {
+            digest.put(new ServiceName(unpacker.unpackString()), unpacker.unpackLong());
+          }
+          return digest;
+        });
+  }
+
+  private static void packDelta(MessageBufferPacker packer, DocumentDelta delta)
+      throws IOException {
+    packer.packLong(delta.baseVersion());
+    packDocument(packer, delta.head());
+    packAdapters(packer, delta.changed());
+    packer.packArrayHeader(delta.removed().size());
+    for (AdapterName name : delta.removed()) {
+      packer.packString(name.value());
+    }
+  }
+
+  private static List<DocumentDelta> unpackDeltas(MessageUnpacker unpacker) throws IOException {
+    int size = unpacker.unpackArrayHeader();
+    List<DocumentDelta> deltas = new ArrayList<>();
+    for (int i = 0; i < size; i++) {
+      deltas.add(
+          new DocumentDelta(
+              unpacker.unpackLong(),
+              unpackDocument(unpacker),
+              unpackAdapters(unpacker),
+              unpackNames(unpacker)));
+    }
+    return deltas;
+  }
+
+  private static Set<AdapterName> unpackNames(MessageUnpacker unpacker) throws IOException {
+    int size = unpacker.unpackArrayHeader();
+    Set<AdapterName> names = new HashSet<>();
+    for (int i = 0; i < size; i++) {
+      names.add(new AdapterName(unpacker.unpackString()));
+    }
+    return names;
+  }
+
+  private static void packDocument(MessageBufferPacker packer, ServiceDocument document)
+      throws IOException {
+    packer.packString(document.service().value());
+    packer.packString(document.partner().value());
+    packer.packString(document.team().value());
+    packer.packLong(document.version());
+    packer.packBoolean(document.deleted());
+    packer.packString(document.pool().value());
+    packKind(packer, document.kind());
+    packer.packDouble(document.weights().loadStall());
+    packer.packDouble(document.weights().batchEfficiency());
+    packLimits(packer, document.limits());
+    packer.packMapHeader(document.callerWeights().size());
+    for (Map.Entry<CallerId, Integer> weight : document.callerWeights().entrySet()) {
+      packer.packString(weight.getKey().value());
+      packer.packInt(weight.getValue());
+    }
+  }
+
+  private static ServiceDocument unpackDocument(MessageUnpacker unpacker) throws IOException {
+    return new ServiceDocument(
+        new ServiceName(unpacker.unpackString()),
+        new PartnerId(unpacker.unpackString()),
+        new TeamId(unpacker.unpackString()),
+        unpacker.unpackLong(),
+        unpacker.unpackBoolean(),
+        new PoolName(unpacker.unpackString()),
+        unpackKind(unpacker),
+        new Weights(unpacker.unpackDouble(), unpacker.unpackDouble()),
+        unpackLimits(unpacker),
+        unpackCallers(unpacker));
+  }
+
+  private static void packKind(MessageBufferPacker packer, Kind kind) throws IOException {
+    switch (kind) {
+      case Kind.Model model -> {
+        packer.packInt(MODEL);
+        packer.packString(model.baseModel());
+        packAdapters(packer, model.adapters());
+        packer.packBoolean(model.fencing());
+        packer.packInt(model.slots());
+        packer.packInt(model.batch());
+      }
+      case Kind.Plain plain -> {
+        packer.packInt(PLAIN);
+        packer.packArrayHeader(plain.nonRepeatable().size());
+        for (CallPattern pattern : plain.nonRepeatable()) {
+          packer.packString(pattern.method());
+          packer.packString(pattern.pathPrefix());
+        }
+        packer.packInt(plain.concurrency());
+      }
+    }
+  }
+
+  private static Kind unpackKind(MessageUnpacker unpacker) throws IOException {
+    int kind = unpacker.unpackInt();
+    return switch (kind) {
+      case MODEL ->
+          new Kind.Model(
+              unpacker.unpackString(),
+              unpackAdapters(unpacker),
+              unpacker.unpackBoolean(),
+              unpacker.unpackInt(),
+              unpacker.unpackInt());
+      case PLAIN -> new Kind.Plain(unpackPatterns(unpacker), unpacker.unpackInt());
+      default -> throw malformed("service kind " + kind);
+    };
+  }
+
+  private static List<CallPattern> unpackPatterns(MessageUnpacker unpacker) throws IOException {
+    int size = unpacker.unpackArrayHeader();
+    List<CallPattern> patterns = new ArrayList<>();
+    for (int i = 0; i < size; i++) {
+      patterns.add(new CallPattern(unpacker.unpackString(), unpacker.unpackString()));
+    }
+    return patterns;
+  }
+
+  private static void packAdapters(MessageBufferPacker packer, Map<AdapterName, Adapter> adapters)
+      throws IOException {
+    packer.packMapHeader(adapters.size());
+    for (Map.Entry<AdapterName, Adapter> entry : adapters.entrySet()) {
+      packer.packString(entry.getKey().value());
+      packer.packInt(entry.getValue().current());
+      packer.packArrayHeader(entry.getValue().versions().size());
+      for (int version : entry.getValue().versions()) {
+        packer.packInt(version);
+      }
+      packer.packString(entry.getValue().weights());
+    }
+  }
+
+  private static Map<AdapterName, Adapter> unpackAdapters(MessageUnpacker unpacker)
+      throws IOException {
+    int size = unpacker.unpackMapHeader();
+    Map<AdapterName, Adapter> adapters = new HashMap<>();
+    for (int i = 0; i < size; i++) {
+      AdapterName name = new AdapterName(unpacker.unpackString());
+      adapters.put(
+          name,
+          new Adapter(unpacker.unpackInt(), unpackVersions(unpacker), unpacker.unpackString()));
+    }
+    return adapters;
+  }
+
+  private static List<Integer> unpackVersions(MessageUnpacker unpacker) throws IOException {
+    int size = unpacker.unpackArrayHeader();
+    List<Integer> versions = new ArrayList<>();
+    for (int i = 0; i < size; i++) {
+      versions.add(unpacker.unpackInt());
+    }
+    return versions;
+  }
+
+  private static void packLimits(MessageBufferPacker packer, Limits limits) throws IOException {
+    packer.packInt(limits.share());
+    packer.packInt(limits.queue());
+    packer.packLong(limits.defaultDeadlineMillis());
+    packer.packLong(limits.maximumDeadlineMillis());
+    packer.packInt(limits.maximumTokens());
+  }
+
+  private static Limits unpackLimits(MessageUnpacker unpacker) throws IOException {
+    return new Limits(
+        unpacker.unpackInt(),
+        unpacker.unpackInt(),
+        unpacker.unpackLong(),
+        unpacker.unpackLong(),
+        unpacker.unpackInt());
+  }
+
+  private static Map<CallerId, Integer> unpackCallers(MessageUnpacker unpacker) throws IOException {
+    int size = unpacker.unpackMapHeader();
+    Map<CallerId, Integer> weights = new HashMap<>();
+    for (int i = 0; i < size; i++) {
+      weights.put(new CallerId(unpacker.unpackString()), unpacker.unpackInt());
+    }
+    return weights;
+  }
+
+  private static byte[] encoded(Packing packing) {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker();
+        DeflaterOutputStream deflater = new DeflaterOutputStream(bytes)) {
+      packing.pack(packer);
+      deflater.write(packer.toByteArray());
+      deflater.finish();
+      return bytes.toByteArray();
+    } catch (IOException e) {
+      throw malformed(e.getMessage());
+    }
+  }
+
+  private static <T> T decoded(byte[] bytes, Unpacking<T> unpacking) {
+    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(inflated(bytes))) {
+      return unpacking.unpack(unpacker);
+    } catch (IOException | RuntimeException e) {
+      throw malformed(String.valueOf(e.getMessage()));
+    }
+  }
+
+  private static byte[] inflated(byte[] bytes) throws IOException {
+    try (InflaterInputStream inflater = new InflaterInputStream(new ByteArrayInputStream(bytes))) {
+      byte[] content = inflater.readNBytes(MAXIMUM_INFLATED_LENGTH + 1);
+      if (content.length > MAXIMUM_INFLATED_LENGTH) {
+        throw malformed("longer than " + MAXIMUM_INFLATED_LENGTH + " bytes");
+      }
+      return content;
+    }
+  }
+
+  private static HornbeamusherException malformed(String detail) {
+    return HornbeamusherException.of(FailureType.FRAME_MALFORMED, Outcome.UNKNOWN, detail);
+  }
+
+  private interface Packing {
+    void pack(MessageBufferPacker packer) throws IOException;
+  }
+
+  private interface Unpacking<T> {
+    T unpack(MessageUnpacker unpacker) throws IOException;
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/documents/DocumentDelta.java
@@ -0,0 +1,88 @@
+package org.hornbeamusher.documents;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.hornbeamusher.documents.ServiceDocument.Adapter;
+import org.hornbeamusher.documents.ServiceDocument.Kind;
+import org.hornbeamusher.ids.AdapterName;
+
+/**
+ * The difference between two versions of one document.
+ *
+ * <p>Adapters make up nearly the whole of a document and few of them change at once, so a
+ * difference carries the changed adapters and everything else whole. It applies only to the very
+ * version it was taken from: on any other version the result would be a document nobody accepted.
+ *
+ * @param baseVersion the version it applies to
+ * @param head the newer version without its adapters
+ * @param changed adapters that are new or different
+ * @param removed adapters that are gone
+ */
+public record DocumentDelta(
+    long baseVersion,
+    ServiceDocument head,
+    Map<AdapterName, Adapter> changed,
+    Set<AdapterName> removed) {
+
+  /** Copies the collections. */
+  public DocumentDelta {
+    changed = Map.copyOf(changed);
+    removed = Set.copyOf(removed);
+  }
+
+  /**
+   * Takes the difference.
+   *
+   * @param older a version
+   * @param newer a later version of the same service
+   * @return what leads from one to the other
+   */
+  public static DocumentDelta between(ServiceDocument older, ServiceDocument newer) {
+    Map<AdapterName, Adapter> before = adapters(older);
+    Map<AdapterName, Adapter> after = adapters(newer);
+    Map<AdapterName, Adapter> changed = new HashMap<>(after);
+    changed.entrySet().removeIf(entry -> entry.getValue().equals(before.get(entry.getKey())));
+    Set<AdapterName> removed = new HashSet<>(before.keySet());
+    removed.removeAll(after.keySet());
+    return new DocumentDelta(
+        older.version(), withAdapters(newer, Map.of()), Map.copyOf(changed), removed);
+  }
+
+  /**
+   * Applies the difference.
+   *
+   * @param held the version a process holds
+   * @return the newer version, or empty when {@code held} is not the base
+   */
+  public Optional<ServiceDocument> applyTo(ServiceDocument held) {
+    boolean fits = held.service().equals(head.service()) && held.version() == baseVersion;
+    if (!fits) {
+      return Optional.empty();
+    }
+    Map<AdapterName, Adapter> adapters = new HashMap<>(adapters(held));
+    adapters.keySet().removeAll(removed);
+    adapters.putAll(changed);
+    return Optional.of(withAdapters(head, adapters));
+  }
+
+  private static Map<AdapterName, Adapter> adapters(ServiceDocument document) {
+    return switch (document.kind()) {
+      case Kind.Model model -> model.adapters();
+      case Kind.Plain plain -> Map.of();
+    };
+  }
+
+  private static ServiceDocument withAdapters(
+      ServiceDocument document, Map<AdapterName, Adapter> adapters) {
+    return switch (document.kind()) {
+      case Kind.Model model ->
+          document.withKind(
+              new Kind.Model(
+                  model.baseModel(), adapters, model.fencing(), model.slots(), model.batch()));
+      case Kind.Plain plain -> document;
+    };
+  }
+}
--- a/runtime/src/main/java/org/hornbeamusher/documents/DocumentHolder.java
+++ b/runtime/src/main/java/org/hornbeamusher/documents/DocumentHolder.java
@@ -1,6 +1,8 @@
 package org.hornbeamusher.documents;
 
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -18,9 +20,20 @@
  */
 public final class DocumentHolder {
 
+  /**
+   * Differences kept of each service: at one change a second, half a minute of a partner's storm.
+   */
+  private static final int RECENT_LIMIT = 32;
+
   /** Invariant: a service's version only rises. */
   private final Map<ServiceName, ServiceDocument> documents = new ConcurrentHashMap<>();
 
+  /**
+   * Invariant: each difference is based on the version of the one before; the last one leads to the
+   * version held.
+   */
+  private final Map<ServiceName, List<DocumentDelta>> recent = new ConcurrentHashMap<>();
+
   /** What an offer led to. */
   public sealed interface Offered {
 
@@ -49,20 +62,55 @@
    * @return what became of it
    */
   public Offered offer(ServiceDocument document) {
-    ServiceDocument[] before = new ServiceDocument[1];
+    Offered[] offered = new Offered[1];
     documents.compute(
         document.service(),
         (service, held) -> {
-          before[0] = held;
-          return held == null || document.version() > held.version() ? document : held;
+          offered[0] = compare(held, document);
+          if (!(offered[0] instanceof Offered.Newer)) {
+            return held;
+          }
+          if (held != null) {
+            remember(held, document);
+          }
+          return document;
         });
-    ServiceDocument held = before[0];
-    if (held == null || document.version() > held.version()) {
-      return new Offered.Newer(Optional.ofNullable(held));
+    return offered[0];
+  }
+
+  /**
+   * Takes in what a peer sent. Differences that do not fit the version held change nothing.
+   *
+   * @param update what the peer sent
+   * @return the version that came into force, or empty when none did
+   */
+  public Optional<ServiceDocument> apply(DocumentUpdate update) {
+    return switch (update) {
+      case DocumentUpdate.Nothing nothing -> Optional.empty();
+      case DocumentUpdate.Whole whole -> inForce(whole.document());
+      case DocumentUpdate.Differences differences -> applyAll(differences.deltas());
+    };
+  }
+
+  /**
+   * Answers a peer that asks for a newer version.
+   *
+   * @param service the service
+   * @param haveVersion the version the peer holds; 0 for none
+   * @return differences where they are still known, else the document whole
+   */
+  public DocumentUpdate updateSince(ServiceName service, long haveVersion) {
+    ServiceDocument held = documents.get(service);
+    if (held == null || held.version() <= haveVersion) {
+      return new DocumentUpdate.Nothing();
     }
-    return document.version() == held.version()
-        ? new Offered.Same()
-        : new Offered.Older(held.version());
+    List<DocumentDelta> deltas =
+        recent.getOrDefault(service, List.of()).stream()
+            .dropWhile(delta -> delta.baseVersion() != haveVersion)
+            .toList();
+    return deltas.isEmpty()
+        ? new DocumentUpdate.Whole(held)
+        : new DocumentUpdate.Differences(deltas);
   }
 
   /**
@@ -138,6 +186,35 @@
     return missing;
   }
 
+  private static Offered compare(ServiceDocument held, ServiceDocument document) {
+    if (held == null || document.version() > held.version()) {
+      return new Offered.Newer(Optional.ofNullable(held));
+    }
+    return document.version() == held.version()
+        ? new Offered.Same()
+        : new Offered.Older(held.version());
+  }
+
+  private void remember(ServiceDocument held, ServiceDocument newer) {
+    List<DocumentDelta> deltas = new ArrayList<>(recent.getOrDefault(held.service(), List.of()));
+    deltas.add(DocumentDelta.between(held, newer));
+    int surplus = Math.max(0, deltas.size() - RECENT_LIMIT);
+    recent.put(held.service(), List.copyOf(deltas.subList(surplus, deltas.size())));
+  }
+
+  private Optional<ServiceDocument> inForce(ServiceDocument document) {
+    return offer(document) instanceof Offered.Newer ? Optional.of(document) : Optional.empty();
+  }
+
+  private Optional<ServiceDocument> applyAll(List<DocumentDelta> deltas) {
+    Optional<ServiceDocument> last = Optional.empty();
+    for (DocumentDelta delta : deltas) {
+      Optional<ServiceDocument> newer = held(delta.head().service()).flatMap(delta::applyTo);
+      last = newer.flatMap(this::inForce);
+    }
+    return last;
+  }
+
   private static long mixed(String name, long version) {
     long value = version * 0x9E3779B97F4A7C15L;
     for (int i = 0; i < name.length(); i++) {
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/documents/DocumentUpdate.java
@@ -0,0 +1,30 @@
+package org.hornbeamusher.documents;
+
+import java.util.List;
+
+/** What a peer sends to a process that asked for a newer version of one document. */
+public sealed interface DocumentUpdate {
+
+  /** The peer holds nothing newer. */
+  record Nothing() implements DocumentUpdate {}
+
+  /**
+   * The document at the version the peer holds.
+   *
+   * @param document perhaps a tombstone
+   */
+  record Whole(ServiceDocument document) implements DocumentUpdate {}
+
+  /**
+   * The differences from the version the process holds, each based on the one before.
+   *
+   * @param deltas at least one
+   */
+  record Differences(List<DocumentDelta> deltas) implements DocumentUpdate {
+
+    /** Copies the list. */
+    public Differences {
+      deltas = List.copyOf(deltas);
+    }
+  }
+}
--- a/runtime/src/main/java/org/hornbeamusher/documents/ServiceDocument.java
+++ b/runtime/src/main/java/org/hornbeamusher/documents/ServiceDocument.java
@@ -52,6 +52,17 @@
         service, partner, team, newVersion, newDeleted, pool, kind, weights, limits, callerWeights);
   }
 
+  /**
+   * Returns this declaration with another kind.
+   *
+   * @param newKind what runs its requests
+   * @return a copy
+   */
+  ServiceDocument withKind(Kind newKind) {
+    return new ServiceDocument(
+        service, partner, team, version, deleted, pool, newKind, weights, limits, callerWeights);
+  }
+
   /** What runs a service's requests. */
   public sealed interface Kind {
 
--- /dev/null
+++ b/runtime/src/test/java/org/hornbeamusher/documents/DocumentDeltaTest.java
@@ -0,0 +1,83 @@
+package org.hornbeamusher.documents;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.hornbeamusher.documents.ServiceDocument.Adapter;
+import org.hornbeamusher.documents.ServiceDocument.Kind;
+import org.hornbeamusher.ids.AdapterName;
+import org.junit.jupiter.api.Test;
+
+class DocumentDeltaTest {
+
+  @Property(seed = "33", tries = 300)
+  void differenceLeadsFromAnyVersionToAnyOther(
+      @ForAll @Size(max = 8) Map<@IntRange(max = 9) Integer, @IntRange(min = 1, max = 3) Integer> a,
+      @ForAll @Size(max = 8)
+          Map<@IntRange(max = 9) Integer, @IntRange(min = 1, max = 3) Integer> b) {
+    ServiceDocument older = document(1, a);
+    ServiceDocument newer = document(2, b);
+
+    DocumentUpdate sent =
+        new DocumentUpdate.Differences(List.of(DocumentDelta.between(older, newer)));
+    DocumentUpdate.Differences got =
+        (DocumentUpdate.Differences) DocumentCodec.decodeUpdate(DocumentCodec.encodeUpdate(sent));
+
+    assertEquals(Optional.of(newer), got.deltas().get(0).applyTo(older));
+  }
+
+  /**
+   * A process holds a version in between that the sender did not know of. Applying the difference
+   * would make a document that no operator ever submitted.
+   */
+  @Test
+  void differenceDoesNotApplyToAnotherVersion() {
+    DocumentDelta delta = DocumentDelta.between(document(1, Map.of()), document(3, Map.of(1, 1)));
+
+    assertEquals(Optional.empty(), delta.applyTo(document(2, Map.of())));
+  }
+
+  @Test
+  void gapInDifferencesMakesTheHolderSendTheWholeDocument() {
+    DocumentHolder holder = new DocumentHolder();
+    holder.offer(document(1, Map.of()));
+    holder.offer(document(4, Map.of(1, 1)));
+
+    assertEquals(
+        new DocumentUpdate.Whole(document(4, Map.of(1, 1))),
+        holder.updateSince(document(1, Map.of()).service(), 2));
+  }
+
+  /** The figures of docs/DOCUMENTS.md rest on this relation. */
+  @Test
+  void differenceOfOneAdapterIsSmallAgainstTheDocument() {
+    ServiceDocument older = read(DocumentTexts.manyAdapters(3_000)).at(1, false);
+    ServiceDocument newer = read(DocumentTexts.manyAdapters(3_001)).at(2, false);
+    int whole = DocumentCodec.encodeUpdate(new DocumentUpdate.Whole(newer)).length;
+    DocumentUpdate difference =
+        new DocumentUpdate.Differences(List.of(DocumentDelta.between(older, newer)));
+
+    assertTrue(DocumentCodec.encodeUpdate(difference).length * 20 < whole);
+  }
+
+  private static ServiceDocument document(long version, Map<Integer, Integer> adapters) {
+    Map<AdapterName, Adapter> named = new HashMap<>();
+    adapters.forEach(
+        (name, current) ->
+            named.put(new AdapterName("a" + name), new Adapter(current, List.of(current), "w")));
+    ServiceDocument base = read(DocumentTexts.dispatch(7));
+    return base.withKind(new Kind.Model("base", named, true, 4, 8)).at(version, false);
+  }
+
+  private static ServiceDocument read(String text) {
+    return ((DocumentReading.Valid) ServiceDocumentReader.read("f", text)).document();
+  }
+}
