Agent scheduling: residency, fair queue, load order, admission

Cause: the first form served by arrival, evicted by last use and refused only when a deadline had passed. Change: AgentScheduler keeps its calls and is split into Residency, FairQueue, LoadDemand, LoadFailures, LoadPermit, Admission, WaitEstimate and WorkEstimate; each mechanism can be switched off through SchedulerSettings. Drawn histories check against a fake endpoint that nothing in use is evicted, nothing starts without its adapter and every request gets one answer. Conclusion: correct under the drawn histories; what each mechanism brings is not measured yet.

--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/scheduling/WaitEstimate.java
@@ -0,0 +1,124 @@
+package org.hornbeamusher.scheduling;
+
+import java.util.Collection;
+import org.hornbeamusher.ids.AdapterRef;
+
+/**
+ * Expects how long a request waits for a batch place and for its adapter.
+ *
+ * <p><b>The place.</b> While a place is free the wait is 0. Otherwise it is the time until the
+ * first running request ends, and then the lesser of two bounds: all startable work that waits over
+ * the endpoint's whole speed (no order of serving makes it longer, as no place is left empty), and
+ * the work of the request's own caller over that caller's part of the speed (whatever the others
+ * send). The second is what lets a small caller in while another's backlog is minutes long; the
+ * same is done for the service and the partner.
+ *
+ * <p><b>The load.</b> The loads that are ahead, each at the pace measured here, and its own. With
+ * none ahead only the load itself counts: were the measured pace counted as well, a slow hour of
+ * the store would have every request refused, no load tried, and the pace never measured again.
+ */
+final class WaitEstimate {
+
+  private final SchedulerSettings settings;
+  private final FairQueue queue;
+  private final Residency residency;
+  private final WorkEstimate work;
+  private final LoadDemand demand;
+  private final LoadPace pace;
+  private final Collection<Waiting> running;
+
+  WaitEstimate(
+      SchedulerSettings settings,
+      FairQueue queue,
+      Residency residency,
+      WorkEstimate work,
+      LoadDemand demand,
+      LoadPace pace,
+      Collection<Waiting> running) {
+    this.settings = settings;
+    this.queue = queue;
+    this.residency = residency;
+    this.work = work;
+    this.demand = demand;
+    this.pace = pace;
+    this.running = running;
+  }
+
+  /** Returns the wait of a request that is not in the queue yet, place and load together. */
+  double waitMillis(QueuedRequest request, long now) {
+    double load = request.adapter().map(ref -> loadWaitMillis(ref, now)).orElse(0.0);
+    return Math.max(load, placeWaitMillis(request, now));
+  }
+
+  /** Returns the least time until a request's adapter can be there. */
+  double leastLoadMillis(AdapterRef adapter, long now) {
+    if (residency.resident(adapter)) {
+      return 0;
+    }
+    return residency
+        .loading()
+        .filter(order -> order.adapter().equals(adapter))
+        .map(order -> (double) Math.max(0, order.sinceMillis() + settings.loadMillis() - now))
+        .orElse((double) settings.loadMillis());
+  }
+
+  /** Returns the wait for a batch place of a request whose caller has nothing waiting. */
+  double newcomerPlaceWaitMillis(long now) {
+    return batchFull() ? firstPlaceMillis(now) + allWork() : 0;
+  }
+
+  /** Returns the wait for the load of an adapter that nobody waits for yet. */
+  double newcomerLoadWaitMillis() {
+    return loadsAhead() * pace.turnMillis() + settings.loadMillis();
+  }
+
+  private double loadWaitMillis(AdapterRef adapter, long now) {
+    double least = leastLoadMillis(adapter, now);
+    boolean counted = least == 0 || !demand.waitingFor(adapter).isEmpty();
+    return counted ? least : loadsAhead() * pace.turnMillis() + least;
+  }
+
+  private long loadsAhead() {
+    return demand.count(adapter -> !residency.resident(adapter));
+  }
+
+  private double placeWaitMillis(QueuedRequest request, long now) {
+    if (!batchFull()) {
+      return 0;
+    }
+    double bound = allWork();
+    double fraction = 1;
+    for (ShareNode node : queue.path(request)) {
+      fraction *= node.fraction();
+      bound = Math.min(bound, startableMillis(node) / fraction);
+    }
+    return firstPlaceMillis(now) + bound;
+  }
+
+  private double allWork() {
+    return startableMillis(queue.root());
+  }
+
+  /** Returns the time in which the whole endpoint would do what waits below a class. */
+  private double startableMillis(ShareNode node) {
+    double sum = 0;
+    for (Waiting waiting : node.allRequests()) {
+      if (!waiting.missesAdapter()) {
+        sum += work.runMillis(waiting.request.costTokens());
+      }
+    }
+    return sum / settings.batch();
+  }
+
+  private boolean batchFull() {
+    return running.size() >= settings.batch();
+  }
+
+  private double firstPlaceMillis(long now) {
+    return running.stream()
+        .mapToDouble(one -> one.startedMillis() + work.runMillis(one.request.costTokens()) - now)
+        .map(left -> Math.max(0, left))
+        .min()
+        .orElse(0);
+  }
+}
