The whole path, thin: entry, agent, and a demo that drives both partners

Cause: nothing served a request yet. Change: an entry with the callers' interface (completions, chat, models, plain services), attempts over frames with credit, checks that an answer is whole and of the adapter it names, one typed answer for every request; an agent that carries out its scheduler's decisions against the engine; a demo over loopback. Conclusion: documents, claims, the instance list and permits are not wired yet.

--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/agent/AgentShell.java
@@ -0,0 +1,448 @@
+package org.hornbeamusher.agent;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+import org.hornbeamusher.clock.Clock;
+import org.hornbeamusher.documents.ServiceDocument.Weights;
+import org.hornbeamusher.endpoint.EngineOrders;
+import org.hornbeamusher.endpoint.EngineState;
+import org.hornbeamusher.events.EventLog;
+import org.hornbeamusher.events.EventType;
+import org.hornbeamusher.failure.FailureType;
+import org.hornbeamusher.failure.HornbeamusherException;
+import org.hornbeamusher.failure.Outcome;
+import org.hornbeamusher.http.HttpCall;
+import org.hornbeamusher.http.HttpClient;
+import org.hornbeamusher.ids.AdapterRef;
+import org.hornbeamusher.ids.CallerId;
+import org.hornbeamusher.ids.EndpointId;
+import org.hornbeamusher.ids.FencingNumber;
+import org.hornbeamusher.ids.PartnerId;
+import org.hornbeamusher.ids.ServiceName;
+import org.hornbeamusher.routing.EndpointLoad;
+import org.hornbeamusher.scheduling.AgentAction;
+import org.hornbeamusher.scheduling.AgentScheduler;
+import org.hornbeamusher.scheduling.QueuedRequest;
+import org.hornbeamusher.wire.Message;
+import org.hornbeamusher.wire.WireConnection;
+
+/**
+ * Carries out what the {@link AgentScheduler} decides for one endpoint.
+ *
+ * <p>The scheduler is the serial point of the endpoint: every call to it happens under this
+ * object's lock. What it decides is carried out after the lock is released, because a call to the
+ * endpoint may answer on the same thread and come back here.
+ */
+final class AgentShell implements AgentAttempt.Ending {
+
+  private static final int NOT_FOUND = 404;
+  private static final int TOO_MANY_REQUESTS = 429;
+  private static final int FIRST_SERVER_ERROR = 500;
+
+  /** An endpoint that refuses the same attempt this often is not going to run it. */
+  private static final int MAX_REQUEUES = 3;
+
+  private static final long RETRY_AFTER_MILLIS = 1_000;
+
+  private final AgentSetup setup;
+  private final AgentScheduler scheduler;
+  private final EngineOrders orders;
+  private final HttpClient http;
+  private final Clock clock;
+  private final Function<AdapterRef, String> weightsLocation;
+  private final Map<Long, AgentAttempt> attempts = new HashMap<>();
+  private final Map<AttemptKey, AgentAttempt> byKey = new HashMap<>();
+  private long nextTicket;
+  private boolean leaving;
+  private boolean endpointDown;
+  private String engineIncarnation = "";
+
+  /** Loads ordered and not ended. */
+  private int loadsInFlight;
+
+  /** Loads that ended since the start; rises only. */
+  private long loadsEnded;
+
+  /** Identifies an attempt among those of all entries. */
+  private record AttemptKey(WireConnection connection, long attempt) {}
+
+  /**
+   * What a shell is told of its endpoint.
+   *
+   * @param endpoint the endpoint
+   * @param uri its address
+   * @param model whether it is a model engine
+   * @param fencing the number that orders carry
+   */
+  record AgentSetup(
+      EndpointId endpoint,
+      java.net.URI uri,
+      boolean model,
+      java.util.function.Supplier<FencingNumber> fencing) {}
+
+  AgentShell(
+      AgentSetup setup,
+      AgentScheduler scheduler,
+      EngineOrders orders,
+      HttpClient http,
+      Function<AdapterRef, String> weightsLocation,
+      Clock clock) {
+    this.setup = setup;
+    this.scheduler = scheduler;
+    this.orders = orders;
+    this.http = http;
+    this.weightsLocation = weightsLocation;
+    this.clock = clock;
+  }
+
+  /** Takes in an attempt of an entry. */
+  void dispatch(WireConnection connection, Message.Dispatch dispatch) {
+    Optional<FailureType> refusal;
+    synchronized (this) {
+      refusal = refusalOf(dispatch);
+      if (refusal.isEmpty()) {
+        queue(connection, dispatch);
+      }
+    }
+    if (refusal.isPresent()) {
+      refuse(connection, dispatch, refusal.get(), RETRY_AFTER_MILLIS);
+      return;
+    }
+    poll();
+  }
+
+  private Optional<FailureType> refusalOf(Message.Dispatch dispatch) {
+    if (leaving) {
+      return Optional.of(FailureType.ENDPOINT_LEAVING);
+    }
+    if (endpointDown) {
+      return Optional.of(FailureType.ENDPOINT_FAILED);
+    }
+    if (dispatch.expiresMillis() <= clock.millis()) {
+      return Optional.of(FailureType.DISPATCH_EXPIRED);
+    }
+    return Optional.empty();
+  }
+
+  private void queue(WireConnection connection, Message.Dispatch dispatch) {
+    AgentAttempt attempt = new AgentAttempt(connection, dispatch, nextTicket++, this);
+    attempts.put(attempt.ticket(), attempt);
+    byKey.put(new AttemptKey(connection, dispatch.attempt()), attempt);
+    scheduler.submit(queued(attempt), clock.millis());
+  }
+
+  private QueuedRequest queued(AgentAttempt attempt) {
+    Message.Dispatch d = attempt.dispatch();
+    return new QueuedRequest(
+        attempt.ticket(),
+        d.adapter().isEmpty() ? Optional.empty() : Optional.of(AdapterRef.parse(d.adapter())),
+        new PartnerId(d.partner()),
+        new ServiceName(d.service()),
+        new CallerId(d.caller()),
+        d.costTokens(),
+        clock.millis(),
+        d.deadlineMillis(),
+        new Weights(d.loadStallWeight(), d.batchWeight()),
+        d.serviceShare(),
+        d.callerWeight(),
+        d.queueLimit());
+  }
+
+  /** Ends an attempt that its entry no longer wants. */
+  void cancel(WireConnection connection, long attemptNumber) {
+    AgentAttempt attempt;
+    synchronized (this) {
+      attempt = byKey.get(new AttemptKey(connection, attemptNumber));
+      if (attempt == null) {
+        return;
+      }
+      forget(attempt);
+      scheduler.cancel(attempt.ticket(), clock.millis());
+    }
+    attempt.cancel();
+    poll();
+  }
+
+  /** Passes credit on. */
+  void credit(WireConnection connection, long attemptNumber, long bytes) {
+    AgentAttempt attempt;
+    synchronized (this) {
+      attempt = byKey.get(new AttemptKey(connection, attemptNumber));
+    }
+    if (attempt != null) {
+      attempt.addCredit(bytes);
+    }
+  }
+
+  /**
+   * Ends every attempt of a connection that is gone: its entry can no longer be told the answer,
+   * and it settles the attempts by itself.
+   */
+  void connectionClosed(WireConnection connection) {
+    List<Long> orphans = new ArrayList<>();
+    synchronized (this) {
+      byKey.keySet().stream()
+          .filter(key -> key.connection() == connection)
+          .forEach(key -> orphans.add(key.attempt()));
+    }
+    orphans.forEach(attempt -> cancel(connection, attempt));
+  }
+
+  /** Takes no new attempts from here on. */
+  synchronized void leave() {
+    leaving = true;
+  }
+
+  /** Tells whether new attempts are refused. */
+  synchronized boolean leaving() {
+    return leaving;
+  }
+
+  /** Tells how many attempts are queued or running. */
+  synchronized int outstanding() {
+    return attempts.size();
+  }
+
+  /** Describes the endpoint; a batch of 0 says that it cannot be reached. */
+  synchronized EndpointLoad load() {
+    EndpointLoad load = scheduler.load(clock.millis());
+    if (!endpointDown) {
+      return load;
+    }
+    return new EndpointLoad(0, load.queued(), 0, load.slots(), 0, 0, load.resident());
+  }
+
+  /** Tells when {@link #poll} is due though nothing happened. */
+  synchronized long nextPollMillis() {
+    return scheduler.nextPollMillis(clock.millis());
+  }
+
+  /** Lets the scheduler decide and carries out what it decided. */
+  void poll() {
+    List<Runnable> steps = new ArrayList<>();
+    synchronized (this) {
+      for (AgentAction action : scheduler.poll(clock.millis())) {
+        steps.add(step(action));
+      }
+    }
+    steps.forEach(Runnable::run);
+  }
+
+  private Runnable step(AgentAction action) {
+    return switch (action) {
+      case AgentAction.Start start -> startStep(start);
+      case AgentAction.Refuse refusal -> refusalStep(refusal);
+      case AgentAction.Load load -> loadStep(load);
+      case AgentAction.AskPermit ask -> () -> permitGranted();
+    };
+  }
+
+  private void permitGranted() {
+    synchronized (this) {
+      scheduler.permitGranted(clock.millis());
+    }
+    poll();
+  }
+
+  private Runnable startStep(AgentAction.Start start) {
+    AgentAttempt attempt = attempts.get(start.ticket());
+    attempt.markStarted(engineIncarnation);
+    return () -> run(attempt, start.loadStallMillis());
+  }
+
+  private Runnable refusalStep(AgentAction.Refuse refusal) {
+    AgentAttempt attempt = attempts.get(refusal.ticket());
+    forget(attempt);
+    return () ->
+        refuse(
+            attempt.connection(), attempt.dispatch(), refusal.type(), refusal.retryAfterMillis());
+  }
+
+  private void run(AgentAttempt attempt, long loadStallMillis) {
+    Message.Dispatch d = attempt.dispatch();
+    attempt.connection().send(new Message.Started(d.attempt(), loadStallMillis));
+    Map<String, String> headers = new HashMap<>();
+    headers.put("X-Request-Id", d.requestId());
+    if (!d.contentType().isEmpty()) {
+      headers.put("Content-Type", d.contentType());
+    }
+    if (!d.idempotencyKey().isEmpty()) {
+      headers.put("Idempotency-Key", d.idempotencyKey());
+    }
+    HttpCall call = new HttpCall(d.method(), setup.uri().resolve(d.path()), headers, d.body());
+    attempt.attach(http.stream(call, attempt));
+  }
+
+  private Runnable loadStep(AgentAction.Load load) {
+    loadsInFlight++;
+    return () -> orderLoad(load);
+  }
+
+  private void orderLoad(AgentAction.Load load) {
+    FencingNumber fencing = setup.fencing().get();
+    CompletableFuture<Void> evicted =
+        load.evict()
+            .map(victim -> orders.unload(victim, fencing))
+            .orElseGet(() -> CompletableFuture.completedFuture(null));
+    evicted
+        .thenCompose(
+            done -> orders.load(load.adapter(), weightsLocation.apply(load.adapter()), fencing))
+        .whenComplete((done, thrown) -> loadEnded(load.adapter(), thrown));
+  }
+
+  private void loadEnded(AdapterRef adapter, Throwable thrown) {
+    synchronized (this) {
+      loadsInFlight--;
+      loadsEnded++;
+      if (thrown == null) {
+        EventLog.log(EventType.ADAPTER_LOADED, "adapter", adapter, "endpoint", setup.endpoint());
+        scheduler.loaded(adapter, clock.millis());
+      } else {
+        HornbeamusherException failure = HornbeamusherException.from(thrown);
+        EventLog.log(
+            EventType.ADAPTER_LOAD_FAILED,
+            "adapter",
+            adapter,
+            "endpoint",
+            setup.endpoint(),
+            "failure",
+            failure.type());
+        scheduler.loadFailed(adapter, clock.millis());
+      }
+    }
+    if (thrown != null) {
+      observeEngine();
+    }
+    poll();
+  }
+
+  @Override
+  public void answered(AgentAttempt attempt) {
+    finish(attempt);
+  }
+
+  /**
+   * The endpoint refused the attempt, which proves that it did not run. An adapter that is not
+   * resident after all means that the engine restarted or dropped it behind this agent's back; a
+   * full batch means that a run ended later at the engine than here. Both are put right by queueing
+   * the attempt again, so that the caller does not notice.
+   */
+  @Override
+  public void rejected(AgentAttempt attempt, int status, String body) {
+    boolean passing = status == NOT_FOUND || status == TOO_MANY_REQUESTS;
+    if (passing && requeue(attempt)) {
+      observeEngine().thenRun(this::poll);
+      return;
+    }
+    Outcome outcome = status >= FIRST_SERVER_ERROR ? Outcome.UNKNOWN : Outcome.NOT_RUN;
+    sendFailed(attempt, FailureType.ENDPOINT_FAILED, outcome, "status " + status, false);
+    finish(attempt);
+  }
+
+  private synchronized boolean requeue(AgentAttempt attempt) {
+    if (attempts.get(attempt.ticket()) != attempt || attempt.requeue() > MAX_REQUEUES) {
+      return false;
+    }
+    scheduler.finished(attempt.ticket(), clock.millis());
+    scheduler.submit(queued(attempt), clock.millis());
+    return true;
+  }
+
+  @Override
+  public void failed(AgentAttempt attempt, HornbeamusherException failure) {
+    if (failure.outcome() instanceof Outcome.NotRun) {
+      sendFailed(attempt, FailureType.ENDPOINT_FAILED, Outcome.NOT_RUN, "unreachable", false);
+      finish(attempt);
+      observeEngine();
+      return;
+    }
+    String before = attempt.startedOn();
+    observeEngine()
+        .handle((state, thrown) -> thrown != null || !state.incarnation().equals(before))
+        .thenAccept(
+            crashed -> {
+              sendFailed(attempt, FailureType.ANSWER_CUT, Outcome.UNKNOWN, "cut", crashed);
+              finish(attempt);
+            });
+  }
+
+  /** Asks the engine for its state and takes it in. A plain service has none. */
+  CompletableFuture<EngineState> observeEngine() {
+    if (!setup.model()) {
+      return CompletableFuture.failedFuture(
+          HornbeamusherException.of(
+              FailureType.ENDPOINT_FAILED, Outcome.UNKNOWN, setup.endpoint(), "it has no state"));
+    }
+    long asked = loadsEnded();
+    return orders.state().whenComplete((state, thrown) -> observed(state, thrown, asked));
+  }
+
+  private synchronized long loadsEnded() {
+    return loadsEnded;
+  }
+
+  private synchronized void observed(EngineState state, Throwable thrown, long asked) {
+    endpointDown = thrown != null;
+    if (thrown != null) {
+      return;
+    }
+    if (!state.incarnation().equals(engineIncarnation)) {
+      boolean first = engineIncarnation.isEmpty();
+      engineIncarnation = state.incarnation();
+      if (!first) {
+        EventLog.log(EventType.ENDPOINT_RESTARTED, "endpoint", setup.endpoint());
+        scheduler.endpointRestarted(clock.millis());
+      }
+    }
+    // A load that ended after the question was asked may be missing from the answer. Taking such an
+    // answer in would forget a resident adapter and load it twice; the next question settles it.
+    if (asked == loadsEnded && loadsInFlight == 0) {
+      scheduler.residencyObserved(state.resident(), clock.millis());
+    }
+  }
+
+  private void finish(AgentAttempt attempt) {
+    synchronized (this) {
+      if (attempts.get(attempt.ticket()) != attempt) {
+        return;
+      }
+      forget(attempt);
+      scheduler.finished(attempt.ticket(), clock.millis());
+    }
+    poll();
+  }
+
+  private void forget(AgentAttempt attempt) {
+    attempts.remove(attempt.ticket());
+    byKey.remove(new AttemptKey(attempt.connection(), attempt.dispatch().attempt()));
+  }
+
+  private void refuse(
+      WireConnection connection,
+      Message.Dispatch dispatch,
+      FailureType type,
+      long retryAfterMillis) {
+    connection.send(
+        new Message.Failed(
+            dispatch.attempt(),
+            type.number(),
+            Outcome.NOT_RUN.label(),
+            retryAfterMillis,
+            setup.endpoint().value(),
+            false));
+  }
+
+  private void sendFailed(
+      AgentAttempt attempt, FailureType type, Outcome outcome, String detail, boolean crashed) {
+    attempt
+        .connection()
+        .send(
+            new Message.Failed(
+                attempt.dispatch().attempt(), type.number(), outcome.label(), -1, detail, crashed));
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/agent/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The agent: the one process beside an endpoint, which decides what the endpoint holds and runs.
+ */
+package org.hornbeamusher.agent;
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/endpoint/EngineOrders.java
@@ -0,0 +1,129 @@
+package org.hornbeamusher.endpoint;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.hornbeamusher.failure.FailureType;
+import org.hornbeamusher.failure.HornbeamusherException;
+import org.hornbeamusher.failure.Outcome;
+import org.hornbeamusher.http.HttpCall;
+import org.hornbeamusher.http.HttpClient;
+import org.hornbeamusher.http.HttpReply;
+import org.hornbeamusher.ids.AdapterRef;
+import org.hornbeamusher.ids.EndpointId;
+import org.hornbeamusher.ids.FencingNumber;
+
+/** Orders to one engine, and what it says of itself. */
+public final class EngineOrders {
+
+  private static final ObjectMapper JSON = new ObjectMapper();
+  private static final int OK = 200;
+  private static final int CONFLICT = 409;
+
+  /** A state answer comes from memory; a second without one means that the engine is gone. */
+  private static final long STATE_TIMEOUT_MILLIS = 1_000;
+
+  private final EndpointId endpoint;
+  private final URI uri;
+  private final HttpClient http;
+  private final long orderTimeoutMillis;
+
+  /**
+   * Creates a client of one engine.
+   *
+   * @param endpoint the engine
+   * @param uri its address
+   * @param http carries the calls
+   * @param orderTimeoutMillis how long an order may take before its answer counts as lost
+   */
+  public EngineOrders(EndpointId endpoint, URI uri, HttpClient http, long orderTimeoutMillis) {
+    this.endpoint = endpoint;
+    this.uri = uri;
+    this.http = http;
+    this.orderTimeoutMillis = orderTimeoutMillis;
+  }
+
+  /**
+   * Orders the engine to load an adapter.
+   *
+   * @param adapter the adapter
+   * @param weights where the weight store keeps it
+   * @param fencing the number of this agent's lease
+   * @return completes when it is resident; fails with {@code LOAD_FAILED}, {@code
+   *     STALE_FENCING_NUMBER}, or {@code CONNECTION_CLOSED} when the answer was lost
+   */
+  public CompletableFuture<Void> load(AdapterRef adapter, String weights, FencingNumber fencing) {
+    ObjectNode order = JSON.createObjectNode();
+    order.put("adapter", adapter.toString());
+    order.put("weights", weights);
+    order.put("fencing", fencing.value());
+    return order("/orders/load", order, adapter);
+  }
+
+  /**
+   * Orders the engine to drop an adapter.
+   *
+   * @param adapter the adapter
+   * @param fencing the number of this agent's lease
+   * @return as for {@link #load}
+   */
+  public CompletableFuture<Void> unload(AdapterRef adapter, FencingNumber fencing) {
+    ObjectNode order = JSON.createObjectNode();
+    order.put("adapter", adapter.toString());
+    order.put("fencing", fencing.value());
+    return order("/orders/unload", order, adapter);
+  }
+
+  /**
+   * Asks the engine what it holds.
+   *
+   * @return its state; fails with {@code CONNECT_FAILED} when nothing listens
+   */
+  public CompletableFuture<EngineState> state() {
+    return http.send(HttpCall.get(uri.resolve("/state")), STATE_TIMEOUT_MILLIS)
+        .thenApply(this::parseState);
+  }
+
+  private CompletableFuture<Void> order(String path, ObjectNode order, AdapterRef adapter) {
+    byte[] body = order.toString().getBytes(StandardCharsets.UTF_8);
+    return http.send(HttpCall.postJson(uri.resolve(path), body), orderTimeoutMillis)
+        .thenAccept(reply -> check(reply, adapter));
+  }
+
+  private void check(HttpReply reply, AdapterRef adapter) {
+    if (reply.status() == OK) {
+      return;
+    }
+    if (reply.status() == CONFLICT && bodyText(reply).contains("stale-fencing-number")) {
+      throw HornbeamusherException.notRun(FailureType.STALE_FENCING_NUMBER, endpoint);
+    }
+    throw HornbeamusherException.notRun(FailureType.LOAD_FAILED, adapter);
+  }
+
+  private EngineState parseState(HttpReply reply) {
+    try {
+      JsonNode json = JSON.readTree(reply.body());
+      Set<AdapterRef> resident = new HashSet<>();
+      json.path("resident").forEach(name -> resident.add(AdapterRef.parse(name.asText())));
+      return new EngineState(
+          json.path("incarnation").asText(),
+          resident,
+          json.path("running").asInt(),
+          json.path("fencing").asLong());
+    } catch (IOException | IllegalArgumentException e) {
+      throw HornbeamusherException.of(
+              FailureType.ENDPOINT_FAILED, Outcome.UNKNOWN, endpoint, "its state cannot be read")
+          .causedBy(e);
+    }
+  }
+
+  private static String bodyText(HttpReply reply) {
+    return new String(reply.body(), StandardCharsets.UTF_8);
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/endpoint/package-info.java
@@ -0,0 +1,2 @@
+/** What an agent says to the endpoint beside it, over HTTP. */
+package org.hornbeamusher.endpoint;
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/entry/AnswerWriter.java
@@ -0,0 +1,22 @@
+package org.hornbeamusher.entry;
+
+import org.hornbeamusher.failure.HornbeamusherException;
+
+/** Writes one answer in the form its caller asked for. */
+interface AnswerWriter {
+
+  /** The endpoint's answer begins. */
+  void begin(AnswerHead head);
+
+  /** A part of the answer; for a model the text of a token, for a plain service bytes. */
+  void part(AnswerPart part);
+
+  /** The answer is whole. */
+  void end(AnswerEnd end);
+
+  /** Nothing or only a part was written, and the rest will not come. */
+  void fail(HornbeamusherException failure);
+
+  /** Tells whether the caller has received any part of the answer. */
+  boolean delivered();
+}
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/entry/CallerApi.java
@@ -0,0 +1,355 @@
+package org.hornbeamusher.entry;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import java.nio.charset.StandardCharsets;
+import java.util.Comparator;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ExecutorService;
+import org.hornbeamusher.clock.Clock;
+import org.hornbeamusher.documents.ServiceDocument;
+import org.hornbeamusher.failure.FailureType;
+import org.hornbeamusher.failure.HornbeamusherException;
+import org.hornbeamusher.ids.AdapterRef;
+import org.hornbeamusher.ids.IdempotencyKey;
+import org.hornbeamusher.ids.InvalidIdentifierException;
+import org.hornbeamusher.ids.RequestId;
+import org.hornbeamusher.ids.ServiceName;
+import org.hornbeamusher.quarantine.Fingerprint;
+import org.hornbeamusher.security.Identity;
+import org.hornbeamusher.security.TokenDirectory;
+
+/**
+ * The callers' HTTP interface: completions, chat completions, the list of models, and the plain
+ * services below {@code /services/}.
+ *
+ * <p>Each request runs on a virtual thread of its own once its body has arrived. Until then it is a
+ * few kilobytes at Undertow, so that callers that send slowly hold no thread.
+ */
+final class CallerApi implements HttpHandler {
+
+  private static final String COMPLETIONS = "/v1/completions";
+  private static final String CHAT = "/v1/chat/completions";
+  private static final String MODELS = "/v1/models";
+  private static final String SERVICES = "/services/";
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  /** The part of a prompt that decides which cached prefix it shares, in characters. */
+  private static final int PREFIX_CHARACTERS = 256;
+
+  /** A plain call's cost in tokens: about what an engine does in the same few hundred millis. */
+  private static final int PLAIN_COST_TOKENS = 16;
+
+  /** What the interface needs of the entry. */
+  interface Host {
+
+    /** Returns a service's document in force. */
+    Optional<ServiceDocument> document(ServiceName service);
+
+    /** Returns every document in force. */
+    Iterable<ServiceDocument> documents();
+
+    /** Tells whether the entry takes no new requests. */
+    boolean leaving();
+
+    /** Counts a request in or out. */
+    void requests(int change);
+
+    /** Hears how a request ended. */
+    void ended(ServiceName service, Optional<HornbeamusherException> failure);
+  }
+
+  private final Host host;
+  private final TokenDirectory tokens;
+  private final RequestRunner runner;
+  private final RequestIds ids;
+  private final ExecutorService executor;
+  private final Clock clock;
+  private final int bodyBytes;
+  private final long stalledMillis;
+
+  CallerApi(
+      Host host,
+      TokenDirectory tokens,
+      RequestRunner runner,
+      ExecutorService executor,
+      Clock clock,
+      int bodyBytes,
+      long stalledMillis) {
+    this.host = host;
+    this.tokens = tokens;
+    this.runner = runner;
+    this.ids = new RequestIds(clock);
+    this.executor = executor;
+    this.clock = clock;
+    this.bodyBytes = bodyBytes;
+    this.stalledMillis = stalledMillis;
+  }
+
+  @Override
+  public void handleRequest(HttpServerExchange exchange) {
+    exchange.setMaxEntitySize(bodyBytes);
+    exchange
+        .getRequestReceiver()
+        .receiveFullBytes(
+            (received, body) -> received.dispatch(executor, () -> serve(received, body)),
+            (broken, e) -> broken.dispatch(executor, () -> refuseBody(broken, e)));
+  }
+
+  private void serve(HttpServerExchange exchange, byte[] body) {
+    RequestId id = ids.next();
+    exchange.getResponseHeaders().put(CallerHeaders.REQUEST_ID, id.value());
+    CallerSink sink = new CallerSink(exchange, stalledMillis);
+    host.requests(1);
+    try {
+      if (host.leaving()) {
+        throw HornbeamusherException.notRun(FailureType.SHUTTING_DOWN);
+      }
+      route(exchange, body, id, sink);
+    } catch (HornbeamusherException refused) {
+      writeFailure(exchange, sink, id, refused);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      writeFailure(exchange, sink, id, RequestRunner.interrupted().causedBy(e));
+    } catch (RuntimeException e) {
+      writeFailure(exchange, sink, id, HornbeamusherException.from(e));
+    } finally {
+      host.requests(-1);
+    }
+  }
+
+  private void refuseBody(HttpServerExchange exchange, Exception e) {
+    RequestId id = ids.next();
+    HornbeamusherException failure =
+        e instanceof io.undertow.io.Receiver.RequestToLargeException
+            ? HornbeamusherException.notRun(FailureType.BODY_TOO_LARGE, bodyBytes)
+            : HornbeamusherException.notRun(FailureType.SLOW_CALLER).causedBy(e);
+    writeFailure(exchange, new CallerSink(exchange, stalledMillis), id, failure);
+  }
+
+  private void route(HttpServerExchange exchange, byte[] body, RequestId id, CallerSink sink)
+      throws InterruptedException {
+    Identity.Caller caller =
+        tokens.caller(exchange.getRequestHeaders().getFirst(Headers.AUTHORIZATION));
+    String path = exchange.getRequestPath();
+    if (path.equals(COMPLETIONS) || path.equals(CHAT)) {
+      requireMethod(exchange, "POST");
+      completion(exchange, caller, ModelRequest.parse(body, path.equals(CHAT)), id, sink);
+    } else if (path.equals(MODELS)) {
+      requireMethod(exchange, "GET");
+      listModels(exchange, caller, sink);
+    } else if (path.startsWith(SERVICES)) {
+      plain(exchange, caller, body, id, sink);
+    } else {
+      throw HornbeamusherException.notRun(FailureType.UNKNOWN_PATH, path);
+    }
+  }
+
+  private void completion(
+      HttpServerExchange exchange,
+      Identity.Caller caller,
+      ModelRequest request,
+      RequestId id,
+      CallerSink sink)
+      throws InterruptedException {
+    ServiceName service = ModelName.service(request.model());
+    ServiceDocument document = document(caller, service, request.model());
+    AdapterRef adapter = ModelName.resolve(request.model(), document);
+    if (request.maxTokens() > document.limits().maximumTokens()) {
+      throw HornbeamusherException.notRun(
+          FailureType.MALFORMED_REQUEST,
+          "max_tokens is greater than " + document.limits().maximumTokens());
+    }
+    byte[] body = request.endpointBody(adapter);
+    AdmittedRequest admitted =
+        new AdmittedRequest(
+            id,
+            document,
+            caller.id(),
+            Optional.of(adapter),
+            new AdmittedRequest.EndpointCall("POST", COMPLETIONS, "application/json", body),
+            fingerprint(service, adapter.toString(), request),
+            prefixHash(request.prompt()),
+            request.costTokens(),
+            request.maxTokens(),
+            deadline(exchange, document),
+            onceKey(exchange, false));
+    AnswerWriter writer =
+        request.stream()
+            ? new StreamedAnswerWriter(exchange, sink, id.value(), request.chat())
+            : new WholeAnswerWriter(exchange, sink, id.value(), request.chat());
+    host.ended(service, runner.run(admitted, writer));
+  }
+
+  private void plain(
+      HttpServerExchange exchange,
+      Identity.Caller caller,
+      byte[] body,
+      RequestId id,
+      CallerSink sink)
+      throws InterruptedException {
+    String rest = exchange.getRequestPath().substring(SERVICES.length());
+    int slash = rest.indexOf('/');
+    String name = slash < 0 ? rest : rest.substring(0, slash);
+    String path = slash < 0 ? "/" : rest.substring(slash);
+    ServiceName service = ModelName.service(name + "/");
+    ServiceDocument document = document(caller, service, name);
+    if (!(document.kind() instanceof ServiceDocument.Kind.Plain kind)) {
+      throw HornbeamusherException.notRun(FailureType.UNKNOWN_PATH, exchange.getRequestPath());
+    }
+    String method = exchange.getRequestMethod().toString();
+    boolean once =
+        kind.nonRepeatable().stream()
+            .anyMatch(call -> call.method().equals(method) && path.startsWith(call.pathPrefix()));
+    String query = exchange.getQueryString();
+    String target = query.isEmpty() ? path : path + "?" + query;
+    String contentType =
+        Optional.ofNullable(exchange.getRequestHeaders().getFirst(Headers.CONTENT_TYPE)).orElse("");
+    AdmittedRequest admitted =
+        new AdmittedRequest(
+            id,
+            document,
+            caller.id(),
+            Optional.empty(),
+            new AdmittedRequest.EndpointCall(method, target, contentType, body),
+            Fingerprint.of(service.value(), method + " " + target, body, Map.of()),
+            0,
+            PLAIN_COST_TOKENS,
+            0,
+            deadline(exchange, document),
+            onceKey(exchange, once));
+    PlainAnswerWriter writer = new PlainAnswerWriter(exchange, sink, id.value());
+    host.ended(service, runner.run(admitted, writer));
+  }
+
+  private void listModels(HttpServerExchange exchange, Identity.Caller caller, CallerSink sink) {
+    ObjectNode list = JSON.createObjectNode();
+    list.put("object", "list");
+    ArrayNode data = list.putArray("data");
+    for (ServiceDocument document : host.documents()) {
+      if (caller.mayCall(document.service(), document.partner())
+          && document.kind() instanceof ServiceDocument.Kind.Model model) {
+        model.adapters().entrySet().stream()
+            .sorted(Comparator.comparing(entry -> entry.getKey()))
+            .forEach(
+                entry ->
+                    data.addObject()
+                        .put(
+                            "id",
+                            document.service()
+                                + "/"
+                                + entry.getKey()
+                                + "@"
+                                + entry.getValue().current())
+                        .put("object", "model")
+                        .put("owned_by", document.team().value()));
+      }
+    }
+    byte[] bytes = list.toString().getBytes(StandardCharsets.UTF_8);
+    exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+    exchange.setResponseContentLength(bytes.length);
+    sink.write(bytes);
+    sink.end();
+  }
+
+  /** A service of another partner looks like one that does not exist. */
+  private ServiceDocument document(Identity.Caller caller, ServiceName service, String named) {
+    ServiceDocument document =
+        host.document(service)
+            .filter(found -> found.partner().equals(caller.partner()))
+            .orElseThrow(() -> HornbeamusherException.notRun(FailureType.UNKNOWN_MODEL, named));
+    if (!caller.mayCall(service, document.partner())) {
+      throw HornbeamusherException.notRun(FailureType.FORBIDDEN, service);
+    }
+    return document;
+  }
+
+  private long deadline(HttpServerExchange exchange, ServiceDocument document) {
+    String header = exchange.getRequestHeaders().getFirst(CallerHeaders.DEADLINE);
+    long millis = document.limits().defaultDeadlineMillis();
+    if (header != null) {
+      millis = parseDeadline(header);
+    }
+    return clock.millis() + Math.min(millis, document.limits().maximumDeadlineMillis());
+  }
+
+  private static long parseDeadline(String header) {
+    try {
+      long millis = Long.parseLong(header.strip());
+      if (millis > 0) {
+        return millis;
+      }
+    } catch (NumberFormatException e) {
+      throw invalid(CallerHeaders.DEADLINE.toString(), "it must be a number of milliseconds")
+          .causedBy(e);
+    }
+    throw invalid(CallerHeaders.DEADLINE.toString(), "it must be positive");
+  }
+
+  private static Optional<IdempotencyKey> onceKey(
+      HttpServerExchange exchange, boolean declaredOnce) {
+    String repeatable = exchange.getRequestHeaders().getFirst(CallerHeaders.REPEATABLE);
+    if (repeatable != null && !repeatable.equals("true") && !repeatable.equals("false")) {
+      throw invalid(CallerHeaders.REPEATABLE.toString(), "it must be true or false");
+    }
+    if (!declaredOnce && !"false".equals(repeatable)) {
+      return Optional.empty();
+    }
+    String key = exchange.getRequestHeaders().getFirst(CallerHeaders.IDEMPOTENCY_KEY);
+    if (key == null) {
+      throw HornbeamusherException.notRun(FailureType.CLAIM_KEY_MISSING);
+    }
+    try {
+      return Optional.of(new IdempotencyKey(key));
+    } catch (InvalidIdentifierException e) {
+      throw invalid(CallerHeaders.IDEMPOTENCY_KEY.toString(), "it must be 1 to 128 characters")
+          .causedBy(e);
+    }
+  }
+
+  private static long fingerprint(ServiceName service, String adapter, ModelRequest request) {
+    return Fingerprint.of(
+        service.value(),
+        adapter,
+        request.prompt().getBytes(StandardCharsets.UTF_8),
+        Map.of("max_tokens", Integer.toString(request.maxTokens())));
+  }
+
+  private static long prefixHash(String prompt) {
+    String prefix = prompt.substring(0, Math.min(PREFIX_CHARACTERS, prompt.length()));
+    return prefix.length() < PREFIX_CHARACTERS ? 0 : prefix.hashCode();
+  }
+
+  private static void requireMethod(HttpServerExchange exchange, String method) {
+    if (!exchange.getRequestMethod().toString().equals(method)) {
+      throw HornbeamusherException.notRun(
+          FailureType.METHOD_NOT_ALLOWED, exchange.getRequestMethod(), exchange.getRequestPath());
+    }
+  }
+
+  private static HornbeamusherException invalid(String header, String why) {
+    return HornbeamusherException.notRun(FailureType.INVALID_HEADER, header, why);
+  }
+
+  private static void writeFailure(
+      HttpServerExchange exchange, CallerSink sink, RequestId id, HornbeamusherException failure) {
+    if (exchange.isResponseStarted()) {
+      sink.abort();
+      return;
+    }
+    FailureReply.head(exchange, failure);
+    byte[] body = FailureReply.body(failure, id.value());
+    exchange.setResponseContentLength(body.length);
+    try {
+      sink.write(body);
+      sink.end();
+    } catch (HornbeamusherException gone) {
+      sink.abort();
+    }
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/entry/CallerHeaders.java
@@ -0,0 +1,23 @@
+package org.hornbeamusher.entry;
+
+import io.undertow.util.HttpString;
+
+/** The headers of the callers' interface. */
+final class CallerHeaders {
+
+  /** How long the answer is of use, in milliseconds from now. */
+  static final HttpString DEADLINE = new HttpString("X-Deadline-Ms");
+
+  /** The caller's key for a request that must run at most once. */
+  static final HttpString IDEMPOTENCY_KEY = new HttpString("Idempotency-Key");
+
+  /** {@code false} marks a request that must run at most once. */
+  static final HttpString REPEATABLE = new HttpString("X-Repeatable");
+
+  static final HttpString REQUEST_ID = new HttpString("X-Request-Id");
+  static final HttpString ADAPTER = new HttpString("X-Adapter");
+  static final HttpString ENDPOINT = new HttpString("X-Endpoint");
+  static final HttpString LOAD_STALL = new HttpString("X-Load-Stall-Ms");
+
+  private CallerHeaders() {}
+}
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/entry/EntryDaemon.java
@@ -0,0 +1,237 @@
+package org.hornbeamusher.entry;
+
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.handlers.PathHandler;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.hornbeamusher.admission.AdmissionSettings;
+import org.hornbeamusher.clock.Clock;
+import org.hornbeamusher.dispatch.AgentLink;
+import org.hornbeamusher.documents.DocumentHolder;
+import org.hornbeamusher.documents.ServiceDocument;
+import org.hornbeamusher.events.EventLog;
+import org.hornbeamusher.events.EventType;
+import org.hornbeamusher.failure.HornbeamusherException;
+import org.hornbeamusher.ids.EndpointId;
+import org.hornbeamusher.ids.ServiceName;
+import org.hornbeamusher.quarantine.QuarantineSettings;
+import org.hornbeamusher.retry.RetrySettings;
+import org.hornbeamusher.settings.EntrySettings;
+import org.hornbeamusher.wire.Message;
+import org.hornbeamusher.wire.WireConnection;
+import org.hornbeamusher.wire.WireSockets;
+
+/** An entry: the process that callers reach. */
+public final class EntryDaemon {
+
+  /** Oldest and newest protocol between processes that this version speaks. */
+  public static final int PROTOCOL = 1;
+
+  private static final long DIRECTORY_MILLIS = 1_000;
+  private static final long STOP_POLL_MILLIS = 20;
+
+  /**
+   * Tokens in flight that one entry admits before shares decide: 12 engines of 16 requests of some
+   * 300 tokens, three times over, so that agents always have something to choose from.
+   */
+  private static final long IN_FLIGHT_TOKENS = 200_000;
+
+  private final EntrySettings settings;
+  private final DocumentHolder documents;
+  private final AgentDirectory directory;
+  private final Clock clock;
+  private final EntryDecisions decisions;
+  private final AgentLinks links;
+  private final ExecutorService requests = Executors.newVirtualThreadPerTaskExecutor();
+  private final ScheduledExecutorService timer =
+      Executors.newSingleThreadScheduledExecutor(
+          Thread.ofPlatform().daemon().name("entry-timer").factory());
+  private final AtomicInteger inFlight = new AtomicInteger();
+  private volatile boolean leaving;
+  private Undertow server;
+
+  /**
+   * Creates an entry that is not started.
+   *
+   * @param settings its settings
+   * @param documents the documents in force here
+   * @param directory where agents are found
+   * @param sockets plain or TLS, towards agents
+   * @param clock the clock
+   */
+  public EntryDaemon(
+      EntrySettings settings,
+      DocumentHolder documents,
+      AgentDirectory directory,
+      WireSockets sockets,
+      Clock clock) {
+    this.settings = settings;
+    this.documents = documents;
+    this.directory = directory;
+    this.clock = clock;
+    this.decisions =
+        new EntryDecisions(
+            settings.zone(),
+            AdmissionSettings.of(IN_FLIGHT_TOKENS, Map.of()),
+            RetrySettings.DEFAULT,
+            QuarantineSettings.DEFAULT,
+            clock);
+    this.links =
+        new AgentLinks(hello(settings), settings.wire(), sockets, clock, decisions, this::heard);
+  }
+
+  private static Message.Hello hello(EntrySettings settings) {
+    return new Message.Hello(
+        PROTOCOL,
+        PROTOCOL,
+        "entry",
+        settings.instance().value(),
+        ThreadLocalRandom.current().nextLong(),
+        settings.zone().value(),
+        "",
+        "");
+  }
+
+  /** Connects to agents and listens for callers. */
+  public void start() {
+    timer.scheduleWithFixedDelay(this::followDirectory, 0, DIRECTORY_MILLIS, TimeUnit.MILLISECONDS);
+    server =
+        Undertow.builder()
+            .addHttpListener(settings.http().port(), settings.http().host())
+            .setServerOption(UndertowOptions.MAX_HEADER_SIZE, settings.limits().headerBytes())
+            .setServerOption(
+                UndertowOptions.REQUEST_PARSE_TIMEOUT, (int) settings.limits().requestMillis())
+            .setHandler(handler())
+            .build();
+    server.start();
+    EventLog.log(
+        EventType.PROCESS_STARTED, "role", "entry", "instance", settings.instance(), "at", uri());
+  }
+
+  /**
+   * Takes no new requests, finishes those in flight and ends.
+   *
+   * @throws InterruptedException when waiting for them is interrupted
+   */
+  public void stop() throws InterruptedException {
+    leaving = true;
+    EventLog.log(
+        EventType.PROCESS_STOPPING, "instance", settings.instance(), "requests", inFlight.get());
+    while (inFlight.get() > 0) {
+      Thread.sleep(STOP_POLL_MILLIS);
+    }
+    timer.shutdownNow();
+    server.stop();
+    links.stop();
+    requests.close();
+    EventLog.log(EventType.PROCESS_STOPPED, "instance", settings.instance());
+  }
+
+  /**
+   * Returns where callers reach this entry.
+   *
+   * @return its address
+   */
+  public URI uri() {
+    InetSocketAddress address = (InetSocketAddress) server.getListenerInfo().get(0).getAddress();
+    return URI.create("http://" + settings.http().host() + ":" + address.getPort());
+  }
+
+  private HttpHandler handler() {
+    RequestRunner runner = new RequestRunner(decisions, new RunnerHost(), clock);
+    CallerApi callers =
+        new CallerApi(
+            new ApiHost(),
+            settings.tokens(),
+            runner,
+            requests,
+            clock,
+            settings.limits().bodyBytes(),
+            settings.limits().stalledMillis());
+    return new PathHandler(callers);
+  }
+
+  private void followDirectory() {
+    directory
+        .agents()
+        .whenComplete(
+            (agents, thrown) -> {
+              if (thrown == null) {
+                links.follow(agents);
+              } else {
+                EventLog.log(
+                    EventType.PLATFORM_OUTAGE,
+                    "call",
+                    "instance list",
+                    "failure",
+                    HornbeamusherException.from(thrown).type());
+              }
+            });
+  }
+
+  private void heard(WireConnection connection, Message message) {
+    if (message instanceof Message.CrashNotice notice) {
+      decisions.crashObserved(notice.fingerprint(), notice.crashes());
+    }
+  }
+
+  private final class RunnerHost implements RequestRunner.Host {
+
+    @Override
+    public Optional<AgentLink> link(EndpointId endpoint) {
+      return links.link(endpoint);
+    }
+
+    @Override
+    public void crashed(long fingerprint, int crashes) {
+      links.broadcast(new Message.CrashNotice(fingerprint, crashes));
+    }
+  }
+
+  private final class ApiHost implements CallerApi.Host {
+
+    @Override
+    public Optional<ServiceDocument> document(ServiceName service) {
+      return documents.current(service);
+    }
+
+    @Override
+    public Iterable<ServiceDocument> documents() {
+      return documents.all();
+    }
+
+    @Override
+    public boolean leaving() {
+      return leaving;
+    }
+
+    @Override
+    public void requests(int change) {
+      inFlight.addAndGet(change);
+    }
+
+    @Override
+    public void ended(ServiceName service, Optional<HornbeamusherException> failure) {
+      failure.ifPresent(
+          f ->
+              EventLog.log(
+                  EventType.REQUEST_REFUSED,
+                  "service",
+                  service,
+                  "failure",
+                  f.type(),
+                  "outcome",
+                  f.outcome().label()));
+    }
+  }
+}
--- a/runtime/src/main/java/org/hornbeamusher/failure/FailureType.java
+++ b/runtime/src/main/java/org/hornbeamusher/failure/FailureType.java
@@ -125,4 +125,19 @@
   public String label() {
     return name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
   }
+
+  /**
+   * Finds a type by its number.
+   *
+   * @param number the number in the catalogue, perhaps of a newer process
+   * @return the type, {@link #INTERNAL} when the number is not known here
+   */
+  public static FailureType ofNumber(int number) {
+    for (FailureType type : values()) {
+      if (type.number == number) {
+        return type;
+      }
+    }
+    return INTERNAL;
+  }
 }
--- a/runtime/src/main/java/org/hornbeamusher/failure/HornbeamusherException.java
+++ b/runtime/src/main/java/org/hornbeamusher/failure/HornbeamusherException.java
@@ -10,6 +10,8 @@
 
   private static final long serialVersionUID = 1L;
 
+  private static final int MOST_ARGUMENTS = 4;
+
   private final FailureType type;
   private final transient Outcome outcome;
   private final transient List<Object> arguments;
@@ -17,13 +19,20 @@
 
   private HornbeamusherException(
       FailureType type, Outcome outcome, long retryAfterMillis, Throwable cause, Object... args) {
-    super(String.format(type.template(), args), cause);
+    super(message(type, args), cause);
     this.type = type;
     this.outcome = outcome;
     this.retryAfterMillis = retryAfterMillis;
     this.arguments = Arrays.asList(args);
   }
 
+  /** A failure passed on from another process may bring fewer arguments than its template takes. */
+  private static String message(FailureType type, Object... args) {
+    Object[] padded = Arrays.copyOf(args, args.length + MOST_ARGUMENTS);
+    Arrays.fill(padded, args.length, padded.length, "?");
+    return String.format(type.template(), padded);
+  }
+
   /**
    * Creates a failure of a request that was certainly not run.
    *
--- a/runtime/src/main/java/org/hornbeamusher/failure/Outcome.java
+++ b/runtime/src/main/java/org/hornbeamusher/failure/Outcome.java
@@ -20,6 +20,20 @@
     };
   }
 
+  /**
+   * Reads the form callers see.
+   *
+   * @param label as {@link #label} gives it
+   * @return the outcome; unknown for any other text, which promises nothing
+   */
+  static Outcome ofLabel(String label) {
+    return switch (label) {
+      case "not-run" -> NOT_RUN;
+      case "ran" -> RAN;
+      default -> UNKNOWN;
+    };
+  }
+
   /** No endpoint started the request, and none will. Said only where it is proven. */
   record NotRun() implements Outcome {}
 
--- a/runtime/src/main/java/org/hornbeamusher/wire/WireConnection.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/WireConnection.java
@@ -79,14 +79,14 @@
    * Sends a message.
    *
    * @param message what to send
-   * @return whether it was taken; what was taken may still not arrive
+   * @return false when it was certainly not sent; what was taken may still not arrive
    */
   public boolean send(Message message) {
     if (closed.get()) {
       return false;
     }
     if (outgoing.offer(message)) {
-      return !closed.get();
+      return true;
     }
     fail(
         HornbeamusherException.of(
@@ -125,6 +125,13 @@
       fail(closedFailure().causedBy(e));
     } catch (HornbeamusherException e) {
       fail(e);
+    } catch (RuntimeException e) {
+      // A message whose fields make no sense to the listener, such as a name in no alphabet of
+      // ours.
+      // Without this the thread would end unseen and the socket stay open with nobody reading.
+      fail(
+          HornbeamusherException.of(FailureType.FRAME_MALFORMED, Outcome.UNKNOWN, e.getMessage())
+              .causedBy(e));
     } finally {
       listener.closed(this, reason.get() == null ? closedFailure() : reason.get());
     }
--- a/runtime/src/main/java/org/hornbeamusher/wire/WireConnector.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/WireConnector.java
@@ -69,6 +69,17 @@
     thread.interrupt();
   }
 
+  /**
+   * Opens no further connection; the one that is open goes on until its peer ends it. The list of
+   * instances lags and errs, and an agent that left it may still be finishing its work.
+   */
+  public void stopWhenClosed() {
+    stopped = true;
+    if (current == null || !current.isOpen()) {
+      thread.interrupt();
+    }
+  }
+
   private void run() {
     long backoff = MIN_BACKOFF_MILLIS;
     while (!stopped) {
--- a/tool/src/main/java/org/hornbeamusher/bench/package-info.java
+++ /dev/null
@@ -1,2 +0,0 @@
-/** Benchmarks that {@code bench/run} starts by name. */
-package org.hornbeamusher.bench;
--- /dev/null
+++ b/tool/src/main/java/org/hornbeamusher/demo/PartnerPlan.java
@@ -0,0 +1,74 @@
+package org.hornbeamusher.demo;
+
+import java.util.List;
+import org.hornbeamusher.documents.ServiceDocument.Weights;
+import org.hornbeamusher.ids.AvailabilityZone;
+import org.hornbeamusher.ids.PartnerId;
+import org.hornbeamusher.ids.ServiceName;
+import org.hornbeamusher.ids.TeamId;
+
+/**
+ * One partner at its size of today.
+ *
+ * @param partner the partner
+ * @param team the team that owns its services
+ * @param zones its availability zones
+ * @param model its model service
+ * @param engines how many engines run it
+ * @param adapters how many adapters it has
+ * @param weights how it trades the two measures
+ * @param plain its plain service
+ * @param plainInstances how many instances run that
+ * @param bookings the path of the plain service's non-repeatable calls
+ */
+record PartnerPlan(
+    PartnerId partner,
+    TeamId team,
+    List<AvailabilityZone> zones,
+    ServiceName model,
+    int engines,
+    int adapters,
+    Weights weights,
+    ServiceName plain,
+    int plainInstances,
+    String bookings) {
+
+  private static final int ENGINES = 6;
+  private static final int PLAIN_INSTANCES = 3;
+  private static final int ADAPTERS = 3_000;
+
+  static final PartnerPlan ZARQA =
+      new PartnerPlan(
+          new PartnerId("zarqa"),
+          new TeamId("dispatch"),
+          zones("marka", "sahab", "ruseifa"),
+          new ServiceName("lm-dispatch"),
+          ENGINES,
+          ADAPTERS,
+          new Weights(1, 3),
+          new ServiceName("haul-api"),
+          PLAIN_INSTANCES,
+          "/bookings");
+
+  static final PartnerPlan TAWHITI =
+      new PartnerPlan(
+          new PartnerId("tawhiti"),
+          new TeamId("valuations"),
+          zones("akl-east", "akl-north", "akl-west"),
+          new ServiceName("valuer-llm"),
+          ENGINES,
+          ADAPTERS,
+          new Weights(3, 1),
+          new ServiceName("tradedesk-app"),
+          PLAIN_INSTANCES,
+          "/deals");
+
+  private static List<AvailabilityZone> zones(String... names) {
+    return java.util.Arrays.stream(names).map(AvailabilityZone::new).toList();
+  }
+
+  /** Returns the zone of the n-th of something spread over the zones. */
+  AvailabilityZone zone(int n) {
+    return zones.get(n % zones.size());
+  }
+}
