--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/events/Logging.java
@@ -0,0 +1,34 @@
+package org.hornbeamusher.events;
+
+import java.util.logging.ConsoleHandler;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+
+/** Sets up the process's log: lines of JSON on standard error, nothing else. */
+public final class Logging {
+
+  /** Held so that the levels set here are not lost when a logger is garbage-collected. */
+  private static final Logger LIBRARIES = Logger.getLogger("");
+
+  private static final Logger EVENTS = Logger.getLogger(EventLog.class.getName());
+
+  private Logging() {}
+
+  /**
+   * Replaces every handler by one that writes lines of JSON.
+   *
+   * @param events the lowest level of events that is written; libraries write warnings and above
+   */
+  public static void toStandardError(Level events) {
+    for (Handler handler : LIBRARIES.getHandlers()) {
+      LIBRARIES.removeHandler(handler);
+    }
+    Handler console = new ConsoleHandler();
+    console.setFormatter(new JsonLinesFormatter());
+    console.setLevel(Level.ALL);
+    LIBRARIES.addHandler(console);
+    LIBRARIES.setLevel(Level.WARNING);
+    EVENTS.setLevel(events);
+  }
+}
