Pacing of the weight store: permit ledger, holder choice, local fallback

Cause: agents that all want loads slow each other down at the store. Change: PermitLedger gives one turn at a time, half a second apart, by demand with ageing within each partner's guaranteed share (PartnerTurns, used by the agent's load order as well). PermitHolderChoice finds its agent by rendezvous hash; LocalPacer keeps a static share when it is out of reach. A permit that was not asked for is ignored by the scheduler.

--- a/runtime/src/main/java/org/hornbeamusher/routing/Rendezvous.java
+++ b/runtime/src/main/java/org/hornbeamusher/routing/Rendezvous.java
@@ -8,7 +8,7 @@
  * <p>Text is hashed by 64-bit FNV-1a and then spread by the finalizer of MurmurHash3 (Appleby,
  * public domain), because FNV alone leaves the high bits of short, similar names alike.
  */
-final class Rendezvous {
+public final class Rendezvous {
 
   private static final long FNV_OFFSET = 0xCBF29CE484222325L;
   private static final long FNV_PRIME = 0x100000001B3L;
@@ -18,8 +18,13 @@
 
   private Rendezvous() {}
 
-  /** Hashes a name; the same on every instance and in every run. */
-  static long hash(String text) {
+  /**
+   * Hashes a name; the same on every instance and in every run.
+   *
+   * @param text the name
+   * @return its hash
+   */
+  public static long hash(String text) {
     long hash = FNV_OFFSET;
     for (int i = 0; i < text.length(); i++) {
       hash = (hash ^ text.charAt(i)) * FNV_PRIME;
@@ -27,8 +32,14 @@
     return mix(hash);
   }
 
-  /** The weight of an endpoint for a key; compared as unsigned numbers, highest first. */
-  static long weight(long keyHash, long endpointHash) {
+  /**
+   * Returns the weight of an endpoint for a key; compared as unsigned numbers, highest first.
+   *
+   * @param keyHash the key's hash
+   * @param endpointHash the endpoint's hash
+   * @return its weight
+   */
+  public static long weight(long keyHash, long endpointHash) {
     return mix(keyHash ^ Long.rotateLeft(endpointHash, 1));
   }
 
--- a/runtime/src/main/java/org/hornbeamusher/scheduling/LoadDemand.java
+++ b/runtime/src/main/java/org/hornbeamusher/scheduling/LoadDemand.java
@@ -10,9 +10,11 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import org.hornbeamusher.ids.AdapterRef;
 import org.hornbeamusher.ids.CallerId;
 import org.hornbeamusher.ids.PartnerId;
+import org.hornbeamusher.pacing.PartnerTurns;
 
 /**
  * Orders the adapters that requests wait for.
@@ -37,28 +39,25 @@
  *
  * <p>Requests for one adapter share one load because demand is kept by adapter.
  *
- * <p>Between partners the weights must not decide alone, since each writes its own. Every load is
- * charged to the partner with the most demand for it, over its share; a partner that is more than
- * {@value #LEAD_IN_LOADS} loads ahead of another that waits is passed over. Inside that lead the
- * order is by demand. Example: equal shares, partner A floods with 500 adapters, B wants one: A's
- * second and third load may still come first, B's is among the next.
+ * <p>Between partners the weights must not decide alone, since each writes its own: {@link
+ * PartnerTurns} holds each to its share of the loads, and demand decides within that.
  */
 final class LoadDemand {
 
   private static final double AGEING_MILLIS = 1_000;
   private static final double CALLER_HALF_LIFE_MILLIS = 10_000;
-  private static final double LEAD_IN_LOADS = 2;
 
   private final SchedulerSettings settings;
   private final Map<AdapterRef, Set<Waiting>> byAdapter = new LinkedHashMap<>();
   private final Map<CallerId, DecayedCount> callerLoads = new HashMap<>();
-  private final Map<PartnerId, Double> partnerTags = new HashMap<>();
+  private final PartnerTurns turns;
 
-  /** The least tag of a partner that waited when a load was ordered; never falls. */
-  private double virtualTag;
+  /** The partners that wanted a load when the order was last asked for. */
+  private Set<PartnerId> wanting = Set.of();
 
   LoadDemand(SchedulerSettings settings) {
     this.settings = settings;
+    this.turns = new PartnerTurns(settings.partnerShares());
   }
 
   void add(Waiting waiting) {
@@ -114,10 +113,11 @@
     if (!settings.uses(Mechanism.WEIGHTED_LOADS)) {
       return wanted.stream().map(Wanted::adapter).toList();
     }
-    double leastTag = wanted.stream().mapToDouble(Wanted::tag).min().orElse(0);
+    wanting = wanted.stream().map(Wanted::partner).collect(Collectors.toSet());
+    Set<PartnerId> entitled = turns.entitled(wanting);
     return wanted.stream()
         .sorted(
-            Comparator.<Wanted, Boolean>comparing(entry -> !entry.within(leastTag))
+            Comparator.<Wanted, Boolean>comparing(entry -> !entitled.contains(entry.partner))
                 .thenComparing(Comparator.comparingDouble(Wanted::demand).reversed())
                 .thenComparing(Wanted::adapter))
         .map(Wanted::adapter)
@@ -134,19 +134,13 @@
           .add(1.0 / served.size(), now);
     }
     callerLoads.values().removeIf(count -> count.at(now) < 0.01);
-    payer(adapter).ifPresent(this::charge);
+    payer(adapter).ifPresent(partner -> turns.charge(partner, wanting));
   }
 
-  private record Wanted(AdapterRef adapter, double demand, double tag, int share) {
-
-    boolean within(double leastTag) {
-      return tag <= leastTag + LEAD_IN_LOADS / share;
-    }
-  }
+  private record Wanted(AdapterRef adapter, double demand, PartnerId partner) {}
 
   private Wanted wanted(AdapterRef adapter, long now) {
-    PartnerId partner = payer(adapter).orElseThrow();
-    return new Wanted(adapter, of(adapter, now), tag(partner), share(partner));
+    return new Wanted(adapter, of(adapter, now), payer(adapter).orElseThrow());
   }
 
   private double demand(Waiting waiting, long now) {
@@ -167,22 +161,4 @@
     waitingFor(adapter).forEach(one -> counts.merge(one.request.partner(), 1, Integer::sum));
     return counts.entrySet().stream().max(Map.Entry.comparingByValue()).map(Map.Entry::getKey);
   }
-
-  private void charge(PartnerId partner) {
-    virtualTag =
-        byAdapter.keySet().stream()
-            .mapToDouble(ref -> tag(payer(ref).orElseThrow()))
-            .min()
-            .orElse(virtualTag);
-    partnerTags.put(partner, tag(partner) + 1.0 / share(partner));
-  }
-
-  /** A partner that wanted nothing for a while starts level with the least of the others. */
-  private double tag(PartnerId partner) {
-    return Math.max(virtualTag, partnerTags.getOrDefault(partner, 0.0));
-  }
-
-  private int share(PartnerId partner) {
-    return Math.max(1, settings.partnerShares().getOrDefault(partner, 1));
-  }
 }
--- a/runtime/src/main/java/org/hornbeamusher/scheduling/LoadPermit.java
+++ b/runtime/src/main/java/org/hornbeamusher/scheduling/LoadPermit.java
@@ -29,8 +29,9 @@
     return !needed || held;
   }
 
+  /** Takes a turn; one that was not asked for, or no longer is, counts for nothing. */
   void granted() {
-    held = true;
+    held = askedAt != NEVER;
   }
 
   /** Uses the turn up. */
--- /dev/null
+++ b/runtime/src/test/java/org/hornbeamusher/pacing/PermitSourceChoiceTest.java
@@ -0,0 +1,86 @@
+package org.hornbeamusher.pacing;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.stream.IntStream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.hornbeamusher.ids.EndpointId;
+import org.junit.jupiter.api.Test;
+
+class PermitSourceChoiceTest {
+
+  private static List<EndpointId> agents(int count) {
+    return IntStream.range(0, count).mapToObj(i -> new EndpointId("valuer-llm-" + i)).toList();
+  }
+
+  /** Agents learn of each other in any order; one that chose otherwise would pace by itself. */
+  @Property(tries = 50, seed = "77")
+  void everyAgentFindsTheSameHolder(@ForAll long seed) {
+    List<EndpointId> shuffled = new ArrayList<>(agents(12));
+    Collections.shuffle(shuffled, new Random(seed));
+    assertEquals(
+        PermitHolderChoice.holder("weights", agents(12)),
+        PermitHolderChoice.holder("weights", shuffled));
+  }
+
+  @Test
+  void onlyTheLossOfTheHolderMovesTheDuty() {
+    EndpointId holder = PermitHolderChoice.holder("weights", agents(12)).orElseThrow();
+    for (EndpointId gone : agents(12)) {
+      List<EndpointId> rest = agents(12).stream().filter(id -> !id.equals(gone)).toList();
+      EndpointId next = PermitHolderChoice.holder("weights", rest).orElseThrow();
+      assertEquals(!gone.equals(holder), next.equals(holder));
+    }
+    assertEquals(Optional.empty(), PermitHolderChoice.holder("weights", List.of()));
+  }
+
+  /**
+   * The holder's connection goes silent. An agent that asked on for ever would load nothing and its
+   * callers would be refused; after a second and a half it paces itself, until the holder is back.
+   */
+  @Test
+  void holderOutOfReach() {
+    EndpointId holder = PermitHolderChoice.holder("weights", agents(3)).orElseThrow();
+    EndpointId self = agents(3).stream().filter(id -> !id.equals(holder)).findFirst().orElseThrow();
+    PermitSourceChoice choice = new PermitSourceChoice(self, "weights");
+    PermitSource ask = new PermitSource.Holder(holder);
+    assertEquals(ask, choice.choose(agents(3), agents(3), 0));
+    assertEquals(ask, choice.choose(agents(3), List.of(self), 100));
+    assertEquals(ask, choice.choose(agents(3), List.of(self), 1_599));
+    assertEquals(new PermitSource.Local(), choice.choose(agents(3), List.of(self), 1_600));
+    assertEquals(ask, choice.choose(agents(3), agents(3), 1_601));
+    assertEquals(new PermitSource.OwnLedger(), choice.choose(List.of(self), List.of(self), 1_602));
+  }
+
+  /**
+   * Every agent loses the holder in the same moment and all want loads. Together they must stay
+   * about the store's rate, and not begin together.
+   */
+  @Test
+  void agentsThatPaceThemselvesStayWithinTheRate() {
+    int[] beginnings = new int[60_000];
+    for (int agent = 0; agent < 12; agent++) {
+      LocalPacer pacer = new LocalPacer(500, agent);
+      for (int now = 0; now < beginnings.length; now += 10) {
+        if (pacer.turn(12, now) instanceof PaceDecision.Go) {
+          beginnings[now]++;
+        }
+      }
+    }
+    int all = IntStream.of(beginnings).sum();
+    assertTrue(all > 108 && all < 135, "120 loads fit into a minute, begun: " + all);
+    int worstSecond =
+        IntStream.range(0, 60)
+            .map(s -> IntStream.range(s * 1_000, s * 1_000 + 1_000).map(i -> beginnings[i]).sum())
+            .max()
+            .orElseThrow();
+    assertTrue(worstSecond <= 6, "most in one second: " + worstSecond);
+  }
+}
