--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/platform/HttpTable.java
@@ -0,0 +1,60 @@
+package org.hornbeamusher.platform;
+
+import java.net.URI;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.hornbeamusher.http.HttpCall;
+import org.hornbeamusher.http.HttpClient;
+
+/** The table service over HTTP; its formats are in {@code docs/PLATFORM-INTERFACE.md}. */
+public final class HttpTable implements Table {
+
+  private final PlatformCalls calls;
+  private final URI platform;
+  private final URI commits;
+
+  /**
+   * Creates a client.
+   *
+   * @param client sends the calls
+   * @param platform where the platform is
+   * @param timeoutMillis how long a call may take
+   */
+  public HttpTable(HttpClient client, URI platform, long timeoutMillis) {
+    this.calls = new PlatformCalls(client, timeoutMillis);
+    this.platform = platform;
+    this.commits = platform.resolve("/commits");
+  }
+
+  @Override
+  public CompletableFuture<Optional<Row>> read(RowKey key) {
+    String query = "?table=" + encode(key.table()) + "&key=" + encode(key.key());
+    URI uri = platform.resolve("/rows" + query);
+    return calls.read(
+        HttpCall.get(uri),
+        body -> PlatformJson.decode(body, PlatformJson.Rows.class).toRows().stream().findFirst());
+  }
+
+  @Override
+  public CompletableFuture<List<Row>> scan(String table, String prefix, String after, int limit) {
+    String range = "&prefix=" + encode(prefix) + "&after=" + encode(after) + "&limit=" + limit;
+    URI uri = platform.resolve("/rows?table=" + encode(table) + range);
+    return calls.read(
+        HttpCall.get(uri), body -> PlatformJson.decode(body, PlatformJson.Rows.class).toRows());
+  }
+
+  @Override
+  public CompletableFuture<CommitResult> commit(Transaction transaction) {
+    byte[] body = PlatformJson.encode(PlatformJson.Commit.of(transaction));
+    return calls.write(
+        HttpCall.postJson(commits, body),
+        answer -> PlatformJson.decode(answer, PlatformJson.Result.class).toResult());
+  }
+
+  private static String encode(String text) {
+    return URLEncoder.encode(text, StandardCharsets.UTF_8).replace("+", "%20");
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/platform/PlatformCalls.java
@@ -0,0 +1,86 @@
+package org.hornbeamusher.platform;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.function.Function;
+import org.hornbeamusher.failure.FailureType;
+import org.hornbeamusher.failure.HornbeamusherException;
+import org.hornbeamusher.failure.Outcome;
+import org.hornbeamusher.http.HttpCall;
+import org.hornbeamusher.http.HttpClient;
+import org.hornbeamusher.http.HttpReply;
+
+/**
+ * Sends calls to the platform and says of each failure whether a write may have taken effect.
+ *
+ * <p>A write was not made only if the connection was refused or the platform answered so. After a
+ * timeout, a cut connection, an internal error or an answer that cannot be read it may have been
+ * made: claiming otherwise would let a claim be made twice or a document be reverted.
+ */
+final class PlatformCalls {
+
+  private static final int OK = 200;
+  private static final int CONFLICT = 409;
+  private static final int THROTTLED = 429;
+  private static final int UNAVAILABLE = 503;
+
+  private final HttpClient client;
+  private final long timeoutMillis;
+
+  PlatformCalls(HttpClient client, long timeoutMillis) {
+    this.client = client;
+    this.timeoutMillis = timeoutMillis;
+  }
+
+  <T> CompletableFuture<T> read(HttpCall call, Function<byte[], T> decoder) {
+    return client
+        .send(call, timeoutMillis)
+        .handle((reply, thrown) -> decode(reply, thrown, decoder, Outcome.NOT_RUN));
+  }
+
+  <T> CompletableFuture<T> write(HttpCall call, Function<byte[], T> decoder) {
+    return client
+        .send(call, timeoutMillis)
+        .handle((reply, thrown) -> decode(reply, thrown, decoder, Outcome.UNKNOWN));
+  }
+
+  private static <T> T decode(
+      HttpReply reply, Throwable thrown, Function<byte[], T> decoder, Outcome whenUnclear) {
+    if (thrown != null) {
+      throw cut(HornbeamusherException.from(thrown), whenUnclear);
+    }
+    switch (reply.status()) {
+      case OK, CONFLICT -> {
+        try {
+          return decoder.apply(reply.body());
+        } catch (HornbeamusherException e) {
+          throw whenUnclear.equals(Outcome.UNKNOWN) ? unclear("unreadable answer") : e;
+        }
+      }
+      case THROTTLED -> throw HornbeamusherException.notRun(FailureType.PLATFORM_THROTTLED);
+      case UNAVAILABLE ->
+          throw HornbeamusherException.notRun(FailureType.PLATFORM_UNAVAILABLE, "status 503");
+      default -> throw refused(reply.status(), whenUnclear);
+    }
+  }
+
+  private static CompletionException cut(HornbeamusherException failure, Outcome whenUnclear) {
+    boolean notSent = failure.type() == FailureType.CONNECT_FAILED;
+    HornbeamusherException typed =
+        notSent || whenUnclear.equals(Outcome.NOT_RUN)
+            ? HornbeamusherException.notRun(FailureType.PLATFORM_UNAVAILABLE, failure.getMessage())
+            : unclear(failure.getMessage());
+    return new CompletionException(typed.causedBy(failure));
+  }
+
+  private static HornbeamusherException refused(int status, Outcome whenUnclear) {
+    boolean internal = status >= 500;
+    return internal && whenUnclear.equals(Outcome.UNKNOWN)
+        ? unclear("status " + status)
+        : HornbeamusherException.notRun(FailureType.PLATFORM_MALFORMED, "status " + status);
+  }
+
+  private static HornbeamusherException unclear(String why) {
+    return HornbeamusherException.of(FailureType.PLATFORM_ANSWER_LOST, Outcome.UNKNOWN, why);
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/platform/PlatformJson.java
@@ -0,0 +1,346 @@
+package org.hornbeamusher.platform;
+
+import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.PropertyNamingStrategies;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import org.hornbeamusher.failure.FailureType;
+import org.hornbeamusher.failure.HornbeamusherException;
+import org.hornbeamusher.ids.AvailabilityZone;
+import org.hornbeamusher.ids.PoolName;
+import org.hornbeamusher.platform.Transaction.Condition;
+import org.hornbeamusher.platform.Transaction.Write;
+
+/** The JSON forms of {@code docs/PLATFORM-INTERFACE.md}; values of rows are in base 64. */
+public final class PlatformJson {
+
+  private static final ObjectMapper JSON =
+      new ObjectMapper()
+          .setPropertyNamingStrategy(PropertyNamingStrategies.SNAKE_CASE)
+          .setDefaultPropertyInclusion(JsonInclude.Include.NON_NULL)
+          .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+
+  private PlatformJson() {}
+
+  /**
+   * Writes a form.
+   *
+   * @param form one of the records of this class
+   * @return JSON
+   */
+  public static byte[] encode(Object form) {
+    try {
+      return JSON.writeValueAsBytes(form);
+    } catch (JsonProcessingException e) {
+      throw HornbeamusherException.notRun(FailureType.INTERNAL, e.getMessage()).causedBy(e);
+    }
+  }
+
+  /**
+   * Reads a form.
+   *
+   * @param <T> its type
+   * @param json the text
+   * @param form one of the records of this class
+   * @return what it says
+   * @throws HornbeamusherException of type {@code PLATFORM_MALFORMED} for any other text
+   */
+  public static <T> T decode(byte[] json, Class<T> form) {
+    T value;
+    try {
+      value = JSON.readValue(json, form);
+    } catch (IOException e) {
+      throw malformed("it is not the expected JSON").causedBy(e);
+    }
+    if (value == null) {
+      throw malformed("it is null");
+    }
+    return value;
+  }
+
+  private static HornbeamusherException malformed(String why) {
+    return HornbeamusherException.notRun(FailureType.PLATFORM_MALFORMED, why);
+  }
+
+  private static <T> List<T> orEmpty(List<T> list) {
+    return list == null ? List.of() : list;
+  }
+
+  /**
+   * A row.
+   *
+   * @param table its table
+   * @param key its key
+   * @param revision its revision
+   * @param value its content
+   */
+  public record RowForm(String table, String key, long revision, byte[] value) {
+
+    static RowForm of(Row row) {
+      return new RowForm(row.key().table(), row.key().key(), row.revision(), row.value());
+    }
+
+    Row toRow() {
+      if (table == null || key == null || value == null) {
+        throw malformed("a row lacks a part");
+      }
+      return new Row(new RowKey(table, key), revision, value);
+    }
+  }
+
+  /**
+   * The answer to a read or a scan.
+   *
+   * @param rows the rows found
+   */
+  public record Rows(List<RowForm> rows) {
+
+    /**
+     * Describes rows.
+     *
+     * @param rows the rows
+     * @return their form
+     */
+    public static Rows of(List<Row> rows) {
+      return new Rows(rows.stream().map(RowForm::of).toList());
+    }
+
+    List<Row> toRows() {
+      if (rows == null) {
+        throw malformed("it lacks rows");
+      }
+      return rows.stream().map(RowForm::toRow).toList();
+    }
+  }
+
+  /**
+   * A condition: {@code revision} 0 means that the row is absent.
+   *
+   * @param table the row's table
+   * @param key the row's key
+   * @param revision the revision it must have
+   */
+  public record ConditionForm(String table, String key, long revision) {
+
+    static ConditionForm of(Condition condition) {
+      long revision =
+          switch (condition) {
+            case Condition.Absent absent -> 0;
+            case Condition.AtRevision at -> at.revision();
+          };
+      return new ConditionForm(condition.key().table(), condition.key().key(), revision);
+    }
+
+    Condition toCondition() {
+      RowKey row = requireKey(table, key);
+      return revision == 0 ? new Condition.Absent(row) : new Condition.AtRevision(row, revision);
+    }
+  }
+
+  /**
+   * A write: without a {@code value} the row is deleted.
+   *
+   * @param table the row's table
+   * @param key the row's key
+   * @param value the new content
+   */
+  public record WriteForm(String table, String key, byte[] value) {
+
+    static WriteForm of(Write write) {
+      byte[] value =
+          switch (write) {
+            case Write.Put put -> put.value();
+            case Write.Delete delete -> null;
+          };
+      return new WriteForm(write.key().table(), write.key().key(), value);
+    }
+
+    Write toWrite() {
+      RowKey row = requireKey(table, key);
+      return value == null ? new Write.Delete(row) : new Write.Put(row, value);
+    }
+  }
+
+  /**
+   * A transaction.
+   *
+   * @param conditions what must hold
+   * @param writes what is written
+   */
+  public record Commit(List<ConditionForm> conditions, List<WriteForm> writes) {
+
+    /**
+     * Describes a transaction.
+     *
+     * @param transaction the transaction
+     * @return its form
+     */
+    public static Commit of(Transaction transaction) {
+      return new Commit(
+          transaction.conditions().stream().map(ConditionForm::of).toList(),
+          transaction.writes().stream().map(WriteForm::of).toList());
+    }
+
+    /**
+     * Returns the transaction.
+     *
+     * @return what the form says
+     */
+    public Transaction toTransaction() {
+      return new Transaction(
+          orEmpty(conditions).stream().map(ConditionForm::toCondition).toList(),
+          orEmpty(writes).stream().map(WriteForm::toWrite).toList());
+    }
+  }
+
+  /**
+   * The answer to a transaction.
+   *
+   * @param committed whether it took effect
+   * @param conflict the row whose condition failed, without it when committed
+   */
+  public record Result(boolean committed, ConflictForm conflict) {
+
+    /**
+     * Describes a result.
+     *
+     * @param result the result
+     * @return its form
+     */
+    public static Result of(CommitResult result) {
+      return switch (result) {
+        case CommitResult.Committed committed -> new Result(true, null);
+        case CommitResult.Conflict conflict ->
+            new Result(
+                false,
+                new ConflictForm(
+                    conflict.key().table(),
+                    conflict.key().key(),
+                    conflict.current().map(RowForm::of).orElse(null)));
+      };
+    }
+
+    CommitResult toResult() {
+      if (committed) {
+        return new CommitResult.Committed();
+      }
+      if (conflict == null) {
+        throw malformed("it is neither a commit nor a conflict");
+      }
+      RowKey row = requireKey(conflict.table(), conflict.key());
+      return new CommitResult.Conflict(
+          row, Optional.ofNullable(conflict.current()).map(RowForm::toRow));
+    }
+  }
+
+  /**
+   * A condition that failed.
+   *
+   * @param table the row's table
+   * @param key the row's key
+   * @param current the row as it is; absent when there is none
+   */
+  public record ConflictForm(String table, String key, RowForm current) {}
+
+  /**
+   * An instance.
+   *
+   * @param id its name
+   * @param host its IP number
+   * @param port where its process listens for peers
+   * @param role {@code entry} or {@code agent}
+   * @param availabilityZone its availability zone
+   * @param pool its pool
+   * @param leaving whether it is about to be taken away
+   */
+  public record InstanceForm(
+      String id,
+      String host,
+      int port,
+      String role,
+      String availabilityZone,
+      String pool,
+      boolean leaving) {
+
+    static InstanceForm of(Instance instance) {
+      return new InstanceForm(
+          instance.id(),
+          instance.host(),
+          instance.port(),
+          instance.role().name().toLowerCase(Locale.ROOT),
+          instance.zone().value(),
+          instance.pool().value(),
+          instance.leaving());
+    }
+
+    /**
+     * Returns the instance.
+     *
+     * @return what the form says
+     */
+    public Instance toInstance() {
+      if (id == null || host == null || role == null) {
+        throw malformed("an instance lacks a part");
+      }
+      try {
+        return new Instance(
+            id,
+            host,
+            port,
+            Instance.Role.valueOf(role.toUpperCase(Locale.ROOT)),
+            new AvailabilityZone(availabilityZone),
+            new PoolName(pool),
+            leaving);
+      } catch (IllegalArgumentException e) {
+        throw malformed("instance " + id + " has a part of another form").causedBy(e);
+      }
+    }
+  }
+
+  /**
+   * The instance list.
+   *
+   * @param instances the instances
+   */
+  public record Instances(List<InstanceForm> instances) {
+
+    /**
+     * Describes a list.
+     *
+     * @param list the instances
+     * @return its form
+     */
+    public static Instances of(List<Instance> list) {
+      return new Instances(list.stream().map(InstanceForm::of).toList());
+    }
+
+    /** Reads the list; an instance that cannot be read is left out, so the others stay usable. */
+    List<Instance> list() {
+      if (instances == null) {
+        throw malformed("it lacks instances");
+      }
+      List<Instance> readable = new ArrayList<>();
+      for (InstanceForm form : instances) {
+        try {
+          readable.add(form.toInstance());
+        } catch (HornbeamusherException e) {
+          continue;
+        }
+      }
+      return readable;
+    }
+  }
+
+  private static RowKey requireKey(String table, String key) {
+    if (table == null || key == null) {
+      throw malformed("a row's name is missing");
+    }
+    return new RowKey(table, key);
+  }
+}
--- a/tool/src/main/java/org/hornbeamusher/standin/EngineHttp.java
+++ b/tool/src/main/java/org/hornbeamusher/standin/EngineHttp.java
@@ -125,9 +125,14 @@
 
   private void events(HttpServerExchange exchange) {
     var values = exchange.getQueryParameters().get("after");
-    long after = values == null ? 0 : Long.parseLong(values.getFirst());
-    List<CacheEvents.CacheEvent> events = engine.eventsAfter(after);
-    Replies.json(exchange, 200, new Events(events));
+    long after;
+    try {
+      after = values == null ? 0 : Long.parseLong(values.getFirst());
+    } catch (NumberFormatException e) {
+      Replies.error(exchange, 400, "malformed-request");
+      return;
+    }
+    Replies.json(exchange, 200, new Events(engine.eventsAfter(after)));
   }
 
   private void behave(HttpServerExchange exchange, Behaviour behaviour) {
