--- a/runtime/src/main/java/org/hornbeamusher/events/EventType.java
+++ b/runtime/src/main/java/org/hornbeamusher/events/EventType.java
@@ -24,6 +24,8 @@
   // 1300: service documents
   DOCUMENT_IN_FORCE(1301, Level.INFO, "A newer version of a document is in force here."),
   DOCUMENT_UNREADABLE(1302, Level.WARNING, "A stored document cannot be read by this release."),
+  // 1400: claims
+  CLAIM_END_LOST(1401, Level.WARNING, "The end of a claim was not written; it reads as unknown."),
   // 1500: connections and membership
   PEER_CONNECTED(1501, Level.INFO, "A connection to a peer was opened."),
   PEER_LOST(1502, Level.WARNING, "A connection to a peer was lost or abandoned."),
--- /dev/null
+++ b/runtime/src/test/java/org/hornbeamusher/claims/ClaimBatcherTest.java
@@ -0,0 +1,103 @@
+package org.hornbeamusher.claims;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.hornbeamusher.platform.CommitResult;
+import org.hornbeamusher.platform.MemoryTable;
+import org.hornbeamusher.platform.Row;
+import org.hornbeamusher.platform.RowKey;
+import org.hornbeamusher.platform.Table;
+import org.hornbeamusher.platform.Transaction;
+import org.junit.jupiter.api.Test;
+
+class ClaimBatcherTest {
+
+  private final HeldTable table = new HeldTable();
+  private final ClaimBatcher batcher = new ClaimBatcher(table);
+
+  @Test
+  void burstBehindOneTransactionGoesTogether() {
+    List<CompletableFuture<CommitResult>> results = new ArrayList<>();
+    for (int i = 0; i < 11; i++) {
+      results.add(insert("key-" + i));
+    }
+    table.answerAll();
+
+    results.forEach(result -> assertInstanceOf(CommitResult.Committed.class, result.join()));
+    assertEquals(List.of(1, 10), table.sizes);
+  }
+
+  /**
+   * Among the writes of one transaction one meets a row that is already there. Only the request it
+   * belongs to may be told so; the others must be claimed.
+   */
+  @Test
+  void conflictOfOneDoesNotFailTheOthers() {
+    insert("taken");
+    table.answerAll();
+    insert("first");
+    final CompletableFuture<CommitResult> before = insert("a");
+    final CompletableFuture<CommitResult> taken = insert("taken");
+    final CompletableFuture<CommitResult> after = insert("b");
+    table.answerAll();
+
+    assertInstanceOf(CommitResult.Committed.class, before.join());
+    assertInstanceOf(CommitResult.Conflict.class, taken.join());
+    assertInstanceOf(CommitResult.Committed.class, after.join());
+  }
+
+  @Test
+  void twoWritesOfOneRowNeverMeetInOneTransaction() {
+    insert("first");
+    insert("same");
+    CompletableFuture<CommitResult> second = insert("same");
+    table.answerAll();
+
+    assertTrue(table.sizes.stream().allMatch(size -> size == 1));
+    assertInstanceOf(CommitResult.Conflict.class, second.join());
+  }
+
+  private CompletableFuture<CommitResult> insert(String key) {
+    RowKey row = new RowKey("claims", key);
+    return batcher.commit(
+        new Transaction.Condition.Absent(row), new Transaction.Write.Put(row, new byte[1]));
+  }
+
+  /** Answers transactions only when told to. */
+  private static final class HeldTable implements Table {
+
+    private final MemoryTable rows = new MemoryTable();
+    private final List<Integer> sizes = new ArrayList<>();
+    private final List<Runnable> held = new ArrayList<>();
+
+    void answerAll() {
+      while (!held.isEmpty()) {
+        held.remove(0).run();
+      }
+    }
+
+    @Override
+    public CompletableFuture<Optional<Row>> read(RowKey key) {
+      return rows.read(key);
+    }
+
+    @Override
+    public CompletableFuture<List<Row>> scan(String name, String prefix, String after, int limit) {
+      return rows.scan(name, prefix, after, limit);
+    }
+
+    @Override
+    public CompletableFuture<CommitResult> commit(Transaction transaction) {
+      sizes.add(transaction.writes().size());
+      CompletableFuture<CommitResult> answer = new CompletableFuture<>();
+      held.add(() -> answer.complete(rows.commit(transaction).join()));
+      return answer;
+    }
+  }
+}
--- /dev/null
+++ b/runtime/src/test/java/org/hornbeamusher/claims/LateTable.java
@@ -0,0 +1,55 @@
+package org.hornbeamusher.claims;
+
+import java.util.ArrayDeque;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.hornbeamusher.failure.FailureType;
+import org.hornbeamusher.failure.HornbeamusherException;
+import org.hornbeamusher.failure.Outcome;
+import org.hornbeamusher.platform.CommitResult;
+import org.hornbeamusher.platform.Row;
+import org.hornbeamusher.platform.RowKey;
+import org.hornbeamusher.platform.Table;
+import org.hornbeamusher.platform.Transaction;
+
+/** Holds transactions back: their callers hear that the answer is lost before they take effect. */
+final class LateTable implements Table {
+
+  private final Table table;
+  private final ArrayDeque<Transaction> heldBack = new ArrayDeque<>();
+  private boolean losing;
+
+  LateTable(Table table) {
+    this.table = table;
+  }
+
+  void loseAll(boolean isLosing) {
+    losing = isLosing;
+  }
+
+  void deliverLate() {
+    heldBack.forEach(transaction -> table.commit(transaction).join());
+    heldBack.clear();
+  }
+
+  @Override
+  public CompletableFuture<Optional<Row>> read(RowKey key) {
+    return table.read(key);
+  }
+
+  @Override
+  public CompletableFuture<List<Row>> scan(String name, String prefix, String after, int limit) {
+    return table.scan(name, prefix, after, limit);
+  }
+
+  @Override
+  public CompletableFuture<CommitResult> commit(Transaction transaction) {
+    if (losing) {
+      heldBack.add(transaction);
+      return CompletableFuture.failedFuture(
+          HornbeamusherException.of(FailureType.PLATFORM_ANSWER_LOST, Outcome.UNKNOWN, "late"));
+    }
+    return table.commit(transaction);
+  }
+}
