Answers put together from frames; membership decided from list and own word

Cause: frames come late, twice, out of order or not at all; the platform's list of instances lags and instances are replaced at the same address; connections go silent for good.

--- /dev/null
+++ b/runtime/src/test/java/org/hornbeamusher/answers/AnswerAssemblerTest.java
@@ -0,0 +1,166 @@
+package org.hornbeamusher.answers;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import java.util.zip.CRC32C;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+class AnswerAssemblerTest {
+
+  private static final long ATTEMPT = 7;
+  private static final AnswerState OPEN = new AnswerState.Open();
+  private static final AnswerState WHOLE = new AnswerState.Whole();
+
+  private final AnswerAssembler assembler = new AnswerAssembler(ATTEMPT, 8);
+  private final StringBuilder delivered = new StringBuilder();
+
+  @Test
+  void partsOutOfOrderAreDeliveredInOrder() {
+    part(1, "b");
+    part(0, "a");
+    part(1, "b");
+    assertEquals(OPEN, closing(3, "abc"));
+    part(2, "c");
+
+    assertEquals("abc", delivered.toString());
+    assertEquals(WHOLE, assembler.state());
+  }
+
+  @Test
+  void emptyAnswerIsWhole() {
+    assertEquals(WHOLE, closing(0, ""));
+  }
+
+  /**
+   * A request was sent again after its first connection was lost, and a frame of the first try
+   * arrives late. It must not be mixed into the answer of the second.
+   */
+  @Test
+  void framesOfAnotherAttemptAreIgnored() {
+    part(0, "a");
+    collect(assembler.part(ATTEMPT - 1, 1, bytes("x")));
+    assembler.closing(ATTEMPT - 1, 1, 0);
+
+    assertEquals(OPEN, assembler.state());
+    assertEquals("a", delivered.toString());
+  }
+
+  /** The engine dies in the middle of a sentence that could have been the end. */
+  @Test
+  void streamThatStopsIsCut() {
+    part(0, "a");
+
+    assertEquals(new AnswerState.Cut(), assembler.cut());
+    assertEquals(new AnswerState.Cut(), closing(1, "a"));
+  }
+
+  /** A frame was garbled or belongs elsewhere; the caller must not take the answer for whole. */
+  @Test
+  void wrongChecksumIsMismatch() {
+    part(0, "a");
+
+    assertEquals(new AnswerState.Mismatch(AnswerState.Reason.CHECKSUM), closing(1, "b"));
+  }
+
+  @Test
+  void partBeyondTheStatedCountIsMismatch() {
+    part(2, "c");
+
+    assertEquals(new AnswerState.Mismatch(AnswerState.Reason.COUNT), closing(2, "ab"));
+  }
+
+  @Test
+  void sameNumberWithOtherBytesIsMismatch() {
+    part(1, "b");
+    part(1, "x");
+
+    assertEquals(new AnswerState.Mismatch(AnswerState.Reason.CONTENT), assembler.state());
+  }
+
+  /** A sender that ignores its credit must not fill this process's memory. */
+  @Test
+  void partsKeptForLaterAreBounded() {
+    part(1, "12345678");
+    assertEquals(OPEN, assembler.state());
+    part(2, "9");
+
+    assertEquals(new AnswerState.Mismatch(AnswerState.Reason.OVERFLOW), assembler.state());
+  }
+
+  @Property(seed = "41", tries = 500)
+  void anyOrderWithRepeatsGivesTheWholeAnswerOnce(
+      @ForAll @IntRange(max = 12) int count, @ForAll long seed) {
+    Random random = new Random(seed);
+    AnswerAssembler large = new AnswerAssembler(ATTEMPT, 1_000);
+    List<Integer> frames = new ArrayList<>();
+    for (int i = 0; i <= count; i++) {
+      Collections.addAll(frames, i, i);
+    }
+    Collections.shuffle(frames, random);
+    String whole = "abcdefghijkl".substring(0, count);
+    for (int frame : frames) {
+      collect(
+          frame == count
+              ? large.closing(ATTEMPT, count, checksum(whole))
+              : large.part(ATTEMPT, frame, bytes(whole.substring(frame, frame + 1))));
+    }
+
+    assertEquals(whole, delivered.toString());
+    assertEquals(WHOLE, large.state());
+    delivered.setLength(0);
+  }
+
+  @Property(seed = "42", tries = 500)
+  void anyMissingFrameKeepsTheAnswerFromBeingWhole(
+      @ForAll @IntRange(min = 1, max = 12) int count, @ForAll long seed) {
+    Random random = new Random(seed);
+    AnswerAssembler large = new AnswerAssembler(ATTEMPT, 1_000);
+    int missing = random.nextInt(count + 1);
+    String whole = "abcdefghijkl".substring(0, count);
+    for (int frame = 0; frame <= count; frame++) {
+      if (frame == missing) {
+        continue;
+      }
+      if (frame == count) {
+        large.closing(ATTEMPT, count, checksum(whole));
+      } else {
+        large.part(ATTEMPT, frame, bytes(whole.substring(frame, frame + 1)));
+      }
+    }
+
+    assertTrue(!large.state().ended());
+    assertInstanceOf(AnswerState.Cut.class, large.cut());
+  }
+
+  private void part(long sequence, String text) {
+    collect(assembler.part(ATTEMPT, sequence, bytes(text)));
+  }
+
+  private AnswerState closing(long count, String whole) {
+    return assembler.closing(ATTEMPT, count, checksum(whole)).state();
+  }
+
+  private void collect(Delivery delivery) {
+    delivery.parts().forEach(part -> delivered.append(new String(part, StandardCharsets.UTF_8)));
+  }
+
+  private static long checksum(String whole) {
+    CRC32C crc = new CRC32C();
+    crc.update(bytes(whole));
+    return crc.getValue();
+  }
+
+  private static byte[] bytes(String text) {
+    return text.getBytes(StandardCharsets.UTF_8);
+  }
+}
--- /dev/null
+++ b/runtime/src/test/java/org/hornbeamusher/membership/HeartbeatMonitorTest.java
@@ -0,0 +1,60 @@
+package org.hornbeamusher.membership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+class HeartbeatMonitorTest {
+
+  private final HeartbeatMonitor monitor = new HeartbeatMonitor(1_000, 3, 0);
+
+  @Test
+  void heartbeatsKeepTheConnection() {
+    for (long now = 1_000; now < 60_000; now += 1_000) {
+      monitor.heard(now);
+      assertFalse(monitor.silent(now + 500));
+    }
+  }
+
+  /**
+   * Something between the two ends has lost track of the connection. Requests sent on it would wait
+   * for ever; after three seconds it is abandoned.
+   */
+  @Test
+  void silentConnectionIsFoundAfterThreeMissedBeats() {
+    assertFalse(monitor.silent(1_000));
+    assertFalse(monitor.silent(2_000));
+    assertTrue(monitor.silent(3_000));
+    assertEquals(3_000, monitor.silentMillis(3_000));
+  }
+
+  /**
+   * This process is paused for half a minute. On waking it must not abandon every connection, whose
+   * heartbeats it has not read yet; one that is really dead is found an interval later.
+   */
+  @Test
+  void ownPauseIsNotTakenForSilence() {
+    assertFalse(monitor.silent(1_000));
+    assertFalse(monitor.silent(31_000));
+    assertTrue(monitor.silent(32_000));
+  }
+
+  @Test
+  void heartbeatAfterOwnPauseKeepsTheConnection() {
+    assertFalse(monitor.silent(31_000));
+    monitor.heard(31_100);
+    assertFalse(monitor.silent(32_000));
+  }
+
+  /** The wall clock is set back; a dead connection must still be found. */
+  @Test
+  void clockThatStepsBackDelaysByThePatienceAtMost() {
+    monitor.heard(100_000);
+    assertFalse(monitor.silent(50_000));
+    assertFalse(monitor.silent(51_000));
+    assertFalse(monitor.silent(52_000));
+    assertTrue(monitor.silent(53_000));
+  }
+}
--- /dev/null
+++ b/runtime/src/test/java/org/hornbeamusher/membership/PeerTableTest.java
@@ -0,0 +1,133 @@
+package org.hornbeamusher.membership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import java.util.Set;
+import org.hornbeamusher.ids.Incarnation;
+import org.junit.jupiter.api.Test;
+
+class PeerTableTest {
+
+  private static final String ADDRESS = "10.0.0.1:7400";
+  private static final Incarnation FIRST = new Incarnation(11);
+  private static final Incarnation SECOND = new Incarnation(22);
+
+  private final PeerTable table = new PeerTable();
+
+  @Test
+  void listedPeerIsConnectedOnceAndJoinsByItsOwnWord() {
+    assertEquals(List.of(new PeerEvent.Connect(ADDRESS)), listed("i-1", false));
+    assertEquals(List.of(), listed("i-1", false));
+    assertEquals(List.of(new PeerEvent.Joined(ADDRESS, FIRST)), introduced(1, "i-1", FIRST));
+    assertEquals(Set.of(ADDRESS), table.takingWork());
+  }
+
+  /**
+   * The platform's list is empty for a while. Endpoints that answer must go on getting work, or an
+   * outage of the list would stop everything.
+   */
+  @Test
+  void emptyListTakesNoWorkingPeerAway() {
+    join();
+
+    assertEquals(List.of(), table.listed(List.of()));
+    assertEquals(Set.of(ADDRESS), table.takingWork());
+  }
+
+  /** An agent drains; the list goes on showing it as live. It must get nothing new. */
+  @Test
+  void ownWordOfLeavingWinsOverTheList() {
+    join();
+
+    assertEquals(List.of(new PeerEvent.Leaving(ADDRESS, FIRST)), table.leaving(ADDRESS, FIRST));
+    assertEquals(List.of(), listed("i-1", false));
+    assertEquals(Set.of(), table.takingWork());
+  }
+
+  /** The platform removes an instance without telling its agent. The list alone must suffice. */
+  @Test
+  void listsWordOfLeavingStopsNewWorkToo() {
+    join();
+
+    assertEquals(List.of(new PeerEvent.Leaving(ADDRESS, FIRST)), listed("i-1", true));
+    assertEquals(Set.of(), table.takingWork());
+  }
+
+  /**
+   * An instance is replaced at the same address while the list still shows its predecessor as
+   * leaving. The replacement must get work at once.
+   */
+  @Test
+  void predecessorsLeavingDoesNotApplyToItsReplacement() {
+    join();
+    table.leaving(ADDRESS, FIRST);
+    listed("i-1", true);
+
+    assertEquals(
+        List.of(new PeerEvent.Lost(ADDRESS, FIRST), new PeerEvent.Joined(ADDRESS, SECOND)),
+        introduced(2, "i-2", SECOND));
+    assertEquals(List.of(), table.leaving(ADDRESS, FIRST));
+    assertEquals(List.of(), table.disconnected(ADDRESS, 1));
+    assertEquals(Set.of(ADDRESS), table.takingWork());
+  }
+
+  /**
+   * The first connection's introduction was under way for long and comes after the second's. The
+   * process it names is gone; requests must not be settled or sent by its word.
+   */
+  @Test
+  void introductionOnAnEarlierConnectionIsIgnored() {
+    listed("i-2", false);
+    introduced(2, "i-2", SECOND);
+
+    assertEquals(List.of(), introduced(1, "i-1", FIRST));
+    assertEquals(Set.of(ADDRESS), table.takingWork());
+  }
+
+  @Test
+  void lostConnectionSettlesAttemptsAndOpensAnotherOne() {
+    join();
+
+    assertEquals(
+        List.of(new PeerEvent.Lost(ADDRESS, FIRST), new PeerEvent.Connect(ADDRESS)),
+        table.disconnected(ADDRESS, 1));
+    assertEquals(List.of(new PeerEvent.Joined(ADDRESS, FIRST)), introduced(2, "i-1", FIRST));
+  }
+
+  /** A connection breaks in the middle of a drain; the next one must not undo the drain. */
+  @Test
+  void leavingOutlivesTheConnection() {
+    join();
+    table.leaving(ADDRESS, FIRST);
+
+    assertEquals(List.of(), introduced(2, "i-1", FIRST));
+    assertEquals(Set.of(), table.takingWork());
+  }
+
+  /**
+   * The list shows an instance that has drained and closed. Nobody must call it again and again.
+   */
+  @Test
+  void departedInstanceIsNotConnectedAgainThoughListed() {
+    join();
+    table.leaving(ADDRESS, FIRST);
+    table.disconnected(ADDRESS, 1);
+
+    assertEquals(List.of(), listed("i-1", false));
+    assertEquals(List.of(new PeerEvent.Connect(ADDRESS)), listed("i-2", false));
+  }
+
+  private void join() {
+    listed("i-1", false);
+    introduced(1, "i-1", FIRST);
+  }
+
+  private List<PeerEvent> listed(String instance, boolean leaving) {
+    return table.listed(List.of(new ListedPeer(ADDRESS, instance, leaving)));
+  }
+
+  private List<PeerEvent> introduced(long connection, String instance, Incarnation incarnation) {
+    return table.introduced(ADDRESS, connection, instance, incarnation);
+  }
+}
