--- a/runtime/src/main/java/org/hornbeamusher/agent/AgentDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/agent/AgentDaemon.java
@@ -3,20 +3,22 @@
 import java.net.InetSocketAddress;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import org.hornbeamusher.clock.Clock;
-import org.hornbeamusher.documents.DocumentHolder;
 import org.hornbeamusher.documents.ServiceDocument;
 import org.hornbeamusher.endpoint.EngineOrders;
 import org.hornbeamusher.events.EventLog;
 import org.hornbeamusher.events.EventType;
+import org.hornbeamusher.failure.FailureType;
 import org.hornbeamusher.failure.HornbeamusherException;
-import org.hornbeamusher.http.HttpClient;
 import org.hornbeamusher.ids.AdapterRef;
 import org.hornbeamusher.ids.FencingNumber;
+import org.hornbeamusher.process.ProcessServices;
 import org.hornbeamusher.routing.EndpointLoad;
 import org.hornbeamusher.scheduling.AgentScheduler;
 import org.hornbeamusher.scheduling.SchedulerSettings;
@@ -33,9 +35,6 @@
 public final class AgentDaemon implements WireListener {
 
   private static final int PROTOCOL = 1;
-  private static final int IO_THREADS = 2;
-  private static final int DEFAULT_SLOTS = 8;
-  private static final int DEFAULT_BATCH = 16;
 
   /** How often a due poll is looked for; a request waits this long at most for a timed decision. */
   private static final long TICK_MILLIS = 10;
@@ -55,14 +54,17 @@
   private static final long STOP_POLL_MILLIS = 20;
 
   private final AgentSettings settings;
-  private final DocumentHolder documents;
+  private final ProcessServices services;
   private final Clock clock;
-  private final HttpClient http = new HttpClient(IO_THREADS);
   private final ScheduledExecutorService timer =
       Executors.newSingleThreadScheduledExecutor(
           Thread.ofPlatform().daemon().name("agent-timer").factory());
   private final WireServer server;
-  private final AgentShell shell;
+
+  /** Set once the endpoint's figures are known, from the settings or from a document. */
+  private final AtomicReference<AgentShell> shell = new AtomicReference<>();
+
+  private volatile boolean leaving;
   private EndpointLoad lastReport;
   private long lastReportMillis;
 
@@ -70,31 +72,26 @@
    * Creates an agent that is not started.
    *
    * @param settings its settings
-   * @param documents the documents in force here
    * @param sockets plain or TLS, towards entries
    * @param clock the clock
    */
-  public AgentDaemon(
-      AgentSettings settings, DocumentHolder documents, WireSockets sockets, Clock clock) {
+  public AgentDaemon(AgentSettings settings, WireSockets sockets, Clock clock) {
     this.settings = settings;
-    this.documents = documents;
     this.clock = clock;
-    FencingNumber fencing = new FencingNumber(clock.millis());
-    EngineOrders orders =
-        new EngineOrders(settings.endpoint(), settings.endpointUri(), http, ORDER_TIMEOUT_MILLIS);
-    this.shell =
-        new AgentShell(
-            new AgentShell.AgentSetup(
-                settings.endpoint(), settings.endpointUri(), isModel(), () -> fencing),
-            new AgentScheduler(schedulerSettings()),
-            orders,
-            http,
-            this::weightsLocation,
-            clock);
+    this.services = new ProcessServices(settings.platform(), () -> 0, clock);
     this.server =
         new WireServer(settings.listen().address(), hello(), this, settings.wire(), sockets, clock);
   }
 
+  /**
+   * Returns what this process has in common with others.
+   *
+   * @return its services
+   */
+  public ProcessServices services() {
+    return services;
+  }
+
   private Message.Hello hello() {
     return new Message.Hello(
         PROTOCOL,
@@ -111,28 +108,14 @@
     return settings.capacity().kind() == EndpointKind.MODEL;
   }
 
-  private SchedulerSettings schedulerSettings() {
-    CapacitySettings capacity = settings.capacity();
-    return new SchedulerSettings(
-        isModel() ? capacity.slots().orElse(DEFAULT_SLOTS) : 0,
-        capacity.batch().orElse(DEFAULT_BATCH),
-        capacity.queueLimit(),
-        capacity.minimumStayMillis(),
-        capacity.tokensPerSecond(),
-        capacity.loadMillis(),
-        true,
-        capacity.partnerShares());
-  }
-
   /** Listens for entries. */
   public void start() {
-    http.start();
-    if (isModel()) {
-      shell.observeEngine();
-      timer.scheduleWithFixedDelay(
-          shell::observeEngine, OBSERVE_MILLIS, OBSERVE_MILLIS, TimeUnit.MILLISECONDS);
-    }
+    services.start();
+    services.sync().listen(document -> becomeReady());
+    becomeReady();
     timer.scheduleWithFixedDelay(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    timer.scheduleWithFixedDelay(
+        this::observe, OBSERVE_MILLIS, OBSERVE_MILLIS, TimeUnit.MILLISECONDS);
     server.start();
     EventLog.log(
         EventType.PROCESS_STARTED,
@@ -144,9 +127,67 @@
         address());
   }
 
+  /** Creates the shell once the endpoint's figures are known. */
+  private synchronized void becomeReady() {
+    if (shell.get() == null) {
+      capacity().ifPresent(this::createShell);
+    }
+  }
+
+  private void createShell(Capacity capacity) {
+    CapacitySettings figures = settings.capacity();
+    SchedulerSettings scheduling =
+        new SchedulerSettings(
+            capacity.slots(),
+            capacity.batch(),
+            figures.queueLimit(),
+            figures.minimumStayMillis(),
+            figures.tokensPerSecond(),
+            figures.loadMillis(),
+            true,
+            figures.partnerShares());
+    FencingNumber fencing = new FencingNumber(clock.millis());
+    AgentShell created =
+        new AgentShell(
+            new AgentShell.AgentSetup(
+                settings.endpoint(), settings.endpointUri(), isModel(), () -> fencing),
+            new AgentScheduler(scheduling),
+            new EngineOrders(
+                settings.endpoint(), settings.endpointUri(), services.http(), ORDER_TIMEOUT_MILLIS),
+            services.http(),
+            this::weightsLocation,
+            clock);
+    created.observeEngine();
+    shell.set(created);
+  }
+
+  private record Capacity(int slots, int batch) {}
+
+  /** Settings go before the document; without either the endpoint's figures are not known. */
+  private Optional<Capacity> capacity() {
+    Optional<Capacity> declared =
+        services.documents().all().stream()
+            .filter(document -> document.pool().equals(settings.pool()))
+            .findFirst()
+            .map(document -> capacity(document.kind()));
+    CapacitySettings own = settings.capacity();
+    Optional<Integer> slots =
+        isModel() ? own.slots().or(() -> declared.map(Capacity::slots)) : Optional.of(0);
+    Optional<Integer> batch = own.batch().or(() -> declared.map(Capacity::batch));
+    return slots.flatMap(s -> batch.map(b -> new Capacity(s, b)));
+  }
+
+  private static Capacity capacity(ServiceDocument.Kind kind) {
+    return switch (kind) {
+      case ServiceDocument.Kind.Model model -> new Capacity(model.slots(), model.batch());
+      case ServiceDocument.Kind.Plain plain -> new Capacity(0, plain.concurrency());
+    };
+  }
+
   /** Takes no new work; entries are told at once. What was taken in is finished. */
   public void drain() {
-    shell.leave();
+    leaving = true;
+    ready().ifPresent(AgentShell::leave);
     server.broadcast(new Message.Leaving());
   }
 
@@ -158,17 +199,13 @@
   public void stop() throws InterruptedException {
     drain();
     EventLog.log(
-        EventType.PROCESS_STOPPING,
-        "instance",
-        settings.instance(),
-        "requests",
-        shell.outstanding());
-    while (shell.outstanding() > 0) {
+        EventType.PROCESS_STOPPING, "instance", settings.instance(), "requests", outstanding());
+    while (outstanding() > 0) {
       Thread.sleep(STOP_POLL_MILLIS);
     }
     timer.shutdownNow();
     server.stop();
-    http.stop();
+    services.stop();
     EventLog.log(EventType.PROCESS_STOPPED, "instance", settings.instance());
   }
 
@@ -181,19 +218,33 @@
     return server.boundAddress();
   }
 
-  private void tick() {
-    if (clock.millis() >= shell.nextPollMillis()) {
-      shell.poll();
+  private Optional<AgentShell> ready() {
+    return Optional.ofNullable(shell.get());
+  }
+
+  private int outstanding() {
+    return ready().map(AgentShell::outstanding).orElse(0);
+  }
+
+  private void observe() {
+    if (isModel()) {
+      ready().ifPresent(AgentShell::observeEngine);
     }
-    report();
   }
 
-  private void report() {
+  private void tick() {
+    ready().ifPresent(this::tick);
+  }
+
+  private void tick(AgentShell ready) {
+    if (clock.millis() >= ready.nextPollMillis()) {
+      ready.poll();
+    }
     long now = clock.millis();
     if (now - lastReportMillis < REPORT_MILLIS) {
       return;
     }
-    EndpointLoad load = shell.load();
+    EndpointLoad load = ready.load();
     if (!load.equals(lastReport) || now - lastReportMillis >= IDLE_REPORT_MILLIS) {
       lastReport = load;
       lastReportMillis = now;
@@ -219,7 +270,8 @@
 
   /** Returns where the weight store keeps an adapter, as its service's document says. */
   private String weightsLocation(AdapterRef adapter) {
-    return documents
+    return services
+        .documents()
         .current(adapter.service())
         .filter(document -> document.kind() instanceof ServiceDocument.Kind.Model)
         .map(document -> ((ServiceDocument.Kind.Model) document.kind()).adapters())
@@ -231,8 +283,9 @@
   @Override
   public void opened(WireConnection connection, Message.Hello peer) {
     EventLog.log(EventType.PEER_CONNECTED, "peer", peer.instance());
-    connection.send(message(shell.load()));
-    if (shell.leaving()) {
+    services.exchange().opened(connection);
+    ready().ifPresent(ready -> connection.send(message(ready.load())));
+    if (leaving) {
       connection.send(new Message.Leaving());
     }
   }
@@ -240,16 +293,38 @@
   @Override
   public void received(WireConnection connection, Message message) {
     switch (message) {
-      case Message.Dispatch dispatch -> shell.dispatch(connection, dispatch);
-      case Message.Cancel cancel -> shell.cancel(connection, cancel.attempt());
-      case Message.Credit credit -> shell.credit(connection, credit.attempt(), credit.bytes());
+      case Message.Dispatch dispatch -> dispatch(connection, dispatch);
+      case Message.Cancel cancel ->
+          ready().ifPresent(ready -> ready.cancel(connection, cancel.attempt()));
+      case Message.Credit credit ->
+          ready().ifPresent(ready -> ready.credit(connection, credit.attempt(), credit.bytes()));
       case Message.CrashNotice notice -> server.broadcast(notice);
-      default -> {}
+      default -> services.exchange().received(connection, message);
+    }
+  }
+
+  private void dispatch(WireConnection connection, Message.Dispatch dispatch) {
+    AgentShell ready = shell.get();
+    if (ready == null) {
+      connection.send(AgentShell.refusal(dispatch, FailureType.NO_ENDPOINT, settings.pool()));
+      return;
     }
+    ready.dispatch(connection, dispatch);
+  }
+
+  @Override
+  public long digest() {
+    return services.exchange().digest();
+  }
+
+  @Override
+  public void heartbeat(WireConnection connection, long digest) {
+    services.exchange().heartbeat(connection, digest);
   }
 
   @Override
   public void closed(WireConnection connection, HornbeamusherException reason) {
-    shell.connectionClosed(connection);
+    services.exchange().closed(connection);
+    ready().ifPresent(ready -> ready.connectionClosed(connection));
   }
 }
--- a/runtime/src/main/java/org/hornbeamusher/agent/AgentShell.java
+++ b/runtime/src/main/java/org/hornbeamusher/agent/AgentShell.java
@@ -110,7 +110,7 @@
       }
     }
     if (refusal.isPresent()) {
-      refuse(connection, dispatch, refusal.get(), RETRY_AFTER_MILLIS);
+      connection.send(refusal(dispatch, refusal.get(), setup.endpoint()));
       return;
     }
     poll();
@@ -259,8 +259,14 @@
     AgentAttempt attempt = attempts.get(refusal.ticket());
     forget(attempt);
     return () ->
-        refuse(
-            attempt.connection(), attempt.dispatch(), refusal.type(), refusal.retryAfterMillis());
+        attempt
+            .connection()
+            .send(
+                refusal(
+                    attempt.dispatch(),
+                    refusal.type(),
+                    setup.endpoint(),
+                    refusal.retryAfterMillis()));
   }
 
   private void run(AgentAttempt attempt, long loadStallMillis) {
@@ -422,19 +428,20 @@
     byKey.remove(new AttemptKey(attempt.connection(), attempt.dispatch().attempt()));
   }
 
-  private void refuse(
-      WireConnection connection,
-      Message.Dispatch dispatch,
-      FailureType type,
-      long retryAfterMillis) {
-    connection.send(
-        new Message.Failed(
-            dispatch.attempt(),
-            type.number(),
-            Outcome.NOT_RUN.label(),
-            retryAfterMillis,
-            setup.endpoint().value(),
-            false));
+  /** Tells an entry that an attempt was not started and will not be. */
+  static Message refusal(Message.Dispatch dispatch, FailureType type, Object detail) {
+    return refusal(dispatch, type, detail, RETRY_AFTER_MILLIS);
+  }
+
+  private static Message refusal(
+      Message.Dispatch dispatch, FailureType type, Object detail, long retryAfterMillis) {
+    return new Message.Failed(
+        dispatch.attempt(),
+        type.number(),
+        Outcome.NOT_RUN.label(),
+        retryAfterMillis,
+        detail.toString(),
+        false);
   }
 
   private void sendFailed(
--- a/runtime/src/main/java/org/hornbeamusher/entry/AgentLinks.java
+++ b/runtime/src/main/java/org/hornbeamusher/entry/AgentLinks.java
@@ -12,12 +12,14 @@
 import org.hornbeamusher.dispatch.AgentLink;
 import org.hornbeamusher.events.EventLog;
 import org.hornbeamusher.events.EventType;
+import org.hornbeamusher.exchange.DocumentExchange;
 import org.hornbeamusher.failure.HornbeamusherException;
 import org.hornbeamusher.ids.AdapterRef;
 import org.hornbeamusher.ids.AvailabilityZone;
 import org.hornbeamusher.ids.EndpointId;
 import org.hornbeamusher.ids.InvalidIdentifierException;
 import org.hornbeamusher.ids.PoolName;
+import org.hornbeamusher.platform.Instance;
 import org.hornbeamusher.routing.EndpointLoad;
 import org.hornbeamusher.wire.Message;
 import org.hornbeamusher.wire.WireConnection;
@@ -40,6 +42,7 @@
   private final WireSockets sockets;
   private final Clock clock;
   private final EntryDecisions decisions;
+  private final DocumentExchange exchange;
   private final BiConsumer<WireConnection, Message> others;
   private final Map<InetSocketAddress, WireConnector> connectors = new ConcurrentHashMap<>();
   private final Map<WireConnection, Peer> peers = new ConcurrentHashMap<>();
@@ -71,20 +74,31 @@
       WireSockets sockets,
       Clock clock,
       EntryDecisions decisions,
+      DocumentExchange exchange,
       BiConsumer<WireConnection, Message> others) {
     this.own = own;
     this.settings = settings;
     this.sockets = sockets;
     this.clock = clock;
     this.decisions = decisions;
+    this.exchange = exchange;
     this.others = others;
   }
 
-  /** Connects to agents that are new in the list and gives up those that are gone from it. */
-  synchronized void follow(List<InetSocketAddress> agents) {
-    Set<InetSocketAddress> wanted = new HashSet<>(agents);
-    for (InetSocketAddress address : wanted) {
+  /**
+   * Connects to agents that are new in the list and opens no further connection to those that are
+   * gone from it. The list is late both ways: it never brings an agent back that said it leaves,
+   * but an agent that it shows as leaving gets no new work either.
+   */
+  synchronized void follow(List<Instance> agents) {
+    Set<InetSocketAddress> wanted = new HashSet<>();
+    for (Instance agent : agents) {
+      InetSocketAddress address = new InetSocketAddress(agent.host(), agent.port());
+      wanted.add(address);
       connectors.computeIfAbsent(address, this::connect);
+      if (agent.leaving()) {
+        listedAsLeaving(agent.id());
+      }
     }
     for (InetSocketAddress known : Set.copyOf(connectors.keySet())) {
       if (!wanted.contains(known)) {
@@ -93,6 +107,15 @@
     }
   }
 
+  private void listedAsLeaving(String instance) {
+    peers.forEach(
+        (connection, peer) -> {
+          if (connection.peer().instance().equals(instance)) {
+            leaving(peer);
+          }
+        });
+  }
+
   synchronized void stop() {
     connectors.values().forEach(WireConnector::stop);
     connectors.clear();
@@ -123,6 +146,7 @@
               new PoolName(hello.pool()));
       peers.put(connection, peer);
       current.put(peer.link.endpoint(), peer);
+      exchange.opened(connection);
       EventLog.log(EventType.PEER_CONNECTED, "peer", hello.instance());
     } catch (InvalidIdentifierException e) {
       connection.stop();
@@ -143,12 +167,26 @@
       case Message.Failed m -> peer.link.heard(m.attempt(), m);
       case Message.LoadReport m -> reported(peer, m);
       case Message.Leaving m -> leaving(peer);
-      default -> others.accept(connection, message);
+      default -> {
+        exchange.received(connection, message);
+        others.accept(connection, message);
+      }
     }
   }
 
+  @Override
+  public long digest() {
+    return exchange.digest();
+  }
+
+  @Override
+  public void heartbeat(WireConnection connection, long digest) {
+    exchange.heartbeat(connection, digest);
+  }
+
   @Override
   public void closed(WireConnection connection, HornbeamusherException reason) {
+    exchange.closed(connection);
     Peer peer = peers.remove(connection);
     if (peer == null) {
       return;
--- a/runtime/src/main/java/org/hornbeamusher/entry/AttemptFollower.java
+++ b/runtime/src/main/java/org/hornbeamusher/entry/AttemptFollower.java
@@ -47,7 +47,7 @@
   }
 
   /** Returns when the answer is whole and written. */
-  AttemptResult follow(EntryDecisions decisions)
+  AttemptResult.Answered follow(EntryDecisions decisions)
       throws InterruptedException, AttemptFailedException {
     boolean ended = false;
     try {
@@ -73,7 +73,7 @@
     }
   }
 
-  private AttemptResult answered() {
+  private AttemptResult.Answered answered() {
     long first = firstPartMillis < 0 ? clock.millis() : firstPartMillis;
     return new AttemptResult.Answered(
         first - sentMillis, clock.millis() - sentMillis, loadStallMillis);
--- a/runtime/src/main/java/org/hornbeamusher/entry/CallerApi.java
+++ b/runtime/src/main/java/org/hornbeamusher/entry/CallerApi.java
@@ -60,8 +60,8 @@
     /** Counts a request in or out. */
     void requests(int change);
 
-    /** Hears how a request ended. */
-    void ended(ServiceName service, Optional<HornbeamusherException> failure);
+    /** Hears of a request that ended in a failure. */
+    void refused(ServiceName service, HornbeamusherException failure);
   }
 
   private final Host host;
@@ -183,7 +183,7 @@
         request.stream()
             ? new StreamedAnswerWriter(exchange, sink, id.value(), request.chat())
             : new WholeAnswerWriter(exchange, sink, id.value(), request.chat());
-    host.ended(service, runner.run(admitted, writer));
+    runner.run(admitted, writer).ifPresent(failure -> host.refused(service, failure));
   }
 
   private void plain(
@@ -224,7 +224,7 @@
             deadline(exchange, document),
             onceKey(exchange, once));
     PlainAnswerWriter writer = new PlainAnswerWriter(exchange, sink, id.value());
-    host.ended(service, runner.run(admitted, writer));
+    runner.run(admitted, writer).ifPresent(failure -> host.refused(service, failure));
   }
 
   private void listModels(HttpServerExchange exchange, Identity.Caller caller, CallerSink sink) {
--- a/runtime/src/main/java/org/hornbeamusher/entry/EntryDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/entry/EntryDaemon.java
@@ -6,6 +6,7 @@
 import io.undertow.server.handlers.PathHandler;
 import java.net.InetSocketAddress;
 import java.net.URI;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ExecutorService;
@@ -17,15 +18,17 @@
 import org.hornbeamusher.admission.AdmissionSettings;
 import org.hornbeamusher.clock.Clock;
 import org.hornbeamusher.dispatch.AgentLink;
-import org.hornbeamusher.documents.DocumentHolder;
 import org.hornbeamusher.documents.ServiceDocument;
 import org.hornbeamusher.events.EventLog;
 import org.hornbeamusher.events.EventType;
 import org.hornbeamusher.failure.HornbeamusherException;
 import org.hornbeamusher.ids.EndpointId;
 import org.hornbeamusher.ids.ServiceName;
+import org.hornbeamusher.platform.Instance;
+import org.hornbeamusher.process.ProcessServices;
 import org.hornbeamusher.quarantine.QuarantineSettings;
 import org.hornbeamusher.retry.RetrySettings;
+import org.hornbeamusher.routing.AttemptResult;
 import org.hornbeamusher.settings.EntrySettings;
 import org.hornbeamusher.wire.Message;
 import org.hornbeamusher.wire.WireConnection;
@@ -37,7 +40,7 @@
   /** Oldest and newest protocol between processes that this version speaks. */
   public static final int PROTOCOL = 1;
 
-  private static final long DIRECTORY_MILLIS = 1_000;
+  private static final long INSTANCES_MILLIS = 1_000;
   private static final long STOP_POLL_MILLIS = 20;
 
   /**
@@ -47,8 +50,7 @@
   private static final long IN_FLIGHT_TOKENS = 200_000;
 
   private final EntrySettings settings;
-  private final DocumentHolder documents;
-  private final AgentDirectory directory;
+  private final ProcessServices services;
   private final Clock clock;
   private final EntryDecisions decisions;
   private final AgentLinks links;
@@ -57,6 +59,10 @@
       Executors.newSingleThreadScheduledExecutor(
           Thread.ofPlatform().daemon().name("entry-timer").factory());
   private final AtomicInteger inFlight = new AtomicInteger();
+
+  /** Entries in the newest list, at least this one; they share the polling of the table. */
+  private final AtomicInteger entries = new AtomicInteger(1);
+
   private volatile boolean leaving;
   private Undertow server;
 
@@ -64,21 +70,13 @@
    * Creates an entry that is not started.
    *
    * @param settings its settings
-   * @param documents the documents in force here
-   * @param directory where agents are found
    * @param sockets plain or TLS, towards agents
    * @param clock the clock
    */
-  public EntryDaemon(
-      EntrySettings settings,
-      DocumentHolder documents,
-      AgentDirectory directory,
-      WireSockets sockets,
-      Clock clock) {
+  public EntryDaemon(EntrySettings settings, WireSockets sockets, Clock clock) {
     this.settings = settings;
-    this.documents = documents;
-    this.directory = directory;
     this.clock = clock;
+    this.services = new ProcessServices(settings.platform(), entries::get, clock);
     this.decisions =
         new EntryDecisions(
             settings.zone(),
@@ -87,7 +85,14 @@
             QuarantineSettings.DEFAULT,
             clock);
     this.links =
-        new AgentLinks(hello(settings), settings.wire(), sockets, clock, decisions, this::heard);
+        new AgentLinks(
+            hello(settings),
+            settings.wire(),
+            sockets,
+            clock,
+            decisions,
+            services.exchange(),
+            this::heard);
   }
 
   private static Message.Hello hello(EntrySettings settings) {
@@ -104,7 +109,8 @@
 
   /** Connects to agents and listens for callers. */
   public void start() {
-    timer.scheduleWithFixedDelay(this::followDirectory, 0, DIRECTORY_MILLIS, TimeUnit.MILLISECONDS);
+    services.start();
+    timer.scheduleWithFixedDelay(this::followInstances, 0, INSTANCES_MILLIS, TimeUnit.MILLISECONDS);
     server =
         Undertow.builder()
             .addHttpListener(settings.http().port(), settings.http().host())
@@ -134,6 +140,7 @@
     server.stop();
     links.stop();
     requests.close();
+    services.stop();
     EventLog.log(EventType.PROCESS_STOPPED, "instance", settings.instance());
   }
 
@@ -161,13 +168,13 @@
     return new PathHandler(callers);
   }
 
-  private void followDirectory() {
-    directory
-        .agents()
+  private void followInstances() {
+    services
+        .instances()
         .whenComplete(
-            (agents, thrown) -> {
+            (instances, thrown) -> {
               if (thrown == null) {
-                links.follow(agents);
+                listed(instances);
               } else {
                 EventLog.log(
                     EventType.PLATFORM_OUTAGE,
@@ -179,12 +186,27 @@
             });
   }
 
+  private void listed(List<Instance> instances) {
+    long count = instances.stream().filter(i -> i.role() == Instance.Role.ENTRY).count();
+    entries.set((int) Math.max(1, count));
+    links.follow(instances.stream().filter(i -> i.role() == Instance.Role.AGENT).toList());
+  }
+
   private void heard(WireConnection connection, Message message) {
     if (message instanceof Message.CrashNotice notice) {
       decisions.crashObserved(notice.fingerprint(), notice.crashes());
     }
   }
 
+  /**
+   * Returns what this process has in common with others.
+   *
+   * @return its services
+   */
+  public ProcessServices services() {
+    return services;
+  }
+
   private final class RunnerHost implements RequestRunner.Host {
 
     @Override
@@ -192,6 +214,14 @@
       return links.link(endpoint);
     }
 
+    @Override
+    public void answered(ServiceName service, AttemptResult.Answered answer) {
+      services
+          .metrics()
+          .answered(
+              service, answer.loadStallMillis(), answer.firstTokenMillis(), answer.totalMillis());
+    }
+
     @Override
     public void crashed(long fingerprint, int crashes) {
       links.broadcast(new Message.CrashNotice(fingerprint, crashes));
@@ -202,12 +232,12 @@
 
     @Override
     public Optional<ServiceDocument> document(ServiceName service) {
-      return documents.current(service);
+      return services.documents().current(service);
     }
 
     @Override
     public Iterable<ServiceDocument> documents() {
-      return documents.all();
+      return services.documents().all();
     }
 
     @Override
@@ -221,17 +251,16 @@
     }
 
     @Override
-    public void ended(ServiceName service, Optional<HornbeamusherException> failure) {
-      failure.ifPresent(
-          f ->
-              EventLog.log(
-                  EventType.REQUEST_REFUSED,
-                  "service",
-                  service,
-                  "failure",
-                  f.type(),
-                  "outcome",
-                  f.outcome().label()));
+    public void refused(ServiceName service, HornbeamusherException failure) {
+      services.metrics().refused(service, failure.type());
+      EventLog.log(
+          EventType.REQUEST_REFUSED,
+          "service",
+          service,
+          "failure",
+          failure.type(),
+          "outcome",
+          failure.outcome().label());
     }
   }
 }
--- a/runtime/src/main/java/org/hornbeamusher/entry/RequestRunner.java
+++ b/runtime/src/main/java/org/hornbeamusher/entry/RequestRunner.java
@@ -12,6 +12,7 @@
 import org.hornbeamusher.failure.HornbeamusherException;
 import org.hornbeamusher.failure.Outcome;
 import org.hornbeamusher.ids.EndpointId;
+import org.hornbeamusher.ids.ServiceName;
 import org.hornbeamusher.quarantine.QuarantineDecision;
 import org.hornbeamusher.retry.AttemptFailure;
 import org.hornbeamusher.retry.RetryDecision;
@@ -36,6 +37,9 @@
     /** Returns the open link to an endpoint's agent. */
     Optional<AgentLink> link(EndpointId endpoint);
 
+    /** Hears of a whole answer. */
+    void answered(ServiceName service, AttemptResult.Answered answer);
+
     /** Tells the other processes about a crash. */
     void crashed(long fingerprint, int crashes);
   }
@@ -185,7 +189,10 @@
           host.link(endpoint)
               .flatMap(link -> link.open(number -> dispatch(request, number)))
               .orElseThrow(() -> neverSent(endpoint));
-      result = new AttemptFollower(request, endpoint, call, writer, clock).follow(decisions);
+      AttemptResult.Answered answer =
+          new AttemptFollower(request, endpoint, call, writer, clock).follow(decisions);
+      host.answered(request.document().service(), answer);
+      result = answer;
     } catch (AttemptFailedException failed) {
       result = failed.result();
       throw failed;
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/exchange/package-info.java
@@ -0,0 +1,2 @@
+/** Carries service documents between processes on their connections. */
+package org.hornbeamusher.exchange;
--- a/runtime/src/main/java/org/hornbeamusher/failure/Outcome.java
+++ b/runtime/src/main/java/org/hornbeamusher/failure/Outcome.java
@@ -12,13 +12,7 @@
    *
    * @return {@code not-run}, {@code ran} or {@code unknown}
    */
-  default String label() {
-    return switch (this) {
-      case NotRun notRun -> "not-run";
-      case Ran ran -> "ran";
-      case Unknown unknown -> "unknown";
-    };
-  }
+  String label();
 
   /**
    * Reads the form callers see.
@@ -35,13 +29,28 @@
   }
 
   /** No endpoint started the request, and none will. Said only where it is proven. */
-  record NotRun() implements Outcome {}
+  record NotRun() implements Outcome {
+    @Override
+    public String label() {
+      return "not-run";
+    }
+  }
 
   /** An endpoint ran the request to its end. */
-  record Ran() implements Outcome {}
+  record Ran() implements Outcome {
+    @Override
+    public String label() {
+      return "ran";
+    }
+  }
 
   /** An endpoint may have started the request. */
-  record Unknown() implements Outcome {}
+  record Unknown() implements Outcome {
+    @Override
+    public String label() {
+      return "unknown";
+    }
+  }
 
   /** The request was not run. */
   Outcome NOT_RUN = new NotRun();
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/process/ProcessServices.java
@@ -0,0 +1,153 @@
+package org.hornbeamusher.process;
+
+import com.codahale.metrics.MetricRegistry;
+import java.net.URI;
+import java.util.List;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.IntSupplier;
+import java.util.random.RandomGenerator;
+import org.hornbeamusher.clock.Clock;
+import org.hornbeamusher.documents.DocumentHolder;
+import org.hornbeamusher.documents.DocumentStore;
+import org.hornbeamusher.documents.DocumentSync;
+import org.hornbeamusher.documents.PollPlan;
+import org.hornbeamusher.exchange.DocumentExchange;
+import org.hornbeamusher.http.HttpClient;
+import org.hornbeamusher.metrics.ServiceMetrics;
+import org.hornbeamusher.platform.HttpInstanceList;
+import org.hornbeamusher.platform.HttpTable;
+import org.hornbeamusher.platform.Instance;
+import org.hornbeamusher.platform.InstanceList;
+import org.hornbeamusher.platform.Table;
+
+/** What an entry and an agent have in common, started and stopped with their process. */
+public final class ProcessServices {
+
+  private static final int IO_THREADS = 2;
+
+  /** The table answers in milliseconds; what took longer than this is treated as lost. */
+  private static final long PLATFORM_TIMEOUT_MILLIS = 2_000;
+
+  private final Clock clock;
+  private final HttpClient http = new HttpClient(IO_THREADS);
+  private final Table table;
+  private final InstanceList instances;
+  private final DocumentHolder documents = new DocumentHolder();
+  private final DocumentStore store;
+  private final DocumentSync sync;
+  private final DocumentExchange exchange;
+  private final ServiceMetrics metrics = new ServiceMetrics(new MetricRegistry());
+
+  /**
+   * Creates services that are not started.
+   *
+   * @param platform the platform's address
+   * @param pollers how many processes poll the table for documents; 0 when this one does not
+   * @param clock the clock
+   */
+  public ProcessServices(URI platform, IntSupplier pollers, Clock clock) {
+    this.clock = clock;
+    this.table = new HttpTable(http, platform, PLATFORM_TIMEOUT_MILLIS);
+    this.instances = new HttpInstanceList(http, platform, PLATFORM_TIMEOUT_MILLIS);
+    this.store = new DocumentStore(table, clock, () -> UUID.randomUUID().toString());
+    this.sync =
+        new DocumentSync(
+            documents, store, clock, PollPlan.STANDARD, pollers, RandomGenerator.getDefault());
+    this.exchange = new DocumentExchange(documents, sync);
+    sync.listen(document -> exchange.announce());
+  }
+
+  /** Starts the HTTP client and the polling. */
+  public void start() {
+    http.start();
+    sync.start();
+  }
+
+  /** Ends both. */
+  public void stop() {
+    sync.stop();
+    http.stop();
+  }
+
+  /**
+   * Returns the clock.
+   *
+   * @return the clock
+   */
+  public Clock clock() {
+    return clock;
+  }
+
+  /**
+   * Returns the HTTP client.
+   *
+   * @return carries every call of the process
+   */
+  public HttpClient http() {
+    return http;
+  }
+
+  /**
+   * Returns the table service.
+   *
+   * @return its client
+   */
+  public Table table() {
+    return table;
+  }
+
+  /**
+   * Reads the instance list.
+   *
+   * @return as {@link InstanceList#instances}
+   */
+  public CompletableFuture<List<Instance>> instances() {
+    return instances.instances();
+  }
+
+  /**
+   * Returns the documents in force.
+   *
+   * @return what this process holds
+   */
+  public DocumentHolder documents() {
+    return documents;
+  }
+
+  /**
+   * Returns the documents' rows.
+   *
+   * @return their store
+   */
+  public DocumentStore store() {
+    return store;
+  }
+
+  /**
+   * Returns what keeps the documents up to date.
+   *
+   * @return the service
+   */
+  public DocumentSync sync() {
+    return sync;
+  }
+
+  /**
+   * Returns what carries documents between processes.
+   *
+   * @return the exchange
+   */
+  public DocumentExchange exchange() {
+    return exchange;
+  }
+
+  /**
+   * Returns the metrics.
+   *
+   * @return the metrics of this process
+   */
+  public ServiceMetrics metrics() {
+    return metrics;
+  }
+}
--- a/runtime/src/main/java/org/hornbeamusher/wire/Message.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/Message.java
@@ -192,22 +192,20 @@
   record DocumentDigest(Map<String, Long> versions) implements Message {}
 
   /**
-   * Asks for a document (both ways).
+   * Asks for a document, or for a digest (both ways).
    *
-   * @param service the service
+   * @param service the service; empty asks for the digest
    * @param have the version the sender holds, 0 for none
    */
   record DocumentPull(String service, long have) implements Message {}
 
   /**
-   * A document or the difference to one (both ways).
+   * What the sender has of a document beyond what was asked for (both ways).
    *
    * @param service the service
-   * @param base the version a difference applies to, 0 for a whole document
-   * @param version the version that results
-   * @param content the content
+   * @param content the update as {@code DocumentCodec} writes it
    */
-  record DocumentPush(String service, long base, long version, byte[] content) implements Message {}
+  record DocumentPush(String service, byte[] content) implements Message {}
 
   /**
    * An agent asks for a turn at the weight store (agent to agent).
--- a/runtime/src/main/java/org/hornbeamusher/wire/MessageCodec.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/MessageCodec.java
@@ -117,12 +117,7 @@
       case Message.DocumentPull m ->
           begin(p, DOCUMENT_PULL, 2).packString(m.service()).packLong(m.have());
       case Message.DocumentPush m ->
-          packBytes(
-              begin(p, DOCUMENT_PUSH, 4)
-                  .packString(m.service())
-                  .packLong(m.base())
-                  .packLong(m.version()),
-              m.content());
+          packBytes(begin(p, DOCUMENT_PUSH, 2).packString(m.service()), m.content());
       case Message.PermitAsk m ->
           begin(p, PERMIT_ASK, 4)
               .packString(m.store())
@@ -221,7 +216,7 @@
       case LEAVING -> new Message.Leaving();
       case DOCUMENT_DIGEST -> new Message.DocumentDigest(r.numbersByText());
       case DOCUMENT_PULL -> new Message.DocumentPull(r.text(), r.number());
-      case DOCUMENT_PUSH -> new Message.DocumentPush(r.text(), r.number(), r.number(), r.bytes());
+      case DOCUMENT_PUSH -> new Message.DocumentPush(r.text(), r.bytes());
       case PERMIT_ASK -> new Message.PermitAsk(r.text(), r.text(), r.text(), r.real());
       case PERMIT_GRANT -> new Message.PermitGrant(r.text(), r.number(), r.number());
       case PERMIT_DONE -> new Message.PermitDone(r.text(), r.number());
--- a/runtime/src/main/java/org/hornbeamusher/wire/WireConnection.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/WireConnection.java
@@ -140,7 +140,11 @@
   private void deliver(Message message) {
     switch (message) {
       case Message.Hello hello -> greet(hello);
-      case Message.Heartbeat heartbeat -> {}
+      case Message.Heartbeat heartbeat -> {
+        if (peer != null) {
+          listener.heartbeat(this, heartbeat.documents());
+        }
+      }
       case Message.Unknown unknown -> {}
       default -> {
         if (peer == null) {
@@ -175,7 +179,7 @@
         Message next = outgoing.poll(wait, TimeUnit.MILLISECONDS);
         writeReady(out, next);
         if (clock.millis() >= nextHeartbeat) {
-          write(out, new Message.Heartbeat(heartbeats++, 0));
+          write(out, new Message.Heartbeat(heartbeats++, listener.digest()));
           nextHeartbeat = clock.millis() + settings.heartbeatMillis();
         }
         out.flush();
--- a/runtime/src/main/java/org/hornbeamusher/wire/WireConnector.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/WireConnector.java
@@ -137,6 +137,16 @@
       listener.received(connection, message);
     }
 
+    @Override
+    public long digest() {
+      return listener.digest();
+    }
+
+    @Override
+    public void heartbeat(WireConnection connection, long digest) {
+      listener.heartbeat(connection, digest);
+    }
+
     @Override
     public void closed(WireConnection connection, HornbeamusherException reason) {
       ended.countDown();
--- a/runtime/src/main/java/org/hornbeamusher/wire/WireListener.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/WireListener.java
@@ -28,4 +28,21 @@
    * @param reason why
    */
   void closed(WireConnection connection, HornbeamusherException reason);
+
+  /**
+   * Gives the digest of documents that the next heartbeat carries.
+   *
+   * @return a hash; 0 when this process holds none
+   */
+  default long digest() {
+    return 0;
+  }
+
+  /**
+   * The peer's heartbeat arrived.
+   *
+   * @param connection the connection
+   * @param digest the peer's digest of documents
+   */
+  default void heartbeat(WireConnection connection, long digest) {}
 }
--- a/runtime/src/main/java/org/hornbeamusher/wire/WireServer.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/WireServer.java
@@ -8,6 +8,8 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import org.hornbeamusher.clock.Clock;
+import org.hornbeamusher.events.EventLog;
+import org.hornbeamusher.events.EventType;
 import org.hornbeamusher.failure.FailureType;
 import org.hornbeamusher.failure.HornbeamusherException;
 
@@ -110,7 +112,7 @@
       } catch (IOException e) {
         // One connection that cannot be set up, or the listener that was closed by stop(): the
         // loop's condition tells which; other peers must still be accepted.
-        Thread.yield();
+        EventLog.log(EventType.PEER_LOST, "reason", e);
       }
     }
   }
@@ -127,6 +129,16 @@
       listener.received(connection, message);
     }
 
+    @Override
+    public long digest() {
+      return listener.digest();
+    }
+
+    @Override
+    public void heartbeat(WireConnection connection, long digest) {
+      listener.heartbeat(connection, digest);
+    }
+
     @Override
     public void closed(WireConnection connection, HornbeamusherException reason) {
       connections.remove(connection);
--- a/tool/src/main/java/org/hornbeamusher/demo/Demo.java
+++ b/tool/src/main/java/org/hornbeamusher/demo/Demo.java
@@ -16,6 +16,7 @@
 import org.hornbeamusher.http.HttpReply;
 import org.hornbeamusher.ids.AdapterName;
 import org.hornbeamusher.ids.AdapterRef;
+import org.hornbeamusher.standin.EngineSettings;
 import org.hornbeamusher.standin.ExpectedAnswer;
 
 /** Runs both partners side by side and checks what their callers receive. */
@@ -23,6 +24,9 @@
 
   private static final ObjectMapper JSON = new ObjectMapper();
   private static final int OK = 200;
+  private static final int SLOTS = 8;
+  private static final int BATCH = 16;
+  private static final long WARM_UP_MILLIS = 3_000;
   private static final int REQUESTS = 200;
   private static final int TOKENS = 32;
   private static final long TIMEOUT_MILLIS = 20_000;
@@ -49,14 +53,16 @@
    * @throws InterruptedException when interrupted
    */
   public int run() throws InterruptedException {
-    Deployment deployment = new Deployment(List.of(PartnerPlan.ZARQA, PartnerPlan.TAWHITI));
+    Deployment deployment =
+        new Deployment(
+            List.of(PartnerPlan.ZARQA, PartnerPlan.TAWHITI), EngineSettings.of(0, SLOTS, BATCH));
     HttpClient client = new HttpClient(2);
     deployment.start();
     client.start();
     try {
-      Thread.sleep(1_000);
-      send(client, deployment.entries().get(0), PartnerPlan.ZARQA);
-      send(client, deployment.entries().get(1), PartnerPlan.TAWHITI);
+      Thread.sleep(WARM_UP_MILLIS);
+      send(client, deployment.entries(PartnerPlan.ZARQA).get(0), PartnerPlan.ZARQA);
+      send(client, deployment.entries(PartnerPlan.TAWHITI).get(0), PartnerPlan.TAWHITI);
     } finally {
       client.stop();
       deployment.stop();
@@ -82,7 +88,7 @@
           new HttpCall(
               "POST",
               URI.create(entry.uri() + "/v1/completions"),
-              Map.of("Authorization", "Bearer " + Deployment.token(plan)),
+              Map.of("Authorization", "Bearer " + Deployment.callerToken(plan)),
               body.toString().getBytes(StandardCharsets.UTF_8));
       all.add(
           client
--- a/tool/src/main/java/org/hornbeamusher/demo/Deployment.java
+++ b/tool/src/main/java/org/hornbeamusher/demo/Deployment.java
@@ -1,167 +1,295 @@
 package org.hornbeamusher.demo;
 
 import java.net.InetSocketAddress;
-import java.net.URI;
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.CompletableFuture;
 import org.hornbeamusher.agent.AgentDaemon;
 import org.hornbeamusher.clock.Clock;
 import org.hornbeamusher.clock.SystemClock;
-import org.hornbeamusher.documents.DocumentHolder;
-import org.hornbeamusher.documents.ServiceDocument;
+import org.hornbeamusher.documents.DocumentStore;
+import org.hornbeamusher.documents.Principal;
+import org.hornbeamusher.documents.SubmitResult;
 import org.hornbeamusher.entry.EntryDaemon;
-import org.hornbeamusher.ids.AdapterName;
+import org.hornbeamusher.failure.FailureType;
+import org.hornbeamusher.failure.HornbeamusherException;
+import org.hornbeamusher.http.HttpClient;
+import org.hornbeamusher.ids.AvailabilityZone;
 import org.hornbeamusher.ids.CallerId;
 import org.hornbeamusher.ids.EndpointId;
 import org.hornbeamusher.ids.InstanceId;
+import org.hornbeamusher.ids.OperatorId;
 import org.hornbeamusher.ids.PoolName;
+import org.hornbeamusher.platform.HttpTable;
+import org.hornbeamusher.platform.Instance;
 import org.hornbeamusher.security.TokenHash;
 import org.hornbeamusher.settings.AgentSettings;
 import org.hornbeamusher.settings.CallerSettings;
 import org.hornbeamusher.settings.CapacitySettings;
 import org.hornbeamusher.settings.EndpointKind;
 import org.hornbeamusher.settings.EntrySettings;
+import org.hornbeamusher.settings.OperatorSettings;
 import org.hornbeamusher.standin.EngineSettings;
 import org.hornbeamusher.standin.EngineStandin;
+import org.hornbeamusher.standin.PlatformSettings;
+import org.hornbeamusher.standin.PlatformStandin;
 import org.hornbeamusher.standin.WeightStoreStandin;
 import org.hornbeamusher.wire.WireSockets;
 
-/** Entries, agents and stand-ins of the given partners, started and stopped together. */
+/**
+ * Entries, agents and stand-ins of the given partners in one process, over loopback.
+ *
+ * <p>The daemons are the real ones and meet everything through sockets; only that they share a
+ * process is different from how they are run. Used by the demo, by benchmarks and by tests of
+ * faults.
+ */
 public final class Deployment {
 
-  private static final int SLOTS = 8;
-  private static final int BATCH = 16;
   private static final int QUEUE = 256;
   private static final long LOAD_MILLIS = 500;
-  private static final URI NO_PLATFORM = URI.create("http://127.0.0.1:1");
+  private static final long PLATFORM_TIMEOUT_MILLIS = 2_000;
+  private static final long LIST_LAG_MILLIS = 1_000;
+  private static final int WRITES_PER_SECOND = 500;
+  private static final int READS_PER_SECOND = 2_000;
+  private static final String LOOPBACK = "127.0.0.1";
 
   private final Clock clock = SystemClock.INSTANCE;
   private final WeightStoreStandin store = new WeightStoreStandin(clock, LOAD_MILLIS);
-  private final DocumentHolder documents = new DocumentHolder();
-  private final Map<EndpointId, EngineStandin> engines = new HashMap<>();
-  private final List<AgentDaemon> agents = new ArrayList<>();
-  private final List<EntryDaemon> entries = new ArrayList<>();
+  private final PlatformStandin platform =
+      new PlatformStandin(
+          new PlatformSettings(
+              LOOPBACK, 0, WRITES_PER_SECOND, READS_PER_SECOND, LIST_LAG_MILLIS, List.of()),
+          clock);
+  private final HttpClient http = new HttpClient(1);
+  private final Map<EndpointId, EngineStandin> engines = new LinkedHashMap<>();
+  private final Map<EndpointId, AgentDaemon> agents = new LinkedHashMap<>();
+  private final Map<PartnerPlan, List<EntryDaemon>> entries = new LinkedHashMap<>();
   private final List<PartnerPlan> plans;
+  private final EngineSettings engineSettings;
 
-  Deployment(List<PartnerPlan> plans) {
-    this.plans = plans;
+  /**
+   * Creates a deployment that is not started.
+   *
+   * @param plans the partners
+   * @param engineSettings figures of every engine; its port must be 0
+   */
+  public Deployment(List<PartnerPlan> plans, EngineSettings engineSettings) {
+    this.plans = List.copyOf(plans);
+    this.engineSettings = engineSettings;
   }
 
-  /** Starts stand-ins, then agents, then entries. */
-  void start() {
+  /** Starts stand-ins, submits every service's document, then starts agents and entries. */
+  public void start() {
+    http.start();
     store.start();
+    platform.start();
     for (PartnerPlan plan : plans) {
-      documents.offer(modelDocument(plan));
+      submit(plan, documentText(plan), 0);
       for (int i = 0; i < plan.engines(); i++) {
         startEngine(plan, i);
       }
     }
     for (PartnerPlan plan : plans) {
-      startEntry(plan);
+      for (AvailabilityZone zone : plan.zones()) {
+        startEntry(plan, zone);
+      }
     }
   }
 
-  /** Stops entries, then agents, then stand-ins. */
-  void stop() throws InterruptedException {
-    for (EntryDaemon entry : entries) {
-      entry.stop();
+  /**
+   * Stops entries, then agents, then stand-ins.
+   *
+   * @throws InterruptedException when waiting for work in flight is interrupted
+   */
+  public void stop() throws InterruptedException {
+    for (List<EntryDaemon> ofPartner : entries.values()) {
+      for (EntryDaemon entry : ofPartner) {
+        entry.stop();
+      }
     }
-    for (AgentDaemon agent : agents) {
+    for (AgentDaemon agent : agents.values()) {
       agent.stop();
     }
     engines.values().forEach(EngineStandin::stop);
+    platform.stop();
     store.stop();
+    http.stop();
+  }
+
+  /**
+   * Submits a service document as its team does.
+   *
+   * @param plan whose
+   * @param text the document
+   * @param base the version it is based on
+   * @return the version that is now in force
+   */
+  public long submit(PartnerPlan plan, String text, long base) {
+    DocumentStore documents =
+        new DocumentStore(
+            new HttpTable(http, platform.uri(), PLATFORM_TIMEOUT_MILLIS),
+            clock,
+            () -> java.util.UUID.randomUUID().toString());
+    Principal author = new Principal(plan.partner(), plan.team());
+    return switch (documents.submit(plan.model() + ".toml", text, base, author).join()) {
+      case SubmitResult.Accepted accepted -> accepted.version();
+      case SubmitResult other ->
+          throw HornbeamusherException.notRun(FailureType.DOCUMENT_INVALID, other);
+    };
   }
 
-  List<EntryDaemon> entries() {
-    return entries;
+  /**
+   * Returns the text of a partner's model service.
+   *
+   * @param plan the partner
+   * @return a service document
+   */
+  public String documentText(PartnerPlan plan) {
+    return DocumentTexts.model(plan, engineSettings.slots(), engineSettings.batch(), QUEUE);
   }
 
-  static String token(PartnerPlan plan) {
-    return "demo-token-of-" + plan.partner() + "-0123456789";
+  /**
+   * Returns a partner's entries, one in each of its zones.
+   *
+   * @param plan the partner
+   * @return its entries
+   */
+  public List<EntryDaemon> entries(PartnerPlan plan) {
+    return List.copyOf(entries.get(plan));
+  }
+
+  /**
+   * Returns the agents.
+   *
+   * @return each endpoint's agent
+   */
+  public Map<EndpointId, AgentDaemon> agents() {
+    return Map.copyOf(agents);
+  }
+
+  /**
+   * Returns the engines.
+   *
+   * @return each endpoint's engine
+   */
+  public Map<EndpointId, EngineStandin> engines() {
+    return Map.copyOf(engines);
+  }
+
+  /**
+   * Returns the platform.
+   *
+   * @return the stand-in
+   */
+  public PlatformStandin platform() {
+    return platform;
+  }
+
+  /**
+   * Returns the weight store.
+   *
+   * @return the stand-in
+   */
+  public WeightStoreStandin weightStore() {
+    return store;
+  }
+
+  /**
+   * Returns the token of a partner's one caller.
+   *
+   * @param plan the partner
+   * @return a bearer token
+   */
+  public static String callerToken(PartnerPlan plan) {
+    return "demo-token-of-a-caller-of-" + plan.partner();
+  }
+
+  /**
+   * Returns the token of a partner's one operator.
+   *
+   * @param plan the partner
+   * @return a bearer token
+   */
+  public static String operatorToken(PartnerPlan plan) {
+    return "demo-token-of-an-operator-of-" + plan.partner();
   }
 
   private void startEngine(PartnerPlan plan, int number) {
-    EngineStandin engine = new EngineStandin(EngineSettings.of(0, SLOTS, BATCH), store, clock);
+    EngineStandin engine = new EngineStandin(engineSettings, store, clock);
     engine.start();
     EndpointId endpoint = new EndpointId(plan.model() + "-" + number);
     engines.put(endpoint, engine);
-    CapacitySettings base = CapacitySettings.of(EndpointKind.MODEL);
-    CapacitySettings capacity =
-        new CapacitySettings(
-            EndpointKind.MODEL,
-            true,
-            Optional.of(SLOTS),
-            Optional.of(BATCH),
-            QUEUE,
-            base.tokensPerSecond(),
-            LOAD_MILLIS,
-            base.minimumStayMillis(),
-            base.weightStore(),
-            Map.of());
+    PoolName pool = new PoolName(plan.model().value());
     AgentDaemon agent =
         new AgentDaemon(
             AgentSettings.loopback(
                 new InstanceId("agent-" + endpoint),
                 plan.zone(number),
                 endpoint,
-                new PoolName(plan.model().value()),
+                pool,
                 engine.uri(),
-                NO_PLATFORM,
-                capacity),
-            documents,
+                platform.uri(),
+                capacity()),
             new WireSockets.Plain(),
             clock);
     agent.start();
-    agents.add(agent);
+    agents.put(endpoint, agent);
+    list("agent-" + endpoint, agent.address(), Instance.Role.AGENT, plan.zone(number), pool);
+  }
+
+  /** Tells the agent what the engine really does; slots and batch come from the document. */
+  private CapacitySettings capacity() {
+    CapacitySettings base = CapacitySettings.of(EndpointKind.MODEL);
+    return new CapacitySettings(
+        EndpointKind.MODEL,
+        engineSettings.enforceFencing(),
+        Optional.empty(),
+        Optional.empty(),
+        QUEUE,
+        1_000_000.0 / engineSettings.tokenMicros(),
+        LOAD_MILLIS,
+        base.minimumStayMillis(),
+        base.weightStore(),
+        Map.of());
   }
 
-  private void startEntry(PartnerPlan plan) {
-    CallerSettings caller =
-        new CallerSettings(
-            new CallerId("demo"), plan.partner(), TokenHash.ofToken(token(plan)), Set.of());
+  private void startEntry(PartnerPlan plan, AvailabilityZone zone) {
+    InstanceId instance = new InstanceId("entry-" + zone);
     EntryDaemon entry =
         new EntryDaemon(
             EntrySettings.loopback(
-                new InstanceId("entry-" + plan.partner()),
-                plan.zone(0),
-                NO_PLATFORM,
-                List.of(caller),
-                List.of()),
-            documents,
-            () -> CompletableFuture.completedFuture(addresses()),
+                instance, zone, platform.uri(), List.of(caller(plan)), List.of(operator(plan))),
             new WireSockets.Plain(),
             clock);
     entry.start();
-    entries.add(entry);
+    entries.computeIfAbsent(plan, key -> new ArrayList<>()).add(entry);
+    InetSocketAddress address = new InetSocketAddress(LOOPBACK, entry.uri().getPort());
+    PoolName pool = new PoolName("entries-" + plan.partner());
+    list(instance.value(), address, Instance.Role.ENTRY, zone, pool);
   }
 
-  private List<InetSocketAddress> addresses() {
-    return agents.stream().map(AgentDaemon::address).toList();
+  private void list(
+      String id,
+      InetSocketAddress address,
+      Instance.Role role,
+      AvailabilityZone zone,
+      PoolName pool) {
+    platform.put(new Instance(id, LOOPBACK, address.getPort(), role, zone, pool, false));
   }
 
-  private static ServiceDocument modelDocument(PartnerPlan plan) {
-    Map<AdapterName, ServiceDocument.Adapter> adapters = new HashMap<>();
-    for (int i = 0; i < plan.adapters(); i++) {
-      adapters.put(
-          new AdapterName("a-" + i),
-          new ServiceDocument.Adapter(1, List.of(1), plan.partner() + "/a-" + i + "/{version}"));
-    }
-    return new ServiceDocument(
-        plan.model(),
+  private static CallerSettings caller(PartnerPlan plan) {
+    return new CallerSettings(
+        new CallerId("demo"), plan.partner(), TokenHash.ofToken(callerToken(plan)), Set.of());
+  }
+
+  private static OperatorSettings operator(PartnerPlan plan) {
+    return new OperatorSettings(
+        new OperatorId("demo"),
         plan.partner(),
         plan.team(),
-        1,
-        false,
-        new PoolName(plan.model().value()),
-        new ServiceDocument.Kind.Model("base", adapters, true, SLOTS, BATCH),
-        plan.weights(),
-        new ServiceDocument.Limits(1, QUEUE, 10_000, 60_000, 4_096),
-        Map.of());
+        TokenHash.ofToken(operatorToken(plan)));
   }
 }
--- a/tool/src/main/java/org/hornbeamusher/demo/PartnerPlan.java
+++ b/tool/src/main/java/org/hornbeamusher/demo/PartnerPlan.java
@@ -21,7 +21,7 @@
  * @param plainInstances how many instances run that
  * @param bookings the path of the plain service's non-repeatable calls
  */
-record PartnerPlan(
+public record PartnerPlan(
     PartnerId partner,
     TeamId team,
     List<AvailabilityZone> zones,
@@ -37,7 +37,8 @@
   private static final int PLAIN_INSTANCES = 3;
   private static final int ADAPTERS = 3_000;
 
-  static final PartnerPlan ZARQA =
+  /** Zarqa, whose rosters tolerate seconds and whose batches should be full. */
+  public static final PartnerPlan ZARQA =
       new PartnerPlan(
           new PartnerId("zarqa"),
           new TeamId("dispatch"),
@@ -50,7 +51,8 @@
           PLAIN_INSTANCES,
           "/bookings");
 
-  static final PartnerPlan TAWHITI =
+  /** Tawhiti, whose valuations cannot wait for a load. */
+  public static final PartnerPlan TAWHITI =
       new PartnerPlan(
           new PartnerId("tawhiti"),
           new TeamId("valuations"),
