--- a/runtime/src/main/java/org/hornbeamusher/scheduling/AgentScheduler.java
+++ b/runtime/src/main/java/org/hornbeamusher/scheduling/AgentScheduler.java
@@ -420,7 +420,7 @@
         demand.order(ref -> !residency.resident(ref) && failures.mayTry(ref, now), now);
     pace.wanted(!order.isEmpty(), now);
     for (AdapterRef adapter : order) {
-      switch (residency.place(adapter, ref -> demand.of(ref, now), now)) {
+      switch (residency.place(adapter, draining, ref -> demand.of(ref, now), now)) {
         case Placement.FreeSlot free -> {
           return askOrLoad(adapter, Optional.empty(), now);
         }
--- a/runtime/src/main/java/org/hornbeamusher/scheduling/Residency.java
+++ b/runtime/src/main/java/org/hornbeamusher/scheduling/Residency.java
@@ -94,17 +94,27 @@
   }
 
   /**
-   * Chooses the slot for a newcomer.
+   * Chooses the slot for a newcomer. A drained adapter leaves whatever its demand is by now: its
+   * own requests were held back for the newcomer, and to change one's mind would serve neither.
    *
    * @param newcomer what is to be loaded
+   * @param draining what was chosen by {@link #toDrain} and gets no new requests
    * @param demand waiting demand of an adapter
    * @param now milliseconds
    */
-  Placement place(AdapterRef newcomer, ToDoubleFunction<AdapterRef> demand, long now) {
+  Placement place(
+      AdapterRef newcomer,
+      Optional<AdapterRef> draining,
+      ToDoubleFunction<AdapterRef> demand,
+      long now) {
     int taken = residentSince.size() + (loading.isPresent() ? 1 : 0);
     if (taken < settings.slots()) {
       return new Placement.FreeSlot();
     }
+    Optional<AdapterRef> drained = draining.filter(this::resident).filter(ref -> !pinned(ref));
+    if (drained.isPresent()) {
+      return new Placement.Evict(drained.get());
+    }
     double wanted = demand.applyAsDouble(newcomer);
     return residentSince.keySet().stream()
         .filter(adapter -> !pinned(adapter))
--- a/runtime/src/test/java/org/hornbeamusher/scheduling/AgentSchedulerPropertiesTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/scheduling/AgentSchedulerPropertiesTest.java
@@ -156,10 +156,11 @@
 
   private static void loadInto(
       Residency residency, AdapterRef ref, Map<AdapterRef, Integer> pins, int slots, long now) {
+    AdapterRef drained = AdapterRef.parse("valuer/a1@1");
     if (residency.resident(ref)) {
       return;
     }
-    switch (residency.place(ref, other -> 0, now)) {
+    switch (residency.place(ref, java.util.Optional.of(drained), other -> 0, now)) {
       case Placement.FreeSlot free -> residency.loadStarted(ref, java.util.Optional.empty(), now);
       case Placement.Evict evict -> {
         assertEquals(0, pins.getOrDefault(evict.victim(), 0), "pins of " + evict.victim());
