--- /dev/null
+++ b/tool/src/main/java/org/hornbeamusher/standin/StandinSettings.java
@@ -0,0 +1,166 @@
+package org.hornbeamusher.standin;
+
+import java.nio.file.Path;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.hornbeamusher.failure.FailureType;
+import org.hornbeamusher.ids.AvailabilityZone;
+import org.hornbeamusher.ids.EndpointId;
+import org.hornbeamusher.ids.PoolName;
+import org.hornbeamusher.platform.Instance;
+import org.hornbeamusher.toml.Problem;
+import org.hornbeamusher.toml.TomlChecker;
+import org.hornbeamusher.toml.TomlDocument;
+
+/**
+ * Everything that one process of stand-ins holds.
+ *
+ * @param platform the platform
+ * @param stores the weight stores
+ * @param engines the engines
+ * @param plains the plain services
+ */
+public record StandinSettings(
+    PlatformSettings platform, List<Store> stores, List<Engine> engines, List<Plain> plains) {
+
+  private static final int MAX_PORT = 65_535;
+  private static final int MAX_MILLIS = 3_600_000;
+  private static final int MAX_COUNT = 1_000_000;
+
+  /** Copies the lists. */
+  public StandinSettings {
+    stores = List.copyOf(stores);
+    engines = List.copyOf(engines);
+    plains = List.copyOf(plains);
+  }
+
+  /**
+   * A weight store.
+   *
+   * @param name what engines call it
+   * @param loadMillis how long a load takes alone
+   */
+  public record Store(String name, long loadMillis) {}
+
+  /**
+   * An engine.
+   *
+   * @param id names it
+   * @param store where it loads from
+   * @param settings its figures
+   */
+  public record Engine(EndpointId id, String store, EngineSettings settings) {}
+
+  /**
+   * An instance of a plain service.
+   *
+   * @param id names it
+   * @param service the service
+   * @param host address it listens on
+   * @param port port it listens on
+   */
+  public record Plain(EndpointId id, String service, String host, int port) {}
+
+  /**
+   * Reads a file.
+   *
+   * @param file TOML as in {@code examples/standin.toml}
+   * @return what it says
+   * @throws org.hornbeamusher.failure.HornbeamusherException of type {@code SETTINGS_INVALID} that
+   *     names every fault with its line and key
+   */
+  public static StandinSettings read(Path file) {
+    TomlChecker top = TomlDocument.read(file).checker();
+    List<Store> stores = top.tables("weight_store").stream().map(StandinSettings::store).toList();
+    Set<String> names = new HashSet<>();
+    stores.forEach(store -> names.add(store.name()));
+    List<Engine> engines =
+        top.tables("engine").stream().map(table -> engine(table, names)).toList();
+    List<Plain> plains = top.tables("plain").stream().map(StandinSettings::plain).toList();
+    List<Instance> instances =
+        top.tables("instance").stream().map(StandinSettings::instance).toList();
+    TomlChecker table = top.table("platform");
+    PlatformSettings standard = PlatformSettings.of(0, instances);
+    PlatformSettings platform =
+        new PlatformSettings(
+            host(table),
+            port(table),
+            count(table, "writes_per_second", standard.writesPerSecond()),
+            count(table, "reads_per_second", standard.readsPerSecond()),
+            table.integer("list_lag_ms", 0, MAX_MILLIS, standard.listLagMillis()),
+            instances);
+    top.finish(FailureType.SETTINGS_INVALID);
+    return new StandinSettings(platform, stores, engines, plains);
+  }
+
+  private static Store store(TomlChecker table) {
+    return new Store(
+        table.string("name"),
+        table.integer("load_ms", 1, MAX_MILLIS, WeightStoreStandin.FULL_SPEED_MILLIS));
+  }
+
+  private static Engine engine(TomlChecker table, Set<String> stores) {
+    EngineSettings standard = EngineSettings.of(0, 8, 16);
+    EndpointId id = table.value("id", EndpointId::new);
+    String store = table.string("weight_store");
+    if (!stores.contains(store)) {
+      table.record("weight_store", Problem.Kind.INVALID_VALUE, "no weight_store has this name");
+    }
+    EngineSettings settings =
+        new EngineSettings(
+            host(table),
+            port(table),
+            count(table, "slots", standard.slots()),
+            count(table, "batch", standard.batch()),
+            table.integer("token_micros", 1, MAX_COUNT, standard.tokenMicros()),
+            standard.batchSlowdown(),
+            standard.prefillTokensPerStep(),
+            standard.cacheBlocks(),
+            table.bool("fencing", standard.enforceFencing()),
+            table.integer("restart_ms", 0, MAX_MILLIS, standard.restartMillis()),
+            standard.reportLagMillis(),
+            standard.eventDelayMillis(),
+            standard.eventGap());
+    return new Engine(id, store, settings);
+  }
+
+  private static Plain plain(TomlChecker table) {
+    return new Plain(
+        table.value("id", EndpointId::new), table.string("service"), host(table), port(table));
+  }
+
+  private static Instance instance(TomlChecker table) {
+    return new Instance(
+        table.string("id"),
+        host(table),
+        port(table),
+        role(table),
+        table.value("zone", AvailabilityZone::new),
+        table.value("pool", PoolName::new),
+        false);
+  }
+
+  private static Instance.Role role(TomlChecker table) {
+    return switch (table.string("role")) {
+      case "entry" -> Instance.Role.ENTRY;
+      case "agent" -> Instance.Role.AGENT;
+      default -> {
+        table.record("role", Problem.Kind.INVALID_VALUE, "expected entry or agent");
+        yield Instance.Role.AGENT;
+      }
+    };
+  }
+
+  private static String host(TomlChecker table) {
+    return table.string("host", "127.0.0.1");
+  }
+
+  private static int port(TomlChecker table) {
+    return (int) table.integer("port", 0, MAX_PORT);
+  }
+
+  private static int count(TomlChecker table, String key, int standard) {
+    return (int) table.integer(key, 1, MAX_COUNT, standard);
+  }
+}
