--- a/tool/src/main/java/org/hornbeamusher/standin/StandinSettings.java
+++ b/tool/src/main/java/org/hornbeamusher/standin/StandinSettings.java
@@ -72,6 +72,9 @@
    */
   public static StandinSettings read(Path file) {
     TomlChecker top = TomlDocument.read(file).checker();
+    if (!top.string("role").equals("standin")) {
+      top.record("role", Problem.Kind.INVALID_VALUE, "must be \"standin\" for this command");
+    }
     List<Store> stores = top.tables("weight_store").stream().map(StandinSettings::store).toList();
     Set<String> names = new HashSet<>();
     stores.forEach(store -> names.add(store.name()));
@@ -135,18 +138,18 @@
         table.string("id"),
         host(table),
         port(table),
-        role(table),
+        runs(table),
         table.value("zone", AvailabilityZone::new),
         table.value("pool", PoolName::new),
         false);
   }
 
-  private static Instance.Role role(TomlChecker table) {
-    return switch (table.string("role")) {
+  private static Instance.Role runs(TomlChecker table) {
+    return switch (table.string("runs")) {
       case "entry" -> Instance.Role.ENTRY;
       case "agent" -> Instance.Role.AGENT;
       default -> {
-        table.record("role", Problem.Kind.INVALID_VALUE, "expected entry or agent");
+        table.record("runs", Problem.Kind.INVALID_VALUE, "expected entry or agent");
         yield Instance.Role.AGENT;
       }
     };
--- a/tool/src/test/java/org/hornbeamusher/standin/StandinSettingsTest.java
+++ b/tool/src/test/java/org/hornbeamusher/standin/StandinSettingsTest.java
@@ -44,14 +44,14 @@
         [[instance]]
         id = "i"
         port = 0
-        role = "king"
+        runs = "king"
         zone = "marka"
         pool = "p"
         """);
     HornbeamusherException failure =
         assertThrows(HornbeamusherException.class, () -> StandinSettings.read(file));
     assertEquals(FailureType.SETTINGS_INVALID, failure.type());
-    for (String key : new String[] {"port", "colour", "id", "weight_store", "role"}) {
+    for (String key : new String[] {"port", "colour", "id", "weight_store", "runs", "role"}) {
       assertTrue(failure.getMessage().contains(key), () -> key + " in " + failure.getMessage());
     }
   }
@@ -62,6 +62,7 @@
     Files.writeString(
         file,
         """
+        role = "standin"
         [platform]
         port = 0
         [[weight_store]]
