Admission by caller's part, lent places but no lent queue; agents' refusals tried elsewhere

Change: a caller below its part is let in beyond the limit; the queue is not lent to the other partner; those below their part are not refused for a queue that is served after them. A refusal by an agent for want of time is tried at another endpoint, within the budget.

--- a/runtime/src/main/java/org/hornbeamusher/admission/AdmissionPolicy.java
+++ b/runtime/src/main/java/org/hornbeamusher/admission/AdmissionPolicy.java
@@ -11,22 +11,33 @@
  * beyond their deadlines, and the endpoints spend their time on answers that nobody reads: at twice
  * the capacity the useful part falls towards nothing instead of staying at the capacity.
  *
- * <p><b>Deadline.</b> A request whose estimated end lies beyond its deadline is refused before
- * anything else is looked at. Its caller learns it now, not at the deadline, and may go elsewhere.
- *
  * <p><b>Shares.</b> Requests in flight are counted. A request is in flight for as long as it
  * occupies or awaits a place in a batch, so one that runs ten times as long uses up ten times as
- * much of its caller's part, without any guess at its length. Below {@link
- * AdmissionSettings#inFlightLimit} everyone is let in: capacity that its holder does not use is
- * lent. From there on a request is let in only if its partner, its service and its caller are each
- * below their fair part, which is their weight over the weights of those active. Those below their
- * part may overshoot the limit by a bounded amount, so that a lent part is taken back as soon as
- * its holder asks, without waiting for the borrower's requests to end.
+ * much of its caller's part, without any guess at its length. A holder's fair part is its weight
+ * over the weights of those active beside it, from the partner down to the caller. The rules, in
+ * order:
+ *
+ * <ol>
+ *   <li>Beyond the limit and the overshoot nobody is let in. That bounds what an entry holds.
+ *   <li>Below the {@linkplain AdmissionSettings#lentPart lent part} of the limit everyone is let
+ *       in: places that their holder does not use are lent, also to the other partner.
+ *   <li>Above it, a caller below its part is let in. It may overshoot the limit, so that a lent
+ *       part is taken back as soon as its holder asks, without waiting for the borrower to end.
+ *   <li>A caller at or above its part is let in while its partner is below its own: what one caller
+ *       leaves unused goes to the others of its partner first.
+ * </ol>
+ *
+ * <p>Example: the limit is 48, 24 of it lent, partners A and B have equal shares of 24 and one
+ * caller each. A is alone and has 48 in flight: its part is the whole while nobody else is active.
+ * B sends one: B's part is 24 and it has none in flight, so it is let in, and the total is 49. A's
+ * part is 24 now; its next request is refused until A has fallen below 24, or until fewer than 24
+ * are in flight in all.
  *
- * <p>Example: the limit is 24, partners A and B have equal shares, A alone is active and has 24 in
- * flight. B sends one: B's part is 12 and it has none, so it is let in, and the total is 25. A's
- * next request finds A at 24 of 12 and is refused until A has fallen below 12. B goes on to 12; the
- * overshoot never exceeds the parts of those below theirs.
+ * <p><b>Deadline.</b> A request whose estimated end lies beyond its deadline is refused at once.
+ * Its caller learns it now, not at the deadline, and may go elsewhere. A caller below its part in a
+ * full pool is exempt: the estimate counts the whole queue, but the agents serve it before the
+ * queue of those above theirs. Without the exemption a flood has the others refused for a wait that
+ * they would not have had.
  *
  * <p>Rejected: counting tokens in flight instead of requests. The limit is then a number of tokens,
  * which is right for one mean length only; with one request in ten ten times as long, the policy
@@ -77,22 +88,20 @@
     ShareNode partner = root.touch(request.partner(), partnerShare(request), now);
     ShareNode service = partner.touch(request.service(), request.serviceShare(), now);
     ShareNode caller = service.touch(request.caller(), request.callerWeight(), now);
+    if (settings.shares() && root.inFlight() >= inFlightLimit * (1 + settings.overshoot())) {
+      return refuse(FailureType.QUEUE_FULL, request.estimatedMillis());
+    }
     double partnerPart = root.fairPart(partner, inFlightLimit, now, settings.memoryMillis());
+    double servicePart = partner.fairPart(service, partnerPart, now, settings.memoryMillis());
+    double callerPart = service.fairPart(caller, servicePart, now, settings.memoryMillis());
+    boolean full = settings.shares() && root.inFlight() >= inFlightLimit * settings.lentPart();
+    boolean guaranteed = full && caller.inFlight() < callerPart;
     long late = now + request.estimatedMillis() - request.deadlineMillis();
-    if (settings.deadlines() && late > 0 && !queueIsOthers(partner, partnerPart)) {
+    if (settings.deadlines() && late > 0 && !guaranteed) {
       return refuse(FailureType.DEADLINE_TOO_NEAR, late);
     }
-    if (settings.shares() && root.inFlight() >= inFlightLimit) {
-      double servicePart = partner.fairPart(service, partnerPart, now, settings.memoryMillis());
-      double callerPart = service.fairPart(caller, servicePart, now, settings.memoryMillis());
-      if (root.inFlight() >= inFlightLimit * (1 + settings.overshoot())) {
-        return refuse(FailureType.QUEUE_FULL, request.estimatedMillis());
-      }
-      if (partner.inFlight() >= partnerPart
-          || service.inFlight() >= servicePart
-          || caller.inFlight() >= callerPart) {
-        return refuse(FailureType.RATE_LIMITED, request.estimatedMillis());
-      }
+    if (full && !guaranteed && partner.inFlight() >= partnerPart) {
+      return refuse(FailureType.RATE_LIMITED, request.estimatedMillis());
     }
     root.add(1);
     partner.add(1);
@@ -129,20 +138,6 @@
     return root.inFlight();
   }
 
-  /**
-   * Whether the others hold more than their parts and this partner less than its own.
-   *
-   * <p>The estimate counts the whole queue, but the agents serve a partner that is below its share
-   * before the queue of one that is above. Without this exception a partner that floods the pool
-   * has the other one refused for a wait that it would not have had.
-   */
-  private boolean queueIsOthers(ShareNode partner, double partnerPart) {
-    boolean below = partner.inFlight() < partnerPart;
-    return settings.shares()
-        && below
-        && root.inFlight() - partner.inFlight() > inFlightLimit - partnerPart;
-  }
-
   private int partnerShare(AdmissionRequest request) {
     return settings.partnerShares().getOrDefault(request.partner(), 1);
   }
--- a/runtime/src/main/java/org/hornbeamusher/retry/RetryPolicy.java
+++ b/runtime/src/main/java/org/hornbeamusher/retry/RetryPolicy.java
@@ -64,7 +64,7 @@
       return new RetryDecision.GiveUp(FailureType.DEADLINE_PASSED, failure.outcome());
     }
     if (failure.attempts() >= settings.attemptLimit() || !budget.tryTake(now)) {
-      return new RetryDecision.GiveUp(FailureType.RETRIES_EXHAUSTED, failure.outcome());
+      return new RetryDecision.GiveUp(exhausted(failure), failure.outcome());
     }
     return new RetryDecision.Retry(backoff, true);
   }
@@ -78,6 +78,12 @@
     budget.succeeded();
   }
 
+  /** A refusal that proves the request was not run says more than that it is not repeated. */
+  private static FailureType exhausted(AttemptFailure failure) {
+    boolean notRun = failure.outcome() instanceof Outcome.NotRun;
+    return notRun ? failure.type() : FailureType.RETRIES_EXHAUSTED;
+  }
+
   private static boolean mayRunAgain(AttemptFailure failure) {
     return switch (failure.outcome()) {
       case Outcome.NotRun notRun -> true;
@@ -97,6 +103,7 @@
           ENDPOINT_LEAVING,
           WRONG_ADAPTER,
           QUEUE_FULL,
+          DEADLINE_TOO_NEAR,
           SHUTTING_DOWN,
           FRAME_MALFORMED,
           CONNECTION_SILENT,
--- a/runtime/src/main/java/org/hornbeamusher/routing/AdapterHomes.java
+++ b/runtime/src/main/java/org/hornbeamusher/routing/AdapterHomes.java
@@ -13,12 +13,6 @@
   /** A burst of a second is seen; a single request has gone after half a minute. */
   private static final double DEMAND_MILLIS = 10_000;
 
-  /** A home is added when the others would be filled beyond this part of their batch. */
-  private static final double GROW_FILL = 0.75;
-
-  /** A home is given up when one fewer would be filled to less than this part. */
-  private static final double SHRINK_FILL = 0.5;
-
   private static final EndpointState[] NONE = {};
 
   private final long hash;
@@ -30,9 +24,6 @@
   private EndpointState[] order = NONE;
   private long orderEpoch;
 
-  /** How many homes the demand is worth; from 1. */
-  private int wanted = 1;
-
   AdapterHomes(long hash) {
     this.hash = hash;
   }
@@ -89,25 +80,6 @@
     return demand.perSecond(now);
   }
 
-  /**
-   * How many homes the demand is worth.
-   *
-   * <p>Two thresholds, because one would let a demand close to it add and drop a home with each
-   * request, and every addition is a load.
-   *
-   * @param concurrency requests that run at once, by rate and service time (Little's law)
-   * @param batch places at one home
-   */
-  int wanted(double concurrency, int batch) {
-    while (concurrency > GROW_FILL * batch * wanted) {
-      wanted++;
-    }
-    while (wanted > 1 && concurrency < SHRINK_FILL * batch * (wanted - 1)) {
-      wanted--;
-    }
-    return wanted;
-  }
-
   void started(EndpointState endpoint, long now) {
     demand.add(now);
     Home home = homeOrNew(endpoint);
--- a/runtime/src/main/java/org/hornbeamusher/routing/Router.java
+++ b/runtime/src/main/java/org/hornbeamusher/routing/Router.java
@@ -84,8 +84,8 @@
   }
 
   /**
-   * Tells how many entries share the traffic, from which the whole demand of an adapter is
-   * estimated.
+   * Tells how many entries share the traffic, from which the whole demand of an adapter and the
+   * work that other entries send are estimated.
    *
    * @param count entries, this one included
    */
@@ -188,35 +188,26 @@
   private void weighHomes(EndpointPool pool, RouteRequest request, long now) {
     AdapterHomes homes = pool.homes(request.adapter().orElseThrow(), now);
     EndpointState[] order = homes.order(pool, settings.candidates());
-    double demand = homes.demandPerSecond(now);
+    double demand = entries * homes.demandPerSecond(now);
     double stallFactor = CostEstimate.stallFactor(request.weights());
     List<Home> known = homes.homes();
-    int surplusFrom = settings.homeCount() ? wantedHomes(homes, demand, pool) : known.size();
     for (int i = 0; i < known.size(); i++) {
       Home home = known.get(i);
       if (may(home.endpoint, request, now)) {
         double base =
             home.resident ? cost.resident(home.endpoint) : cost.pending(home, stallFactor, now);
-        double surplus = i < surplusFrom ? 0 : settings.surplusMillis();
-        offer(home.endpoint, base + surplus + prefixLoss(home.endpoint, request));
+        offer(home.endpoint, base + prefixLoss(home.endpoint, request));
       }
     }
     for (int rank = 0; rank < order.length; rank++) {
       EndpointState endpoint = order[rank];
       if (homes.home(endpoint) == null && may(endpoint, request, now)) {
         double base = cost.absent(endpoint, stallFactor, demand);
-        offer(endpoint, base + rank * settings.rankMillis() + prefixLoss(endpoint, request));
+        offer(endpoint, base + prefixLoss(endpoint, request));
       }
     }
   }
 
-  private int wantedHomes(AdapterHomes homes, double demand, EndpointPool pool) {
-    double concurrency = entries * demand * pool.serviceMillis / 1_000;
-    List<Home> known = homes.homes();
-    int batch = known.isEmpty() ? 1 : known.getFirst().endpoint.batch;
-    return homes.wanted(concurrency, batch);
-  }
-
   private void offer(EndpointState endpoint, double offeredCost) {
     if (offeredCost < bestCost) {
       best = endpoint;
--- a/runtime/src/main/java/org/hornbeamusher/routing/RoutingSettings.java
+++ b/runtime/src/main/java/org/hornbeamusher/routing/RoutingSettings.java
@@ -9,12 +9,9 @@
  * @param crossZoneMillis round trip to another availability zone
  * @param loadMillis one load at full speed, for endpoints that have not reported yet
  * @param prefixMillis prompt work that a cached prefix saves
- * @param rankMillis what each step down the preference order must save before it is taken
- * @param surplusMillis what sending to a home beyond the wanted number must save
  * @param residency whether reports and own dispatches correct the preference order
  * @param spill whether load moves work away from the first endpoint in the order
  * @param ownWork whether own dispatches since a report are added to it
- * @param homeCount whether the number of homes follows measured demand
  * @param ejection whether slow endpoints are ejected
  */
 public record RoutingSettings(
@@ -22,15 +19,12 @@
     long crossZoneMillis,
     long loadMillis,
     long prefixMillis,
-    long rankMillis,
-    long surplusMillis,
     boolean residency,
     boolean spill,
     boolean ownWork,
-    boolean homeCount,
     boolean ejection) {
 
   /** Every mechanism on. */
   public static final RoutingSettings DEFAULT =
-      new RoutingSettings(8, 3, 500, 100, 50, 150, true, true, true, true, true);
+      new RoutingSettings(8, 3, 500, 100, true, true, true, true);
 }
--- a/tool/src/main/java/org/hornbeamusher/bench/policy/FakeEndpoint.java
+++ b/tool/src/main/java/org/hornbeamusher/bench/policy/FakeEndpoint.java
@@ -8,6 +8,7 @@
 import org.hornbeamusher.failure.FailureType;
 import org.hornbeamusher.ids.AdapterRef;
 import org.hornbeamusher.ids.EndpointId;
+import org.hornbeamusher.ids.PartnerId;
 import org.hornbeamusher.routing.EndpointLoad;
 import org.hornbeamusher.scheduling.AgentAction;
 import org.hornbeamusher.scheduling.AgentScheduler;
@@ -22,6 +23,10 @@
 
   final EndpointId id;
   final int zone;
+
+  /** Whose loads its turns at the store are charged to. */
+  final PartnerId owner;
+
   private final EventHeap events;
   private final FakeStore store;
   private final Tally tally;
@@ -41,12 +46,14 @@
   FakeEndpoint(
       EndpointId id,
       int zone,
+      PartnerId owner,
       SchedulerSettings settings,
       EventHeap events,
       FakeStore store,
       Tally tally) {
     this.id = id;
     this.zone = zone;
+    this.owner = owner;
     this.events = events;
     this.store = store;
     this.tally = tally;
@@ -180,7 +187,7 @@
   }
 
   private void beginLoad(AdapterRef adapter) {
-    tally.load(this, adapter);
+    tally.loads++;
     long startedEpoch = epoch;
     boolean fails = loadsFail && random.nextDouble() < FAILING_PART;
     store.begin(
--- a/tool/src/main/java/org/hornbeamusher/bench/policy/FakeEntry.java
+++ b/tool/src/main/java/org/hornbeamusher/bench/policy/FakeEntry.java
@@ -9,7 +9,6 @@
 import org.hornbeamusher.admission.AdmissionDecision;
 import org.hornbeamusher.admission.AdmissionPolicy;
 import org.hornbeamusher.admission.AdmissionRequest;
-import org.hornbeamusher.admission.ServiceTime;
 import org.hornbeamusher.failure.FailureType;
 import org.hornbeamusher.failure.Outcome;
 import org.hornbeamusher.ids.EndpointId;
@@ -74,7 +73,7 @@
         .answered(arrival.tokens(), events.now() - attempt.startedMillis);
     retries.succeeded(events.now());
     admission.get(pool(arrival)).finished(attempt.admitted, true, events.now());
-    tally.answered(arrival, events.now(), attempt.stallMillis);
+    tally.answered(arrival, events.now(), attempt);
   }
 
   void refused(Attempt attempt, FailureType type) {
--- a/tool/src/main/java/org/hornbeamusher/bench/policy/FakeStore.java
+++ b/tool/src/main/java/org/hornbeamusher/bench/policy/FakeStore.java
@@ -1,39 +1,41 @@
 package org.hornbeamusher.bench.policy;
 
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.hornbeamusher.ids.EndpointId;
+import org.hornbeamusher.ids.PartnerId;
+import org.hornbeamusher.pacing.PermitDecision;
+import org.hornbeamusher.pacing.PermitLedger;
+import org.hornbeamusher.pacing.PermitSettings;
 
 /**
- * The weight store, and the holder of its permit. Loads share its speed; several at once reach only
- * a part of what one does alone. The permit goes to the largest demand, one at a time.
+ * The weight store, and the ledger of its permits. Loads share its speed; several at once reach
+ * only a part of what one does alone.
  */
 final class FakeStore {
 
   private static final long MESSAGE_MILLIS = 2;
-  private static final long PERMIT_EXPIRY_MILLIS = 3_000;
 
   private final EventHeap events;
+  private final PermitLedger ledger;
   private final List<Transfer> transfers = new ArrayList<>();
-  private final Map<FakeEndpoint, Double> asked = new LinkedHashMap<>();
-  private FakeEndpoint holder;
-  private long grants;
+  private final Map<EndpointId, FakeEndpoint> asking = new HashMap<>();
+  private final Map<EndpointId, Long> grants = new HashMap<>();
+  private long nextPoll = Long.MAX_VALUE;
   private long lastMillis;
   private long changes;
 
-  FakeStore(EventHeap events) {
+  FakeStore(EventHeap events, Map<PartnerId, Integer> shares) {
     this.events = events;
+    this.ledger = new PermitLedger(PermitSettings.of(shares));
   }
 
   void ask(FakeEndpoint endpoint, double demand) {
-    if (demand > 0) {
-      asked.put(endpoint, demand);
-    } else {
-      asked.remove(endpoint);
-      released(endpoint);
-    }
-    grantNext();
+    asking.put(endpoint.id, endpoint);
+    ledger.ask(endpoint.id, endpoint.owner, demand, events.now());
+    pollPermits();
   }
 
   void begin(FakeEndpoint endpoint, Runnable done) {
@@ -42,33 +44,32 @@
     reschedule();
   }
 
-  private void released(FakeEndpoint endpoint) {
-    if (holder == endpoint) {
-      holder = null;
+  private void pollPermits() {
+    nextPoll = Long.MAX_VALUE;
+    while (true) {
+      switch (ledger.poll(events.now())) {
+        case PermitDecision.Grant grant -> {
+          grants.put(grant.agent(), grant.grant());
+          events.after(MESSAGE_MILLIS, asking.get(grant.agent())::permitGranted);
+        }
+        case PermitDecision.Hold hold -> {
+          holdUntil(hold.untilMillis());
+          return;
+        }
+      }
     }
   }
 
-  private void grantNext() {
-    if (holder != null || asked.isEmpty()) {
-      return;
-    }
-    FakeEndpoint most = null;
-    for (Map.Entry<FakeEndpoint, Double> one : asked.entrySet()) {
-      if (most == null || one.getValue() > asked.get(most)) {
-        most = one.getKey();
-      }
+  private void holdUntil(long millis) {
+    if (millis < Long.MAX_VALUE && millis < nextPoll) {
+      nextPoll = millis;
+      events.at(millis, this::pollIfDue);
     }
-    asked.remove(most);
-    holder = most;
-    long grant = ++grants;
-    events.after(MESSAGE_MILLIS, most::permitGranted);
-    events.after(PERMIT_EXPIRY_MILLIS, () -> expire(grant));
   }
 
-  private void expire(long grant) {
-    if (grant == grants) {
-      holder = null;
-      grantNext();
+  private void pollIfDue() {
+    if (events.now() >= nextPoll) {
+      pollPermits();
     }
   }
 
@@ -101,10 +102,13 @@
     reschedule();
     due.forEach(
         one -> {
-          released(one.endpoint);
+          Long grant = grants.remove(one.endpoint.id);
+          if (grant != null) {
+            ledger.done(one.endpoint.id, grant);
+          }
           one.done.run();
         });
-    grantNext();
+    pollPermits();
   }
 
   private static final class Transfer {
--- a/tool/src/main/java/org/hornbeamusher/bench/policy/PolicyBench.java
+++ b/tool/src/main/java/org/hornbeamusher/bench/policy/PolicyBench.java
@@ -55,8 +55,9 @@
     out.println("### " + pattern.title());
     out.println();
     out.println(
-        "| decisions | load stall mean ms | p95 | p99 | batch fill % | in time % | of ideal work %"
-            + " | refused % | wasted % | worst partner % | worst caller % | loads/s | of held % |");
+        "| decisions | load stall mean ms | p95 | p99 | first token mean | batch fill % | in time %"
+            + " | of ideal work % | refused % | wasted % | worst partner % | worst caller % |"
+            + " loads/s |");
     out.println("|---|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|");
     String ours = "";
     Tally oursTally = null;
@@ -101,15 +102,16 @@
     }
   }
 
-  private static String figures(Tally tally, boolean pooled) {
+  static String figures(Tally tally, boolean pooled) {
     long[] stalls = tally.stalls.stream().mapToLong(Tally.Stall::millis).sorted().toArray();
     double mean = java.util.Arrays.stream(stalls).average().orElse(0);
     return String.format(
         Locale.ROOT,
-        "%.0f | %d | %d | %.1f | %.1f | %.1f | %.1f | %.1f | %.1f | %.1f | %.2f | %.1f |",
+        "%.0f | %d | %d | %.0f | %.1f | %.1f | %.1f | %.1f | %.1f | %.1f | %.1f | %.2f |",
         mean,
         quantile(stalls, 0.95),
         quantile(stalls, 0.99),
+        tally.meanFirstToken(),
         PERCENT * tally.fill(),
         PERCENT * tally.answered / tally.offered,
         PERCENT * Shares.ofIdeal(tally, pooled),
@@ -117,8 +119,7 @@
         PERCENT * tally.wasted(),
         PERCENT * Shares.worstPartner(tally, pooled),
         PERCENT * Shares.worstCaller(tally, pooled),
-        1_000.0 * tally.loads / Sizes.END_MILLIS,
-        PERCENT * tally.loadsOfHeld / Math.max(1, tally.loads));
+        1_000.0 * tally.loads / Sizes.END_MILLIS);
   }
 
   private static long quantile(long[] sorted, double part) {
--- a/tool/src/main/java/org/hornbeamusher/bench/policy/Row.java
+++ b/tool/src/main/java/org/hornbeamusher/bench/policy/Row.java
@@ -30,9 +30,6 @@
     RetrySettings retry,
     UnaryOperator<SchedulerSettings> scheduler) {
 
-  /** Queue in parts of the batch. */
-  private static final double QUEUE_WORTH_HAVING = 1;
-
   static final String OURS = "ours";
 
   private static final RetrySettings NO_BUDGET = new RetrySettings(3, 1e6, 1e6, 3, 50, 1_000);
@@ -78,14 +75,12 @@
   private static List<Row> withoutRouting() {
     RoutingSettings all = RoutingSettings.DEFAULT;
     return List.of(
-        routing("residency reports", switched(all, false, true, true, true, true)),
-        routing("spill", switched(all, true, false, true, true, true)),
-        routing("own work", switched(all, true, true, false, true, true)),
-        routing("home count", switched(all, true, true, true, false, true)),
-        routing("ejection", switched(all, true, true, true, true, false)),
-        routing("zone preference", figures(all, 0, all.prefixMillis(), all.rankMillis())),
-        routing("prefix memory", figures(all, all.crossZoneMillis(), 0, all.rankMillis())),
-        routing("rank cost", figures(all, all.crossZoneMillis(), all.prefixMillis(), 0)));
+        routing("residency reports", switched(all, false, true, true, true)),
+        routing("spill", switched(all, true, false, true, true)),
+        routing("own work", switched(all, true, true, false, true)),
+        routing("ejection", switched(all, true, true, true, false)),
+        routing("zone preference", figures(all, 0, all.prefixMillis())),
+        routing("prefix memory", figures(all, all.crossZoneMillis(), 0)));
   }
 
   private static Row routing(String mechanism, RoutingSettings settings) {
@@ -93,40 +88,22 @@
   }
 
   private static RoutingSettings switched(
-      RoutingSettings all,
-      boolean residency,
-      boolean spill,
-      boolean ownWork,
-      boolean homeCount,
-      boolean ejection) {
+      RoutingSettings all, boolean residency, boolean spill, boolean ownWork, boolean ejection) {
     return new RoutingSettings(
         all.candidates(),
         all.crossZoneMillis(),
         all.loadMillis(),
         all.prefixMillis(),
-        all.rankMillis(),
-        all.surplusMillis(),
         residency,
         spill,
         ownWork,
-        homeCount,
         ejection);
   }
 
   private static RoutingSettings figures(
-      RoutingSettings all, long crossZoneMillis, long prefixMillis, long rankMillis) {
+      RoutingSettings all, long crossZoneMillis, long prefixMillis) {
     return new RoutingSettings(
-        all.candidates(),
-        crossZoneMillis,
-        all.loadMillis(),
-        prefixMillis,
-        rankMillis,
-        all.surplusMillis(),
-        true,
-        true,
-        true,
-        true,
-        true);
+        all.candidates(), crossZoneMillis, all.loadMillis(), prefixMillis, true, true, true, true);
   }
 
   private static List<Row> withoutScheduling() {
@@ -158,11 +135,12 @@
 
   /** Admission of one pool at one entry, for that many endpoints. */
   AdmissionSettings admission(int endpoints, Map<PartnerId, Integer> partnerShares) {
-    double places = (double) endpoints * Sizes.BATCH / Sizes.ENTRIES;
-    long limit = Math.round(places * (1 + QUEUE_WORTH_HAVING));
+    int places = endpoints * Sizes.BATCH;
+    long limit = AdmissionSettings.limit(places, Sizes.ENTRIES);
     return new AdmissionSettings(
         limit,
         AdmissionSettings.DEFAULT_OVERSHOOT,
+        AdmissionSettings.DEFAULT_LENT_PART,
         AdmissionSettings.DEFAULT_MEMORY_MILLIS,
         deadlines,
         shares,
--- a/tool/src/main/java/org/hornbeamusher/bench/policy/Run.java
+++ b/tool/src/main/java/org/hornbeamusher/bench/policy/Run.java
@@ -22,7 +22,7 @@
   private final Row row;
   private final EventHeap events = new EventHeap();
   private final Tally tally = new Tally(2 * Sizes.WORKERS * Sizes.BATCH);
-  private final FakeStore store = new FakeStore(events);
+  private final FakeStore store = new FakeStore(events, shares());
   private final List<FakeEndpoint> endpoints = new ArrayList<>();
   private final List<FakeEntry> entries = new ArrayList<>();
 
@@ -82,12 +82,12 @@
         new FakeEndpoint(
             new EndpointId(tenant.service() + "-" + worker),
             worker % Sizes.ZONES,
+            tenant.partner(),
             row.scheduler().apply(settings),
             events,
             store,
             tally);
     endpoints.add(endpoint);
-    tally.endpoints.add(endpoint);
     entries.forEach(entry -> entry.choice.joined(endpoint, pool));
     report(endpoint, worker * Sizes.REPORT_EVERY_MILLIS / Sizes.WORKERS);
   }
--- a/runtime/src/main/java/org/hornbeamusher/admission/ServiceTime.java
+++ b/tool/src/main/java/org/hornbeamusher/bench/policy/ServiceTime.java
@@ -1,4 +1,4 @@
-package org.hornbeamusher.admission;
+package org.hornbeamusher.bench.policy;
 
 /**
  * Learns how long a request occupies its place in a batch, from those that were answered. Not safe
@@ -8,7 +8,7 @@
  * come in time and whose last would not is work for nobody. Time is proportional to tokens within a
  * pool, so one decayed mean of milliseconds a token is enough; the newest fifty or so count.
  */
-public final class ServiceTime {
+final class ServiceTime {
 
   private static final double SAMPLE_WEIGHT = 0.02;
 
@@ -19,7 +19,7 @@
    *
    * @param firstMillisPerToken what to assume until answers have been seen
    */
-  public ServiceTime(double firstMillisPerToken) {
+  ServiceTime(double firstMillisPerToken) {
     this.millisPerToken = firstMillisPerToken;
   }
 
@@ -29,7 +29,7 @@
    * @param costTokens its expected work, as given to admission
    * @param millis from its start on the endpoint to its end
    */
-  public void answered(int costTokens, long millis) {
+  void answered(int costTokens, long millis) {
     if (costTokens > 0) {
       millisPerToken += SAMPLE_WEIGHT * ((double) millis / costTokens - millisPerToken);
     }
@@ -41,7 +41,7 @@
    * @param costTokens expected work
    * @return milliseconds from start to end
    */
-  public long estimateMillis(int costTokens) {
+  long estimateMillis(int costTokens) {
     return Math.round(millisPerToken * costTokens);
   }
 }
--- a/tool/src/main/java/org/hornbeamusher/bench/policy/Tally.java
+++ b/tool/src/main/java/org/hornbeamusher/bench/policy/Tally.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 import java.util.TreeMap;
 import org.hornbeamusher.failure.FailureType;
-import org.hornbeamusher.ids.AdapterRef;
 import org.hornbeamusher.ids.CallerId;
 
 /** Counts what callers received and what the endpoints did, after the warm-up. */
@@ -26,11 +25,7 @@
   int refused;
   int late;
   long loads;
-
-  /** Of adapters that were resident at another endpoint. */
-  long loadsOfHeld;
-
-  final List<FakeEndpoint> endpoints = new ArrayList<>();
+  private double firstTokenMillis;
   private double busyPlaceMillis;
   private double ranMillis;
   private double wastedMillis;
@@ -48,11 +43,12 @@
     }
   }
 
-  void answered(Arrival arrival, long now, long stallMillis) {
+  void answered(Arrival arrival, long now, Attempt attempt) {
     if (!measured(arrival)) {
       return;
     }
-    stalls.add(new Stall(arrival.millis(), stallMillis));
+    stalls.add(new Stall(arrival.millis(), attempt.stallMillis));
+    firstTokenMillis += attempt.firstTokenMillis - arrival.millis();
     if (now <= arrival.deadlineMillis()) {
       answered++;
       account(arrival).answered += work(arrival);
@@ -87,20 +83,15 @@
     }
   }
 
-  void load(FakeEndpoint endpoint, AdapterRef adapter) {
-    loads++;
-    boolean held =
-        endpoints.stream()
-            .anyMatch(one -> one != endpoint && one.load().resident().contains(adapter));
-    if (held) {
-      loadsOfHeld++;
-    }
-  }
-
   double fill() {
     return busyPlaceMillis / ((double) Sizes.MEASURED_MILLIS * places);
   }
 
+  /** From arrival to first token, of those answered. */
+  double meanFirstToken() {
+    return firstTokenMillis / Math.max(1, stalls.size());
+  }
+
   double wasted() {
     return ranMillis == 0 ? 0 : wastedMillis / ranMillis;
   }
