Claims, peer table and answer assembly wired into the entry

Cause: a non-repeatable request was dispatched without a claim; the entry had its own simpler forms of what the membership and answers slices decide. Change: ClaimedRun wins the claim before anything is sent and ends it, a kept answer is replayed to a resend; AgentLinks carries out PeerTable and ConnectionPlan; WireConnection asks HeartbeatMonitor; AnswerReader puts frames together with AnswerAssembler.

--- a/runtime/src/main/java/org/hornbeamusher/dispatch/AttemptCall.java
+++ b/runtime/src/main/java/org/hornbeamusher/dispatch/AttemptCall.java
@@ -26,6 +26,15 @@
     this.attempt = attempt;
   }
 
+  /**
+   * Returns the attempt's number.
+   *
+   * @return unique on its connection
+   */
+  public long attempt() {
+    return attempt;
+  }
+
   /**
    * Waits for the next event.
    *
--- a/runtime/src/main/java/org/hornbeamusher/entry/AgentLinks.java
+++ b/runtime/src/main/java/org/hornbeamusher/entry/AgentLinks.java
@@ -1,6 +1,8 @@
 package org.hornbeamusher.entry;
 
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -17,8 +19,13 @@
 import org.hornbeamusher.ids.AdapterRef;
 import org.hornbeamusher.ids.AvailabilityZone;
 import org.hornbeamusher.ids.EndpointId;
+import org.hornbeamusher.ids.Incarnation;
 import org.hornbeamusher.ids.InvalidIdentifierException;
 import org.hornbeamusher.ids.PoolName;
+import org.hornbeamusher.membership.ConnectionPlan;
+import org.hornbeamusher.membership.ListedPeer;
+import org.hornbeamusher.membership.PeerEvent;
+import org.hornbeamusher.membership.PeerTable;
 import org.hornbeamusher.platform.Instance;
 import org.hornbeamusher.routing.EndpointLoad;
 import org.hornbeamusher.wire.Message;
@@ -29,13 +36,13 @@
 import org.hornbeamusher.wire.WireSockets;
 
 /**
- * The entry's connections to agents.
+ * The entry's connections to agents: carries out what {@link ConnectionPlan} and {@link PeerTable}
+ * decide.
  *
- * <p>An endpoint belongs to its newest connection. A replaced instance may come up at the address
- * of its predecessor while the predecessor's connection has not yet been found dead; what the old
- * connection still says, or its end, must not touch the new one's state.
+ * <p>An agent takes work here from its first load report on, and until it says that it leaves, its
+ * connection ends, or it reports that its endpoint cannot be reached.
  */
-final class AgentLinks implements WireListener {
+final class AgentLinks {
 
   private final Message.Hello own;
   private final WireSettings settings;
@@ -44,27 +51,35 @@
   private final EntryDecisions decisions;
   private final DocumentExchange exchange;
   private final BiConsumer<WireConnection, Message> others;
-  private final Map<InetSocketAddress, WireConnector> connectors = new ConcurrentHashMap<>();
-  private final Map<WireConnection, Peer> peers = new ConcurrentHashMap<>();
+  private final PeerTable table = new PeerTable();
+  private final Map<String, WireConnector> connectors = new HashMap<>();
+  private final Map<WireConnection, Agent> agents = new ConcurrentHashMap<>();
 
-  /** The newest connection of each endpoint. */
-  private final Map<EndpointId, Peer> current = new ConcurrentHashMap<>();
+  /** The agent that an endpoint's work goes to. */
+  private final Map<EndpointId, Agent> current = new ConcurrentHashMap<>();
 
-  private static final class Peer {
+  private long connectionsOpened;
+
+  /** The process at the other end of one connection. */
+  private static final class Agent {
+    final long connection;
+    final Incarnation incarnation;
     final AgentLink link;
     final AvailabilityZone zone;
     final PoolName pool;
 
-    /** Whether routing knows the endpoint; guarded by this object. */
-    boolean joined;
+    /** Whether the peer table lets it take work. */
+    boolean takesWork;
 
-    /** Set once the agent said that it leaves, and never unset; guarded by this object. */
-    boolean leaving;
+    /** Whether routing knows it. Invariant: only while it takes work. */
+    boolean routed;
 
-    Peer(AgentLink link, AvailabilityZone zone, PoolName pool) {
+    Agent(long connection, Message.Hello hello, AgentLink link) {
+      this.connection = connection;
+      this.incarnation = new Incarnation(hello.incarnation());
       this.link = link;
-      this.zone = zone;
-      this.pool = pool;
+      this.zone = new AvailabilityZone(hello.zone());
+      this.pool = new PoolName(hello.pool());
     }
   }
 
@@ -85,35 +100,25 @@
     this.others = others;
   }
 
-  /**
-   * Connects to agents that are new in the list and opens no further connection to those that are
-   * gone from it. The list is late both ways: it never brings an agent back that said it leaves,
-   * but an agent that it shows as leaving gets no new work either.
-   */
-  synchronized void follow(List<Instance> agents) {
-    Set<InetSocketAddress> wanted = new HashSet<>();
-    for (Instance agent : agents) {
-      InetSocketAddress address = new InetSocketAddress(agent.host(), agent.port());
-      wanted.add(address);
-      connectors.computeIfAbsent(address, this::connect);
-      if (agent.leaving()) {
-        listedAsLeaving(agent.id());
-      }
+  /** Takes in the platform's list of agents. */
+  synchronized void follow(List<Instance> listed) {
+    List<ConnectionPlan.Place> places = new ArrayList<>();
+    List<ListedPeer> peers = new ArrayList<>();
+    for (Instance agent : listed) {
+      places.add(new ConnectionPlan.Place(address(agent), agent.zone()));
+      peers.add(new ListedPeer(address(agent), agent.id(), agent.leaving()));
     }
-    for (InetSocketAddress known : Set.copyOf(connectors.keySet())) {
-      if (!wanted.contains(known)) {
+    Set<String> chosen =
+        ConnectionPlan.choose(own.instance(), new AvailabilityZone(own.zone()), places);
+    listed.stream()
+        .filter(agent -> chosen.contains(address(agent)))
+        .forEach(agent -> connectors.computeIfAbsent(address(agent), key -> connect(agent)));
+    for (String known : Set.copyOf(connectors.keySet())) {
+      if (!chosen.contains(known)) {
         connectors.remove(known).stopWhenClosed();
       }
     }
-  }
-
-  private void listedAsLeaving(String instance) {
-    peers.forEach(
-        (connection, peer) -> {
-          if (connection.peer().instance().equals(instance)) {
-            leaving(peer);
-          }
-        });
+    apply(table.listed(peers));
   }
 
   synchronized void stop() {
@@ -122,119 +127,103 @@
   }
 
   Optional<AgentLink> link(EndpointId endpoint) {
-    return Optional.ofNullable(current.get(endpoint)).map(peer -> peer.link);
+    return Optional.ofNullable(current.get(endpoint)).map(agent -> agent.link);
   }
 
   /** Sends a message to every agent. */
   void broadcast(Message message) {
-    peers.keySet().forEach(connection -> connection.send(message));
+    agents.keySet().forEach(connection -> connection.send(message));
   }
 
-  private WireConnector connect(InetSocketAddress address) {
-    WireConnector connector = new WireConnector(address, own, this, settings, sockets, clock);
+  private static String address(Instance instance) {
+    return instance.host() + ":" + instance.port();
+  }
+
+  private WireConnector connect(Instance agent) {
+    WireConnector connector =
+        new WireConnector(
+            new InetSocketAddress(agent.host(), agent.port()),
+            own,
+            new Listener(address(agent)),
+            settings,
+            sockets,
+            clock);
     connector.start();
     return connector;
   }
 
-  @Override
-  public void opened(WireConnection connection, Message.Hello hello) {
-    try {
-      Peer peer =
-          new Peer(
-              new AgentLink(new EndpointId(hello.endpoint()), connection),
-              new AvailabilityZone(hello.zone()),
-              new PoolName(hello.pool()));
-      peers.put(connection, peer);
-      current.put(peer.link.endpoint(), peer);
-      exchange.opened(connection);
-      EventLog.log(EventType.PEER_CONNECTED, "peer", hello.instance());
-    } catch (InvalidIdentifierException e) {
-      connection.stop();
-    }
+  private synchronized void opened(String address, WireConnection connection, Message.Hello hello) {
+    long number = connectionsOpened++;
+    Agent agent =
+        new Agent(number, hello, new AgentLink(new EndpointId(hello.endpoint()), connection));
+    agents.put(connection, agent);
+    apply(table.introduced(address, number, hello.instance(), agent.incarnation));
   }
 
-  @Override
-  public void received(WireConnection connection, Message message) {
-    Peer peer = peers.get(connection);
-    if (peer == null) {
+  private synchronized void leaving(String address, Agent agent) {
+    apply(table.leaving(address, agent.incarnation));
+  }
+
+  private synchronized void closed(
+      String address, WireConnection connection, HornbeamusherException reason) {
+    Agent agent = agents.remove(connection);
+    if (agent == null) {
       return;
     }
-    switch (message) {
-      case Message.Started m -> peer.link.heard(m.attempt(), m);
-      case Message.Head m -> peer.link.heard(m.attempt(), m);
-      case Message.Chunk m -> peer.link.heard(m.attempt(), m);
-      case Message.Closing m -> peer.link.heard(m.attempt(), m);
-      case Message.Failed m -> peer.link.heard(m.attempt(), m);
-      case Message.LoadReport m -> reported(peer, m);
-      case Message.Leaving m -> leaving(peer);
-      default -> {
-        exchange.received(connection, message);
-        others.accept(connection, message);
+    EventLog.log(
+        EventType.PEER_LOST, "peer", connection.peer().instance(), "reason", reason.type());
+    apply(table.disconnected(address, agent.connection));
+    stopWork(agent);
+    agent.link.lost(reason);
+  }
+
+  private void apply(List<PeerEvent> events) {
+    for (PeerEvent event : events) {
+      switch (event) {
+        case PeerEvent.Joined joined -> agentsOf(joined.incarnation()).forEach(this::startWork);
+        case PeerEvent.Leaving leaving -> agentsOf(leaving.incarnation()).forEach(this::stopWork);
+        case PeerEvent.Lost lost -> agentsOf(lost.incarnation()).forEach(this::stopWork);
+        // Connectors open a new connection by themselves whenever one ends.
+        case PeerEvent.Connect connect -> {}
       }
     }
   }
 
-  @Override
-  public long digest() {
-    return exchange.digest();
+  private List<Agent> agentsOf(Incarnation incarnation) {
+    return agents.values().stream().filter(agent -> agent.incarnation.equals(incarnation)).toList();
   }
 
-  @Override
-  public void heartbeat(WireConnection connection, long digest) {
-    exchange.heartbeat(connection, digest);
+  private void startWork(Agent agent) {
+    agent.takesWork = true;
+    current.put(agent.link.endpoint(), agent);
   }
 
-  @Override
-  public void closed(WireConnection connection, HornbeamusherException reason) {
-    exchange.closed(connection);
-    Peer peer = peers.remove(connection);
-    if (peer == null) {
-      return;
-    }
-    EventLog.log(
-        EventType.PEER_LOST, "peer", connection.peer().instance(), "reason", reason.type());
-    if (current.remove(peer.link.endpoint(), peer)) {
-      leave(peer);
+  private void stopWork(Agent agent) {
+    agent.takesWork = false;
+    unroute(agent);
+    current.remove(agent.link.endpoint(), agent);
+  }
+
+  private void unroute(Agent agent) {
+    if (agent.routed) {
+      agent.routed = false;
+      decisions.left(agent.link.endpoint());
     }
-    peer.link.lost(reason);
   }
 
-  private void reported(Peer peer, Message.LoadReport report) {
-    if (current.get(peer.link.endpoint()) != peer) {
+  private synchronized void reported(Agent agent, Message.LoadReport report) {
+    if (!agent.takesWork || current.get(agent.link.endpoint()) != agent) {
       return;
     }
     if (report.batch() == 0) {
-      leave(peer);
+      unroute(agent);
       return;
     }
-    synchronized (peer) {
-      if (peer.leaving) {
-        return;
-      }
-      if (!peer.joined) {
-        peer.joined = true;
-        decisions.joined(peer.link.endpoint(), peer.zone, peer.pool);
-      }
-      decisions.reported(peer.link.endpoint(), load(report));
-    }
-  }
-
-  private void leaving(Peer peer) {
-    synchronized (peer) {
-      peer.leaving = true;
-    }
-    if (current.get(peer.link.endpoint()) == peer) {
-      leave(peer);
-    }
-  }
-
-  private void leave(Peer peer) {
-    synchronized (peer) {
-      if (peer.joined) {
-        peer.joined = false;
-        decisions.left(peer.link.endpoint());
-      }
+    if (!agent.routed) {
+      agent.routed = true;
+      decisions.joined(agent.link.endpoint(), agent.zone, agent.pool);
     }
+    decisions.reported(agent.link.endpoint(), load(report));
   }
 
   private static EndpointLoad load(Message.LoadReport report) {
@@ -249,4 +238,62 @@
         report.loadWaitMillis(),
         resident);
   }
+
+  /** Hears the connections to one address. */
+  private final class Listener implements WireListener {
+
+    private final String address;
+
+    Listener(String address) {
+      this.address = address;
+    }
+
+    @Override
+    public void opened(WireConnection connection, Message.Hello hello) {
+      try {
+        AgentLinks.this.opened(address, connection, hello);
+        exchange.opened(connection);
+        EventLog.log(EventType.PEER_CONNECTED, "peer", hello.instance());
+      } catch (InvalidIdentifierException e) {
+        connection.stop();
+      }
+    }
+
+    @Override
+    public void received(WireConnection connection, Message message) {
+      Agent agent = agents.get(connection);
+      if (agent == null) {
+        return;
+      }
+      switch (message) {
+        case Message.Started m -> agent.link.heard(m.attempt(), m);
+        case Message.Head m -> agent.link.heard(m.attempt(), m);
+        case Message.Chunk m -> agent.link.heard(m.attempt(), m);
+        case Message.Closing m -> agent.link.heard(m.attempt(), m);
+        case Message.Failed m -> agent.link.heard(m.attempt(), m);
+        case Message.LoadReport m -> reported(agent, m);
+        case Message.Leaving m -> leaving(address, agent);
+        default -> {
+          exchange.received(connection, message);
+          others.accept(connection, message);
+        }
+      }
+    }
+
+    @Override
+    public void closed(WireConnection connection, HornbeamusherException reason) {
+      exchange.closed(connection);
+      AgentLinks.this.closed(address, connection, reason);
+    }
+
+    @Override
+    public long digest() {
+      return exchange.digest();
+    }
+
+    @Override
+    public void heartbeat(WireConnection connection, long digest) {
+      exchange.heartbeat(connection, digest);
+    }
+  }
 }
--- a/runtime/src/main/java/org/hornbeamusher/entry/AnswerReader.java
+++ b/runtime/src/main/java/org/hornbeamusher/entry/AnswerReader.java
@@ -6,7 +6,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.zip.CRC32C;
+import org.hornbeamusher.answers.AnswerAssembler;
+import org.hornbeamusher.answers.AnswerState;
+import org.hornbeamusher.answers.Delivery;
+import org.hornbeamusher.dispatch.AttemptCall;
 import org.hornbeamusher.failure.FailureType;
 import org.hornbeamusher.failure.HornbeamusherException;
 import org.hornbeamusher.failure.Outcome;
@@ -17,11 +20,10 @@
 /**
  * Reads the chunks of one attempt and checks that they are the whole answer of the right adapter.
  *
- * <p>Three things are checked, each against a different fault. The chunk numbers must follow each
- * other and the closing frame's count and checksum must agree: else a frame was lost, doubled or
- * damaged between the processes. The engine's own end mark must have come: else the engine's stream
- * was cut and closed cleanly. Every event must name the adapter and version that was asked for:
- * else the engine ran another one.
+ * <p>Three things are checked, each against a different fault. {@link AnswerAssembler} checks what
+ * may happen between the processes: frames lost, doubled, late or damaged. The engine's own end
+ * mark must have come: else the engine's stream was cut and closed cleanly. Every event must name
+ * the adapter and version that was asked for: else the engine ran another one.
  */
 final class AnswerReader {
 
@@ -30,43 +32,53 @@
 
   private final EndpointId endpoint;
   private final Optional<AdapterRef> adapter;
+  private final AnswerAssembler assembler;
   private final ServerSentEvents events = new ServerSentEvents();
-  private final CRC32C checksum = new CRC32C();
-  private long chunks;
   private boolean endMarkSeen;
   private String finishReason = "";
   private int promptTokens;
   private int completionTokens;
 
-  AnswerReader(EndpointId endpoint, Optional<AdapterRef> adapter) {
+  AnswerReader(EndpointId endpoint, Optional<AdapterRef> adapter, long attempt) {
     this.endpoint = endpoint;
     this.adapter = adapter;
+    this.assembler = new AnswerAssembler(attempt, AttemptCall.INITIAL_CREDIT);
   }
 
   List<AnswerPart> read(Message.Chunk chunk) {
-    if (chunk.sequence() != chunks) {
-      throw cut();
-    }
-    chunks++;
-    checksum.update(chunk.bytes());
-    if (adapter.isEmpty()) {
-      return List.of(new AnswerPart.Bytes(chunk.bytes()));
-    }
+    Delivery delivery = assembler.part(chunk.attempt(), chunk.sequence(), chunk.bytes());
     List<AnswerPart> parts = new ArrayList<>();
-    for (String data : events.feed(chunk.bytes())) {
-      readEvent(data).ifPresent(parts::add);
+    for (byte[] bytes : delivery.parts()) {
+      readPart(bytes, parts);
     }
     return parts;
   }
 
-  AnswerEnd end(Message.Closing closing) {
-    boolean whole = closing.chunks() == chunks && closing.checksum() == checksum.getValue();
-    if (!whole || (adapter.isPresent() && !endMarkSeen)) {
-      throw cut();
+  void read(Message.Closing closing) {
+    assembler.closing(closing.attempt(), closing.chunks(), closing.checksum());
+  }
+
+  /** Returns the end once the answer is whole; empty while more frames may come. */
+  Optional<AnswerEnd> end() {
+    return switch (assembler.state()) {
+      case AnswerState.Open open -> Optional.empty();
+      case AnswerState.Whole whole when adapter.isEmpty() -> Optional.of(AnswerEnd.PLAIN);
+      case AnswerState.Whole whole when endMarkSeen ->
+          Optional.of(new AnswerEnd(finishReason, promptTokens, completionTokens));
+      case AnswerState.Whole whole -> throw cut();
+      case AnswerState.Cut cut -> throw cut();
+      case AnswerState.Mismatch mismatch -> throw cut();
+    };
+  }
+
+  private void readPart(byte[] bytes, List<AnswerPart> parts) {
+    if (adapter.isEmpty()) {
+      parts.add(new AnswerPart.Bytes(bytes));
+      return;
+    }
+    for (String data : events.feed(bytes)) {
+      readEvent(data).ifPresent(parts::add);
     }
-    return adapter.isEmpty()
-        ? AnswerEnd.PLAIN
-        : new AnswerEnd(finishReason, promptTokens, completionTokens);
   }
 
   private Optional<AnswerPart> readEvent(String data) {
--- a/runtime/src/main/java/org/hornbeamusher/entry/AnswerWriter.java
+++ b/runtime/src/main/java/org/hornbeamusher/entry/AnswerWriter.java
@@ -1,5 +1,7 @@
 package org.hornbeamusher.entry;
 
+import java.util.Optional;
+import org.hornbeamusher.claims.StoredAnswer;
 import org.hornbeamusher.failure.HornbeamusherException;
 
 /** Writes one answer in the form its caller asked for. */
@@ -17,6 +19,15 @@
   /** Nothing or only a part was written, and the rest will not come. */
   void fail(HornbeamusherException failure);
 
+  /** Keeps a copy of what is written, up to a length; a longer answer is not kept. */
+  void keep(int maximumLength);
+
+  /** Returns the whole answer as it was written, if it was kept. */
+  Optional<StoredAnswer> kept();
+
+  /** Writes an answer that an earlier send of the same request got. */
+  void replay(StoredAnswer answer);
+
   /** Tells whether the caller has received any part of the answer. */
   boolean delivered();
 }
--- a/runtime/src/main/java/org/hornbeamusher/entry/AttemptFollower.java
+++ b/runtime/src/main/java/org/hornbeamusher/entry/AttemptFollower.java
@@ -1,6 +1,7 @@
 package org.hornbeamusher.entry;
 
 import java.util.List;
+import java.util.Optional;
 import org.hornbeamusher.clock.Clock;
 import org.hornbeamusher.dispatch.AttemptCall;
 import org.hornbeamusher.dispatch.AttemptEvent;
@@ -42,7 +43,7 @@
     this.call = call;
     this.writer = writer;
     this.clock = clock;
-    this.reader = new AnswerReader(endpoint, request.adapter());
+    this.reader = new AnswerReader(endpoint, request.adapter(), call.attempt());
     this.sentMillis = clock.millis();
   }
 
@@ -105,15 +106,14 @@
                   head.status(),
                   head.contentType()));
       case Message.Chunk chunk -> write(chunk);
-      case Message.Closing closing -> {
-        writer.end(reader.end(closing));
-        return true;
-      }
+      case Message.Closing closing -> reader.read(closing);
       case Message.Failed failed -> throw agentFailure(failed);
       default ->
           throw failed(of(FailureType.ANSWER_CUT, endpoint), new AttemptResult.Failed(), false);
     }
-    return false;
+    Optional<AnswerEnd> end = reader.end();
+    end.ifPresent(writer::end);
+    return end.isPresent();
   }
 
   private void write(Message.Chunk chunk) {
--- a/runtime/src/main/java/org/hornbeamusher/entry/CallerHeaders.java
+++ b/runtime/src/main/java/org/hornbeamusher/entry/CallerHeaders.java
@@ -19,5 +19,8 @@
   static final HttpString ENDPOINT = new HttpString("X-Endpoint");
   static final HttpString LOAD_STALL = new HttpString("X-Load-Stall-Ms");
 
+  /** Marks an answer that an earlier send of the same request got. */
+  static final HttpString REPLAYED = new HttpString("X-Replayed");
+
   private CallerHeaders() {}
 }
--- a/runtime/src/main/java/org/hornbeamusher/entry/EntryDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/entry/EntryDaemon.java
@@ -9,19 +9,25 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.UUID;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.random.RandomGenerator;
 import org.hornbeamusher.admission.AdmissionSettings;
+import org.hornbeamusher.claims.ClaimCleaner;
+import org.hornbeamusher.claims.ClaimKeeper;
+import org.hornbeamusher.claims.ClaimSettings;
 import org.hornbeamusher.clock.Clock;
 import org.hornbeamusher.dispatch.AgentLink;
 import org.hornbeamusher.documents.ServiceDocument;
 import org.hornbeamusher.events.EventLog;
 import org.hornbeamusher.events.EventType;
 import org.hornbeamusher.failure.HornbeamusherException;
+import org.hornbeamusher.ids.ClaimToken;
 import org.hornbeamusher.ids.EndpointId;
 import org.hornbeamusher.ids.ServiceName;
 import org.hornbeamusher.platform.Instance;
@@ -52,6 +58,8 @@
   private final EntrySettings settings;
   private final ProcessServices services;
   private final Clock clock;
+  private final ClaimKeeper claims;
+  private final ClaimCleaner cleaner;
   private final EntryDecisions decisions;
   private final AgentLinks links;
   private final ExecutorService requests = Executors.newVirtualThreadPerTaskExecutor();
@@ -77,6 +85,19 @@
     this.settings = settings;
     this.clock = clock;
     this.services = new ProcessServices(settings.platform(), entries::get, clock);
+    this.claims =
+        new ClaimKeeper(
+            services.table(),
+            ClaimSettings.STANDARD,
+            clock,
+            () -> new ClaimToken(UUID.randomUUID().toString()));
+    this.cleaner =
+        new ClaimCleaner(
+            services.table(),
+            ClaimSettings.STANDARD,
+            clock,
+            entries::get,
+            RandomGenerator.getDefault());
     this.decisions =
         new EntryDecisions(
             settings.zone(),
@@ -110,6 +131,8 @@
   /** Connects to agents and listens for callers. */
   public void start() {
     services.start();
+    claims.start();
+    cleaner.start();
     timer.scheduleWithFixedDelay(this::followInstances, 0, INSTANCES_MILLIS, TimeUnit.MILLISECONDS);
     server =
         Undertow.builder()
@@ -140,6 +163,8 @@
     server.stop();
     links.stop();
     requests.close();
+    cleaner.stop();
+    claims.stop();
     services.stop();
     EventLog.log(EventType.PROCESS_STOPPED, "instance", settings.instance());
   }
@@ -155,7 +180,7 @@
   }
 
   private HttpHandler handler() {
-    RequestRunner runner = new RequestRunner(decisions, new RunnerHost(), clock);
+    RequestRunner runner = new RequestRunner(decisions, new RunnerHost(), claims, clock);
     CallerApi callers =
         new CallerApi(
             new ApiHost(),
--- a/runtime/src/main/java/org/hornbeamusher/entry/HttpAnswerWriter.java
+++ b/runtime/src/main/java/org/hornbeamusher/entry/HttpAnswerWriter.java
@@ -3,7 +3,10 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
+import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import org.hornbeamusher.claims.StoredAnswer;
 import org.hornbeamusher.failure.HornbeamusherException;
 
 /** What the forms of an answer have in common: headers, failures and the sink. */
@@ -12,6 +15,8 @@
   private final HttpServerExchange exchange;
   private final CallerSink sink;
   private final String requestId;
+  private final ByteArrayOutputStream kept = new ByteArrayOutputStream();
+  private int keepLength;
   private boolean delivered;
 
   HttpAnswerWriter(HttpServerExchange exchange, CallerSink sink, String requestId) {
@@ -41,9 +46,43 @@
 
   final void write(byte[] bytes) {
     delivered = true;
+    if (keepLength > 0) {
+      keepPart(bytes);
+    }
     sink.write(bytes);
   }
 
+  private void keepPart(byte[] bytes) {
+    if (kept.size() + bytes.length > keepLength) {
+      keepLength = 0;
+      kept.reset();
+      return;
+    }
+    kept.writeBytes(bytes);
+  }
+
+  @Override
+  public final void keep(int maximumLength) {
+    keepLength = maximumLength;
+  }
+
+  @Override
+  public final Optional<StoredAnswer> kept() {
+    if (keepLength == 0) {
+      return Optional.empty();
+    }
+    String contentType = exchange.getResponseHeaders().getFirst(Headers.CONTENT_TYPE);
+    return Optional.of(new StoredAnswer(exchange.getStatusCode(), contentType, kept.toByteArray()));
+  }
+
+  @Override
+  public final void replay(StoredAnswer answer) {
+    exchange.setStatusCode(answer.status());
+    exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, answer.contentType());
+    exchange.getResponseHeaders().put(CallerHeaders.REPLAYED, "true");
+    writeWhole(answer.body());
+  }
+
   /** Announces the length, so that a caller can tell a whole answer from a cut one. */
   final void writeWhole(byte[] bytes) {
     exchange.setResponseContentLength(bytes.length);
--- a/runtime/src/main/java/org/hornbeamusher/entry/RequestRunner.java
+++ b/runtime/src/main/java/org/hornbeamusher/entry/RequestRunner.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import org.hornbeamusher.admission.AdmissionDecision;
 import org.hornbeamusher.admission.AdmissionRequest;
+import org.hornbeamusher.claims.ClaimKeeper;
 import org.hornbeamusher.clock.Clock;
 import org.hornbeamusher.dispatch.AgentLink;
 import org.hornbeamusher.dispatch.AttemptCall;
@@ -46,9 +47,11 @@
 
   private final EntryDecisions decisions;
   private final Host host;
+  private final ClaimedRun claimed;
   private final Clock clock;
 
-  RequestRunner(EntryDecisions decisions, Host host, Clock clock) {
+  RequestRunner(EntryDecisions decisions, Host host, ClaimKeeper claims, Clock clock) {
+    this.claimed = new ClaimedRun(claims, clock);
     this.decisions = decisions;
     this.host = host;
     this.clock = clock;
@@ -66,7 +69,7 @@
     }
     boolean answered = false;
     try {
-      runAttempts(request, writer);
+      runOnceOrMore(request, writer);
       answered = true;
       return Optional.empty();
     } catch (HornbeamusherException failed) {
@@ -109,6 +112,15 @@
     };
   }
 
+  private void runOnceOrMore(AdmittedRequest request, AnswerWriter writer)
+      throws InterruptedException {
+    if (request.onceKey().isEmpty()) {
+      runAttempts(request, writer);
+      return;
+    }
+    claimed.run(request, request.onceKey().get(), writer, () -> runAttempts(request, writer));
+  }
+
   private void runAttempts(AdmittedRequest request, AnswerWriter writer)
       throws InterruptedException {
     Set<EndpointId> excluded = new HashSet<>();
--- a/runtime/src/main/java/org/hornbeamusher/wire/WireConnection.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/WireConnection.java
@@ -15,6 +15,7 @@
 import org.hornbeamusher.failure.FailureType;
 import org.hornbeamusher.failure.HornbeamusherException;
 import org.hornbeamusher.failure.Outcome;
+import org.hornbeamusher.membership.HeartbeatMonitor;
 
 /**
  * One TCP connection between two processes.
@@ -41,7 +42,10 @@
   private final AtomicBoolean closed = new AtomicBoolean();
   private final AtomicReference<HornbeamusherException> reason = new AtomicReference<>();
   private volatile Message.Hello peer;
-  private volatile long lastHeardMillis;
+
+  /** Guarded by itself: the reading thread tells it what came, the writing thread asks it. */
+  private final HeartbeatMonitor monitor;
+
   private long heartbeats;
 
   /**
@@ -61,7 +65,11 @@
     this.settings = settings;
     this.clock = clock;
     this.outgoing = new ArrayBlockingQueue<>(settings.outgoingMessages());
-    this.lastHeardMillis = clock.millis();
+    this.monitor =
+        new HeartbeatMonitor(
+            settings.heartbeatMillis(),
+            Math.toIntExact(settings.silenceMillis() / settings.heartbeatMillis()),
+            clock.millis());
   }
 
   /** Starts both threads. */
@@ -88,9 +96,7 @@
     if (outgoing.offer(message)) {
       return true;
     }
-    fail(
-        HornbeamusherException.of(
-            FailureType.CONNECTION_SILENT, Outcome.UNKNOWN, peerName(), silentMillis()));
+    fail(silentFailure());
     return false;
   }
 
@@ -118,7 +124,9 @@
           new DataInputStream(new BufferedInputStream(socket.getInputStream(), BUFFER_BYTES));
       while (!closed.get()) {
         Message message = MessageCodec.decode(FrameStream.read(in));
-        lastHeardMillis = clock.millis();
+        synchronized (monitor) {
+          monitor.heard(clock.millis());
+        }
         deliver(message);
       }
     } catch (IOException e) {
@@ -206,16 +214,22 @@
   }
 
   private void checkSilence() {
-    long silent = silentMillis();
-    if (silent > settings.silenceMillis()) {
-      fail(
-          HornbeamusherException.of(
-              FailureType.CONNECTION_SILENT, Outcome.UNKNOWN, peerName(), silent));
+    synchronized (monitor) {
+      if (!monitor.silent(clock.millis())) {
+        return;
+      }
     }
+    fail(silentFailure());
   }
 
-  private long silentMillis() {
-    return clock.millis() - lastHeardMillis;
+  private HornbeamusherException silentFailure() {
+    synchronized (monitor) {
+      return HornbeamusherException.of(
+          FailureType.CONNECTION_SILENT,
+          Outcome.UNKNOWN,
+          peerName(),
+          monitor.silentMillis(clock.millis()));
+    }
   }
 
   private HornbeamusherException closedFailure() {
