bench/run faults draws histories of faults and checks what must hold

Cause: the promises have to hold under each fault and under several together, and a hand-written test of each pair is out of reach.

--- a/tool/src/main/java/org/hornbeamusher/bench/Bench.java
+++ b/tool/src/main/java/org/hornbeamusher/bench/Bench.java
@@ -1,6 +1,7 @@
 package org.hornbeamusher.bench;
 
 import java.util.List;
+import org.hornbeamusher.bench.faults.FaultsBenchmark;
 import org.hornbeamusher.bench.policy.PolicyBench;
 
 /** Starts a benchmark by name. */
@@ -9,7 +10,8 @@
   private static final int USAGE_STATUS = 2;
 
   /** Every benchmark, in the order they are listed. */
-  private static final List<Benchmark> BENCHMARKS = List.of(new PolicyBench());
+  private static final List<Benchmark> BENCHMARKS =
+      List.of(new FaultsBenchmark(), new PolicyBench());
 
   private Bench() {}
 
