--- a/runtime/src/main/java/org/hornbeamusher/events/EventType.java
+++ b/runtime/src/main/java/org/hornbeamusher/events/EventType.java
@@ -7,7 +7,7 @@
  *
  * <p>Numbers are never reused. Ranges: 1000 processes, 1100 requests, 1200 endpoints and loads,
  * 1300 service documents, 1400 claims, 1500 connections and membership, 1600 the platform, 1700
- * settings.
+ * settings and operators.
  */
 public enum EventType {
   // 1000: processes
@@ -24,13 +24,20 @@
   // 1300: service documents
   DOCUMENT_IN_FORCE(1301, Level.INFO, "A newer version of a document is in force here."),
   DOCUMENT_UNREADABLE(1302, Level.WARNING, "A stored document cannot be read by this release."),
+  DOCUMENT_ACCEPTED(1303, Level.INFO, "A submitted document was accepted."),
+  DOCUMENT_REFUSED(1304, Level.WARNING, "A submitted document was refused."),
   // 1400: claims
   CLAIM_END_LOST(1401, Level.WARNING, "The end of a claim was not written; it reads as unknown."),
   // 1500: connections and membership
   PEER_CONNECTED(1501, Level.INFO, "A connection to a peer was opened."),
   PEER_LOST(1502, Level.WARNING, "A connection to a peer was lost or abandoned."),
   // 1600: the platform
-  PLATFORM_OUTAGE(1601, Level.WARNING, "The platform does not answer.");
+  PLATFORM_OUTAGE(1601, Level.WARNING, "The platform does not answer."),
+  // 1700: settings and operators
+  DRAIN_ORDERED(1701, Level.INFO, "An operator made this process leave."),
+  OPERATOR_REFUSED(1702, Level.WARNING, "An operator asked for what the token does not allow."),
+  TLS_KEYS_REPLACED(1703, Level.INFO, "Other keys or trusted certificates are in force."),
+  TLS_KEYS_UNREADABLE(1704, Level.WARNING, "New TLS files cannot be used; the old ones stay.");
 
   private final int number;
   private final Level level;
--- a/runtime/src/main/java/org/hornbeamusher/failure/FailureType.java
+++ b/runtime/src/main/java/org/hornbeamusher/failure/FailureType.java
@@ -67,6 +67,7 @@
   // 700: settings and the command line
   SETTINGS_INVALID(701, 422, Severity.ERROR, "The settings are not valid: %s."),
   USAGE(702, 400, Severity.INFO, "%s."),
+  REFUSED_BY_PROCESS(703, 502, Severity.INFO, "The process answered %s: %s"),
   INTERNAL(799, 500, Severity.ERROR, "An internal error occurred: %s.");
 
   private final int number;
--- a/runtime/src/main/java/org/hornbeamusher/security/Identity.java
+++ b/runtime/src/main/java/org/hornbeamusher/security/Identity.java
@@ -43,8 +43,10 @@
    * @param id the operator
    * @param partner the partner it belongs to
    * @param team the team it belongs to
+   * @param mayDrain whether it may make the process that knows the token leave
    */
-  record Operator(OperatorId id, PartnerId partner, TeamId team) implements Identity {}
+  record Operator(OperatorId id, PartnerId partner, TeamId team, boolean mayDrain)
+      implements Identity {}
 
   /**
    * Another process of the system.
--- a/runtime/src/main/java/org/hornbeamusher/settings/AgentSettings.java
+++ b/runtime/src/main/java/org/hornbeamusher/settings/AgentSettings.java
@@ -8,6 +8,7 @@
 import org.hornbeamusher.ids.EndpointId;
 import org.hornbeamusher.ids.InstanceId;
 import org.hornbeamusher.ids.PoolName;
+import org.hornbeamusher.security.TokenDirectory;
 import org.hornbeamusher.wire.WireSettings;
 
 /**
@@ -91,4 +92,13 @@
   public static AgentSettings read(Path file) {
     return AgentSettingsReader.read(file);
   }
+
+  /**
+   * Makes the directory of the tokens in these settings.
+   *
+   * @return the operators
+   */
+  public TokenDirectory tokens() {
+    return new TokenDirectory(operators.stream().map(OperatorSettings::entry).toList());
+  }
 }
--- a/runtime/src/main/java/org/hornbeamusher/settings/EntrySettings.java
+++ b/runtime/src/main/java/org/hornbeamusher/settings/EntrySettings.java
@@ -92,10 +92,7 @@
       Identity identity = new Identity.Caller(caller.id(), caller.partner(), caller.services());
       entries.add(new TokenDirectory.Entry(caller.token(), identity));
     }
-    for (OperatorSettings operator : operators) {
-      Identity identity = new Identity.Operator(operator.id(), operator.partner(), operator.team());
-      entries.add(new TokenDirectory.Entry(operator.token(), identity));
-    }
+    operators.forEach(operator -> entries.add(operator.entry()));
     return new TokenDirectory(entries);
   }
 }
--- a/runtime/src/main/java/org/hornbeamusher/settings/SharedTables.java
+++ b/runtime/src/main/java/org/hornbeamusher/settings/SharedTables.java
@@ -122,7 +122,8 @@
               table.value("id", OperatorId::new),
               table.value("partner", PartnerId::new),
               table.value("team", TeamId::new),
-              tokens.hash(table)));
+              tokens.hash(table),
+              table.bool("may_drain", false)));
     }
     return operators;
   }
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/status/ProcessStatus.java
@@ -0,0 +1,192 @@
+package org.hornbeamusher.status;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.hornbeamusher.failure.FailureType;
+import org.hornbeamusher.ids.AdapterRef;
+import org.hornbeamusher.ids.AvailabilityZone;
+import org.hornbeamusher.ids.EndpointId;
+import org.hornbeamusher.ids.InstanceId;
+import org.hornbeamusher.ids.PartnerId;
+import org.hornbeamusher.ids.PoolName;
+import org.hornbeamusher.ids.ServiceName;
+
+/**
+ * One process at one moment.
+ *
+ * @param instance the process
+ * @param role {@code entry} or {@code agent}
+ * @param zone where it runs
+ * @param leaving whether it takes no new work
+ * @param inFlight requests that were admitted and have not ended
+ * @param endpoints the endpoints it knows
+ * @param services the services it knows
+ * @param quarantined requests that are refused because endpoints crashed while they ran them
+ */
+public record ProcessStatus(
+    InstanceId instance,
+    String role,
+    AvailabilityZone zone,
+    boolean leaving,
+    int inFlight,
+    List<Endpoint> endpoints,
+    List<Service> services,
+    List<Quarantined> quarantined) {
+
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  /** Copies the lists. */
+  public ProcessStatus {
+    endpoints = List.copyOf(endpoints);
+    services = List.copyOf(services);
+    quarantined = List.copyOf(quarantined);
+  }
+
+  /**
+   * One endpoint as this process knows it.
+   *
+   * @param id the endpoint
+   * @param zone where it is
+   * @param pool its pool
+   * @param reachable whether work is sent to it
+   * @param running requests in its batch
+   * @param batch most requests it runs at once
+   * @param queued requests that wait at its agent
+   * @param slots most adapters it holds at once
+   * @param resident the adapters it holds
+   */
+  public record Endpoint(
+      EndpointId id,
+      AvailabilityZone zone,
+      PoolName pool,
+      boolean reachable,
+      int running,
+      int batch,
+      int queued,
+      int slots,
+      List<AdapterRef> resident) {
+
+    /** Copies the list. */
+    public Endpoint {
+      resident = List.copyOf(resident);
+    }
+  }
+
+  /**
+   * One service.
+   *
+   * @param name the service
+   * @param partner the partner it belongs to
+   * @param version the version of its document in force here
+   * @param answered requests answered whole since the process started
+   * @param refused requests refused or failed since then, by type
+   */
+  public record Service(
+      ServiceName name,
+      PartnerId partner,
+      long version,
+      long answered,
+      Map<FailureType, Long> refused) {
+
+    /** Copies the map. */
+    public Service {
+      refused = Map.copyOf(refused);
+    }
+  }
+
+  /**
+   * One request that is refused from now on.
+   *
+   * @param service the service it was sent to
+   * @param fingerprint the hash that recognises it
+   * @param untilMillis when it is let in again
+   */
+  public record Quarantined(ServiceName service, String fingerprint, long untilMillis) {}
+
+  /**
+   * Removes what belongs to other partners: their services, adapters and quarantined requests.
+   * Counts of an endpoint stay, because a shared endpoint that is full concerns everyone on it.
+   *
+   * @param partner the reader's partner
+   * @return a copy
+   */
+  public ProcessStatus visibleTo(PartnerId partner) {
+    List<Service> own = services.stream().filter(s -> s.partner().equals(partner)).toList();
+    Set<ServiceName> names = own.stream().map(Service::name).collect(Collectors.toSet());
+    List<Endpoint> seen =
+        endpoints.stream().map(endpoint -> onlyServices(endpoint, names)).toList();
+    List<Quarantined> refused =
+        quarantined.stream().filter(q -> names.contains(q.service())).toList();
+    return new ProcessStatus(instance, role, zone, leaving, inFlight, seen, own, refused);
+  }
+
+  private static Endpoint onlyServices(Endpoint endpoint, Set<ServiceName> names) {
+    return new Endpoint(
+        endpoint.id(),
+        endpoint.zone(),
+        endpoint.pool(),
+        endpoint.reachable(),
+        endpoint.running(),
+        endpoint.batch(),
+        endpoint.queued(),
+        endpoint.slots(),
+        endpoint.resident().stream().filter(ref -> names.contains(ref.service())).toList());
+  }
+
+  /**
+   * Writes the status as JSON.
+   *
+   * @return one object
+   */
+  public String json() {
+    ObjectNode root =
+        JSON.createObjectNode()
+            .put("instance", instance.value())
+            .put("role", role)
+            .put("zone", zone.value())
+            .put("leaving", leaving)
+            .put("in_flight", inFlight);
+    ArrayNode endpointList = root.putArray("endpoints");
+    endpoints.forEach(endpoint -> add(endpointList.addObject(), endpoint));
+    ArrayNode serviceList = root.putArray("services");
+    services.forEach(service -> add(serviceList.addObject(), service));
+    ArrayNode quarantineList = root.putArray("quarantined");
+    for (Quarantined entry : quarantined) {
+      quarantineList
+          .addObject()
+          .put("service", entry.service().value())
+          .put("fingerprint", entry.fingerprint())
+          .put("until_ms", entry.untilMillis());
+    }
+    return root.toString();
+  }
+
+  private static void add(ObjectNode node, Endpoint endpoint) {
+    node.put("endpoint", endpoint.id().value())
+        .put("zone", endpoint.zone().value())
+        .put("pool", endpoint.pool().value())
+        .put("reachable", endpoint.reachable())
+        .put("running", endpoint.running())
+        .put("batch", endpoint.batch())
+        .put("queued", endpoint.queued())
+        .put("slots", endpoint.slots());
+    ArrayNode resident = node.putArray("resident");
+    endpoint.resident().stream().sorted().forEach(ref -> resident.add(ref.toString()));
+  }
+
+  private static void add(ObjectNode node, Service service) {
+    node.put("service", service.name().value())
+        .put("partner", service.partner().value())
+        .put("version", service.version())
+        .put("answered", service.answered());
+    ObjectNode refused = node.putObject("refused");
+    service.refused().entrySet().stream()
+        .sorted(Map.Entry.comparingByKey())
+        .forEach(entry -> refused.put(entry.getKey().label(), entry.getValue()));
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/status/package-info.java
@@ -0,0 +1,2 @@
+/** What a process tells operators about itself, as data, JSON, text and a read-only page. */
+package org.hornbeamusher.status;
--- a/runtime/src/test/java/org/hornbeamusher/security/TokenDirectoryTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/security/TokenDirectoryTest.java
@@ -23,7 +23,7 @@
       new Identity.Caller(new CallerId("desk"), new PartnerId("zarqa"), Set.of());
   private static final Identity.Operator OPERATOR =
       new Identity.Operator(
-          new OperatorId("ana"), new PartnerId("tawhiti"), new TeamId("valuations"));
+          new OperatorId("ana"), new PartnerId("tawhiti"), new TeamId("valuations"), false);
 
   private final TokenDirectory directory =
       new TokenDirectory(
