Command line from one table: demo, check, submit, show, history, status, drain

Cause: the tool knew one command and no exit statuses. Change: a table of commands with Commons CLI, help from the table, exit statuses 0, 1 and 2. Conclusion: check reports five different faults of one file with line and key and exits with 2.

--- /dev/null
+++ b/tool/src/main/java/org/hornbeamusher/tool/CommandTable.java
@@ -0,0 +1,33 @@
+package org.hornbeamusher.tool;
+
+import java.util.List;
+import java.util.Optional;
+import org.hornbeamusher.failure.FailureType;
+
+/** Every command, in the order that {@code --help} lists them. */
+final class CommandTable {
+
+  static final List<Command> COMMANDS =
+      List.of(
+          new DemoCommand(),
+          new CheckCommand(),
+          new SubmitCommand(),
+          new ShowCommand(),
+          new HistoryCommand(),
+          new StatusCommand(),
+          new DrainCommand());
+
+  private CommandTable() {}
+
+  static Optional<Command> find(String name) {
+    return COMMANDS.stream().filter(command -> command.name().equals(name)).findFirst();
+  }
+
+  /** Failures of bad input exit with another status than those of the system. */
+  static int statusOf(FailureType type) {
+    return switch (type) {
+      case SETTINGS_INVALID, DOCUMENT_INVALID, USAGE -> ExitStatus.BAD_INPUT;
+      default -> ExitStatus.FAILED;
+    };
+  }
+}
--- /dev/null
+++ b/tool/src/main/java/org/hornbeamusher/tool/SubmitCommand.java
@@ -0,0 +1,63 @@
+package org.hornbeamusher.tool;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.nio.file.Path;
+import java.util.List;
+import org.apache.commons.cli.CommandLine;
+import org.hornbeamusher.documents.DocumentReading;
+import org.hornbeamusher.documents.ServiceDocumentReader;
+import org.hornbeamusher.failure.FailureType;
+import org.hornbeamusher.failure.HornbeamusherException;
+
+/** Submits a service document. */
+final class SubmitCommand implements Command {
+
+  @Override
+  public String name() {
+    return "submit";
+  }
+
+  @Override
+  public List<String> arguments() {
+    return List.of("FILE");
+  }
+
+  @Override
+  public List<CommandOption> options() {
+    return CommandOption.and(
+        OperatorClient.OPTIONS,
+        CommandOption.required("base", "N", "the version the change is based on; 0 for none"));
+  }
+
+  @Override
+  public String summary() {
+    return "submit a service document";
+  }
+
+  @Override
+  public int run(CommandLine line, Console console) {
+    Path file = Path.of(line.getArgList().getFirst());
+    String text = TextFiles.read(file);
+    long base = Numbers.parse("base", line.getOptionValue("base"));
+    String service = service(file, text);
+    String answer =
+        new OperatorClient(line)
+            .send("POST", "/operator/documents/" + service + "?base=" + base, text, console);
+    JsonNode accepted = OperatorClient.parse(answer);
+    console
+        .out()
+        .printf(
+            "accepted: %s version %d%n",
+            accepted.path("service").asText(), accepted.path("version").asLong());
+    return ExitStatus.OK;
+  }
+
+  /** A faulty text is refused here, with its lines, before any process is troubled. */
+  private static String service(Path file, String text) {
+    return switch (ServiceDocumentReader.read(file.toString(), text)) {
+      case DocumentReading.Valid valid -> valid.document().service().value();
+      case DocumentReading.Invalid invalid ->
+          throw HornbeamusherException.notRun(FailureType.DOCUMENT_INVALID, invalid.problems());
+    };
+  }
+}
--- a/tool/src/main/java/org/hornbeamusher/tool/Tool.java
+++ b/tool/src/main/java/org/hornbeamusher/tool/Tool.java
@@ -1,25 +1,18 @@
 package org.hornbeamusher.tool;
 
-import org.hornbeamusher.demo.Demo;
-
 /** Entry point of the command line. */
 public final class Tool {
 
-  private static final int USAGE = 2;
-
   private Tool() {}
 
   /**
-   * Runs one command.
+   * Runs one command and exits with its status.
    *
-   * @param args the command's name and its options
-   * @throws InterruptedException when the command is interrupted
+   * @param args the command's name, its arguments and its options
+   * @throws InterruptedException when the process is told to end
    */
   public static void main(String[] args) throws InterruptedException {
-    if (args.length == 1 && args[0].equals("demo")) {
-      System.exit(new Demo(System.out).run());
-    }
-    System.err.println("usage: hornbeamusher demo");
-    System.exit(USAGE);
+    Console console = new Console(System.out, System.err);
+    System.exit(new CommandRunner(console).run(args));
   }
 }
--- /dev/null
+++ b/tool/src/test/java/org/hornbeamusher/tool/CommandRunnerTest.java
@@ -0,0 +1,138 @@
+package org.hornbeamusher.tool;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class CommandRunnerTest {
+
+  private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+  private final ByteArrayOutputStream err = new ByteArrayOutputStream();
+
+  @TempDir Path directory;
+
+  private int run(String... args) throws InterruptedException {
+    Console console =
+        new Console(
+            new PrintStream(out, true, StandardCharsets.UTF_8),
+            new PrintStream(err, true, StandardCharsets.UTF_8));
+    return new CommandRunner(console).run(args);
+  }
+
+  private Path write(String name, String text) throws IOException {
+    return Files.writeString(directory.resolve(name), text);
+  }
+
+  @Test
+  void helpListsEveryCommand() throws Exception {
+    assertEquals(ExitStatus.OK, run("--help"));
+    String help = out.toString(StandardCharsets.UTF_8);
+    for (Command command : CommandTable.COMMANDS) {
+      assertTrue(help.contains("  " + command.name()), command.name());
+    }
+    assertTrue(help.contains("exit status"));
+  }
+
+  @Test
+  void everyCommandHasItsOwnHelp() throws Exception {
+    for (Command command : CommandTable.COMMANDS) {
+      assertEquals(ExitStatus.OK, run(command.name(), "--help"), command.name());
+    }
+  }
+
+  @Test
+  void versionIsPrinted() throws Exception {
+    assertEquals(ExitStatus.OK, run("--version"));
+    assertEquals("hornbeamusher 0.1.0\n", out.toString(StandardCharsets.UTF_8));
+  }
+
+  @Test
+  void wrongCommandLinesExitWithBadInput() throws Exception {
+    assertEquals(ExitStatus.BAD_INPUT, run());
+    assertEquals(ExitStatus.BAD_INPUT, run("nothing"));
+    assertEquals(ExitStatus.BAD_INPUT, run("check"));
+    assertEquals(ExitStatus.BAD_INPUT, run("check", "--wrong", "file"));
+    assertEquals(ExitStatus.BAD_INPUT, run("submit", "file"));
+    assertEquals(ExitStatus.BAD_INPUT, run("submit", "file", "--base", "1"));
+  }
+
+  /** An operator's file has five faults; all five are shown, and the status says so to a script. */
+  @Test
+  void checkReportsAllFaultsOfSettings() throws Exception {
+    Path file =
+        write(
+            "entry.toml",
+            """
+            role = "entry"
+            instance = "Marka Entry"
+            zone = 3
+            platfrom = "http://127.0.0.1:7000"
+            [http]
+            port = 80800
+            [wire]
+            insecure = true
+            """);
+    assertEquals(ExitStatus.BAD_INPUT, run("check", file.toString()));
+    String[] lines = err.toString(StandardCharsets.UTF_8).replace(file.toString(), "F").split("\n");
+    assertEquals("F:1: platform: missing-key: the key is required", lines[0]);
+    assertTrue(lines[1].startsWith("F:2: instance: invalid-value: not a InstanceId"), lines[1]);
+    assertEquals("F:3: zone: wrong-type: must be a text, is a whole number", lines[2]);
+    assertEquals("F:4: platfrom: unknown-key: no such key here", lines[3]);
+    assertEquals("F:6: http.port: out-of-range: must be from 0 to 65535, is 80800", lines[4]);
+    assertEquals(5, lines.length);
+  }
+
+  @Test
+  void checkReportsAllFaultsOfDocument() throws Exception {
+    Path file =
+        write(
+            "service.toml",
+            """
+            service = "haul-api"
+            partner = "zarqa"
+            poool = "servers"
+            [plain]
+            concurrency = 0
+            """);
+    assertEquals(ExitStatus.BAD_INPUT, run("check", file.toString()));
+    String[] lines = err.toString(StandardCharsets.UTF_8).split("\n");
+    assertEquals(4, lines.length, String.join("\n", lines));
+  }
+
+  @Test
+  void everyExampleIsGood() throws Exception {
+    for (String name :
+        new String[] {
+          "zarqa/lm-dispatch",
+          "zarqa/entry-marka",
+          "tawhiti/valuer-llm",
+          "tawhiti/agent-valuer-llm-1"
+        }) {
+      Path file = Path.of("..", "examples", name + ".toml");
+      assertEquals(
+          ExitStatus.OK, run("check", file.toString()), err.toString(StandardCharsets.UTF_8));
+    }
+  }
+
+  @Test
+  void missingFilesAndUnknownRolesAreBadInput() throws Exception {
+    assertEquals(ExitStatus.BAD_INPUT, run("check", directory.resolve("none").toString()));
+    Path file = write("x.toml", "role = \"balancer\"");
+    assertEquals(ExitStatus.BAD_INPUT, run("check", file.toString()));
+  }
+
+  /** Nothing listens where the operator points: a typed failure, not a stack trace. */
+  @Test
+  void unreachableProcessIsFailure() throws Exception {
+    assertEquals(ExitStatus.FAILED, run("status", "--at", "http://127.0.0.1:1"));
+    assertTrue(err.toString(StandardCharsets.UTF_8).contains("connect-failed"));
+  }
+}
