Architecture test: no cycles, decisions without network or threads, one clock

Cause: the lines of the architecture page hold only if a test holds them. Change: ArchUnit rules over the runtime, and fixed seeds over its properties.

--- /dev/null
+++ b/runtime/src/test/java/org/hornbeamusher/architecture/ArchitectureTest.java
@@ -0,0 +1,194 @@
+package org.hornbeamusher.architecture;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.methods;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
+import com.tngtech.archunit.base.DescribedPredicate;
+import com.tngtech.archunit.core.domain.JavaClass;
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.domain.JavaMethod;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.lang.ArchCondition;
+import com.tngtech.archunit.lang.ConditionEvents;
+import com.tngtech.archunit.lang.SimpleConditionEvent;
+import java.nio.file.Path;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+/** Holds the lines that docs/ARCHITECTURE.md draws. */
+class ArchitectureTest {
+
+  private static final String ROOT = "org.hornbeamusher.";
+
+  /** Packages whose every class decides without network, threads and a clock of its own. */
+  private static final String[] DECISIONS = {
+    ROOT + "routing..",
+    ROOT + "scheduling..",
+    ROOT + "admission..",
+    ROOT + "retry..",
+    ROOT + "quarantine..",
+    ROOT + "pacing.."
+  };
+
+  private static final String[] IO = {
+    "java.net..",
+    "java.nio.channels..",
+    "java.util.concurrent.locks..",
+    "javax.net..",
+    "io.undertow..",
+    "org.xnio..",
+    ROOT + "http..",
+    ROOT + "wire..",
+    ROOT + "platform.."
+  };
+
+  /** Packages that every other one may use, and that use none of the others. */
+  private static final String[] FOUNDATION = {ROOT + "ids..", ROOT + "clock..", ROOT + "failure.."};
+
+  private static final JavaClasses MAIN =
+      new ClassFileImporter()
+          .withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS)
+          .importPackages("org.hornbeamusher");
+
+  private static final JavaClasses TESTS =
+      new ClassFileImporter().importPath(Path.of("target", "test-classes"));
+
+  @Test
+  void packagesFormNoCycle() {
+    slices().matching(ROOT + "(*)..").should().beFreeOfCycles().check(MAIN);
+  }
+
+  @Test
+  void decisionsUseNeitherNetworkNorThreads() {
+    noClasses()
+        .that()
+        .resideInAnyPackage(DECISIONS)
+        .should()
+        .dependOnClassesThat()
+        .resideInAnyPackage(IO)
+        .orShould()
+        .dependOnClassesThat()
+        .areAssignableTo(Thread.class)
+        .orShould()
+        .dependOnClassesThat()
+        .areAssignableTo(java.util.concurrent.Executor.class)
+        .check(MAIN);
+  }
+
+  @Test
+  void foundationUsesNothingAboveIt() {
+    classes()
+        .that()
+        .resideInAnyPackage(FOUNDATION)
+        .should()
+        .onlyDependOnClassesThat(
+            DescribedPredicate.describe(
+                "are the foundation's or no part of the project",
+                type ->
+                    !type.getPackageName().startsWith("org.hornbeamusher")
+                        || JavaClass.Predicates.resideInAnyPackage(FOUNDATION).test(type)))
+        .check(MAIN);
+  }
+
+  /** The two daemons know the slices; no slice knows a daemon, or it could not be tested alone. */
+  @Test
+  void slicesDoNotKnowTheDaemons() {
+    noClasses()
+        .that()
+        .resideOutsideOfPackages(ROOT + "entry..", ROOT + "agent..")
+        .should()
+        .dependOnClassesThat()
+        .resideInAnyPackage(ROOT + "entry..", ROOT + "agent..")
+        .check(MAIN);
+  }
+
+  @Test
+  void entryAndAgentMeetOnlyThroughMessages() {
+    noClasses()
+        .that()
+        .resideInAPackage(ROOT + "entry..")
+        .should()
+        .dependOnClassesThat()
+        .resideInAPackage(ROOT + "agent..")
+        .check(MAIN);
+    noClasses()
+        .that()
+        .resideInAPackage(ROOT + "agent..")
+        .should()
+        .dependOnClassesThat()
+        .resideInAPackage(ROOT + "entry..")
+        .check(MAIN);
+  }
+
+  /** A second source of time could not be turned by hand, and tests would have to sleep. */
+  @Test
+  void timeComesFromTheClockOnly() {
+    noClasses()
+        .that()
+        .resideOutsideOfPackage(ROOT + "clock..")
+        .should()
+        .callMethod(System.class, "currentTimeMillis")
+        .orShould()
+        .callMethod(System.class, "nanoTime")
+        .orShould()
+        .callMethod(java.time.Instant.class, "now")
+        .check(MAIN);
+  }
+
+  @Test
+  void accessorsHaveNoGetPrefix() {
+    methods()
+        .that()
+        .areDeclaredInClassesThat()
+        .resideInAPackage("org.hornbeamusher..")
+        .should(notBeNamedGet())
+        .check(MAIN);
+  }
+
+  /** Without a fixed seed a property may fail on one machine and pass on the next. */
+  @Test
+  void everyPropertyHasFixedSeed() {
+    methods()
+        .that()
+        .areAnnotatedWith(Property.class)
+        .should(haveSeed())
+        .allowEmptyShould(true)
+        .check(TESTS);
+    assertFalse(TESTS.isEmpty());
+  }
+
+  private static ArchCondition<JavaMethod> notBeNamedGet() {
+    return new ArchCondition<>("not be named get...") {
+      @Override
+      public void check(JavaMethod method, ConditionEvents events) {
+        if (method.getName().matches("get[A-Z].*") && !implementsLibrary(method)) {
+          events.add(SimpleConditionEvent.violated(method, method.getFullName()));
+        }
+      }
+    };
+  }
+
+  private static boolean implementsLibrary(JavaMethod method) {
+    JavaClass owner = method.getOwner();
+    return java.util.stream.Stream.concat(
+            owner.getAllRawSuperclasses().stream(), owner.getAllRawInterfaces().stream())
+        .filter(type -> !type.getPackageName().startsWith("org.hornbeamusher"))
+        .flatMap(type -> type.getMethods().stream())
+        .anyMatch(other -> other.getName().equals(method.getName()));
+  }
+
+  private static ArchCondition<JavaMethod> haveSeed() {
+    return new ArchCondition<>("have a fixed seed") {
+      @Override
+      public void check(JavaMethod method, ConditionEvents events) {
+        if (method.getAnnotationOfType(Property.class).seed().isEmpty()) {
+          events.add(SimpleConditionEvent.violated(method, method.getFullName()));
+        }
+      }
+    };
+  }
+}
