--- a/tool/src/main/java/org/hornbeamusher/bench/Bench.java
+++ b/tool/src/main/java/org/hornbeamusher/bench/Bench.java
@@ -1,6 +1,7 @@
 package org.hornbeamusher.bench;
 
 import java.util.List;
+import org.hornbeamusher.bench.capacity.CapacityBenchmark;
 import org.hornbeamusher.bench.faults.FaultsBenchmark;
 import org.hornbeamusher.bench.policy.PolicyBench;
 
@@ -11,7 +12,7 @@
 
   /** Every benchmark, in the order they are listed. */
   private static final List<Benchmark> BENCHMARKS =
-      List.of(new FaultsBenchmark(), new PolicyBench());
+      List.of(new FaultsBenchmark(), new PolicyBench(), new CapacityBenchmark());
 
   private Bench() {}
 
--- /dev/null
+++ b/tool/src/main/java/org/hornbeamusher/bench/capacity/TableCounts.java
@@ -0,0 +1,138 @@
+package org.hornbeamusher.bench.capacity;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.random.RandomGenerator;
+import org.hornbeamusher.claims.Claim;
+import org.hornbeamusher.claims.ClaimKeeper;
+import org.hornbeamusher.claims.ClaimResult;
+import org.hornbeamusher.claims.ClaimSettings;
+import org.hornbeamusher.clock.Clock;
+import org.hornbeamusher.clock.SystemClock;
+import org.hornbeamusher.documents.DocumentHolder;
+import org.hornbeamusher.documents.DocumentStore;
+import org.hornbeamusher.documents.DocumentSync;
+import org.hornbeamusher.documents.PollPlan;
+import org.hornbeamusher.documents.Principal;
+import org.hornbeamusher.failure.FailureType;
+import org.hornbeamusher.failure.HornbeamusherException;
+import org.hornbeamusher.failure.Outcome;
+import org.hornbeamusher.http.HttpClient;
+import org.hornbeamusher.ids.ClaimToken;
+import org.hornbeamusher.ids.IdempotencyKey;
+import org.hornbeamusher.ids.PartnerId;
+import org.hornbeamusher.ids.ServiceName;
+import org.hornbeamusher.ids.TeamId;
+import org.hornbeamusher.platform.HttpTable;
+import org.hornbeamusher.platform.Table;
+import org.hornbeamusher.standin.PlatformSettings;
+import org.hornbeamusher.standin.PlatformStandin;
+
+/**
+ * Calls of the table for each thing that a process does, counted by the stand-in that served them.
+ *
+ * @param poll an entry looks for newer documents and finds none
+ * @param change an entry reads one changed document, the poll included
+ * @param submit an operator's change
+ * @param claim a non-repeatable request from its claim to its end
+ */
+record TableCounts(Calls poll, Calls change, Calls submit, Calls claim) {
+
+  private static final long TIMEOUT_MILLIS = 5_000;
+  private static final int CLAIMS = 50;
+  private static final PartnerId PARTNER = new PartnerId("tawhiti");
+
+  /**
+   * Reads and writes.
+   *
+   * @param reads reads and scans
+   * @param writes transactions
+   */
+  record Calls(double reads, double writes) {
+
+    private Calls over(int count) {
+      return new Calls(reads / count, writes / count);
+    }
+  }
+
+  static TableCounts measure() {
+    Clock clock = SystemClock.INSTANCE;
+    PlatformStandin platform = new PlatformStandin(PlatformSettings.of(0, List.of()), clock);
+    HttpClient http = new HttpClient(1);
+    platform.start();
+    http.start();
+    try {
+      return new Run(platform, new HttpTable(http, platform.uri(), TIMEOUT_MILLIS), clock).all();
+    } finally {
+      http.stop();
+      platform.stop();
+    }
+  }
+
+  private record Run(PlatformStandin platform, Table table, Clock clock) {
+
+    TableCounts all() {
+      DocumentStore store = new DocumentStore(table, clock, () -> UUID.randomUUID().toString());
+      DocumentSync sync =
+          new DocumentSync(
+              new DocumentHolder(),
+              store,
+              clock,
+              PollPlan.STANDARD,
+              () -> 1,
+              RandomGenerator.getDefault());
+      Principal author = new Principal(PARTNER, new TeamId("valuations"));
+      Calls submit = calls(() -> store.submit("x", Samples.text(5), 0, author));
+      Calls change = calls(sync::poll);
+      Calls poll = calls(sync::poll);
+      ClaimKeeper keeper =
+          new ClaimKeeper(
+              table,
+              ClaimSettings.STANDARD,
+              clock,
+              () -> new ClaimToken(UUID.randomUUID().toString()));
+      Calls claims =
+          calls(
+              () -> {
+                for (int i = 0; i < CLAIMS; i++) {
+                  claim(keeper, i);
+                }
+                return CompletableFuture.completedFuture(null);
+              });
+      return new TableCounts(poll, change, submit, claims.over(CLAIMS));
+    }
+
+    private void claim(ClaimKeeper keeper, int number) {
+      long now = clock.millis();
+      ClaimResult result =
+          keeper
+              .claim(
+                  new ServiceName("tradedesk-app"),
+                  key(now, number),
+                  "fingerprint",
+                  now + Duration.ofMinutes(1).toMillis())
+              .join();
+      if (!(result instanceof ClaimResult.Won won)) {
+        throw HornbeamusherException.notRun(FailureType.INTERNAL, "the claim was not won");
+      }
+      Claim claim = won.claim();
+      keeper.finish(claim, Outcome.RAN, Optional.empty()).join();
+    }
+
+    /** A UUID of version 7: its first 48 bits are the time. */
+    private static IdempotencyKey key(long now, int number) {
+      long high = now << 16 | 0x7000L | number;
+      return new IdempotencyKey(new UUID(high, 0x8000_0000_0000_0000L | number).toString());
+    }
+
+    private Calls calls(java.util.function.Supplier<CompletableFuture<?>> action) {
+      PlatformStandin.Counts before = platform.counts();
+      action.get().join();
+      PlatformStandin.Counts after = platform.counts();
+      return new Calls(after.reads() - before.reads(), after.writes() - before.writes());
+    }
+  }
+}
