--- a/tool/src/main/java/org/hornbeamusher/bench/capacity/WorkedTable.java
+++ b/tool/src/main/java/org/hornbeamusher/bench/capacity/WorkedTable.java
@@ -67,16 +67,16 @@
   }
 
   private void memory() {
-    double documents =
+    final double documents =
         Letter.ADAPTERS * slope("known adapter") + Letter.DOCUMENTS * slope("document of 5");
-    double routing =
+    final double routing =
         topology.mostAgentsOfEntry() * slope("endpoint in routing")
             + Letter.ADAPTERS * Letter.WAKING_AN_HOUR * slope("adapter in routing");
-    double entryPeers =
+    final double entryPeers =
         topology.mostAgentsOfEntry() * slope("agent's connection at an entry, heap");
-    double agentPeers =
+    final double agentPeers =
         topology.mostEntriesOfAgent() * slope("entry's connection at an agent, heap");
-    double budget = Letter.BUDGET_BYTES / MIB;
+    final double budget = Letter.BUDGET_BYTES / MIB;
     out.println("memory for control, live objects (the JVM's own base is apart)");
     row("documents, any process", documents / MIB, "MiB", 0);
     row("routing, entry", routing / MIB, "MiB", 0);
@@ -84,20 +84,21 @@
     row("connections, agent", agentPeers / MIB, "MiB", 0);
     row("entry in all", (documents + routing + entryPeers) / MIB, "MiB", budget);
     row("agent in all", (documents + agentPeers) / MIB, "MiB", budget);
-    double mesh =
+    final double mesh =
         Letter.AGENTS * slope("agent's connection at an entry, heap") + documents + routing;
     row("entry in all, if it connected to every agent", mesh / MIB, "MiB", budget);
   }
 
   private void processor() {
-    double budget = Letter.BUDGET_CORE * 100;
-    double changes = Letter.CHANGES_A_DAY / Letter.SECONDS_A_DAY;
-    double change = changes * slope("change pulled");
-    double entryIdle = topology.mostAgentsOfEntry() * slope("agent's connection at an entry, idle");
-    double agentIdle =
+    final double budget = Letter.BUDGET_CORE * 100;
+    final double changes = Letter.CHANGES_A_DAY / Letter.SECONDS_A_DAY;
+    final double change = changes * slope("change pulled");
+    final double entryIdle =
+        topology.mostAgentsOfEntry() * slope("agent's connection at an entry, idle");
+    final double agentIdle =
         topology.mostEntriesOfAgent() * slope("entry's connection at an agent, idle");
-    double reportIn = topology.mostAgentsOfEntry() * slope("load report decoded");
-    double reportOut = topology.mostEntriesOfAgent() * slope("load report encoded");
+    final double reportIn = topology.mostAgentsOfEntry() * slope("load report decoded");
+    final double reportOut = topology.mostEntriesOfAgent() * slope("load report encoded");
     out.println("processor for control, percent of a core");
     row("document changes, any process", percent(change), "%", 0);
     row("heartbeats, entry", percent(entryIdle), "%", 0);
@@ -121,12 +122,12 @@
   }
 
   private void traffic() {
-    double beats = MILLIS_PER_SECOND / WireSettings.DEFAULT.heartbeatMillis();
-    double both = 2 * beats * frames.heartbeat();
-    double budget = Letter.BUDGET_BYTES_PER_SECOND / 1_000;
-    int entryPeers = topology.mostAgentsOfEntry();
-    int agentPeers = topology.mostEntriesOfAgent();
-    double changes = Letter.CHANGES_A_DAY / Letter.SECONDS_A_DAY * 2 * frames.update();
+    final double beats = MILLIS_PER_SECOND / WireSettings.DEFAULT.heartbeatMillis();
+    final double both = 2 * beats * frames.heartbeat();
+    final double budget = Letter.BUDGET_BYTES_PER_SECOND / 1_000;
+    final int entryPeers = topology.mostAgentsOfEntry();
+    final int agentPeers = topology.mostEntriesOfAgent();
+    final double changes = Letter.CHANGES_A_DAY / Letter.SECONDS_A_DAY * 2 * frames.update();
     out.println("control traffic, KB a second, both directions");
     row("heartbeats, entry", entryPeers * both / 1_000, "KB/s", budget);
     row("heartbeats, agent", agentPeers * both / 1_000, "KB/s", budget);
@@ -156,14 +157,14 @@
   }
 
   private void tableCalls() {
-    double polls =
+    final double polls =
         Letter.ENTRIES
             * MILLIS_PER_SECOND
             / PollPlan.STANDARD.intervalMillis(Letter.ENTRIES)
             * table.poll().reads();
-    double changes = Letter.CHANGES_A_DAY / Letter.SECONDS_A_DAY;
-    double list = Letter.ENTRIES;
-    double share = Letter.TABLE_WRITES_PER_SECOND / table.claim().writes();
+    final double changes = Letter.CHANGES_A_DAY / Letter.SECONDS_A_DAY;
+    final double list = Letter.ENTRIES;
+    final double share = Letter.TABLE_WRITES_PER_SECOND / table.claim().writes();
     out.println("calls of the platform a second, all processes together");
     row("polls for documents", polls, "reads/s", Letter.TABLE_READS_PER_SECOND);
     row("instance list, each entry once a second", list, "reads/s", 0);
@@ -183,14 +184,14 @@
   }
 
   private void spreading() {
-    double first = MILLIS_PER_SECOND / PollPlan.STANDARD.readsPerSecond();
+    final double first = MILLIS_PER_SECOND / PollPlan.STANDARD.readsPerSecond();
     out.println("a change in force everywhere");
     row("connections from the first reader to the farthest process", topology.hops(), "hops", 0);
     row("first of all entries reads it after (mean)", first, "ms", 0);
   }
 
   private void loads() {
-    double waking = Letter.ADAPTERS * Letter.WAKING_AN_HOUR / Letter.SECONDS_AN_HOUR;
+    final double waking = Letter.ADAPTERS * Letter.WAKING_AN_HOUR / Letter.SECONDS_AN_HOUR;
     out.println("weight store");
     row("loads a second when 12% wake in an hour, each once", waking, "loads/s", 2);
     row(
--- a/tool/src/main/java/org/hornbeamusher/demo/Deployment.java
+++ b/tool/src/main/java/org/hornbeamusher/demo/Deployment.java
@@ -290,6 +290,7 @@
         new OperatorId("demo"),
         plan.partner(),
         plan.team(),
-        TokenHash.ofToken(operatorToken(plan)));
+        TokenHash.ofToken(operatorToken(plan)),
+        true);
   }
 }
