Operators' interface mounted in both daemons; entry, agent, standin and load commands

Cause: the daemons could only be started from code, and nobody could ask them anything. Change: EntryOperations and AgentOperations give status, documents, metrics and drain over the daemons' HTTP listeners, with TLS where settings say; commands run the daemons and stop them gracefully on SIGTERM or an operator's drain; load reads the caller's models and checks answers.

--- a/runtime/src/main/java/org/hornbeamusher/agent/AgentDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/agent/AgentDaemon.java
@@ -1,9 +1,13 @@
 package org.hornbeamusher.agent;
 
+import io.undertow.Undertow;
+import io.undertow.server.handlers.PathHandler;
 import java.net.InetSocketAddress;
+import java.net.URI;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadLocalRandom;
@@ -18,6 +22,9 @@
 import org.hornbeamusher.failure.HornbeamusherException;
 import org.hornbeamusher.ids.AdapterRef;
 import org.hornbeamusher.ids.FencingNumber;
+import org.hornbeamusher.metrics.MetricsReport;
+import org.hornbeamusher.operator.OperatorApi;
+import org.hornbeamusher.process.HttpListener;
 import org.hornbeamusher.process.ProcessServices;
 import org.hornbeamusher.routing.EndpointLoad;
 import org.hornbeamusher.scheduling.AgentScheduler;
@@ -60,6 +67,8 @@
       Executors.newSingleThreadScheduledExecutor(
           Thread.ofPlatform().daemon().name("agent-timer").factory());
   private final WireServer server;
+  private final HttpListener listener;
+  private final CountDownLatch leaveOrdered = new CountDownLatch(1);
 
   /** Set once the endpoint's figures are known, from the settings or from a document. */
   private final AtomicReference<AgentShell> shell = new AtomicReference<>();
@@ -79,6 +88,8 @@
     this.settings = settings;
     this.clock = clock;
     this.services = new ProcessServices(settings.platform(), () -> 0, clock);
+    this.listener =
+        new HttpListener(settings.http(), Undertow.builder().setIoThreads(1).setWorkerThreads(1));
     this.server =
         new WireServer(settings.listen().address(), hello(), this, settings.wire(), sockets, clock);
   }
@@ -117,6 +128,17 @@
     timer.scheduleWithFixedDelay(
         this::observe, OBSERVE_MILLIS, OBSERVE_MILLIS, TimeUnit.MILLISECONDS);
     server.start();
+    listener.start(
+        new OperatorApi(
+                new AgentOperations(
+                    settings,
+                    services,
+                    () -> ready().map(AgentShell::load),
+                    () -> leaving,
+                    this::drain),
+                settings.tokens(),
+                new MetricsReport(services.metrics()))
+            .mount(new PathHandler()));
     EventLog.log(
         EventType.PROCESS_STARTED,
         "role",
@@ -189,6 +211,16 @@
     leaving = true;
     ready().ifPresent(AgentShell::leave);
     server.broadcast(new Message.Leaving());
+    leaveOrdered.countDown();
+  }
+
+  /**
+   * Waits until an operator makes the process leave.
+   *
+   * @throws InterruptedException when waiting is interrupted
+   */
+  public void awaitLeaving() throws InterruptedException {
+    leaveOrdered.await();
   }
 
   /**
@@ -204,11 +236,21 @@
       Thread.sleep(STOP_POLL_MILLIS);
     }
     timer.shutdownNow();
+    listener.stop();
     server.stop();
     services.stop();
     EventLog.log(EventType.PROCESS_STOPPED, "instance", settings.instance());
   }
 
+  /**
+   * Returns where operators reach this agent.
+   *
+   * @return its address
+   */
+  public URI operatorUri() {
+    return listener.uri();
+  }
+
   /**
    * Returns where entries reach this agent.
    *
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/agent/AgentOperations.java
@@ -0,0 +1,97 @@
+package org.hornbeamusher.agent;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+import org.hornbeamusher.documents.DocumentStore;
+import org.hornbeamusher.documents.ServiceDocument;
+import org.hornbeamusher.ids.PartnerId;
+import org.hornbeamusher.ids.ServiceName;
+import org.hornbeamusher.operator.OperatorHost;
+import org.hornbeamusher.process.ProcessServices;
+import org.hornbeamusher.routing.EndpointLoad;
+import org.hornbeamusher.settings.AgentSettings;
+import org.hornbeamusher.status.ProcessStatus;
+
+/** What operators see and order at an agent; documents are submitted at entries. */
+final class AgentOperations implements OperatorHost {
+
+  private final AgentSettings settings;
+  private final ProcessServices services;
+  private final Supplier<Optional<EndpointLoad>> load;
+  private final BooleanSupplier leaving;
+  private final Runnable drain;
+
+  AgentOperations(
+      AgentSettings settings,
+      ProcessServices services,
+      Supplier<Optional<EndpointLoad>> load,
+      BooleanSupplier leaving,
+      Runnable drain) {
+    this.settings = settings;
+    this.services = services;
+    this.load = load;
+    this.leaving = leaving;
+    this.drain = drain;
+  }
+
+  @Override
+  public Optional<DocumentStore> documents() {
+    return Optional.empty();
+  }
+
+  @Override
+  public Optional<PartnerId> owner(ServiceName service) {
+    return services.documents().held(service).map(ServiceDocument::partner);
+  }
+
+  @Override
+  public ProcessStatus status() {
+    Optional<EndpointLoad> now = load.get();
+    return new ProcessStatus(
+        settings.instance(),
+        "agent",
+        settings.zone(),
+        leaving.getAsBoolean(),
+        now.map(known -> known.running() + known.queued()).orElse(0),
+        now.map(known -> List.of(endpoint(known))).orElse(List.of()),
+        serviceStatus(),
+        List.of());
+  }
+
+  private ProcessStatus.Endpoint endpoint(EndpointLoad known) {
+    return new ProcessStatus.Endpoint(
+        settings.endpoint(),
+        settings.zone(),
+        settings.pool(),
+        !leaving.getAsBoolean(),
+        known.running(),
+        known.batch(),
+        known.queued(),
+        known.slots(),
+        List.copyOf(known.resident()));
+  }
+
+  /** An agent answers no callers; what is refused is counted at the entries. */
+  private List<ProcessStatus.Service> serviceStatus() {
+    return services.documents().all().stream()
+        .filter(document -> document.pool().equals(settings.pool()))
+        .sorted(Comparator.comparing(ServiceDocument::service))
+        .map(
+            document ->
+                new ProcessStatus.Service(
+                    document.service(),
+                    document.partner(),
+                    document.version(),
+                    services.metrics().answeredCount(document.service()),
+                    services.metrics().refusals(document.service())))
+        .toList();
+  }
+
+  @Override
+  public void drain() {
+    drain.run();
+  }
+}
--- a/runtime/src/main/java/org/hornbeamusher/entry/AgentLinks.java
+++ b/runtime/src/main/java/org/hornbeamusher/entry/AgentLinks.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -28,6 +29,7 @@
 import org.hornbeamusher.membership.PeerTable;
 import org.hornbeamusher.platform.Instance;
 import org.hornbeamusher.routing.EndpointLoad;
+import org.hornbeamusher.status.ProcessStatus;
 import org.hornbeamusher.wire.Message;
 import org.hornbeamusher.wire.WireConnection;
 import org.hornbeamusher.wire.WireConnector;
@@ -44,6 +46,8 @@
  */
 final class AgentLinks {
 
+  private static final EndpointLoad NOTHING_KNOWN = new EndpointLoad(0, 0, 0, 0, 0, 0, Set.of());
+
   private final Message.Hello own;
   private final WireSettings settings;
   private final WireSockets sockets;
@@ -68,6 +72,9 @@
     final AvailabilityZone zone;
     final PoolName pool;
 
+    /** The newest report. */
+    EndpointLoad load = NOTHING_KNOWN;
+
     /** Whether the peer table lets it take work. */
     boolean takesWork;
 
@@ -121,6 +128,27 @@
     apply(table.listed(peers));
   }
 
+  /** Describes every endpoint that a connection leads to, in order of their names. */
+  synchronized List<ProcessStatus.Endpoint> status() {
+    return current.values().stream()
+        .sorted(Comparator.comparing(agent -> agent.link.endpoint()))
+        .map(AgentLinks::status)
+        .toList();
+  }
+
+  private static ProcessStatus.Endpoint status(Agent agent) {
+    return new ProcessStatus.Endpoint(
+        agent.link.endpoint(),
+        agent.zone,
+        agent.pool,
+        agent.routed,
+        agent.load.running(),
+        agent.load.batch(),
+        agent.load.queued(),
+        agent.load.slots(),
+        List.copyOf(agent.load.resident()));
+  }
+
   synchronized void stop() {
     connectors.values().forEach(WireConnector::stop);
     connectors.clear();
@@ -223,7 +251,8 @@
       agent.routed = true;
       decisions.joined(agent.link.endpoint(), agent.zone, agent.pool);
     }
-    decisions.reported(agent.link.endpoint(), load(report));
+    agent.load = load(report);
+    decisions.reported(agent.link.endpoint(), agent.load);
   }
 
   private static EndpointLoad load(Message.LoadReport report) {
--- a/runtime/src/main/java/org/hornbeamusher/entry/EntryDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/entry/EntryDaemon.java
@@ -4,12 +4,12 @@
 import io.undertow.UndertowOptions;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.handlers.PathHandler;
-import java.net.InetSocketAddress;
 import java.net.URI;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.UUID;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -30,7 +30,10 @@
 import org.hornbeamusher.ids.ClaimToken;
 import org.hornbeamusher.ids.EndpointId;
 import org.hornbeamusher.ids.ServiceName;
+import org.hornbeamusher.metrics.MetricsReport;
+import org.hornbeamusher.operator.OperatorApi;
 import org.hornbeamusher.platform.Instance;
+import org.hornbeamusher.process.HttpListener;
 import org.hornbeamusher.process.ProcessServices;
 import org.hornbeamusher.quarantine.QuarantineSettings;
 import org.hornbeamusher.retry.RetrySettings;
@@ -72,7 +75,8 @@
   private final AtomicInteger entries = new AtomicInteger(1);
 
   private volatile boolean leaving;
-  private Undertow server;
+  private final CountDownLatch leaveOrdered = new CountDownLatch(1);
+  private HttpListener listener;
 
   /**
    * Creates an entry that is not started.
@@ -134,33 +138,48 @@
     claims.start();
     cleaner.start();
     timer.scheduleWithFixedDelay(this::followInstances, 0, INSTANCES_MILLIS, TimeUnit.MILLISECONDS);
-    server =
-        Undertow.builder()
-            .addHttpListener(settings.http().port(), settings.http().host())
-            .setServerOption(UndertowOptions.MAX_HEADER_SIZE, settings.limits().headerBytes())
-            .setServerOption(
-                UndertowOptions.REQUEST_PARSE_TIMEOUT, (int) settings.limits().requestMillis())
-            .setHandler(handler())
-            .build();
-    server.start();
+    listener =
+        new HttpListener(
+            settings.http(),
+            Undertow.builder()
+                .setServerOption(UndertowOptions.MAX_HEADER_SIZE, settings.limits().headerBytes())
+                .setServerOption(
+                    UndertowOptions.REQUEST_PARSE_TIMEOUT,
+                    (int) settings.limits().requestMillis()));
+    listener.start(handler());
     EventLog.log(
         EventType.PROCESS_STARTED, "role", "entry", "instance", settings.instance(), "at", uri());
   }
 
+  /** Takes no new requests; what is in flight goes on. */
+  public void drain() {
+    leaving = true;
+    leaveOrdered.countDown();
+  }
+
+  /**
+   * Waits until an operator makes the process leave.
+   *
+   * @throws InterruptedException when waiting is interrupted
+   */
+  public void awaitLeaving() throws InterruptedException {
+    leaveOrdered.await();
+  }
+
   /**
    * Takes no new requests, finishes those in flight and ends.
    *
    * @throws InterruptedException when waiting for them is interrupted
    */
   public void stop() throws InterruptedException {
-    leaving = true;
+    drain();
     EventLog.log(
         EventType.PROCESS_STOPPING, "instance", settings.instance(), "requests", inFlight.get());
     while (inFlight.get() > 0) {
       Thread.sleep(STOP_POLL_MILLIS);
     }
     timer.shutdownNow();
-    server.stop();
+    listener.stop();
     links.stop();
     requests.close();
     cleaner.stop();
@@ -175,8 +194,7 @@
    * @return its address
    */
   public URI uri() {
-    InetSocketAddress address = (InetSocketAddress) server.getListenerInfo().get(0).getAddress();
-    return URI.create("http://" + settings.http().host() + ":" + address.getPort());
+    return listener.uri();
   }
 
   private HttpHandler handler() {
@@ -190,7 +208,13 @@
             clock,
             settings.limits().bodyBytes(),
             settings.limits().stalledMillis());
-    return new PathHandler(callers);
+    OperatorApi operators =
+        new OperatorApi(
+            new EntryOperations(
+                settings, services, links, inFlight::get, () -> leaving, this::drain),
+            settings.tokens(),
+            new MetricsReport(services.metrics()));
+    return operators.mount(new PathHandler(callers));
   }
 
   private void followInstances() {
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/entry/EntryOperations.java
@@ -0,0 +1,83 @@
+package org.hornbeamusher.entry;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import java.util.function.IntSupplier;
+import org.hornbeamusher.documents.DocumentStore;
+import org.hornbeamusher.documents.ServiceDocument;
+import org.hornbeamusher.ids.PartnerId;
+import org.hornbeamusher.ids.ServiceName;
+import org.hornbeamusher.operator.OperatorHost;
+import org.hornbeamusher.process.ProcessServices;
+import org.hornbeamusher.settings.EntrySettings;
+import org.hornbeamusher.status.ProcessStatus;
+
+/** What operators see and order at an entry. */
+final class EntryOperations implements OperatorHost {
+
+  private final EntrySettings settings;
+  private final ProcessServices services;
+  private final AgentLinks links;
+  private final IntSupplier inFlight;
+  private final BooleanSupplier leaving;
+  private final Runnable drain;
+
+  EntryOperations(
+      EntrySettings settings,
+      ProcessServices services,
+      AgentLinks links,
+      IntSupplier inFlight,
+      BooleanSupplier leaving,
+      Runnable drain) {
+    this.settings = settings;
+    this.services = services;
+    this.links = links;
+    this.inFlight = inFlight;
+    this.leaving = leaving;
+    this.drain = drain;
+  }
+
+  @Override
+  public Optional<DocumentStore> documents() {
+    return Optional.of(services.store());
+  }
+
+  @Override
+  public Optional<PartnerId> owner(ServiceName service) {
+    return services.documents().held(service).map(ServiceDocument::partner);
+  }
+
+  @Override
+  public ProcessStatus status() {
+    return new ProcessStatus(
+        settings.instance(),
+        "entry",
+        settings.zone(),
+        leaving.getAsBoolean(),
+        inFlight.getAsInt(),
+        links.status(),
+        serviceStatus(),
+        List.of());
+  }
+
+  private List<ProcessStatus.Service> serviceStatus() {
+    return services.documents().all().stream()
+        .sorted(Comparator.comparing(ServiceDocument::service))
+        .map(
+            document ->
+                new ProcessStatus.Service(
+                    document.service(),
+                    document.partner(),
+                    document.version(),
+                    services.metrics().answeredCount(document.service()),
+                    services.metrics().refusals(document.service())))
+        .toList();
+  }
+
+  @Override
+  public void drain() {
+    drain.run();
+  }
+}
--- a/runtime/src/main/java/org/hornbeamusher/metrics/ServiceMetrics.java
+++ b/runtime/src/main/java/org/hornbeamusher/metrics/ServiceMetrics.java
@@ -5,6 +5,7 @@
 import com.codahale.metrics.Histogram;
 import com.codahale.metrics.Meter;
 import com.codahale.metrics.MetricRegistry;
+import java.util.EnumMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
@@ -67,7 +68,7 @@
    * @param type why
    */
   public void refused(ServiceName service, FailureType type) {
-    refusals(service, type).inc();
+    counterOf(service, type).inc();
   }
 
   /**
@@ -92,7 +93,19 @@
    * @return since the process started
    */
   public long refusedCount(ServiceName service, FailureType type) {
-    return refusals(service, type).getCount();
+    return counterOf(service, type).getCount();
+  }
+
+  /**
+   * Returns how many requests were refused or failed, by type.
+   *
+   * @param service the service
+   * @return since the process started; only types that occurred
+   */
+  public Map<FailureType, Long> refusals(ServiceName service) {
+    Map<FailureType, Long> counts = new EnumMap<>(FailureType.class);
+    of(service).refusals.forEach((type, counter) -> counts.put(type, counter.getCount()));
+    return counts;
   }
 
   /**
@@ -125,7 +138,7 @@
     return Optional.ofNullable(owners.get(metricName));
   }
 
-  private Counter refusals(ServiceName service, FailureType type) {
+  private Counter counterOf(ServiceName service, FailureType type) {
     return of(service)
         .refusals
         .computeIfAbsent(
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/process/HttpListener.java
@@ -0,0 +1,70 @@
+package org.hornbeamusher.process;
+
+import io.undertow.Undertow;
+import io.undertow.server.HttpHandler;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.util.Optional;
+import org.hornbeamusher.security.ReloadingTlsContext;
+import org.hornbeamusher.settings.ListenSettings;
+
+/** Serves HTTP or HTTPS where settings say; TLS keys are read again while it runs. */
+public final class HttpListener {
+
+  private static final long TLS_RELOAD_MILLIS = 10_000;
+
+  private final ListenSettings settings;
+  private final Undertow.Builder builder;
+  private final Optional<ReloadingTlsContext> tls;
+  private Undertow server;
+
+  /**
+   * Creates a listener that is not started.
+   *
+   * @param settings where it listens
+   * @param builder further options of the server
+   */
+  public HttpListener(ListenSettings settings, Undertow.Builder builder) {
+    this.settings = settings;
+    this.builder = builder;
+    this.tls =
+        settings
+            .tls()
+            .map(
+                files ->
+                    ReloadingTlsContext.open(files.certificate(), files.key(), files.trusted()));
+  }
+
+  /**
+   * Listens.
+   *
+   * @param handler answers every request
+   */
+  public void start(HttpHandler handler) {
+    if (tls.isPresent()) {
+      tls.get().start(TLS_RELOAD_MILLIS);
+      builder.addHttpsListener(settings.port(), settings.host(), tls.get().context());
+    } else {
+      builder.addHttpListener(settings.port(), settings.host());
+    }
+    server = builder.setHandler(handler).build();
+    server.start();
+  }
+
+  /** Stops listening. */
+  public void stop() {
+    tls.ifPresent(ReloadingTlsContext::stop);
+    server.stop();
+  }
+
+  /**
+   * Returns where it listens; known once started.
+   *
+   * @return scheme, host and port
+   */
+  public URI uri() {
+    InetSocketAddress address = (InetSocketAddress) server.getListenerInfo().get(0).getAddress();
+    String scheme = tls.isPresent() ? "https" : "http";
+    return URI.create(scheme + "://" + settings.host() + ":" + address.getPort());
+  }
+}
--- a/tool/src/main/java/org/hornbeamusher/tool/CheckCommand.java
+++ b/tool/src/main/java/org/hornbeamusher/tool/CheckCommand.java
@@ -7,6 +7,7 @@
 import org.hornbeamusher.documents.ServiceDocumentReader;
 import org.hornbeamusher.settings.AgentSettings;
 import org.hornbeamusher.settings.EntrySettings;
+import org.hornbeamusher.standin.StandinSettings;
 import org.hornbeamusher.toml.Problem;
 import org.hornbeamusher.toml.TomlDocument;
 
@@ -49,6 +50,7 @@
     switch (document.root().path(ROLE).asText()) {
       case "entry" -> EntrySettings.read(file);
       case "agent" -> AgentSettings.read(file);
+      case "standin" -> StandinSettings.read(file);
       case "" -> {
         return document(file, console);
       }
@@ -59,7 +61,7 @@
                 document.line(ROLE),
                 ROLE,
                 Problem.Kind.INVALID_VALUE,
-                "must be \"entry\" or \"agent\"");
+                "must be \"entry\", \"agent\" or \"standin\"");
         console.err().println(problem);
         return ExitStatus.BAD_INPUT;
       }
--- a/tool/src/main/java/org/hornbeamusher/tool/CommandTable.java
+++ b/tool/src/main/java/org/hornbeamusher/tool/CommandTable.java
@@ -10,6 +10,10 @@
   static final List<Command> COMMANDS =
       List.of(
           new DemoCommand(),
+          new EntryCommand(),
+          new AgentCommand(),
+          new StandinCommand(),
+          new LoadCommand(),
           new CheckCommand(),
           new SubmitCommand(),
           new ShowCommand(),
--- a/tool/src/main/java/org/hornbeamusher/tool/OperatorClient.java
+++ b/tool/src/main/java/org/hornbeamusher/tool/OperatorClient.java
@@ -35,16 +35,26 @@
   private final URI base;
   private final String token;
 
-  /** The token comes from a file or the environment: other users of a machine see its arguments. */
   OperatorClient(CommandLine line) {
-    this.base =
-        URI.create(
-            line.getOptionValue(
-                "at", System.getenv().getOrDefault("HORNBEAMUSHER_AT", DEFAULT_URI)));
-    this.token =
-        line.hasOption("token-file")
-            ? TextFiles.read(Path.of(line.getOptionValue("token-file"))).strip()
-            : System.getenv().getOrDefault("HORNBEAMUSHER_TOKEN", "");
+    this(URI.create(address(line)), token(line));
+  }
+
+  OperatorClient(URI base, String token) {
+    this.base = base;
+    this.token = token;
+  }
+
+  /** Returns the address that the command line, else the environment names. */
+  static String address(CommandLine line) {
+    String environment = System.getenv().getOrDefault("HORNBEAMUSHER_AT", DEFAULT_URI);
+    return line.getOptionValue("at", environment);
+  }
+
+  /** The token comes from a file or the environment: other users of a machine see its arguments. */
+  static String token(CommandLine line) {
+    return line.hasOption("token-file")
+        ? TextFiles.read(Path.of(line.getOptionValue("token-file"))).strip()
+        : System.getenv().getOrDefault("HORNBEAMUSHER_TOKEN", "");
   }
 
   /** Sends one call and returns the body of a good answer. */
