--- a/tool/src/main/java/org/hornbeamusher/bench/Bench.java
+++ b/tool/src/main/java/org/hornbeamusher/bench/Bench.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import org.hornbeamusher.bench.capacity.CapacityBenchmark;
 import org.hornbeamusher.bench.faults.FaultsBenchmark;
+import org.hornbeamusher.bench.path.PathBenchmark;
 import org.hornbeamusher.bench.policy.PolicyBench;
 
 /** Starts a benchmark by name. */
@@ -12,7 +13,8 @@
 
   /** Every benchmark, in the order they are listed. */
   private static final List<Benchmark> BENCHMARKS =
-      List.of(new FaultsBenchmark(), new PolicyBench(), new CapacityBenchmark());
+      List.of(
+          new FaultsBenchmark(), new PathBenchmark(), new PolicyBench(), new CapacityBenchmark());
 
   private Bench() {}
 
--- /dev/null
+++ b/tool/src/main/java/org/hornbeamusher/bench/path/PathRig.java
@@ -0,0 +1,123 @@
+package org.hornbeamusher.bench.path;
+
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.hornbeamusher.clock.SystemClock;
+import org.hornbeamusher.demo.Deployment;
+import org.hornbeamusher.demo.PartnerPlan;
+import org.hornbeamusher.entry.EntryDaemon;
+import org.hornbeamusher.http.HttpCall;
+import org.hornbeamusher.http.HttpClient;
+import org.hornbeamusher.ids.AdapterName;
+import org.hornbeamusher.ids.AdapterRef;
+import org.hornbeamusher.load.LoadReport;
+import org.hornbeamusher.load.LoadRunner;
+import org.hornbeamusher.load.LoadSettings;
+import org.hornbeamusher.load.Traffic;
+import org.hornbeamusher.standin.EngineSettings;
+import org.hornbeamusher.standin.EngineStandin;
+import org.hornbeamusher.standin.WeightStoreStandin;
+
+/**
+ * Two equal engines: one behind entry and agent, one that the load reaches straight.
+ *
+ * <p>There are as many adapters as an engine has slots, so that loads, which both ways would wait
+ * for alike, end with the warm-up.
+ */
+final class PathRig implements AutoCloseable {
+
+  private static final int SLOTS = 8;
+  private static final int PROMPT_CHARS = 200;
+  private static final int CLIENT_THREADS = 2;
+  private static final int WARM_UP_ROUNDS = 2;
+  private static final long CONNECT_MILLIS = 4_000;
+  private static final long ORDER_TIMEOUT_MILLIS = 10_000;
+
+  private final PathCase load;
+  private final PartnerPlan plan;
+  private final Deployment deployment;
+  private final WeightStoreStandin store = new WeightStoreStandin(SystemClock.INSTANCE, 1);
+  private final EngineStandin engine;
+  private final HttpClient client = new HttpClient(CLIENT_THREADS);
+
+  PathRig(PathCase load) {
+    this.load = load;
+    PartnerPlan base = PartnerPlan.TAWHITI;
+    this.plan =
+        new PartnerPlan(
+            base.partner(),
+            base.team(),
+            base.zones().subList(0, 1),
+            base.model(),
+            1,
+            SLOTS,
+            base.weights(),
+            base.plain(),
+            base.plainInstances(),
+            base.bookings());
+    EngineSettings settings =
+        EngineSettings.of(0, SLOTS, load.batch()).withTokenMicros(load.tokenMicros());
+    this.deployment = new Deployment(List.of(plan), settings);
+    this.engine = new EngineStandin(settings, store, SystemClock.INSTANCE);
+  }
+
+  void start() throws InterruptedException {
+    store.start();
+    client.start();
+    engine.start();
+    adapters().forEach(this::load);
+    deployment.start();
+    Thread.sleep(CONNECT_MILLIS);
+  }
+
+  /** Lets the compiler and the homes of the adapters settle. */
+  void warmUp() throws InterruptedException {
+    for (int i = 0; i < WARM_UP_ROUNDS; i++) {
+      direct();
+      through();
+    }
+  }
+
+  LoadReport direct() throws InterruptedException {
+    return run(List.of(engine.uri()), "");
+  }
+
+  LoadReport through() throws InterruptedException {
+    List<URI> entries = deployment.entries(plan).stream().map(EntryDaemon::uri).toList();
+    return run(entries, Deployment.callerToken(plan));
+  }
+
+  private LoadReport run(List<URI> targets, String token) throws InterruptedException {
+    Traffic traffic = new Traffic.Model(adapters(), 0, 1, 1, PROMPT_CHARS, load.tokens());
+    LoadSettings settings =
+        LoadSettings.of(targets, token, load.requests(), load.requestsPerSecond(), traffic)
+            .withInFlight(load.inFlight());
+    return new LoadRunner(settings, client).run();
+  }
+
+  private List<AdapterRef> adapters() {
+    List<AdapterRef> adapters = new ArrayList<>();
+    for (int i = 0; i < SLOTS; i++) {
+      adapters.add(new AdapterRef(plan.model(), new AdapterName("a-" + i), 1));
+    }
+    return adapters;
+  }
+
+  private void load(AdapterRef adapter) {
+    String order = "{\"adapter\":\"" + adapter + "\",\"fencing\":1}";
+    HttpCall call =
+        HttpCall.postJson(
+            engine.uri().resolve("/orders/load"), order.getBytes(StandardCharsets.UTF_8));
+    client.send(call, ORDER_TIMEOUT_MILLIS).join();
+  }
+
+  @Override
+  public void close() throws InterruptedException {
+    deployment.stop();
+    engine.stop();
+    client.stop();
+    store.stop();
+  }
+}
