Load order and wait estimate by measurement; permits name the partner

Change: ageing is quadratic over 8 s; the estimate takes the partner's own running requests and its part of the speed; partners' turns alternate strictly; AskPermit names the partner; a slot is drained where it is free first. Tests: the ledger's expected order is stricter now (turns alternate from the first), and its share bound 2 turns instead of 4.

--- a/runtime/src/main/java/org/hornbeamusher/pacing/PartnerTurns.java
+++ b/runtime/src/main/java/org/hornbeamusher/pacing/PartnerTurns.java
@@ -11,20 +11,23 @@
  * Holds each partner to its guaranteed share of turns that are handed out one at a time.
  *
  * <p>Whoever orders turns by demand alone lets the partner that states the greater demand have them
- * all. Here every turn is charged to its partner at 1 over its share, and a partner that is more
- * than {@value #LEAD} turns ahead of another that waits is not entitled to the next one. Within the
- * lead the caller may order as it likes, so that urgent work still comes first in the short run;
- * over any time in which both wait, neither gets more than its share and {@value #LEAD} turns.
+ * all. Here every turn is charged to its partner at 1 over its share, and of the partners that wait
+ * the one charged least is entitled to the next (any of them when they are level). Over any time in
+ * which both wait neither gets more than its share and one turn.
  *
  * <p>A partner that waited for nothing returns level with the least of those that did: what it left
  * unused was lent for good.
  *
- * <p>Example: equal shares, A floods, B wants one turn. A may take two more turns, then only B is
- * entitled. With shares 3 and 1, B's turn costs three times A's.
+ * <p>Example: equal shares, A floods, B wants one turn: it is B's next turn, or the one after. With
+ * shares 3 and 1, B's turn costs three times A's.
+ *
+ * <p>Rejected: letting a partner run some turns ahead so that urgent work comes first. With twelve
+ * agents that each wait six seconds between their own turns, a lead of two turns at an agent would
+ * be twelve seconds to the other partner, as long as its deadlines.
  */
 public final class PartnerTurns {
 
-  private static final double LEAD = 2;
+  private static final double ROUNDING = 1e-9;
 
   private final Map<PartnerId, Integer> shares;
   private final Map<PartnerId, Double> tags = new HashMap<>();
@@ -51,7 +54,7 @@
     double least = waiting.stream().mapToDouble(this::tag).min().orElse(0);
     Set<PartnerId> entitled = new HashSet<>();
     for (PartnerId partner : waiting) {
-      if (tag(partner) <= least + LEAD / share(partner)) {
+      if (tag(partner) <= least + ROUNDING) {
         entitled.add(partner);
       }
     }
--- a/runtime/src/main/java/org/hornbeamusher/pacing/PermitLedger.java
+++ b/runtime/src/main/java/org/hornbeamusher/pacing/PermitLedger.java
@@ -40,7 +40,7 @@
  */
 public final class PermitLedger {
 
-  private static final double AGEING_MILLIS = 1_000;
+  private static final double AGEING_MILLIS = 5_000;
 
   /** Longest time in which an ask and a turn may pass each other on a connection. */
   private static final long CROSSING = 300;
--- a/runtime/src/main/java/org/hornbeamusher/scheduling/AgentAction.java
+++ b/runtime/src/main/java/org/hornbeamusher/scheduling/AgentAction.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import org.hornbeamusher.failure.FailureType;
 import org.hornbeamusher.ids.AdapterRef;
+import org.hornbeamusher.ids.PartnerId;
 
 /** What the agent's shell does next. */
 public sealed interface AgentAction {
@@ -33,9 +34,11 @@
   record Load(AdapterRef adapter, Optional<AdapterRef> evict) implements AgentAction {}
 
   /**
-   * Ask the weight store's permit holder for a turn, or raise the stated demand.
+   * Ask the weight store's permit holder for a turn, or change the stated demand.
    *
-   * @param demand weighted waiting demand of the most wanted adapter
+   * @param partner whose requests wait
+   * @param demand weighted waiting demand of the most wanted adapter; 0 withdraws the ask and gives
+   *     back a turn
    */
-  record AskPermit(double demand) implements AgentAction {}
+  record AskPermit(PartnerId partner, double demand) implements AgentAction {}
 }
--- a/runtime/src/main/java/org/hornbeamusher/scheduling/AgentScheduler.java
+++ b/runtime/src/main/java/org/hornbeamusher/scheduling/AgentScheduler.java
@@ -44,13 +44,13 @@
  * and run 300 ms, one for B arrives; A's pin count never reaches 0 and B is never loaded.
  *
  * <p>So overtaking has a bound. Once the oldest request for the most wanted adapter has waited that
- * long, the resident adapter worth least is <em>drained</em>: nothing more starts on it until its
- * pins are gone and it is evicted. Draining leaves places empty, which costs batch efficiency, and
- * shortens a load stall; the services' documents say what each is worth to them. The bound is
- * {@value #OVERTAKING_MILLIS} ms × 2 × (1 − urgency): a service that weighs only stalls drains at
- * once, one that weighs both alike after the whole bound, one that weighs only batch efficiency
- * after twice the bound. An adapter with more waiting demand than the newcomer is not drained;
- * demand ages, so the newcomer's turn comes all the same.
+ * long, the resident adapter that will be free first is <em>drained</em>: nothing more starts on it
+ * until its pins are gone and it is evicted. Draining leaves places empty, which costs batch
+ * efficiency, and shortens a load stall; the services' documents say what each is worth to them.
+ * The bound is {@value #OVERTAKING_MILLIS} ms × 2 × (1 − urgency): a service that weighs only
+ * stalls drains at once, one that weighs both alike after the whole bound, one that weighs only
+ * batch efficiency after twice the bound. An adapter with more waiting demand than the newcomer is
+ * not drained; demand ages, so the newcomer's turn comes all the same.
  *
  * <h2>Loads</h2>
  *
@@ -77,6 +77,9 @@
  *   <li>Preempting a running request for a fairer share: the tokens it made are wasted, and a
  *       request that must run at most once cannot be started again.
  *   <li>Several loads at a time: see above.
+ *   <li>A guaranteed part of the slots for each partner, beside that of the batch and the store's
+ *       turns: with one partner flooding a pool it changed the other's share by less than the
+ *       measurement's own spread, and cost batch efficiency.
  *   <li>Holding a request that will miss its deadline in the hope that others are cancelled: its
  *       caller could have gone elsewhere.
  * </ul>
@@ -437,7 +440,7 @@
   private Optional<AgentAction> askOrLoad(
       AdapterRef adapter, Optional<AdapterRef> evict, long now) {
     if (!permit.mayLoad()) {
-      return permit.ask(demand.of(adapter, now), now);
+      return permit.ask(demand.payer(adapter).orElseThrow(), demand.of(adapter, now), now);
     }
     draining = Optional.empty();
     permit.used();
@@ -456,7 +459,12 @@
     if (!overdue) {
       draining = Optional.empty();
     } else if (draining.isEmpty() || !residency.resident(draining.get())) {
-      draining = residency.toDrain(newcomer.get(), ref -> demand.of(ref, now), now);
+      draining =
+          residency.toDrain(
+              newcomer.get(),
+              ref -> demand.of(ref, now),
+              ref -> estimate.busyMillis(ref, now),
+              now);
     }
   }
 
--- a/runtime/src/main/java/org/hornbeamusher/scheduling/LoadDemand.java
+++ b/runtime/src/main/java/org/hornbeamusher/scheduling/LoadDemand.java
@@ -23,15 +23,17 @@
  * and some by one. In order of arrival a hot adapter waits behind a tail of single requests, and
  * the sum of the stalls is far greater than it need be. By demand alone the tail never comes.
  *
- * <p>An adapter's demand is the sum over its waiting requests of {@code urgency × (1 + waited /
- * ageing) / (1 + recent loads of the caller / its weight)}:
+ * <p>An adapter's demand is the sum over its waiting requests of {@code urgency × (1 + (waited /
+ * ageing)²) / (1 + recent loads of the caller / its weight)}:
  *
  * <ul>
  *   <li>Urgency is how much the service minds a stall (see {@link Waiting#urgency}): of two
  *       adapters that each one request waits for, a valuation's comes before a roster's.
- *   <li>Ageing: with {@value #AGEING_MILLIS} ms a single request that waited ten seconds weighs as
- *       much as eleven fresh ones, so a rare adapter comes before new hot ones in a time that grows
- *       with how hot these are and is never infinite.
+ *   <li>Ageing: a request that waited {@value #AGEING_MILLIS} ms weighs as much as two fresh ones,
+ *       and one that waited three times as long as ten. The square leaves the order of those that
+ *       came lately to demand, which gives the least stall in all (ageing in proportion from one
+ *       second on gave half as much again under bursts), and still brings a rare adapter before new
+ *       hot ones in a time that grows with how hot these are and is never infinite.
  *   <li>A caller that was just given many loads weighs less, as in proportional-fair scheduling of
  *       radio channels; else one caller that names a new adapter with every request has the store
  *       for itself.
@@ -44,7 +46,7 @@
  */
 final class LoadDemand {
 
-  private static final double AGEING_MILLIS = 1_000;
+  private static final double AGEING_MILLIS = 8_000;
   private static final double CALLER_HALF_LIFE_MILLIS = 10_000;
 
   private final SchedulerSettings settings;
@@ -148,15 +150,15 @@
       return 1;
     }
     long waited = Math.max(0, now - waiting.request.arrivedMillis());
-    double ageing = settings.uses(Mechanism.LOAD_AGEING) ? waited / AGEING_MILLIS : 0;
+    double age = settings.uses(Mechanism.LOAD_AGEING) ? waited / AGEING_MILLIS : 0;
     DecayedCount loads = callerLoads.get(waiting.request.caller());
     double recent = loads == null ? 0 : loads.at(now);
     double callerWeight = Math.max(1, waiting.request.callerWeight());
-    return waiting.urgency() * (1 + ageing) / (1 + recent / callerWeight);
+    return waiting.urgency() * (1 + age * age) / (1 + recent / callerWeight);
   }
 
   /** Returns the partner most of whose requests wait for an adapter. */
-  private Optional<PartnerId> payer(AdapterRef adapter) {
+  Optional<PartnerId> payer(AdapterRef adapter) {
     Map<PartnerId, Integer> counts = new LinkedHashMap<>();
     waitingFor(adapter).forEach(one -> counts.merge(one.request.partner(), 1, Integer::sum));
     return counts.entrySet().stream().max(Map.Entry.comparingByValue()).map(Map.Entry::getKey);
--- a/runtime/src/main/java/org/hornbeamusher/scheduling/LoadPermit.java
+++ b/runtime/src/main/java/org/hornbeamusher/scheduling/LoadPermit.java
@@ -1,6 +1,7 @@
 package org.hornbeamusher.scheduling;
 
 import java.util.Optional;
+import org.hornbeamusher.ids.PartnerId;
 
 /**
  * Asks for turns at the weight store and keeps the one that was granted.
@@ -21,6 +22,9 @@
   private long askedAt = NEVER;
   private double askedDemand;
 
+  /** Set whenever a turn is held or asked for. */
+  private PartnerId askedFor;
+
   LoadPermit(SchedulerSettings settings) {
     this.needed = settings.permits();
   }
@@ -41,9 +45,10 @@
   }
 
   /** Returns what is to be said to the permit holder when a load is wanted and no turn is held. */
-  Optional<AgentAction> ask(double demand, long now) {
+  Optional<AgentAction> ask(PartnerId partner, double demand, long now) {
     boolean due =
         askedAt == NEVER
+            || !partner.equals(askedFor)
             || now - askedAt >= REPEAT_MILLIS
             || now < askedAt
             || demand >= askedDemand * CHANGE_WORTH_TELLING
@@ -53,7 +58,8 @@
     }
     askedAt = now;
     askedDemand = demand;
-    return Optional.of(new AgentAction.AskPermit(demand));
+    askedFor = partner;
+    return Optional.of(new AgentAction.AskPermit(partner, demand));
   }
 
   /** Returns what is to be said when no load is wanted. */
@@ -62,6 +68,6 @@
       return Optional.empty();
     }
     used();
-    return Optional.of(new AgentAction.AskPermit(0));
+    return Optional.of(new AgentAction.AskPermit(askedFor, 0));
   }
 }
--- a/runtime/src/main/java/org/hornbeamusher/scheduling/Residency.java
+++ b/runtime/src/main/java/org/hornbeamusher/scheduling/Residency.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.ToDoubleFunction;
+import java.util.stream.Stream;
 import org.hornbeamusher.ids.AdapterRef;
 
 /**
@@ -115,23 +116,37 @@
     if (drained.isPresent()) {
       return new Placement.Evict(drained.get());
     }
-    double wanted = demand.applyAsDouble(newcomer);
-    return residentSince.keySet().stream()
+    return leavers(newcomer, demand, now)
         .filter(adapter -> !pinned(adapter))
-        .filter(adapter -> stayEnds(adapter) <= now)
-        .filter(adapter -> demand.applyAsDouble(adapter) <= wanted)
         .min(byWorth(now))
         .<Placement>map(Placement.Evict::new)
         .orElseGet(() -> new Placement.NoRoom(nextStayEnd(now)));
   }
 
-  /** Chooses the busy adapter whose slot is freed by starting nothing more on it. */
-  Optional<AdapterRef> toDrain(AdapterRef newcomer, ToDoubleFunction<AdapterRef> demand, long now) {
+  /**
+   * Chooses the busy adapter whose slot is freed by starting nothing more on it: the one that will
+   * be free first, since until then its slot serves nobody new.
+   *
+   * @param newcomer what is to be loaded
+   * @param demand waiting demand of an adapter
+   * @param busyMillis expected time until an adapter's running requests end
+   * @param now milliseconds
+   */
+  Optional<AdapterRef> toDrain(
+      AdapterRef newcomer,
+      ToDoubleFunction<AdapterRef> demand,
+      ToDoubleFunction<AdapterRef> busyMillis,
+      long now) {
+    return leavers(newcomer, demand, now)
+        .min(Comparator.comparingDouble(busyMillis).thenComparing(byWorth(now)));
+  }
+
+  private Stream<AdapterRef> leavers(
+      AdapterRef newcomer, ToDoubleFunction<AdapterRef> demand, long now) {
     double wanted = demand.applyAsDouble(newcomer);
     return residentSince.keySet().stream()
         .filter(adapter -> stayEnds(adapter) <= now)
-        .filter(adapter -> demand.applyAsDouble(adapter) <= wanted)
-        .min(byWorth(now));
+        .filter(adapter -> demand.applyAsDouble(adapter) <= wanted);
   }
 
   void loadStarted(AdapterRef adapter, Optional<AdapterRef> evicted, long now) {
--- a/runtime/src/main/java/org/hornbeamusher/scheduling/WaitEstimate.java
+++ b/runtime/src/main/java/org/hornbeamusher/scheduling/WaitEstimate.java
@@ -1,17 +1,19 @@
 package org.hornbeamusher.scheduling;
 
 import java.util.Collection;
+import java.util.List;
 import org.hornbeamusher.ids.AdapterRef;
+import org.hornbeamusher.ids.PartnerId;
 
 /**
  * Expects how long a request waits for a batch place and for its adapter.
  *
  * <p><b>The place.</b> While a place is free the wait is 0. Otherwise it is the time until the
- * first running request ends, and then the lesser of two bounds: all startable work that waits over
- * the endpoint's whole speed (no order of serving makes it longer, as no place is left empty), and
- * the work of the request's own caller over that caller's part of the speed (whatever the others
- * send). The second is what lets a small caller in while another's backlog is minutes long; the
- * same is done for the service and the partner.
+ * first running request ends (one of its own partner's, when that fills its places), and then the
+ * startable work of the request's own caller over that caller's part of the speed, or that of its
+ * service or partner over theirs, whichever is least. So a small caller is let in while another's
+ * backlog is minutes long. All work that waits over the whole speed is no bound: while another
+ * partner floods the endpoint its new requests come before those of a partner at its share.
  *
  * <p><b>The load.</b> The loads that are ahead, each at the pace measured here, and its own. With
  * none ahead only the load itself counts: were the measured pace counted as well, a slow hour of
@@ -86,13 +88,26 @@
     if (!batchFull()) {
       return 0;
     }
-    double bound = allWork();
+    double bound = Double.POSITIVE_INFINITY;
     double fraction = 1;
-    for (ShareNode node : queue.path(request)) {
+    List<ShareNode> path = queue.path(request);
+    for (ShareNode node : path) {
       fraction *= node.fraction();
       bound = Math.min(bound, startableMillis(node) / fraction);
     }
-    return firstPlaceMillis(now) + bound;
+    return ownPlaceMillis(path.getFirst(), request.partner(), now) + bound;
+  }
+
+  /** A partner that already fills its places waits for one of its own to become free. */
+  private double ownPlaceMillis(ShareNode top, PartnerId partner, long now) {
+    if (top.running() < Math.floor(settings.batch() * top.fraction())) {
+      return firstPlaceMillis(now);
+    }
+    return running.stream()
+        .filter(one -> one.request.partner().equals(partner))
+        .mapToDouble(one -> leftMillis(one, now))
+        .min()
+        .orElseGet(() -> firstPlaceMillis(now));
   }
 
   private double allWork() {
@@ -110,15 +125,25 @@
     return sum / settings.batch();
   }
 
+  /** Returns the expected time until every running request of an adapter has ended. */
+  double busyMillis(AdapterRef adapter, long now) {
+    return running.stream()
+        .filter(one -> one.request.adapter().filter(adapter::equals).isPresent())
+        .mapToDouble(one -> leftMillis(one, now))
+        .max()
+        .orElse(0);
+  }
+
+  private double leftMillis(Waiting one, long now) {
+    double end = one.startedMillis() + work.runMillis(one.request.costTokens());
+    return Math.max(0, end - now);
+  }
+
   private boolean batchFull() {
     return running.size() >= settings.batch();
   }
 
   private double firstPlaceMillis(long now) {
-    return running.stream()
-        .mapToDouble(one -> one.startedMillis() + work.runMillis(one.request.costTokens()) - now)
-        .map(left -> Math.max(0, left))
-        .min()
-        .orElse(0);
+    return running.stream().mapToDouble(one -> leftMillis(one, now)).min().orElse(0);
   }
 }
--- a/runtime/src/test/java/org/hornbeamusher/pacing/PermitLedgerTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/pacing/PermitLedgerTest.java
@@ -105,7 +105,7 @@
       ledger.ask(TWO, TAWHITI, 0.01, now);
       now += 500;
     }
-    assertEquals(List.of(ONE, ONE, ONE, TWO, ONE, TWO, ONE, TWO), order);
+    assertEquals(List.of(ONE, TWO, ONE, TWO, ONE, TWO, ONE, TWO), order);
   }
 
   /** A clock that steps back by an hour must not hold every load for an hour. */
@@ -154,6 +154,6 @@
     int all = turns.values().stream().mapToInt(Integer::intValue).sum();
     assertTrue(all >= 40, "turns " + all);
     double expected = (double) all * zarqaShare / (zarqaShare + 1);
-    assertEquals(expected, turns.get(ZARQA), 4);
+    assertEquals(expected, turns.get(ZARQA), 2);
   }
 }
--- a/tool/src/main/java/org/hornbeamusher/bench/policy/FakeEndpoint.java
+++ b/tool/src/main/java/org/hornbeamusher/bench/policy/FakeEndpoint.java
@@ -125,7 +125,7 @@
         case AgentAction.Start start -> start(start);
         case AgentAction.Refuse refuse -> refuse(refuse.ticket(), refuse.type());
         case AgentAction.Load load -> beginLoad(load.adapter());
-        case AgentAction.AskPermit ask -> store.ask(this, ask.demand());
+        case AgentAction.AskPermit ask -> store.ask(this, ask.partner(), ask.demand());
       }
     }
     long due = scheduler.nextPollMillis(events.now());
--- a/tool/src/main/java/org/hornbeamusher/bench/policy/FakeStore.java
+++ b/tool/src/main/java/org/hornbeamusher/bench/policy/FakeStore.java
@@ -32,9 +32,9 @@
     this.ledger = new PermitLedger(PermitSettings.of(shares));
   }
 
-  void ask(FakeEndpoint endpoint, double demand) {
+  void ask(FakeEndpoint endpoint, PartnerId partner, double demand) {
     asking.put(endpoint.id, endpoint);
-    ledger.ask(endpoint.id, endpoint.owner, demand, events.now());
+    ledger.ask(endpoint.id, partner, demand, events.now());
     pollPermits();
   }
 
