--- a/runtime/src/main/java/org/hornbeamusher/claims/ClaimKeeper.java
+++ b/runtime/src/main/java/org/hornbeamusher/claims/ClaimKeeper.java
@@ -130,7 +130,8 @@
               FailureType.CLAIM_KEY_EXPIRED, Outcome.UNKNOWN, settings.retentionMillis()));
     }
     Claim claim = new Claim(service, timed.get(), tokens.get(), fingerprint, 1, expiryMillis);
-    return round(claim, Optional.empty(), 1, false).exceptionally(ClaimKeeper::unreadable);
+    return untilExpiry(
+        claim, round(claim, Optional.empty(), 1, false).exceptionally(ClaimKeeper::unreadable));
   }
 
   /**
@@ -182,6 +183,28 @@
     };
   }
 
+  /**
+   * Answers by the expiry at the latest. A slow table would otherwise keep the caller waiting past
+   * its deadline. A claim that is won after that is ended as not run: nothing was dispatched, and
+   * the caller has been told so.
+   */
+  private CompletableFuture<ClaimResult> untilExpiry(
+      Claim claim, CompletableFuture<ClaimResult> result) {
+    CompletableFuture<ClaimResult> answer = new CompletableFuture<>();
+    result.thenAccept(
+        decided -> {
+          boolean late = !answer.complete(decided);
+          if (late && decided instanceof ClaimResult.Won won) {
+            finish(won.claim(), Outcome.NOT_RUN, Optional.empty());
+          }
+        });
+    ClaimResult tooLate =
+        new ClaimResult.Refused(
+            HornbeamusherException.notRun(FailureType.CLAIM_UNAVAILABLE).retryAfter(RETRY_MILLIS));
+    long remaining = Math.max(0, claim.expiryMillis() - clock.millis());
+    return answer.completeOnTimeout(tooLate, remaining, TimeUnit.MILLISECONDS);
+  }
+
   private ClaimDecision decide(Claim claim, Optional<Row> seen) {
     return ClaimDecision.claim(claim, seen, settings, clock.millis());
   }
--- a/runtime/src/test/java/org/hornbeamusher/claims/ClaimKeeperTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/claims/ClaimKeeperTest.java
@@ -175,6 +175,24 @@
     assertInstanceOf(ClaimResult.Won.class, claim(second));
   }
 
+  /**
+   * The table takes longer for the claim than the caller's deadline. The caller is told in time
+   * that its booking was not run, so the claim that is won afterwards must not bar its next send.
+   */
+  @Test
+  void claimWonAfterTheDeadlineIsGivenBack() {
+    LateTable late = new LateTable(table);
+    ClaimKeeper slow =
+        new ClaimKeeper(late, ClaimSettings.STANDARD, clock, () -> new ClaimToken("slow"));
+    late.answerLate();
+    ClaimResult result = slow.claim(BOOKINGS, key, "print", START + 1).join();
+    assertEquals(FailureType.CLAIM_UNAVAILABLE, result.failure().orElseThrow().type());
+
+    late.deliverLate();
+
+    assertInstanceOf(ClaimResult.Won.class, claim(second));
+  }
+
   /** The table is down: a booking is refused as not run, because nothing would stop a second. */
   @Test
   void tableDownRefusesAsNotRun() {
--- a/runtime/src/test/java/org/hornbeamusher/claims/LateTable.java
+++ b/runtime/src/test/java/org/hornbeamusher/claims/LateTable.java
@@ -13,12 +13,13 @@
 import org.hornbeamusher.platform.Table;
 import org.hornbeamusher.platform.Transaction;
 
-/** Holds transactions back: their callers hear that the answer is lost before they take effect. */
+/** Holds transactions back; their callers hear nothing meanwhile, or that the answer is lost. */
 final class LateTable implements Table {
 
   private final Table table;
   private final ArrayDeque<Transaction> heldBack = new ArrayDeque<>();
   private boolean losing;
+  private CompletableFuture<Void> waiting;
 
   LateTable(Table table) {
     this.table = table;
@@ -28,9 +29,19 @@
     losing = isLosing;
   }
 
+  /** Makes the next transaction wait for {@link #deliverLate}, and its answer too. */
+  void answerLate() {
+    waiting = new CompletableFuture<>();
+  }
+
   void deliverLate() {
     heldBack.forEach(transaction -> table.commit(transaction).join());
     heldBack.clear();
+    if (waiting != null) {
+      CompletableFuture<Void> delivered = waiting;
+      waiting = null;
+      delivered.complete(null);
+    }
   }
 
   @Override
@@ -50,6 +61,9 @@
       return CompletableFuture.failedFuture(
           HornbeamusherException.of(FailureType.PLATFORM_ANSWER_LOST, Outcome.UNKNOWN, "late"));
     }
+    if (waiting != null) {
+      return waiting.thenCompose(delivered -> table.commit(transaction));
+    }
     return table.commit(transaction);
   }
 }
