--- a/runtime/src/main/java/org/hornbeamusher/http/HttpExchange.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/HttpExchange.java
@@ -28,6 +28,14 @@
 
   private static final int READ_BYTES = 16 * 1024;
 
+  /**
+   * One buffer for each I/O thread: an event of a few bytes is read at a time, and a new buffer for
+   * each was two fifths of all that the process allocated. What was read is copied out before the
+   * listener hears of it, so that a nested read on the same thread cannot spoil it.
+   */
+  private static final ThreadLocal<ByteBuffer> READ_BUFFER =
+      ThreadLocal.withInitial(() -> ByteBuffer.allocate(READ_BYTES));
+
   private final HttpCall call;
   private final HttpStreamListener listener;
   private final ConnectionPool connections;
@@ -150,7 +158,7 @@
 
   private void read(StreamSourceChannel channel) {
     try {
-      ByteBuffer buffer = ByteBuffer.allocate(READ_BYTES);
+      ByteBuffer buffer = READ_BUFFER.get();
       while (!ended.get()) {
         if (paused) {
           channel.suspendReads();
--- a/runtime/src/main/java/org/hornbeamusher/wire/MessageCodec.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/MessageCodec.java
@@ -34,6 +34,13 @@
   private static final int PERMIT_DONE = 18;
   private static final int CRASH_NOTICE = 19;
 
+  /**
+   * Most messages carry one token or less. The default of 8 KiB, allocated for each message, was a
+   * fifth of all that the process allocated; a longer message takes more buffers of this size.
+   */
+  private static final MessagePack.PackerConfig PACKER =
+      new MessagePack.PackerConfig().withBufferSize(512);
+
   private MessageCodec() {}
 
   /**
@@ -43,7 +50,7 @@
    * @return the frame's content
    */
   public static byte[] encode(Message message) {
-    try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+    try (MessageBufferPacker packer = PACKER.newBufferPacker()) {
       pack(packer, message);
       return packer.toByteArray();
     } catch (IOException e) {
