--- a/runtime/src/main/java/org/hornbeamusher/wire/WireConnection.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/WireConnection.java
@@ -6,8 +6,8 @@
 import java.io.DataOutputStream;
 import java.io.IOException;
 import java.net.Socket;
-import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
@@ -31,7 +31,11 @@
  */
 public final class WireConnection {
 
-  private static final int BUFFER_BYTES = 32 * 1024;
+  /**
+   * A few control messages or tokens. Larger frames pass by the buffer, and at 121 connections (an
+   * entry at the size of docs/CAPACITY.md) four times as much is 6 MiB that hold nothing.
+   */
+  private static final int BUFFER_BYTES = 8 * 1024;
 
   private final Socket socket;
   private final Message.Hello own;
@@ -64,7 +68,7 @@
     this.listener = listener;
     this.settings = settings;
     this.clock = clock;
-    this.outgoing = new ArrayBlockingQueue<>(settings.outgoingMessages());
+    this.outgoing = new LinkedBlockingQueue<>(settings.outgoingMessages());
     this.monitor =
         new HeartbeatMonitor(
             settings.heartbeatMillis(),
--- a/tool/src/main/java/org/hornbeamusher/bench/capacity/CapacityBenchmark.java
+++ b/tool/src/main/java/org/hornbeamusher/bench/capacity/CapacityBenchmark.java
@@ -4,7 +4,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.logging.Level;
 import org.hornbeamusher.bench.Benchmark;
+import org.hornbeamusher.events.Logging;
 
 /** Measures slopes on this machine and works out the size of the letter from them. */
 public final class CapacityBenchmark implements Benchmark {
@@ -27,6 +29,7 @@
   @Override
   public int run(List<String> arguments) {
     PrintStream out = System.out;
+    Logging.toStandardError(Level.SEVERE);
     try {
       long base = Probes.residentBytes();
       long baseHeap = Probes.heapBytes();
--- a/tool/src/main/java/org/hornbeamusher/bench/capacity/ConnectionSlopes.java
+++ b/tool/src/main/java/org/hornbeamusher/bench/capacity/ConnectionSlopes.java
@@ -44,6 +44,9 @@
 
   private static List<Slope> measure(String name, int[] counts, boolean manyServers)
       throws InterruptedException {
+    // The first connections are carried by code that is still being compiled, which would make
+    // them dearer than the many that come after.
+    new Mesh(counts[counts.length - 1], manyServers).warm();
     double[] xs = new double[counts.length];
     double[] heap = new double[counts.length];
     double[] cpu = new double[counts.length];
@@ -123,6 +126,13 @@
       }
     }
 
+    void warm() throws InterruptedException {
+      open();
+      Thread.sleep(OBSERVED_MILLIS);
+      close();
+      Thread.sleep(WARM_MILLIS);
+    }
+
     double cpuMicrosPerSecond() throws InterruptedException {
       long before = Probes.processCpuNanos();
       Thread.sleep(OBSERVED_MILLIS);
--- a/tool/src/main/java/org/hornbeamusher/bench/capacity/FrameSizes.java
+++ b/tool/src/main/java/org/hornbeamusher/bench/capacity/FrameSizes.java
@@ -1,5 +1,6 @@
 package org.hornbeamusher.bench.capacity;
 
+import java.util.List;
 import org.hornbeamusher.wire.Message;
 import org.hornbeamusher.wire.MessageCodec;
 
@@ -10,9 +11,10 @@
  *
  * @param heartbeat a heartbeat
  * @param report a load report with 8 resident adapters
+ * @param difference a load report that names no resident adapter, as one with differences would
  * @param update one changed adapter of a document
  */
-record FrameSizes(int heartbeat, int report, int update) {
+record FrameSizes(int heartbeat, int report, int difference, int update) {
 
   private static final int LENGTH_PREFIX = 4;
   private static final int TCP_AND_IP = 52;
@@ -24,6 +26,7 @@
     return new FrameSizes(
         onWire(HEARTBEAT),
         onWire(Samples.report(0)),
+        onWire(new Message.LoadReport(9, 3, 16, Letter.SLOTS, 120, 700, List.of())),
         CpuSlopes.update().length + LENGTH_PREFIX + TCP_AND_IP);
   }
 
--- a/tool/src/main/java/org/hornbeamusher/bench/capacity/WorkedTable.java
+++ b/tool/src/main/java/org/hornbeamusher/bench/capacity/WorkedTable.java
@@ -18,6 +18,14 @@
 
   private static final double REPORTS_IDLE = 1;
 
+  /** Announcement, question for the digest, digest, question for the document, document. */
+  private static final int TRIPS_A_HOP = 5;
+
+  /** Between the farthest regions. */
+  private static final double ONE_WAY_MILLIS = 150;
+
+  private static final double UNLIKELY = 0.001;
+
   private final PrintStream out;
   private final List<Slope> slopes;
   private final Topology topology;
@@ -154,6 +162,17 @@
         (agentPeers * (both + REPORTS_BUSY * frames.report()) + changes) / 1_000,
         "KB/s",
         budget);
+    paced(entryPeers, agentPeers, changes, budget);
+  }
+
+  /**
+   * What would fit: differences once a second as the agent's sign of life, the entry's each 2 s.
+   */
+  private void paced(int entryPeers, int agentPeers, double changes, double budget) {
+    final double each = frames.difference() + frames.heartbeat() / 2.0;
+    out.println("  planned: differences once a second for heartbeats, the entry's every 2 s");
+    row("entry in all", (entryPeers * each + changes) / 1_000, "KB/s", budget);
+    row("agent in all", (agentPeers * each + changes) / 1_000, "KB/s", budget);
   }
 
   private void tableCalls() {
@@ -185,24 +204,24 @@
 
   private void spreading() {
     final double first = MILLIS_PER_SECOND / PollPlan.STANDARD.readsPerSecond();
+    final double within = -Math.log(UNLIKELY) * first;
+    final double travel = topology.hops() * TRIPS_A_HOP * ONE_WAY_MILLIS;
     out.println("a change in force everywhere");
     row("connections from the first reader to the farthest process", topology.hops(), "hops", 0);
-    row("first of all entries reads it after (mean)", first, "ms", 0);
+    row("first of all entries reads it after, mean", first, "ms", 0);
+    row("the same, but for one change in a thousand", within, "ms", 0);
+    row("travel, 5 trips a hop at 150 ms each", travel, "ms", 0);
+    row("in all", (within + travel) / MILLIS_PER_SECOND, "s", 7);
   }
 
   private void loads() {
     final double waking = Letter.ADAPTERS * Letter.WAKING_AN_HOUR / Letter.SECONDS_AN_HOUR;
-    out.println("weight store");
-    row("loads a second when 12% wake in an hour, each once", waking, "loads/s", 2);
-    row(
-        "the same in each region, if each has its own store and all wake everywhere",
-        waking,
-        "loads/s",
-        2);
-    row(
-        "loads after a zone is lost, adapters",
-        (double) Letter.AGENTS / Letter.ZONES * Letter.SLOTS,
-        "loads",
-        0);
+    final double lost = (double) Letter.AGENTS / Letter.ZONES * Letter.SLOTS;
+    out.println("weight store, 2 loads a second");
+    row("12% wake in an hour, each at one endpoint", waking, "loads/s", 2);
+    row("the same at two endpoints each", 2 * waking, "loads/s", 2);
+    row("a zone is lost: its adapters loaded elsewhere", lost, "loads", 0);
+    row("the same, at 2 loads a second", lost / 2, "s", 0);
+    row("the same, at 2 loads a second in each region", lost / 2 / Letter.REGIONS, "s", 0);
   }
 }
--- a/tool/src/main/java/org/hornbeamusher/tool/CommandRunner.java
+++ b/tool/src/main/java/org/hornbeamusher/tool/CommandRunner.java
@@ -3,10 +3,12 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import java.util.logging.Level;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
+import org.hornbeamusher.events.Logging;
 import org.hornbeamusher.failure.HornbeamusherException;
 import org.hornbeamusher.toml.Problem;
 import org.hornbeamusher.toml.Problems;
@@ -64,6 +66,7 @@
     if (line.getArgList().size() != arguments.size()) {
       return usage(command, "expected: " + Help.usage(command));
     }
+    Logging.toStandardError(Level.WARNING);
     try {
       return command.run(line, console);
     } catch (HornbeamusherException e) {
--- a/tool/src/main/java/org/hornbeamusher/tool/DaemonRun.java
+++ b/tool/src/main/java/org/hornbeamusher/tool/DaemonRun.java
@@ -55,11 +55,26 @@
     Thread hook = Thread.ofPlatform().name("stop").unstarted(() -> runQuietly(stop));
     Runtime.getRuntime().addShutdownHook(hook);
     awaitLeaving.run();
-    Runtime.getRuntime().removeShutdownHook(hook);
-    stop.run();
+    if (withdrawn(hook)) {
+      stop.run();
+    } else {
+      hook.join();
+    }
     return ExitStatus.OK;
   }
 
+  /**
+   * Takes the hook back, so that the daemon is stopped once. It cannot be taken back when a signal
+   * came first: stopping makes the daemon leave, which wakes this thread while the hook still runs.
+   */
+  private static boolean withdrawn(Thread hook) {
+    try {
+      return Runtime.getRuntime().removeShutdownHook(hook);
+    } catch (IllegalStateException shuttingDown) {
+      return false;
+    }
+  }
+
   private static void runQuietly(Blocking stop) {
     try {
       stop.run();
