Tests and JMH of the entry's decisions; own work counted for every entry

Cause: the decisions were measured but nothing kept them from falling back.

Change: own dispatches to resident adapters since the last report count once for each entry, and never below zero. The hop no longer decides where a cold adapter is loaded.

--- a/runtime/src/main/java/org/hornbeamusher/quarantine/Quarantine.java
+++ b/runtime/src/main/java/org/hornbeamusher/quarantine/Quarantine.java
@@ -4,7 +4,9 @@
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Set;
 import org.hornbeamusher.failure.FailureType;
+import org.hornbeamusher.ids.EndpointId;
 
 /**
  * Counts the endpoints that crashed while they ran a request and refuses it after the second. Not
@@ -48,6 +50,9 @@
   /** Attempts in flight from this entry for each fingerprint; absent when none. */
   private final Map<Long, Integer> running = new HashMap<>();
 
+  /** Where suspects run that this entry has sent; each runs at most once. */
+  private final Map<Long, EndpointId> suspectsAt = new HashMap<>();
+
   /**
    * Creates a quarantine that knows of no crash.
    *
@@ -88,6 +93,30 @@
     running.merge(fingerprint, 1, Integer::sum);
   }
 
+  /**
+   * Records that an attempt was sent, and where, so that suspects can be kept apart.
+   *
+   * @param fingerprint what it runs
+   * @param endpoint where
+   * @param now milliseconds
+   */
+  public void started(long fingerprint, EndpointId endpoint, long now) {
+    started(fingerprint, now);
+    if (current(fingerprint, now) != null) {
+      suspectsAt.put(fingerprint, endpoint);
+    }
+  }
+
+  /**
+   * Returns where suspects run now. Another suspect must not be sent there: a crash of both would
+   * put the innocent one into quarantine with the other.
+   *
+   * @return endpoints to exclude for a request that is allowed alone
+   */
+  public Set<EndpointId> endpointsRunningSuspects() {
+    return Set.copyOf(suspectsAt.values());
+  }
+
   /**
    * Records that the endpoint crashed during an attempt; it ends the attempt, too.
    *
@@ -111,6 +140,7 @@
    */
   public void ended(long fingerprint, long now) {
     running.computeIfPresent(fingerprint, (key, count) -> count > 1 ? count - 1 : null);
+    suspectsAt.remove(fingerprint);
   }
 
   /**
--- a/runtime/src/main/java/org/hornbeamusher/routing/CostEstimate.java
+++ b/runtime/src/main/java/org/hornbeamusher/routing/CostEstimate.java
@@ -23,6 +23,10 @@
   private static final long SOONEST_LOAD_MILLIS = 50;
 
   private final RoutingSettings settings;
+
+  /** Entries that share the traffic, this one included. */
+  private int entries = 1;
+
   private long queueMillis;
   private long stallMillis;
 
@@ -30,6 +34,10 @@
     this.settings = settings;
   }
 
+  void entryCount(int count) {
+    entries = Math.max(1, count);
+  }
+
   /** What a load stall counts for, against a wait in a queue. */
   static double stallFactor(Weights weights) {
     double sum = weights.loadStall() + weights.batchEfficiency();
@@ -56,16 +64,19 @@
     return queued + stallFactor * stallMillis;
   }
 
-  /** The cost at an endpoint that would have to load the adapter. */
+  /**
+   * The cost at an endpoint that would have to load the adapter. The hop is left out: it would have
+   * entries in different availability zones load one cold adapter in two places.
+   */
   double absent(EndpointState endpoint, double stallFactor, double demandPerSecond) {
-    double queued = resident(endpoint);
+    double queued = resident(endpoint) - endpoint.hopMillis;
     stallMillis = endpoint.loadWaitMillis;
     double delayOfOthers = Math.max(0, endpoint.loadWaitMillis - settings.loadMillis());
-    double uses = 1 + demandPerSecond * LOAD_HORIZON_SECONDS;
+    double uses = 1 + entries * demandPerSecond * LOAD_HORIZON_SECONDS;
     return queued + stallFactor * stallMillis + (settings.loadMillis() + delayOfOthers) / uses;
   }
 
   private long queueWait(EndpointState endpoint) {
-    return endpoint.queueWait((long) endpoint.pool.serviceMillis, settings.ownWork());
+    return endpoint.queueWait((long) endpoint.pool.serviceMillis, settings.ownWork() ? entries : 0);
   }
 }
--- a/runtime/src/main/java/org/hornbeamusher/routing/EndpointState.java
+++ b/runtime/src/main/java/org/hornbeamusher/routing/EndpointState.java
@@ -17,7 +17,7 @@
   /** Attempts of this entry that have not ended. */
   int outstanding;
 
-  /** Attempts started less attempts ended since the last report. */
+  /** Attempts for resident adapters started since the last report, less attempts ended since. */
   int sinceReport;
 
   /** Whether it has left; then nothing is sent to it, whatever else still refers to it. */
@@ -40,14 +40,17 @@
     this.loadWaitMillis = loadMillis;
   }
 
-  void started() {
+  /** An attempt that waits for a load takes no place in the batch for now. */
+  void started(boolean resident) {
     outstanding++;
-    sinceReport++;
+    if (resident) {
+      sinceReport++;
+    }
   }
 
   void ended() {
     outstanding = Math.max(0, outstanding - 1);
-    sinceReport--;
+    sinceReport = Math.max(0, sinceReport - 1);
   }
 
   void take(EndpointLoad load, long loadMillis) {
@@ -63,15 +66,15 @@
    * What a request for a resident adapter would wait for a place in the batch.
    *
    * <p>A report is old when it arrives. Until the next one, every entry would send all its work to
-   * the endpoint that was emptiest then. Adding the entry's own dispatches since makes each of them
-   * see at least its own part of the herd.
+   * the endpoint that was emptiest then. So an entry adds its own dispatches since, and as many for
+   * each other entry, as they see the same reports and get the same traffic.
    */
-  long queueWait(long serviceMillis, boolean ownWork) {
-    int added = ownWork ? (reported ? sinceReport : outstanding) : 0;
-    int excess = running + added + 1 - batch;
+  long queueWait(long serviceMillis, int entries) {
+    int added = entries * (reported ? sinceReport : outstanding);
     if (queueWaitMillis > 0) {
-      return Math.max(0, queueWaitMillis + added * serviceMillis / batch);
+      return queueWaitMillis + added * serviceMillis / batch;
     }
+    int excess = running + added + 1 - batch;
     return excess > 0 ? excess * serviceMillis / batch : 0;
   }
 }
--- a/runtime/src/main/java/org/hornbeamusher/routing/Router.java
+++ b/runtime/src/main/java/org/hornbeamusher/routing/Router.java
@@ -29,10 +29,11 @@
  * the cheapest gets the attempt. Endpoints beyond those are never looked at, so the time does not
  * grow with the pool.
  *
- * <p><b>Growth.</b> A queue at the only home makes the load elsewhere the cheaper choice; so a hot
- * adapter gets another home, which all entries learn from the next report. Its homes are as many as
- * its demand fills ({@link AdapterHomes#wanted}); those beyond cost a little more, fall idle, and
- * are evicted by their agents. A cold adapter has one.
+ * <p><b>Growth.</b> A queue at the only home makes a load elsewhere the cheaper choice, the sooner
+ * the higher the adapter's decayed rate, because a load that many will use delays others for a good
+ * reason. So a hot adapter gets another home, which all entries learn from the next report. Homes
+ * that its demand no longer fills are used less and their agents evict them. A cold adapter has
+ * one.
  *
  * <p>Example: an adapter is resident at A, whose queue takes 400 ms. A load at B takes 500 ms and
  * counts 1.5 times, and it delays nobody: 750 + 500 / uses. A demand of 5 a second makes 51 uses. B
@@ -56,7 +57,6 @@
   private final Map<EndpointId, EndpointState> endpoints = new HashMap<>();
   private final Map<PoolName, EndpointPool> pools = new HashMap<>();
   private final PrefixMemory prefixes = new PrefixMemory();
-  private int entries = 1;
 
   private EndpointState best;
   private double bestCost;
@@ -90,7 +90,7 @@
    * @param count entries, this one included
    */
   public void entryCount(int count) {
-    entries = Math.max(1, count);
+    cost.entryCount(count);
   }
 
   /**
@@ -188,7 +188,7 @@
   private void weighHomes(EndpointPool pool, RouteRequest request, long now) {
     AdapterHomes homes = pool.homes(request.adapter().orElseThrow(), now);
     EndpointState[] order = homes.order(pool, settings.candidates());
-    double demand = entries * homes.demandPerSecond(now);
+    double demand = homes.demandPerSecond(now);
     double stallFactor = CostEstimate.stallFactor(request.weights());
     List<Home> known = homes.homes();
     for (int i = 0; i < known.size(); i++) {
@@ -202,8 +202,7 @@
     for (int rank = 0; rank < order.length; rank++) {
       EndpointState endpoint = order[rank];
       if (homes.home(endpoint) == null && may(endpoint, request, now)) {
-        double base = cost.absent(endpoint, stallFactor, demand);
-        offer(endpoint, base + prefixLoss(endpoint, request));
+        offer(endpoint, cost.absent(endpoint, stallFactor, demand));
       }
     }
   }
@@ -242,10 +241,10 @@
     if (state == null) {
       return;
     }
-    state.started();
     if (state.speed.probeDue(now)) {
       state.speed.probing = true;
     }
+    state.started(adapter == null || state.resident.contains(adapter));
     if (adapter != null && settings.residency()) {
       state.pool.homes(adapter, now).started(state, now);
     }
--- /dev/null
+++ b/runtime/src/test/java/org/hornbeamusher/retry/RetryPolicyTest.java
@@ -0,0 +1,141 @@
+package org.hornbeamusher.retry;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.hornbeamusher.failure.FailureType;
+import org.hornbeamusher.failure.Outcome;
+import org.junit.jupiter.api.Test;
+
+class RetryPolicyTest {
+
+  private static final RetrySettings SETTINGS = RetrySettings.DEFAULT;
+
+  // Endpoints fail and succeed in any order. Were retries not bounded by successes, an outage would
+  // multiply the load on whatever is left.
+  @Property(seed = "1207", tries = 300)
+  void retriesNeverExceedTheirBudget(
+      @ForAll @Size(max = 400) List<@IntRange(max = 3_000) Integer> steps) {
+    RetryPolicy policy = new RetryPolicy(SETTINGS);
+    long now = 0;
+    int retries = 0;
+    int successes = 0;
+    for (int step : steps) {
+      now += step / 3;
+      if (step % 3 == 0) {
+        policy.succeeded(now);
+        successes++;
+      } else if (policy.decide(lost(1, 0), now) instanceof RetryDecision.Retry) {
+        retries++;
+      }
+      double earned = SETTINGS.budgetShare() * successes + SETTINGS.floorPerSecond() * now / 1_000;
+      assertTrue(retries <= SETTINGS.budgetLimit() + earned + 1e-6);
+    }
+  }
+
+  // Every endpoint is gone and 100 requests a second go on arriving. With three attempts for each,
+  // 300 a second would meet the first endpoint that comes back.
+  @Test
+  void outageOfAllIsNotAmplified() {
+    RetryPolicy policy = new RetryPolicy(SETTINGS);
+    int retries = 0;
+    for (int i = 0; i < 6_000; i++) {
+      retries += policy.decide(lost(1, 0), i * 10L) instanceof RetryDecision.Retry ? 1 : 0;
+    }
+    assertEquals(10 + 5, retries, "saved up, and one in ten seconds of a minute");
+  }
+
+  // A booking was sent and the connection was lost. Sending it again could send two tankers.
+  @Test
+  void nonRepeatableRequestIsRepeatedOnlyWhenItWasNotRun() {
+    RetryPolicy policy = new RetryPolicy(SETTINGS);
+    assertGivesUp(
+        FailureType.ENDPOINT_LOST,
+        policy.decide(
+            failure(FailureType.ENDPOINT_LOST, Outcome.UNKNOWN, false, 1, 0, 9_000, false), 0));
+    assertInstanceOf(
+        RetryDecision.Retry.class,
+        policy.decide(
+            failure(FailureType.ENDPOINT_LEAVING, Outcome.NOT_RUN, false, 1, 0, 9_000, false), 0));
+  }
+
+  // Part of an answer has reached the caller. A second run would append another answer to it.
+  @Test
+  void answerThatHasBegunIsNotBegunAgain() {
+    RetryPolicy policy = new RetryPolicy(SETTINGS);
+    assertGivesUp(
+        FailureType.ANSWER_CUT,
+        policy.decide(
+            failure(FailureType.ANSWER_CUT, Outcome.UNKNOWN, true, 1, 0, 9_000, true), 0));
+  }
+
+  // A request takes down each endpoint that runs it. After the first it may have been bad luck;
+  // after the second its caller is told that it is the request.
+  @Test
+  void secondCrashEndsTheRequest() {
+    RetryPolicy policy = new RetryPolicy(SETTINGS);
+    assertInstanceOf(RetryDecision.Retry.class, policy.decide(lost(1, 1), 0));
+    assertGivesUp(FailureType.QUARANTINED, policy.decide(lost(2, 2), 0));
+  }
+
+  @Test
+  void attemptsAndTimeAreBounded() {
+    RetryPolicy policy = new RetryPolicy(SETTINGS);
+    assertGivesUp(FailureType.RETRIES_EXHAUSTED, policy.decide(lost(3, 0), 0));
+    assertGivesUp(
+        FailureType.DEADLINE_PASSED,
+        policy.decide(
+            failure(FailureType.ENDPOINT_LOST, Outcome.UNKNOWN, true, 1, 0, 10, false), 0));
+  }
+
+  // Every agent refuses for want of time and the budget is used up. The caller must learn that its
+  // request was not run, and why, not that some retry did not happen.
+  @Test
+  void refusalKeepsItsTypeWhenTheBudgetIsUsedUp() {
+    RetryPolicy policy = new RetryPolicy(SETTINGS);
+    for (int i = 0; i < 20; i++) {
+      policy.decide(lost(1, 0), 0);
+    }
+    assertGivesUp(
+        FailureType.DEADLINE_TOO_NEAR,
+        policy.decide(
+            failure(FailureType.DEADLINE_TOO_NEAR, Outcome.NOT_RUN, true, 1, 0, 9_000, false), 0));
+  }
+
+  @Test
+  void failureOfTheRequestItselfIsNotRepeated() {
+    assertGivesUp(
+        FailureType.MALFORMED_REQUEST,
+        new RetryPolicy(SETTINGS)
+            .decide(
+                failure(FailureType.MALFORMED_REQUEST, Outcome.NOT_RUN, true, 1, 0, 9_000, false),
+                0));
+  }
+
+  private static AttemptFailure lost(int attempts, int crashes) {
+    return failure(
+        FailureType.ENDPOINT_LOST, Outcome.UNKNOWN, true, attempts, crashes, 60_000, false);
+  }
+
+  private static AttemptFailure failure(
+      FailureType type,
+      Outcome outcome,
+      boolean repeatable,
+      int attempts,
+      int crashes,
+      long remainingMillis,
+      boolean delivered) {
+    return new AttemptFailure(
+        type, outcome, repeatable, attempts, crashes, remainingMillis, delivered);
+  }
+
+  private static void assertGivesUp(FailureType type, RetryDecision decision) {
+    assertEquals(type, assertInstanceOf(RetryDecision.GiveUp.class, decision).type());
+  }
+}
--- a/tool/src/main/java/org/hornbeamusher/bench/Bench.java
+++ b/tool/src/main/java/org/hornbeamusher/bench/Bench.java
@@ -14,7 +14,11 @@
   /** Every benchmark, in the order they are listed. */
   private static final List<Benchmark> BENCHMARKS =
       List.of(
-          new FaultsBenchmark(), new PathBenchmark(), new PolicyBench(), new CapacityBenchmark());
+          new FaultsBenchmark(),
+          new PathBenchmark(),
+          new PolicyBench(),
+          new JmhBenchmark(),
+          new CapacityBenchmark());
 
   private Bench() {}
 
--- a/tool/src/main/java/org/hornbeamusher/bench/policy/Pattern.java
+++ b/tool/src/main/java/org/hornbeamusher/bench/policy/Pattern.java
@@ -8,6 +8,7 @@
   HOT_ADAPTER("Hot adapter: half of all requests name one cold adapter from a moment on"),
   SLOW_ENDPOINT("Slow endpoint: one of six is five times slower"),
   LONG_JOBS("Long among short: one request in ten is ten times as long, 80 % of capacity"),
+  SHORT_CALLS("Short calls on six adapters, 80 % of capacity: reports are older than a call lasts"),
   OVERLOAD_2("Overload, 2 times capacity"),
   OVERLOAD_10("Overload, 10 times capacity"),
   FLIP("Popularity flip: the popular adapters become cold and cold ones popular"),
@@ -29,6 +30,21 @@
     return this == FLOOD;
   }
 
+  /** Whether residency is lost at the onset, so that the time to recover is worth telling. */
+  boolean shifts() {
+    return this == FLIP || this == RESTART;
+  }
+
+  /** How many times shorter requests are, and more frequent. */
+  int shorter() {
+    return this == SHORT_CALLS ? 10 : 1;
+  }
+
+  /** How many adapters are in use. */
+  int adapters() {
+    return this == SHORT_CALLS ? 6 : Sizes.ADAPTERS;
+  }
+
   /** When a fault or shift begins. */
   long onsetMillis() {
     return Sizes.WARM_UP_MILLIS + Sizes.MEASURED_MILLIS / 3;
@@ -38,7 +54,7 @@
   double load(Tenant tenant, long millis) {
     return switch (this) {
       case BURST -> millis % 60_000 < 10_000 ? 1.8 : 0.45;
-      case LONG_JOBS -> 0.8;
+      case LONG_JOBS, SHORT_CALLS -> 0.8;
       case OVERLOAD_2 -> overload(millis, 2);
       case OVERLOAD_10 -> overload(millis, 10);
       case FLOOD -> tenant == Tenant.ZARQA ? overload(millis, 4) : 0.6;
--- a/tool/src/main/java/org/hornbeamusher/bench/policy/PolicyBench.java
+++ b/tool/src/main/java/org/hornbeamusher/bench/policy/PolicyBench.java
@@ -83,7 +83,7 @@
     if (oursTally != null) {
       out.println("Refused by ours: " + oursTally.refusals + ".");
     }
-    if (pattern == Pattern.FLIP && oursTally != null) {
+    if (pattern.shifts() && oursTally != null) {
       out.println(Recovery.describe(pattern, oursTally));
     }
     out.flush();
--- a/tool/src/main/java/org/hornbeamusher/bench/policy/Workload.java
+++ b/tool/src/main/java/org/hornbeamusher/bench/policy/Workload.java
@@ -65,7 +65,7 @@
   }
 
   private double capacity(Tenant tenant) {
-    double all = tenant.capacityPerSecond(Sizes.WORKERS);
+    double all = pattern.shorter() * tenant.capacityPerSecond(Sizes.WORKERS);
     double tokensFactor = 1 + LONG_PART * (LONG_TIMES - 1);
     return pattern == Pattern.LONG_JOBS ? all / tokensFactor : all;
   }
@@ -77,8 +77,9 @@
   private void add(Tenant tenant, long millis, int caller) {
     int adapter = adapter(millis);
     boolean longJob = pattern == Pattern.LONG_JOBS && random.nextDouble() < LONG_PART;
-    int tokens = tenant.meanTokens() / 2 + random.nextInt(tenant.meanTokens());
-    long deadline = tenant.deadlineMillis();
+    int meanTokens = tenant.meanTokens() / pattern.shorter();
+    int tokens = meanTokens / 2 + random.nextInt(meanTokens);
+    long deadline = tenant.deadlineMillis() / pattern.shorter();
     int prefix = random.nextInt(Sizes.PREFIXES_PER_ADAPTER);
     AdapterRef ref = new AdapterRef(tenant.service(), new AdapterName("adapter-" + adapter), 1);
     arrivals.add(
@@ -99,7 +100,7 @@
     if (pattern == Pattern.HOT_ADAPTER && shifted && random.nextDouble() < HOT_PART) {
       return HOT_ADAPTER;
     }
-    int rank = rank(random.nextDouble());
+    int rank = rank(random.nextDouble()) % pattern.adapters();
     return pattern == Pattern.FLIP && shifted ? (rank + Sizes.ADAPTERS / 2) % Sizes.ADAPTERS : rank;
   }
 
