Load: a request without a rate is due when there is room for it

Cause: in a closed loop the due time was taken before waiting for room, so with one request in flight each latency held the one before it as well, about twice the true figure on both ways of bench/run path. Requests with a rate still count from when they were due, room or not. bench/run path takes a case number, to repeat one.

--- a/tool/src/main/java/org/hornbeamusher/bench/path/PathBenchmark.java
+++ b/tool/src/main/java/org/hornbeamusher/bench/path/PathBenchmark.java
@@ -40,14 +40,16 @@
 
   @Override
   public String summary() {
-    return "[rounds]  added latency and lost tokens/s through entry and agent";
+    return "[rounds [case]]  added latency and lost tokens/s through entry and agent";
   }
 
   @Override
   public int run(List<String> arguments) {
     int rounds = arguments.isEmpty() ? ROUNDS : Integer.parseInt(arguments.getFirst());
+    List<PathCase> cases =
+        arguments.size() > 1 ? List.of(CASES.get(Integer.parseInt(arguments.get(1)) - 1)) : CASES;
     boolean clean = true;
-    for (PathCase load : CASES) {
+    for (PathCase load : cases) {
       try {
         clean &= compare(load, rounds, System.out);
       } catch (InterruptedException e) {
--- a/tool/src/main/java/org/hornbeamusher/load/LoadRunner.java
+++ b/tool/src/main/java/org/hornbeamusher/load/LoadRunner.java
@@ -54,6 +54,9 @@
       boolean resent = workload.resent(request);
       long due = awaitDue(begin, i);
       room.acquire();
+      if (settings.requestsPerSecond() <= 0) {
+        due = Stopwatch.micros();
+      }
       URI entry = settings.entries().get(i % settings.entries().size());
       URI next = settings.entries().get((i + 1) % settings.entries().size());
       send(request, entry, due).thenAccept(verdict -> answered(request, verdict, resent, next));
@@ -62,9 +65,10 @@
     return tally.report(Stopwatch.micros() - begin);
   }
 
+  /** Waits until a request is due; without a rate it is due when there is room for it. */
   private long awaitDue(long begin, int number) {
     if (settings.requestsPerSecond() <= 0) {
-      return Stopwatch.micros();
+      return 0;
     }
     long due = begin + Math.round(number * 1e6 / settings.requestsPerSecond());
     long wait = due - Stopwatch.micros();
