Batch samples, table calls, quarantine in the status; catalogues checked; the log lasts

Cause: the catalogue named metrics that nobody fed, the status a list that was always empty, and the JDK's log manager drops what a daemon logs while it stops on a signal. Change: agents sample their batch every 100 ms while there is work; table calls, connections and requests in flight are measured, and metrics that nothing feeds are gone from the catalogue; an entry shows the quarantined requests that were sent to it; the tool's log manager keeps handlers until the end. docs/EVENTS.md, FAILURES.md and METRICS.md are compared with the code by a test.

--- a/runtime/src/main/java/org/hornbeamusher/agent/AgentDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/agent/AgentDaemon.java
@@ -23,6 +23,7 @@
 import org.hornbeamusher.ids.AdapterRef;
 import org.hornbeamusher.ids.FencingNumber;
 import org.hornbeamusher.metrics.MetricsReport;
+import org.hornbeamusher.metrics.ProcessMetric;
 import org.hornbeamusher.operator.OperatorApi;
 import org.hornbeamusher.process.HttpListener;
 import org.hornbeamusher.process.ProcessServices;
@@ -52,6 +53,9 @@
   /** How often an unchanged load is reported, for an entry that missed one. */
   private static final long IDLE_REPORT_MILLIS = 1_000;
 
+  /** How often the batch is sampled: a few times in the shortest answers. */
+  private static final long SAMPLE_MILLIS = 100;
+
   /** How often the engine is asked for its state. */
   private static final long OBSERVE_MILLIS = 500;
 
@@ -76,6 +80,7 @@
   private volatile boolean leaving;
   private EndpointLoad lastReport;
   private long lastReportMillis;
+  private long lastSampleMillis;
 
   /**
    * Creates an agent that is not started.
@@ -122,6 +127,8 @@
   /** Listens for entries. */
   public void start() {
     services.start();
+    services.processMetrics().gauge(ProcessMetric.IN_FLIGHT, this::outstanding);
+    services.processMetrics().gauge(ProcessMetric.PEERS, server::connections);
     services.sync().listen(document -> becomeReady());
     becomeReady();
     timer.scheduleWithFixedDelay(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
@@ -287,6 +294,7 @@
       return;
     }
     EndpointLoad load = ready.load();
+    sample(load, now);
     if (!load.equals(lastReport) || now - lastReportMillis >= IDLE_REPORT_MILLIS) {
       lastReport = load;
       lastReportMillis = now;
@@ -294,6 +302,21 @@
     }
   }
 
+  /** Samples the batch at equal intervals, and only while there is work. */
+  private void sample(EndpointLoad load, long now) {
+    if (now - lastSampleMillis < SAMPLE_MILLIS) {
+      return;
+    }
+    lastSampleMillis = now;
+    if (load.running() + load.queued() > 0) {
+      services.documents().all().stream()
+          .filter(document -> document.pool().equals(settings.pool()))
+          .forEach(
+              document ->
+                  services.metrics().batch(document.service(), load.running(), load.batch()));
+    }
+  }
+
   private static Message message(EndpointLoad load) {
     List<String> resident =
         load.resident().stream()
--- a/runtime/src/main/java/org/hornbeamusher/entry/AgentLinks.java
+++ b/runtime/src/main/java/org/hornbeamusher/entry/AgentLinks.java
@@ -128,6 +128,11 @@
     apply(table.listed(peers));
   }
 
+  /** Returns how many connections to agents are open. */
+  int connections() {
+    return agents.size();
+  }
+
   /** Describes every endpoint that a connection leads to, in order of their names. */
   synchronized List<ProcessStatus.Endpoint> status() {
     return current.values().stream()
--- a/runtime/src/main/java/org/hornbeamusher/entry/EntryDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/entry/EntryDaemon.java
@@ -31,6 +31,7 @@
 import org.hornbeamusher.ids.EndpointId;
 import org.hornbeamusher.ids.ServiceName;
 import org.hornbeamusher.metrics.MetricsReport;
+import org.hornbeamusher.metrics.ProcessMetric;
 import org.hornbeamusher.operator.OperatorApi;
 import org.hornbeamusher.platform.Instance;
 import org.hornbeamusher.process.HttpListener;
@@ -75,6 +76,7 @@
   private final AtomicInteger entries = new AtomicInteger(1);
 
   private volatile boolean leaving;
+  private final QuarantineLog quarantined = new QuarantineLog();
   private final CountDownLatch leaveOrdered = new CountDownLatch(1);
   private HttpListener listener;
 
@@ -135,6 +137,8 @@
   /** Connects to agents and listens for callers. */
   public void start() {
     services.start();
+    services.processMetrics().gauge(ProcessMetric.IN_FLIGHT, inFlight::get);
+    services.processMetrics().gauge(ProcessMetric.PEERS, links::connections);
     claims.start();
     cleaner.start();
     timer.scheduleWithFixedDelay(this::followInstances, 0, INSTANCES_MILLIS, TimeUnit.MILLISECONDS);
@@ -211,7 +215,7 @@
     OperatorApi operators =
         new OperatorApi(
             new EntryOperations(
-                settings, services, links, inFlight::get, () -> leaving, this::drain),
+                settings, services, links, quarantined, inFlight::get, () -> leaving, this::drain),
             settings.tokens(),
             new MetricsReport(services.metrics()));
     return operators.mount(new PathHandler(callers));
@@ -271,6 +275,11 @@
               service, answer.loadStallMillis(), answer.firstTokenMillis(), answer.totalMillis());
     }
 
+    @Override
+    public void quarantined(ServiceName service, long fingerprint, long untilMillis) {
+      quarantined.refused(service, fingerprint, untilMillis);
+    }
+
     @Override
     public void crashed(long fingerprint, int crashes) {
       links.broadcast(new Message.CrashNotice(fingerprint, crashes));
--- a/runtime/src/main/java/org/hornbeamusher/entry/EntryOperations.java
+++ b/runtime/src/main/java/org/hornbeamusher/entry/EntryOperations.java
@@ -20,6 +20,7 @@
   private final EntrySettings settings;
   private final ProcessServices services;
   private final AgentLinks links;
+  private final QuarantineLog quarantined;
   private final IntSupplier inFlight;
   private final BooleanSupplier leaving;
   private final Runnable drain;
@@ -28,12 +29,14 @@
       EntrySettings settings,
       ProcessServices services,
       AgentLinks links,
+      QuarantineLog quarantined,
       IntSupplier inFlight,
       BooleanSupplier leaving,
       Runnable drain) {
     this.settings = settings;
     this.services = services;
     this.links = links;
+    this.quarantined = quarantined;
     this.inFlight = inFlight;
     this.leaving = leaving;
     this.drain = drain;
@@ -59,7 +62,7 @@
         inFlight.getAsInt(),
         links.status(),
         serviceStatus(),
-        List.of());
+        quarantined.status(services.clock().millis()));
   }
 
   private List<ProcessStatus.Service> serviceStatus() {
--- a/runtime/src/main/java/org/hornbeamusher/entry/RequestRunner.java
+++ b/runtime/src/main/java/org/hornbeamusher/entry/RequestRunner.java
@@ -41,6 +41,9 @@
     /** Hears of a whole answer. */
     void answered(ServiceName service, AttemptResult.Answered answer);
 
+    /** Hears of a request that is refused until a time, in milliseconds, because of crashes. */
+    void quarantined(ServiceName service, long fingerprint, long untilMillis);
+
     /** Tells the other processes about a crash. */
     void crashed(long fingerprint, int crashes);
   }
@@ -84,8 +87,15 @@
     switch (decisions.check(request.fingerprint())) {
       case QuarantineDecision.Allow allow -> {}
       case QuarantineDecision.AllowAlone alone -> {}
-      case QuarantineDecision.Refuse refuse ->
-          throw HornbeamusherException.notRun(refuse.type()).retryAfter(refuse.retryAfterMillis());
+      case QuarantineDecision.Refuse refuse -> {
+        if (refuse.type() == FailureType.QUARANTINED) {
+          host.quarantined(
+              request.document().service(),
+              request.fingerprint(),
+              clock.millis() + refuse.retryAfterMillis());
+        }
+        throw HornbeamusherException.notRun(refuse.type()).retryAfter(refuse.retryAfterMillis());
+      }
     }
     long firstToken =
         switch (decisions.route(routeRequest(request, Set.of()))) {
--- a/runtime/src/main/java/org/hornbeamusher/metrics/ProcessMetric.java
+++ b/runtime/src/main/java/org/hornbeamusher/metrics/ProcessMetric.java
@@ -2,17 +2,10 @@
 
 /** The catalogue of metrics that exist once a process; every operator may read them. */
 public enum ProcessMetric {
-  /** Claims that were written. */
-  CLAIMS("claims", "meter, claims", "Claims written for non-repeatable requests."),
   /** Table reads. */
   TABLE_READS("table-reads", "meter, calls", "Reads and scans sent to the table service."),
   /** Table writes. */
   TABLE_WRITES("table-writes", "meter, calls", "Transactions sent to the table service."),
-  /** Control traffic out. */
-  CONTROL_SENT("control-sent", "meter, bytes", "Bytes of heartbeats, reports and documents sent."),
-  /** Control traffic in. */
-  CONTROL_RECEIVED(
-      "control-received", "meter, bytes", "Bytes of heartbeats, reports and documents received."),
   /** Connections to other processes. */
   PEERS("peers", "gauge, connections", "Connections to other processes that are open."),
   /** Requests in progress. */
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/process/MeteredTable.java
@@ -0,0 +1,42 @@
+package org.hornbeamusher.process;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.hornbeamusher.metrics.ProcessMetric;
+import org.hornbeamusher.metrics.ProcessMetrics;
+import org.hornbeamusher.platform.CommitResult;
+import org.hornbeamusher.platform.Row;
+import org.hornbeamusher.platform.RowKey;
+import org.hornbeamusher.platform.Table;
+import org.hornbeamusher.platform.Transaction;
+
+/** Counts the calls of a table, failed ones included: the table is paid and limited by calls. */
+final class MeteredTable implements Table {
+
+  private final Table table;
+  private final ProcessMetrics metrics;
+
+  MeteredTable(Table table, ProcessMetrics metrics) {
+    this.table = table;
+    this.metrics = metrics;
+  }
+
+  @Override
+  public CompletableFuture<Optional<Row>> read(RowKey key) {
+    metrics.meter(ProcessMetric.TABLE_READS).mark();
+    return table.read(key);
+  }
+
+  @Override
+  public CompletableFuture<List<Row>> scan(String name, String prefix, String after, int limit) {
+    metrics.meter(ProcessMetric.TABLE_READS).mark();
+    return table.scan(name, prefix, after, limit);
+  }
+
+  @Override
+  public CompletableFuture<CommitResult> commit(Transaction transaction) {
+    metrics.meter(ProcessMetric.TABLE_WRITES).mark();
+    return table.commit(transaction);
+  }
+}
--- a/runtime/src/main/java/org/hornbeamusher/process/ProcessServices.java
+++ b/runtime/src/main/java/org/hornbeamusher/process/ProcessServices.java
@@ -14,6 +14,7 @@
 import org.hornbeamusher.documents.PollPlan;
 import org.hornbeamusher.exchange.DocumentExchange;
 import org.hornbeamusher.http.HttpClient;
+import org.hornbeamusher.metrics.ProcessMetrics;
 import org.hornbeamusher.metrics.ServiceMetrics;
 import org.hornbeamusher.platform.HttpInstanceList;
 import org.hornbeamusher.platform.HttpTable;
@@ -38,6 +39,7 @@
   private final DocumentSync sync;
   private final DocumentExchange exchange;
   private final ServiceMetrics metrics = new ServiceMetrics(new MetricRegistry());
+  private final ProcessMetrics processMetrics = new ProcessMetrics(metrics.registry());
 
   /**
    * Creates services that are not started.
@@ -48,7 +50,8 @@
    */
   public ProcessServices(URI platform, IntSupplier pollers, Clock clock) {
     this.clock = clock;
-    this.table = new HttpTable(http, platform, PLATFORM_TIMEOUT_MILLIS);
+    this.table =
+        new MeteredTable(new HttpTable(http, platform, PLATFORM_TIMEOUT_MILLIS), processMetrics);
     this.instances = new HttpInstanceList(http, platform, PLATFORM_TIMEOUT_MILLIS);
     this.store = new DocumentStore(table, clock, () -> UUID.randomUUID().toString());
     this.sync =
@@ -70,6 +73,15 @@
     http.stop();
   }
 
+  /**
+   * Returns the measurements of the process as a whole.
+   *
+   * @return kept in the registry of {@link #metrics}
+   */
+  public ProcessMetrics processMetrics() {
+    return processMetrics;
+  }
+
   /**
    * Returns the clock.
    *
--- a/runtime/src/main/java/org/hornbeamusher/wire/WireServer.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/WireServer.java
@@ -87,6 +87,15 @@
         server.getLocalPort());
   }
 
+  /**
+   * Returns how many connections are open.
+   *
+   * @return also those whose peer has not introduced itself yet
+   */
+  public int connections() {
+    return connections.size();
+  }
+
   /**
    * Sends a message to every peer that introduced itself.
    *
--- a/runtime/src/test/java/org/hornbeamusher/metrics/ServiceMetricsTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/metrics/ServiceMetricsTest.java
@@ -50,11 +50,11 @@
     metrics.answered(VALUER, 0, 1, 2);
     metrics.refused(DISPATCH, FailureType.RATE_LIMITED);
     metrics.answered(DISPATCH, 0, 1, 2);
-    new ProcessMetrics(metrics.registry()).meter(ProcessMetric.CLAIMS).mark();
+    new ProcessMetrics(metrics.registry()).meter(ProcessMetric.TABLE_WRITES).mark();
     String json = report.json(VALUER::equals);
     String text = report.prometheus(VALUER::equals);
     assertTrue(json.contains("valuer-llm") && text.contains("valuer-llm"));
-    assertTrue(json.contains("process.claims") && text.contains("process_claims"));
+    assertTrue(json.contains("process.table-writes") && text.contains("process_table_writes"));
     assertFalse(json.contains("dispatch") || text.contains("dispatch"), json + text);
   }
 
--- a/tool/src/main/java/org/hornbeamusher/tool/Tool.java
+++ b/tool/src/main/java/org/hornbeamusher/tool/Tool.java
@@ -1,5 +1,7 @@
 package org.hornbeamusher.tool;
 
+import org.hornbeamusher.events.KeepingLogManager;
+
 /** Entry point of the command line. */
 public final class Tool {
 
@@ -12,6 +14,8 @@
    * @throws InterruptedException when the process is told to end
    */
   public static void main(String[] args) throws InterruptedException {
+    // Before anything is logged: the JDK reads this once, when the first logger is made.
+    System.setProperty("java.util.logging.manager", KeepingLogManager.class.getName());
     Console console = new Console(System.out, System.err);
     System.exit(new CommandRunner(console).run(args));
   }
