--- a/runtime/src/test/java/org/hornbeamusher/architecture/ArchitectureTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/architecture/ArchitectureTest.java
@@ -31,7 +31,9 @@
     ROOT + "admission..",
     ROOT + "retry..",
     ROOT + "quarantine..",
-    ROOT + "pacing.."
+    ROOT + "pacing..",
+    ROOT + "membership..",
+    ROOT + "answers.."
   };
 
   private static final String[] IO = {
@@ -79,6 +81,26 @@
         .check(MAIN);
   }
 
+  /** Beside their shells, which call the table, these slices decide in classes of their own. */
+  @Test
+  void decisionsOnWhatIsAgreedUseNeitherNetworkNorThreads() {
+    noClasses()
+        .that()
+        .resideInAnyPackage(ROOT + "documents..", ROOT + "claims..")
+        .and()
+        .haveNameMatching(".*(Decision|Plan|Delta|Budget|Ledger)(\\$.*)?")
+        .should()
+        .dependOnClassesThat()
+        .resideInAnyPackage("java.net..", "io.undertow..", ROOT + "http..", ROOT + "wire..")
+        .orShould()
+        .dependOnClassesThat()
+        .areAssignableTo(Thread.class)
+        .orShould()
+        .dependOnClassesThat()
+        .areAssignableTo(java.util.concurrent.Executor.class)
+        .check(MAIN);
+  }
+
   @Test
   void foundationUsesNothingAboveIt() {
     classes()
