The entry's decisions as they were measured: shares, suspects, progress

Cause: admission was switched off in the running entry by a limit of 200,000, routing was not told of the other entries, of tokens or of slow answers under way, and a request that had been running at a crash was run again without asking the table, so that two entries could lose more than two endpoints to it. Change: one admission policy a pool, its limit from the pool's places and the entries that share its traffic; tokens, expiry and progress told to routing; SuspectRows, a row for each suspect by compare-and-set, asked before a suspect is dispatched; a bound on the requests one entry holds. A claim ends as unknown after an unexpected exception. Client connections send without delay. A caller that is alone is bounded by its deadline only: with the limit, a burst of 30 requests at 8 places was refused in part although all could end within seconds (the test of many adapters showed it). The test of a freed place filled the pool with one caller alone and so stated that refusal; it now has another caller beside it, and a new test states the burst.

--- a/runtime/src/main/java/org/hornbeamusher/admission/AdmissionPolicy.java
+++ b/runtime/src/main/java/org/hornbeamusher/admission/AdmissionPolicy.java
@@ -18,7 +18,12 @@
  * order:
  *
  * <ol>
- *   <li>Beyond the limit and the overshoot nobody is let in. That bounds what an entry holds.
+ *   <li>A caller that is alone is bounded by the deadline only: its burst takes nothing from
+ *       anyone, and what can be answered in time is not refused. With the limit, a burst of 30
+ *       requests of one caller at 8 places was refused in part though all could end within seconds.
+ *   <li>Beyond the limit and the overshoot nobody is let in but who is below a part of at least one
+ *       request. That bounds what an entry holds, and a burst of one caller that was alone cannot
+ *       shut out the next.
  *   <li>Below the {@linkplain AdmissionSettings#lentPart lent part} of the limit everyone is let
  *       in: places that their holder does not use are lent, also to the other partner.
  *   <li>Above it, a caller below its part is let in. It may overshoot the limit, so that a lent
@@ -88,13 +93,12 @@
     ShareNode partner = root.touch(request.partner(), partnerShare(request), now);
     ShareNode service = partner.touch(request.service(), request.serviceShare(), now);
     ShareNode caller = service.touch(request.caller(), request.callerWeight(), now);
-    if (settings.shares() && root.inFlight() >= inFlightLimit * (1 + settings.overshoot())) {
-      return refuse(FailureType.QUEUE_FULL, request.estimatedMillis());
-    }
     double partnerPart = root.fairPart(partner, inFlightLimit, now, settings.memoryMillis());
     double servicePart = partner.fairPart(service, partnerPart, now, settings.memoryMillis());
     double callerPart = service.fairPart(caller, servicePart, now, settings.memoryMillis());
-    boolean full = settings.shares() && root.inFlight() >= inFlightLimit * settings.lentPart();
+    boolean shares = settings.shares() && callerPart < inFlightLimit;
+    boolean entitled = callerPart >= 1 && caller.inFlight() < callerPart;
+    boolean full = shares && root.inFlight() >= inFlightLimit * settings.lentPart();
     boolean guaranteed = full && caller.inFlight() < callerPart;
     long late = now + request.estimatedMillis() - request.deadlineMillis();
     if (settings.deadlines() && late > 0 && !guaranteed) {
@@ -103,6 +107,10 @@
     if (full && !guaranteed && partner.inFlight() >= partnerPart) {
       return refuse(FailureType.RATE_LIMITED, request.estimatedMillis());
     }
+    boolean beyond = root.inFlight() >= inFlightLimit * (1 + settings.overshoot());
+    if (shares && !entitled && beyond) {
+      return refuse(FailureType.QUEUE_FULL, request.estimatedMillis());
+    }
     root.add(1);
     partner.add(1);
     service.add(1);
--- a/runtime/src/main/java/org/hornbeamusher/entry/AttemptFollower.java
+++ b/runtime/src/main/java/org/hornbeamusher/entry/AttemptFollower.java
@@ -21,6 +21,9 @@
    */
   private static final long GRACE_MILLIS = 50;
 
+  /** How often routing is told how fast an answer comes that is under way. */
+  private static final long PROGRESS_MILLIS = 1_000;
+
   private final AdmittedRequest request;
   private final EndpointId endpoint;
   private final AttemptCall call;
@@ -31,6 +34,7 @@
   private long loadStallMillis;
   private long firstPartMillis = -1;
   private int tokens;
+  private long nextProgressMillis;
 
   AttemptFollower(
       AdmittedRequest request,
@@ -45,6 +49,7 @@
     this.clock = clock;
     this.reader = new AnswerReader(endpoint, request.adapter(), call.attempt());
     this.sentMillis = clock.millis();
+    this.nextProgressMillis = sentMillis + PROGRESS_MILLIS;
   }
 
   /** Returns when the answer is whole and written. */
@@ -55,9 +60,11 @@
       while (true) {
         AttemptEvent event = call.next(request.deadlineMillis() + GRACE_MILLIS - clock.millis());
         if (event == null) {
-          throw failed(of(FailureType.DEADLINE_PASSED), new AttemptResult.Failed(), false);
+          throw failed(of(FailureType.DEADLINE_PASSED), expired(), false);
         }
-        if (handle(event)) {
+        boolean whole = handle(event);
+        tellProgress(decisions);
+        if (whole) {
           ended = true;
           decisions.tokensSeen(request.document().pool(), tokens, clock.millis() - firstPartMillis);
           return answered();
@@ -74,10 +81,25 @@
     }
   }
 
+  private AttemptResult expired() {
+    return new AttemptResult.Expired(busyMillis(), tokens);
+  }
+
+  private long busyMillis() {
+    return clock.millis() - (firstPartMillis < 0 ? sentMillis : firstPartMillis);
+  }
+
+  private void tellProgress(EntryDecisions decisions) {
+    if (firstPartMillis >= 0 && clock.millis() >= nextProgressMillis) {
+      nextProgressMillis = clock.millis() + PROGRESS_MILLIS;
+      decisions.progress(endpoint, busyMillis(), tokens);
+    }
+  }
+
   private AttemptResult.Answered answered() {
     long first = firstPartMillis < 0 ? clock.millis() : firstPartMillis;
     return new AttemptResult.Answered(
-        first - sentMillis, clock.millis() - sentMillis, loadStallMillis);
+        first - sentMillis, clock.millis() - sentMillis, loadStallMillis, tokens);
   }
 
   /** Takes in an event and tells whether the answer is whole. */
--- a/runtime/src/main/java/org/hornbeamusher/entry/CallerApi.java
+++ b/runtime/src/main/java/org/hornbeamusher/entry/CallerApi.java
@@ -47,6 +47,9 @@
   /** A plain call's cost in tokens: about what an engine does in the same few hundred millis. */
   private static final int PLAIN_COST_TOKENS = 16;
 
+  /** When a caller may come back to an entry that holds all it can. */
+  private static final long FULL_RETRY_MILLIS = 1_000;
+
   /** What the interface needs of the entry. */
   interface Host {
 
@@ -59,8 +62,11 @@
     /** Tells whether the entry takes no new requests. */
     boolean leaving();
 
-    /** Counts a request in or out. */
-    void requests(int change);
+    /** Counts a request in or out and returns how many there are now. */
+    int requests(int change);
+
+    /** Returns how many requests the entry holds at most. */
+    int mostRequests();
 
     /** Hears of a request that ended in a failure. */
     void refused(ServiceName service, HornbeamusherException failure);
@@ -107,8 +113,12 @@
     RequestId id = ids.next();
     exchange.getResponseHeaders().put(CallerHeaders.REQUEST_ID, id.value());
     CallerSink sink = new CallerSink(exchange, stalledMillis);
-    host.requests(1);
+    int held = host.requests(1);
     try {
+      if (held > host.mostRequests()) {
+        throw HornbeamusherException.notRun(FailureType.QUEUE_FULL, "this entry")
+            .retryAfter(FULL_RETRY_MILLIS);
+      }
       if (host.leaving()) {
         throw HornbeamusherException.notRun(FailureType.SHUTTING_DOWN);
       }
--- a/runtime/src/main/java/org/hornbeamusher/entry/ClaimedRun.java
+++ b/runtime/src/main/java/org/hornbeamusher/entry/ClaimedRun.java
@@ -75,6 +75,10 @@
           .completeOnTimeout(false, END_WAIT_MILLIS, TimeUnit.MILLISECONDS)
           .join();
       throw failed;
+    } catch (RuntimeException unexpected) {
+      // Without an end the claim would read as in progress until its expiry, and its caller wait.
+      claims.finish(claim, Outcome.UNKNOWN, Optional.empty());
+      throw unexpected;
     }
     claims.finish(claim, Outcome.RAN, writer.kept());
   }
--- a/runtime/src/main/java/org/hornbeamusher/entry/EntryDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/entry/EntryDaemon.java
@@ -17,7 +17,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.random.RandomGenerator;
-import org.hornbeamusher.admission.AdmissionSettings;
 import org.hornbeamusher.claims.ClaimCleaner;
 import org.hornbeamusher.claims.ClaimKeeper;
 import org.hornbeamusher.claims.ClaimSettings;
@@ -29,6 +28,7 @@
 import org.hornbeamusher.failure.HornbeamusherException;
 import org.hornbeamusher.ids.ClaimToken;
 import org.hornbeamusher.ids.EndpointId;
+import org.hornbeamusher.ids.PoolName;
 import org.hornbeamusher.ids.ServiceName;
 import org.hornbeamusher.metrics.MetricsReport;
 import org.hornbeamusher.metrics.ProcessMetric;
@@ -40,6 +40,7 @@
 import org.hornbeamusher.retry.RetrySettings;
 import org.hornbeamusher.routing.AttemptResult;
 import org.hornbeamusher.settings.EntrySettings;
+import org.hornbeamusher.suspects.SuspectRows;
 import org.hornbeamusher.wire.Message;
 import org.hornbeamusher.wire.WireConnection;
 import org.hornbeamusher.wire.WireSockets;
@@ -53,12 +54,6 @@
   private static final long INSTANCES_MILLIS = 1_000;
   private static final long STOP_POLL_MILLIS = 20;
 
-  /**
-   * Tokens in flight that one entry admits before shares decide: 12 engines of 16 requests of some
-   * 300 tokens, three times over, so that agents always have something to choose from.
-   */
-  private static final long IN_FLIGHT_TOKENS = 200_000;
-
   private final EntrySettings settings;
   private final ProcessServices services;
   private final Clock clock;
@@ -106,11 +101,7 @@
             RandomGenerator.getDefault());
     this.decisions =
         new EntryDecisions(
-            settings.zone(),
-            AdmissionSettings.of(IN_FLIGHT_TOKENS, Map.of()),
-            RetrySettings.DEFAULT,
-            QuarantineSettings.DEFAULT,
-            clock);
+            settings.zone(), Map.of(), RetrySettings.DEFAULT, QuarantineSettings.DEFAULT, clock);
     this.links =
         new AgentLinks(
             hello(settings),
@@ -220,7 +211,13 @@
   }
 
   private HttpHandler handler() {
-    RequestRunner runner = new RequestRunner(decisions, new RunnerHost(), claims, clock);
+    RequestRunner runner =
+        new RequestRunner(
+            decisions,
+            new SuspectRows(services.table(), QuarantineSettings.DEFAULT, clock),
+            new RunnerHost(),
+            claims,
+            clock);
     CallerApi callers =
         new CallerApi(
             new ApiHost(),
@@ -260,9 +257,25 @@
   private void listed(List<Instance> instances) {
     long count = instances.stream().filter(i -> i.role() == Instance.Role.ENTRY).count();
     entries.set((int) Math.max(1, count));
+    decisions.entryCount(sharing(instances));
     links.follow(instances.stream().filter(i -> i.role() == Instance.Role.AGENT).toList());
   }
 
+  /** Counts the entries that share this one's traffic: those of the same pool of entries. */
+  private int sharing(List<Instance> instances) {
+    Optional<PoolName> own =
+        instances.stream()
+            .filter(instance -> instance.id().equals(settings.instance().value()))
+            .map(Instance::pool)
+            .findFirst();
+    long sharing =
+        instances.stream()
+            .filter(instance -> instance.role() == Instance.Role.ENTRY)
+            .filter(instance -> own.isEmpty() || own.get().equals(instance.pool()))
+            .count();
+    return (int) Math.max(1, sharing);
+  }
+
   private void heard(WireConnection connection, Message message) {
     if (message instanceof Message.CrashNotice notice) {
       decisions.crashObserved(notice.fingerprint(), notice.crashes());
@@ -322,8 +335,13 @@
     }
 
     @Override
-    public void requests(int change) {
-      inFlight.addAndGet(change);
+    public int requests(int change) {
+      return inFlight.addAndGet(change);
+    }
+
+    @Override
+    public int mostRequests() {
+      return settings.limits().inFlight();
     }
 
     @Override
--- a/runtime/src/main/java/org/hornbeamusher/entry/EntryDecisions.java
+++ b/runtime/src/main/java/org/hornbeamusher/entry/EntryDecisions.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import org.hornbeamusher.admission.AdmissionDecision;
 import org.hornbeamusher.admission.AdmissionPolicy;
 import org.hornbeamusher.admission.AdmissionRequest;
@@ -10,6 +11,7 @@
 import org.hornbeamusher.ids.AdapterRef;
 import org.hornbeamusher.ids.AvailabilityZone;
 import org.hornbeamusher.ids.EndpointId;
+import org.hornbeamusher.ids.PartnerId;
 import org.hornbeamusher.ids.PoolName;
 import org.hornbeamusher.quarantine.Quarantine;
 import org.hornbeamusher.quarantine.QuarantineDecision;
@@ -34,7 +36,12 @@
   private static final double PACE_GAIN = 0.05;
 
   private final Router router;
-  private final AdmissionPolicy admission;
+  private final Map<PartnerId, Integer> partnerShares;
+
+  /** One policy for each pool: a full pool says nothing about the others. */
+  private final Map<PoolName, AdmissionPolicy> admissions = new HashMap<>();
+
+  private int entries = 1;
   private final RetryPolicy retries;
   private final Quarantine quarantine;
   private final Clock clock;
@@ -42,12 +49,12 @@
 
   EntryDecisions(
       AvailabilityZone zone,
-      AdmissionSettings admission,
+      Map<PartnerId, Integer> partnerShares,
       RetrySettings retries,
       QuarantineSettings quarantine,
       Clock clock) {
     this.router = new Router(zone);
-    this.admission = new AdmissionPolicy(admission);
+    this.partnerShares = Map.copyOf(partnerShares);
     this.retries = new RetryPolicy(retries);
     this.quarantine = new Quarantine(quarantine);
     this.clock = clock;
@@ -82,12 +89,23 @@
     router.attemptEnded(id, adapter, result, clock.millis());
   }
 
-  synchronized AdmissionDecision admit(AdmissionRequest request) {
+  /** Takes in how many entries share the traffic. */
+  synchronized void entryCount(int count) {
+    entries = count;
+    router.entryCount(count);
+  }
+
+  synchronized AdmissionDecision admit(PoolName pool, AdmissionRequest request) {
+    long limit = AdmissionSettings.limit(router.places(pool), entries);
+    AdmissionPolicy admission =
+        admissions.computeIfAbsent(
+            pool, key -> new AdmissionPolicy(AdmissionSettings.of(limit, partnerShares)));
+    admission.limit(limit);
     return admission.admit(request, clock.millis());
   }
 
-  synchronized void finished(AdmissionRequest request, boolean answered) {
-    admission.finished(request, answered, clock.millis());
+  synchronized void finished(PoolName pool, AdmissionRequest request, boolean answered) {
+    admissions.get(pool).finished(request, answered, clock.millis());
     if (answered) {
       retries.succeeded(clock.millis());
     }
@@ -101,8 +119,17 @@
     return quarantine.check(fingerprint, clock.millis());
   }
 
-  synchronized void fingerprintStarted(long fingerprint) {
-    quarantine.started(fingerprint, clock.millis());
+  synchronized void fingerprintStarted(long fingerprint, EndpointId endpoint) {
+    quarantine.started(fingerprint, endpoint, clock.millis());
+  }
+
+  synchronized Set<EndpointId> endpointsRunningSuspects() {
+    return Set.copyOf(quarantine.endpointsRunningSuspects());
+  }
+
+  /** Takes in how fast an answer comes that is under way. */
+  synchronized void progress(EndpointId endpoint, long busyMillis, int tokens) {
+    router.progress(endpoint, busyMillis, tokens, clock.millis());
   }
 
   synchronized void fingerprintEnded(long fingerprint) {
--- a/runtime/src/main/java/org/hornbeamusher/entry/RequestRunner.java
+++ b/runtime/src/main/java/org/hornbeamusher/entry/RequestRunner.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.hornbeamusher.admission.AdmissionDecision;
 import org.hornbeamusher.admission.AdmissionRequest;
 import org.hornbeamusher.claims.ClaimKeeper;
@@ -20,6 +21,8 @@
 import org.hornbeamusher.routing.AttemptResult;
 import org.hornbeamusher.routing.RouteDecision;
 import org.hornbeamusher.routing.RouteRequest;
+import org.hornbeamusher.suspects.SuspectClaim;
+import org.hornbeamusher.suspects.SuspectRows;
 import org.hornbeamusher.wire.Message;
 
 /**
@@ -48,12 +51,21 @@
     void crashed(long fingerprint, int crashes);
   }
 
+  /** When a caller may send a suspect again: the other run of it has then mostly ended. */
+  private static final long SUSPECT_RETRY_MILLIS = 2_000;
+
+  /** How long an answer waits for the table to take a crash; the notice goes out in any case. */
+  private static final long CRASH_RECORD_MILLIS = 1_000;
+
   private final EntryDecisions decisions;
+  private final SuspectRows suspects;
   private final Host host;
   private final ClaimedRun claimed;
   private final Clock clock;
 
-  RequestRunner(EntryDecisions decisions, Host host, ClaimKeeper claims, Clock clock) {
+  RequestRunner(
+      EntryDecisions decisions, SuspectRows suspects, Host host, ClaimKeeper claims, Clock clock) {
+    this.suspects = suspects;
     this.claimed = new ClaimedRun(claims, clock);
     this.decisions = decisions;
     this.host = host;
@@ -79,7 +91,7 @@
       writer.fail(failed);
       return Optional.of(failed);
     } finally {
-      decisions.finished(admission, answered);
+      decisions.finished(request.document().pool(), admission, answered);
     }
   }
 
@@ -114,7 +126,7 @@
             firstToken + (long) generating,
             request.document().limits().share(),
             request.document().callerWeights().getOrDefault(request.caller(), 1));
-    return switch (decisions.admit(admission)) {
+    return switch (decisions.admit(request.document().pool(), admission)) {
       case AdmissionDecision.Admit admit -> admission;
       case AdmissionDecision.Refuse refuse ->
           throw HornbeamusherException.notRun(refuse.type(), request.document().service())
@@ -138,14 +150,17 @@
     int crashes = 0;
     while (true) {
       attempts++;
+      boolean alone = claimIfSuspect(request, excluded);
       EndpointId endpoint = route(request, excluded);
       try {
         runAttempt(request, endpoint, writer);
+        endIfAlone(request, alone);
         return;
       } catch (AttemptFailedException failed) {
-        if (failed.crashed()) {
-          crashes = decisions.crashed(request.fingerprint());
-          host.crashed(request.fingerprint(), crashes);
+        if (!failed.crashed()) {
+          endIfAlone(request, alone);
+        } else {
+          crashes = recordCrash(request.fingerprint());
         }
         AttemptFailure failure =
             new AttemptFailure(
@@ -162,6 +177,57 @@
     }
   }
 
+  /**
+   * A request that was running when an endpoint crashed runs at most once at a time over all
+   * entries, and apart from other suspects: else the next crash would again have several suspects,
+   * and two entries that each allow it one more run would lose two more endpoints.
+   */
+  private boolean claimIfSuspect(AdmittedRequest request, Set<EndpointId> excluded) {
+    switch (decisions.check(request.fingerprint())) {
+      case QuarantineDecision.Allow allow -> {
+        return false;
+      }
+      case QuarantineDecision.AllowAlone alone -> {
+        claimSuspect(request);
+        excluded.addAll(decisions.endpointsRunningSuspects());
+        return true;
+      }
+      case QuarantineDecision.Refuse refuse ->
+          throw HornbeamusherException.notRun(refuse.type()).retryAfter(refuse.retryAfterMillis());
+    }
+  }
+
+  private void claimSuspect(AdmittedRequest request) {
+    switch (suspects.begin(request.fingerprint(), request.deadlineMillis()).join()) {
+      case SuspectClaim.Granted granted -> {}
+      case SuspectClaim.Refused refused -> {
+        decisions.crashObserved(request.fingerprint(), refused.crashes());
+        throw HornbeamusherException.notRun(refused.type()).retryAfter(SUSPECT_RETRY_MILLIS);
+      }
+    }
+  }
+
+  private void endIfAlone(AdmittedRequest request, boolean alone) {
+    if (alone) {
+      suspects.ended(request.fingerprint());
+    }
+  }
+
+  /** Counts a crash here, in the table and, by notices, at the other entries. */
+  private int recordCrash(long fingerprint) {
+    int known = decisions.crashed(fingerprint);
+    int recorded =
+        suspects
+            .crashed(fingerprint)
+            .completeOnTimeout(known, CRASH_RECORD_MILLIS, TimeUnit.MILLISECONDS)
+            .exceptionally(thrown -> known)
+            .join();
+    int crashes = Math.max(known, recorded);
+    decisions.crashObserved(fingerprint, crashes);
+    host.crashed(fingerprint, crashes);
+    return crashes;
+  }
+
   private static void backOff(HornbeamusherException failure, RetryDecision decision)
       throws InterruptedException {
     switch (decision) {
@@ -205,7 +271,7 @@
   private void runAttempt(AdmittedRequest request, EndpointId endpoint, AnswerWriter writer)
       throws InterruptedException, AttemptFailedException {
     AttemptResult result = new AttemptResult.Failed();
-    decisions.fingerprintStarted(request.fingerprint());
+    decisions.fingerprintStarted(request.fingerprint(), endpoint);
     try {
       AttemptCall call =
           host.link(endpoint)
--- a/runtime/src/main/java/org/hornbeamusher/http/ConnectionPool.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/ConnectionPool.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ConcurrentLinkedDeque;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
+import org.xnio.Options;
 import org.xnio.XnioWorker;
 
 /**
@@ -20,6 +21,12 @@
   /** Beyond this many idle connections of one origin, a returned one is closed. */
   private static final int MAX_IDLE = 256;
 
+  /**
+   * The worker's own options do not reach client sockets. Without this one, a request's last small
+   * segment may wait for the acknowledgement of the one before it.
+   */
+  private static final OptionMap NO_DELAY = OptionMap.create(Options.TCP_NODELAY, true);
+
   private final ConcurrentHashMap<String, ConcurrentLinkedDeque<ClientConnection>> idle =
       new ConcurrentHashMap<>();
   private UndertowClient client;
@@ -44,7 +51,7 @@
       callback.completed(pooled);
       return;
     }
-    client.connect(callback, uri, worker, buffers, OptionMap.EMPTY);
+    client.connect(callback, uri, worker, buffers, NO_DELAY);
   }
 
   /** Takes back a connection whose exchange ended cleanly. */
--- a/runtime/src/main/java/org/hornbeamusher/wire/WireServer.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/WireServer.java
@@ -121,7 +121,9 @@
       } catch (IOException e) {
         // One connection that cannot be set up, or the listener that was closed by stop(): the
         // loop's condition tells which; other peers must still be accepted.
-        EventLog.log(EventType.PEER_LOST, "reason", e);
+        if (!server.isClosed()) {
+          EventLog.log(EventType.PEER_LOST, "reason", e);
+        }
       }
     }
   }
--- a/runtime/src/test/java/org/hornbeamusher/admission/AdmissionPolicyTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/admission/AdmissionPolicyTest.java
@@ -71,9 +71,19 @@
     assertInstanceOf(AdmissionDecision.Admit.class, policy.admit(request, 0));
   }
 
+  // Nobody else asks for anything. A burst of which every request can end in time is let in whole:
+  // refusing a part of it would leave the pool idle afterwards.
+  @Test
+  void burstsOfTheOnlyCallerAreBoundedByTheDeadlineAlone() {
+    assertEquals(3 * LIMIT, admitted(ZARQA, "desk", 3 * LIMIT));
+    AdmissionRequest late = request(ZARQA, "desk", 5_000, 9_000);
+    assertRefused(FailureType.DEADLINE_TOO_NEAR, policy.admit(late, 0));
+  }
+
   // Long requests are in flight for longer, so their caller reaches its part with fewer of them.
   @Test
   void endOfRequestFreesItsPlace() {
+    admitted(TAWHITI, "yard", 1);
     admitted(ZARQA, "desk", 1_000);
     assertRefused(FailureType.RATE_LIMITED, policy.admit(request(ZARQA, "desk"), 0));
     policy.finished(request(ZARQA, "desk"), true, 0);
