--- a/runtime/src/main/java/org/hornbeamusher/agent/AgentDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/agent/AgentDaemon.java
@@ -22,7 +22,7 @@
 import org.hornbeamusher.failure.HornbeamusherException;
 import org.hornbeamusher.ids.AdapterRef;
 import org.hornbeamusher.ids.EndpointId;
-import org.hornbeamusher.ids.FencingNumber;
+import org.hornbeamusher.lease.FencingLease;
 import org.hornbeamusher.metrics.MetricsReport;
 import org.hornbeamusher.metrics.ProcessMetric;
 import org.hornbeamusher.operator.OperatorApi;
@@ -72,6 +72,7 @@
   private final ScheduledExecutorService timer =
       Executors.newSingleThreadScheduledExecutor(
           Thread.ofPlatform().daemon().name("agent-timer").factory());
+  private final Message.Hello own;
   private final WireServer server;
   private final HttpListener listener;
   private final PermitExchange permits;
@@ -98,15 +99,16 @@
     this.services = new ProcessServices(settings.platform(), () -> 0, clock);
     this.listener =
         new HttpListener(settings.http(), Undertow.builder().setIoThreads(1).setWorkerThreads(1));
+    this.own = hello(settings);
     this.server =
-        new WireServer(settings.listen().address(), hello(), this, settings.wire(), sockets, clock);
+        new WireServer(settings.listen().address(), own, this, settings.wire(), sockets, clock);
     this.permits =
         new PermitExchange(
             new PermitExchange.Setup(
                 new EndpointId(settings.instance().value()),
                 settings.capacity().weightStore(),
                 PermitSettings.of(settings.capacity().partnerShares()),
-                hello(),
+                own,
                 settings.wire(),
                 sockets),
             services::instances,
@@ -123,7 +125,7 @@
     return services;
   }
 
-  private Message.Hello hello() {
+  private static Message.Hello hello(AgentSettings settings) {
     return new Message.Hello(
         PROTOCOL,
         PROTOCOL,
@@ -190,11 +192,17 @@
             figures.loadMillis(),
             true,
             figures.partnerShares());
-    FencingNumber fencing = new FencingNumber(clock.millis());
+    FencingLease lease =
+        new FencingLease(
+            services.table(), settings.endpoint(), Long.toHexString(own.incarnation()));
     AgentShell created =
         new AgentShell(
             new AgentShell.AgentSetup(
-                settings.endpoint(), settings.endpointUri(), isModel(), () -> fencing),
+                settings.endpoint(),
+                settings.endpointUri(),
+                isModel(),
+                new EngineFencing(lease),
+                this::drain),
             new AgentScheduler(scheduling),
             new EngineOrders(
                 settings.endpoint(), settings.endpointUri(), services.http(), ORDER_TIMEOUT_MILLIS),
--- a/runtime/src/main/java/org/hornbeamusher/agent/AgentShell.java
+++ b/runtime/src/main/java/org/hornbeamusher/agent/AgentShell.java
@@ -86,12 +86,14 @@
    * @param uri its address
    * @param model whether it is a model engine
    * @param fencing the number that orders carry
+   * @param superseded called when the engine obeys a later agent
    */
   record AgentSetup(
       EndpointId endpoint,
       java.net.URI uri,
       boolean model,
-      java.util.function.Supplier<FencingNumber> fencing) {}
+      EngineFencing fencing,
+      Runnable superseded) {}
 
   AgentShell(
       AgentSetup setup,
@@ -313,16 +315,22 @@
   }
 
   private void orderLoad(AgentAction.Load load) {
-    FencingNumber fencing = setup.fencing().get();
+    setup
+        .fencing()
+        .number()
+        .thenCompose(number -> replace(load, number))
+        .thenCompose(done -> noticeRestart())
+        .whenComplete((done, thrown) -> loadEnded(load.adapter(), thrown));
+  }
+
+  private CompletableFuture<Void> replace(AgentAction.Load load, FencingNumber number) {
     CompletableFuture<Void> evicted =
         load.evict()
-            .map(victim -> orders.unload(victim, fencing))
+            .map(victim -> orders.unload(victim, number))
             .orElseGet(() -> CompletableFuture.completedFuture(null));
-    evicted
-        .thenCompose(
-            done -> orders.load(load.adapter(), weightsLocation.apply(load.adapter()), fencing))
-        .thenCompose(done -> noticeRestart())
-        .whenComplete((done, thrown) -> loadEnded(load.adapter(), thrown));
+    AdapterRef adapter = load.adapter();
+    return evicted.thenCompose(
+        done -> orders.load(adapter, weightsLocation.apply(adapter), number));
   }
 
   /**
@@ -358,10 +366,23 @@
     turns.done();
     if (thrown != null) {
       observeEngine();
+      leaveIfSuperseded(HornbeamusherException.from(thrown));
     }
     poll();
   }
 
+  /**
+   * A refused number means that a later agent has taken over, as after a long pause of this one.
+   * Two agents that order one engine would evict from under each other's requests, so this one
+   * leaves.
+   */
+  private void leaveIfSuperseded(HornbeamusherException failure) {
+    if (failure.type() == FailureType.STALE_FENCING_NUMBER) {
+      EventLog.log(EventType.AGENT_SUPERSEDED, "endpoint", setup.endpoint());
+      setup.superseded().run();
+    }
+  }
+
   @Override
   public void answered(AgentAttempt attempt) {
     finish(attempt);
@@ -427,7 +448,14 @@
     return loadsEnded;
   }
 
-  private synchronized void observed(EngineState state, Throwable thrown, long asked) {
+  private void observed(EngineState state, Throwable thrown, long asked) {
+    takeIn(state, thrown, asked);
+    if (thrown == null) {
+      setup.fencing().observed(state.fencing());
+    }
+  }
+
+  private synchronized void takeIn(EngineState state, Throwable thrown, long asked) {
     endpointDown = thrown != null;
     if (thrown != null) {
       return;
--- a/runtime/src/main/java/org/hornbeamusher/events/EventType.java
+++ b/runtime/src/main/java/org/hornbeamusher/events/EventType.java
@@ -22,6 +22,7 @@
   ADAPTER_LOADED(1201, Level.FINE, "An adapter became resident."),
   ADAPTER_LOAD_FAILED(1202, Level.WARNING, "An adapter could not be loaded."),
   ENDPOINT_RESTARTED(1203, Level.WARNING, "An endpoint lost its resident adapters."),
+  AGENT_SUPERSEDED(1204, Level.SEVERE, "A later agent orders the endpoint; this one leaves."),
   // 1300: service documents
   DOCUMENT_IN_FORCE(1301, Level.INFO, "A newer version of a document is in force here."),
   DOCUMENT_UNREADABLE(1302, Level.WARNING, "A stored document cannot be read by this release."),
--- a/tool/src/test/java/org/hornbeamusher/path/FaultsTest.java
+++ b/tool/src/test/java/org/hornbeamusher/path/FaultsTest.java
@@ -223,6 +223,26 @@
     assertTrue(path.restarts() <= 2, "engines lost: " + path.restarts());
   }
 
+  /**
+   * An agent was paused for so long that it was replaced; its successor gave the engine an order
+   * with a higher number. On waking up the old agent still believes in its own. The engine refuses
+   * its next order, it leaves, and the caller is answered by another endpoint.
+   */
+  @Test
+  void agentsThatWereReplacedLeave() {
+    int before = path.entry(0).routedEndpoints();
+    for (EngineStandin engine : path.deployment().engines().values()) {
+      path.order(engine, "/orders/role", "{\"role\":\"both\",\"fencing\":1000}");
+      break;
+    }
+
+    for (int i = 0; i < 8; i++) {
+      HttpReply reply = path.complete(0, PathFixture.adapter(i), "roster", 4).join();
+      assertEquals(200, reply.status(), PathFixture.json(reply).toString());
+    }
+    PathFixture.await(() -> path.entry(0).routedEndpoints() == before - 1);
+  }
+
   /** Loads fail for a while; requests are answered or refused with a type, never lost. */
   @Test
   void failedLoadsAreAnsweredElsewhereOrRefused() {
--- a/tool/src/test/java/org/hornbeamusher/path/PathFixture.java
+++ b/tool/src/test/java/org/hornbeamusher/path/PathFixture.java
@@ -192,6 +192,13 @@
     return json(state).path("running").asInt();
   }
 
+  void order(EngineStandin engine, String target, String json) {
+    byte[] body = json.getBytes(StandardCharsets.UTF_8);
+    HttpReply reply =
+        client.send(HttpCall.postJson(engine.uri().resolve(target), body), CALL_MILLIS).join();
+    org.junit.jupiter.api.Assertions.assertEquals(200, reply.status());
+  }
+
   long restarts() {
     return deployment.engines().values().stream()
         .mapToLong(engine -> engine.counts().restarts())
