--- a/runtime/src/main/java/org/hornbeamusher/agent/AgentShell.java
+++ b/runtime/src/main/java/org/hornbeamusher/agent/AgentShell.java
@@ -55,9 +55,7 @@
   private final HttpClient http;
   private final Clock clock;
   private final Function<AdapterRef, String> weightsLocation;
-  private final Map<Long, AgentAttempt> attempts = new HashMap<>();
-  private final Map<AttemptKey, AgentAttempt> byKey = new HashMap<>();
-  private long nextTicket;
+  private final AttemptRegister attempts = new AttemptRegister();
 
   /**
    * As the scheduler said after its latest decision; asked again later it would say a later time.
@@ -76,9 +74,6 @@
   /** Loads that ended since the start; rises only. */
   private long loadsEnded;
 
-  /** Identifies an attempt among those of all entries. */
-  private record AttemptKey(WireConnection connection, long attempt) {}
-
   /**
    * What a shell is told of its endpoint.
    *
@@ -142,9 +137,7 @@
   }
 
   private void queue(WireConnection connection, Message.Dispatch dispatch) {
-    AgentAttempt attempt = new AgentAttempt(connection, dispatch, nextTicket++, this);
-    attempts.put(attempt.ticket(), attempt);
-    byKey.put(new AttemptKey(connection, dispatch.attempt()), attempt);
+    AgentAttempt attempt = attempts.add(connection, dispatch, this);
     scheduler.submit(queued(attempt), clock.millis());
   }
 
@@ -170,11 +163,11 @@
     AgentAttempt attempt;
     boolean started;
     synchronized (this) {
-      attempt = byKey.get(new AttemptKey(connection, attemptNumber));
+      attempt = attempts.find(connection, attemptNumber).orElse(null);
       if (attempt == null) {
         return;
       }
-      forget(attempt);
+      attempts.remove(attempt);
       started = scheduler.cancel(attempt.ticket(), clock.millis());
     }
     attempt.cancel();
@@ -186,13 +179,11 @@
 
   /** Passes credit on. */
   void credit(WireConnection connection, long attemptNumber, long bytes) {
-    AgentAttempt attempt;
+    Optional<AgentAttempt> attempt;
     synchronized (this) {
-      attempt = byKey.get(new AttemptKey(connection, attemptNumber));
-    }
-    if (attempt != null) {
-      attempt.addCredit(bytes);
+      attempt = attempts.find(connection, attemptNumber);
     }
+    attempt.ifPresent(found -> found.addCredit(bytes));
   }
 
   /**
@@ -200,11 +191,9 @@
    * and it settles the attempts by itself.
    */
   void connectionClosed(WireConnection connection) {
-    List<Long> orphans = new ArrayList<>();
+    List<Long> orphans;
     synchronized (this) {
-      byKey.keySet().stream()
-          .filter(key -> key.connection() == connection)
-          .forEach(key -> orphans.add(key.attempt()));
+      orphans = attempts.attemptsOf(connection);
     }
     orphans.forEach(attempt -> cancel(connection, attempt));
   }
@@ -275,14 +264,14 @@
   }
 
   private Runnable startStep(AgentAction.Start start) {
-    AgentAttempt attempt = attempts.get(start.ticket());
+    AgentAttempt attempt = attempts.ofTicket(start.ticket());
     attempt.markStarted(engineIncarnation);
     return () -> run(attempt, start.loadStallMillis());
   }
 
   private Runnable refusalStep(AgentAction.Refuse refusal) {
-    AgentAttempt attempt = attempts.get(refusal.ticket());
-    forget(attempt);
+    AgentAttempt attempt = attempts.ofTicket(refusal.ticket());
+    attempts.remove(attempt);
     return () ->
         attempt
             .connection()
@@ -407,7 +396,7 @@
   }
 
   private synchronized boolean requeue(AgentAttempt attempt) {
-    if (attempts.get(attempt.ticket()) != attempt || attempt.requeue() > MAX_REQUEUES) {
+    if (!attempts.holds(attempt) || attempt.requeue() > MAX_REQUEUES) {
       return false;
     }
     scheduler.finished(attempt.ticket(), clock.millis());
@@ -477,20 +466,15 @@
 
   private void finish(AgentAttempt attempt) {
     synchronized (this) {
-      if (attempts.get(attempt.ticket()) != attempt) {
+      if (!attempts.holds(attempt)) {
         return;
       }
-      forget(attempt);
+      attempts.remove(attempt);
       scheduler.finished(attempt.ticket(), clock.millis());
     }
     poll();
   }
 
-  private void forget(AgentAttempt attempt) {
-    attempts.remove(attempt.ticket());
-    byKey.remove(new AttemptKey(attempt.connection(), attempt.dispatch().attempt()));
-  }
-
   /** Tells an entry that an attempt was not started and will not be. */
   static Message refusal(Message.Dispatch dispatch, FailureType type, Object detail) {
     return refusal(dispatch, type, detail, RETRY_AFTER_MILLIS);
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/wire/ForwardingListener.java
@@ -0,0 +1,38 @@
+package org.hornbeamusher.wire;
+
+import org.hornbeamusher.failure.HornbeamusherException;
+
+/** Passes everything on to another listener; a subclass adds what its owner has to know. */
+class ForwardingListener implements WireListener {
+
+  private final WireListener listener;
+
+  ForwardingListener(WireListener listener) {
+    this.listener = listener;
+  }
+
+  @Override
+  public void opened(WireConnection connection, Message.Hello peer) {
+    listener.opened(connection, peer);
+  }
+
+  @Override
+  public void received(WireConnection connection, Message message) {
+    listener.received(connection, message);
+  }
+
+  @Override
+  public void closed(WireConnection connection, HornbeamusherException reason) {
+    listener.closed(connection, reason);
+  }
+
+  @Override
+  public long digest() {
+    return listener.digest();
+  }
+
+  @Override
+  public void heartbeat(WireConnection connection, long digest) {
+    listener.heartbeat(connection, digest);
+  }
+}
--- a/runtime/src/main/java/org/hornbeamusher/wire/WireConnector.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/WireConnector.java
@@ -114,43 +114,22 @@
     return connection.peer() != null;
   }
 
-  private static final class EndSignal implements WireListener {
+  private static final class EndSignal extends ForwardingListener {
 
-    private final WireListener listener;
     private final CountDownLatch ended = new CountDownLatch(1);
 
     EndSignal(WireListener listener) {
-      this.listener = listener;
+      super(listener);
     }
 
     void await() throws InterruptedException {
       ended.await();
     }
 
-    @Override
-    public void opened(WireConnection connection, Message.Hello peer) {
-      listener.opened(connection, peer);
-    }
-
-    @Override
-    public void received(WireConnection connection, Message message) {
-      listener.received(connection, message);
-    }
-
-    @Override
-    public long digest() {
-      return listener.digest();
-    }
-
-    @Override
-    public void heartbeat(WireConnection connection, long digest) {
-      listener.heartbeat(connection, digest);
-    }
-
     @Override
     public void closed(WireConnection connection, HornbeamusherException reason) {
       ended.countDown();
-      listener.closed(connection, reason);
+      super.closed(connection, reason);
     }
   }
 }
--- a/runtime/src/main/java/org/hornbeamusher/wire/WireServer.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/WireServer.java
@@ -128,32 +128,16 @@
     }
   }
 
-  private final class Tracking implements WireListener {
+  private final class Tracking extends ForwardingListener {
 
-    @Override
-    public void opened(WireConnection connection, Message.Hello peer) {
-      listener.opened(connection, peer);
-    }
-
-    @Override
-    public void received(WireConnection connection, Message message) {
-      listener.received(connection, message);
-    }
-
-    @Override
-    public long digest() {
-      return listener.digest();
-    }
-
-    @Override
-    public void heartbeat(WireConnection connection, long digest) {
-      listener.heartbeat(connection, digest);
+    Tracking() {
+      super(listener);
     }
 
     @Override
     public void closed(WireConnection connection, HornbeamusherException reason) {
       connections.remove(connection);
-      listener.closed(connection, reason);
+      super.closed(connection, reason);
     }
   }
 }
