--- a/runtime/src/main/java/org/hornbeamusher/dispatch/AttemptEvent.java
+++ b/runtime/src/main/java/org/hornbeamusher/dispatch/AttemptEvent.java
@@ -19,7 +19,4 @@
    * @param reason why
    */
   record ConnectionLost(HornbeamusherException reason) implements AttemptEvent {}
-
-  /** The caller went away. */
-  record CallerGone() implements AttemptEvent {}
 }
--- a/runtime/src/main/java/org/hornbeamusher/entry/AttemptFollower.java
+++ b/runtime/src/main/java/org/hornbeamusher/entry/AttemptFollower.java
@@ -111,8 +111,6 @@
               of(FailureType.ENDPOINT_LOST, endpoint).causedBy(lost.reason()),
               new AttemptResult.Failed(),
               false);
-      case AttemptEvent.CallerGone gone ->
-          throw failed(of(FailureType.CALLER_GONE), new AttemptResult.Cancelled(), false);
     };
   }
 
