A suspect that no endpoint can take is released

Cause: a request that had been running at a crash is claimed in the table before it is routed; when routing then refused it, the claim stayed and the caller's next send was refused until the deadline. Found by reading. Change: the claim is ended when routing refuses.

--- a/runtime/src/main/java/org/hornbeamusher/entry/RequestRunner.java
+++ b/runtime/src/main/java/org/hornbeamusher/entry/RequestRunner.java
@@ -151,7 +151,7 @@
     while (true) {
       attempts++;
       boolean alone = claimIfSuspect(request, excluded);
-      EndpointId endpoint = route(request, excluded);
+      EndpointId endpoint = routeOrEnd(request, excluded, alone);
       try {
         runAttempt(request, endpoint, writer);
         endIfAlone(request, alone);
@@ -207,6 +207,18 @@
     }
   }
 
+  /**
+   * A suspect that no endpoint can take must not stay claimed, or it is barred until its deadline.
+   */
+  private EndpointId routeOrEnd(AdmittedRequest request, Set<EndpointId> excluded, boolean alone) {
+    try {
+      return route(request, excluded);
+    } catch (HornbeamusherException refused) {
+      endIfAlone(request, alone);
+      throw refused;
+    }
+  }
+
   private void endIfAlone(AdmittedRequest request, boolean alone) {
     if (alone) {
       suspects.ended(request.fingerprint());
