The client of the table service is named for what it is

The package 'platform' of the runtime held the client of the table service and of the instance list. The coming folder platform/ is to be the only one of that name, so the package is 'table'. Only names moved; no test changed but for imports.

--- a/runtime/src/main/java/org/hornbeamusher/agent/PermitExchange.java
+++ b/runtime/src/main/java/org/hornbeamusher/agent/PermitExchange.java
@@ -21,7 +21,7 @@
 import org.hornbeamusher.pacing.PermitSettings;
 import org.hornbeamusher.pacing.PermitSource;
 import org.hornbeamusher.pacing.PermitSourceChoice;
-import org.hornbeamusher.platform.Instance;
+import org.hornbeamusher.table.Instance;
 import org.hornbeamusher.wire.Message;
 import org.hornbeamusher.wire.WireConnection;
 import org.hornbeamusher.wire.WireConnector;
--- a/runtime/src/main/java/org/hornbeamusher/claims/ClaimBatcher.java
+++ b/runtime/src/main/java/org/hornbeamusher/claims/ClaimBatcher.java
@@ -5,10 +5,10 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import org.hornbeamusher.platform.CommitResult;
-import org.hornbeamusher.platform.RowKey;
-import org.hornbeamusher.platform.Table;
-import org.hornbeamusher.platform.Transaction;
+import org.hornbeamusher.table.CommitResult;
+import org.hornbeamusher.table.RowKey;
+import org.hornbeamusher.table.Table;
+import org.hornbeamusher.table.Transaction;
 
 /**
  * Groups conditional writes of single rows into transactions.
--- a/runtime/src/main/java/org/hornbeamusher/claims/ClaimCleaner.java
+++ b/runtime/src/main/java/org/hornbeamusher/claims/ClaimCleaner.java
@@ -10,9 +10,9 @@
 import java.util.random.RandomGenerator;
 import org.hornbeamusher.clock.Clock;
 import org.hornbeamusher.ids.IdempotencyKey;
-import org.hornbeamusher.platform.Row;
-import org.hornbeamusher.platform.Table;
-import org.hornbeamusher.platform.Transaction;
+import org.hornbeamusher.table.Row;
+import org.hornbeamusher.table.Table;
+import org.hornbeamusher.table.Transaction;
 
 /**
  * Removes claim rows whose keys are refused everywhere, a bounded number a second.
--- a/runtime/src/main/java/org/hornbeamusher/claims/ClaimDecision.java
+++ b/runtime/src/main/java/org/hornbeamusher/claims/ClaimDecision.java
@@ -3,8 +3,8 @@
 import java.util.Optional;
 import org.hornbeamusher.failure.FailureType;
 import org.hornbeamusher.failure.HornbeamusherException;
-import org.hornbeamusher.platform.Row;
-import org.hornbeamusher.platform.Transaction.Condition;
+import org.hornbeamusher.table.Row;
+import org.hornbeamusher.table.Transaction.Condition;
 
 /** Decides what a claim or its end leads to, from the row as it was last seen. */
 sealed interface ClaimDecision {
--- a/runtime/src/main/java/org/hornbeamusher/claims/ClaimKeeper.java
+++ b/runtime/src/main/java/org/hornbeamusher/claims/ClaimKeeper.java
@@ -18,10 +18,10 @@
 import org.hornbeamusher.ids.ClaimToken;
 import org.hornbeamusher.ids.IdempotencyKey;
 import org.hornbeamusher.ids.ServiceName;
-import org.hornbeamusher.platform.CommitResult;
-import org.hornbeamusher.platform.Row;
-import org.hornbeamusher.platform.Table;
-import org.hornbeamusher.platform.Transaction;
+import org.hornbeamusher.table.CommitResult;
+import org.hornbeamusher.table.Row;
+import org.hornbeamusher.table.Table;
+import org.hornbeamusher.table.Transaction;
 
 /**
  * Claims non-repeatable requests in the platform's table, so that each runs at most once.
--- a/runtime/src/main/java/org/hornbeamusher/claims/ClaimKey.java
+++ b/runtime/src/main/java/org/hornbeamusher/claims/ClaimKey.java
@@ -5,7 +5,7 @@
 import java.util.regex.Pattern;
 import org.hornbeamusher.ids.IdempotencyKey;
 import org.hornbeamusher.ids.ServiceName;
-import org.hornbeamusher.platform.RowKey;
+import org.hornbeamusher.table.RowKey;
 
 /**
  * An idempotency key that carries its time: a UUID of version 7 (RFC 9562).
--- a/runtime/src/main/java/org/hornbeamusher/claims/ClaimRows.java
+++ b/runtime/src/main/java/org/hornbeamusher/claims/ClaimRows.java
@@ -6,7 +6,7 @@
 import org.hornbeamusher.failure.HornbeamusherException;
 import org.hornbeamusher.failure.Outcome;
 import org.hornbeamusher.ids.ClaimToken;
-import org.hornbeamusher.platform.Row;
+import org.hornbeamusher.table.Row;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessageUnpacker;
--- a/runtime/src/main/java/org/hornbeamusher/documents/DocumentStore.java
+++ b/runtime/src/main/java/org/hornbeamusher/documents/DocumentStore.java
@@ -11,9 +11,9 @@
 import org.hornbeamusher.failure.HornbeamusherException;
 import org.hornbeamusher.failure.Outcome;
 import org.hornbeamusher.ids.ServiceName;
-import org.hornbeamusher.platform.CommitResult;
-import org.hornbeamusher.platform.Row;
-import org.hornbeamusher.platform.Table;
+import org.hornbeamusher.table.CommitResult;
+import org.hornbeamusher.table.Row;
+import org.hornbeamusher.table.Table;
 
 /**
  * Service documents in the platform's table.
--- a/runtime/src/main/java/org/hornbeamusher/documents/SubmitDecision.java
+++ b/runtime/src/main/java/org/hornbeamusher/documents/SubmitDecision.java
@@ -3,11 +3,11 @@
 import java.util.List;
 import java.util.Optional;
 import org.hornbeamusher.ids.PartnerId;
-import org.hornbeamusher.platform.Row;
-import org.hornbeamusher.platform.RowKey;
-import org.hornbeamusher.platform.Transaction;
-import org.hornbeamusher.platform.Transaction.Condition;
-import org.hornbeamusher.platform.Transaction.Write;
+import org.hornbeamusher.table.Row;
+import org.hornbeamusher.table.RowKey;
+import org.hornbeamusher.table.Transaction;
+import org.hornbeamusher.table.Transaction.Condition;
+import org.hornbeamusher.table.Transaction.Write;
 
 /**
  * Decides what a submission leads to, from the rows as they were read.
--- a/runtime/src/main/java/org/hornbeamusher/lease/FencingLease.java
+++ b/runtime/src/main/java/org/hornbeamusher/lease/FencingLease.java
@@ -8,11 +8,11 @@
 import org.hornbeamusher.failure.HornbeamusherException;
 import org.hornbeamusher.ids.EndpointId;
 import org.hornbeamusher.ids.FencingNumber;
-import org.hornbeamusher.platform.CommitResult;
-import org.hornbeamusher.platform.Row;
-import org.hornbeamusher.platform.RowKey;
-import org.hornbeamusher.platform.Table;
-import org.hornbeamusher.platform.Transaction;
+import org.hornbeamusher.table.CommitResult;
+import org.hornbeamusher.table.Row;
+import org.hornbeamusher.table.RowKey;
+import org.hornbeamusher.table.Table;
+import org.hornbeamusher.table.Transaction;
 
 /**
  * Gives an agent the fencing number of its orders.
--- a/runtime/src/main/java/org/hornbeamusher/process/MeteredTable.java
+++ b/runtime/src/main/java/org/hornbeamusher/process/MeteredTable.java
@@ -5,11 +5,11 @@
 import java.util.concurrent.CompletableFuture;
 import org.hornbeamusher.metrics.ProcessMetric;
 import org.hornbeamusher.metrics.ProcessMetrics;
-import org.hornbeamusher.platform.CommitResult;
-import org.hornbeamusher.platform.Row;
-import org.hornbeamusher.platform.RowKey;
-import org.hornbeamusher.platform.Table;
-import org.hornbeamusher.platform.Transaction;
+import org.hornbeamusher.table.CommitResult;
+import org.hornbeamusher.table.Row;
+import org.hornbeamusher.table.RowKey;
+import org.hornbeamusher.table.Table;
+import org.hornbeamusher.table.Transaction;
 
 /** Counts the calls of a table, failed ones included: the table is paid and limited by calls. */
 final class MeteredTable implements Table {
--- a/runtime/src/main/java/org/hornbeamusher/process/ProcessServices.java
+++ b/runtime/src/main/java/org/hornbeamusher/process/ProcessServices.java
@@ -16,11 +16,11 @@
 import org.hornbeamusher.http.HttpClient;
 import org.hornbeamusher.metrics.ProcessMetrics;
 import org.hornbeamusher.metrics.ServiceMetrics;
-import org.hornbeamusher.platform.HttpInstanceList;
-import org.hornbeamusher.platform.HttpTable;
-import org.hornbeamusher.platform.Instance;
-import org.hornbeamusher.platform.InstanceList;
-import org.hornbeamusher.platform.Table;
+import org.hornbeamusher.table.HttpInstanceList;
+import org.hornbeamusher.table.HttpTable;
+import org.hornbeamusher.table.Instance;
+import org.hornbeamusher.table.InstanceList;
+import org.hornbeamusher.table.Table;
 
 /** What an entry and an agent have in common, started and stopped with their process. */
 public final class ProcessServices {
--- a/runtime/src/main/java/org/hornbeamusher/suspects/SuspectRows.java
+++ b/runtime/src/main/java/org/hornbeamusher/suspects/SuspectRows.java
@@ -7,13 +7,13 @@
 import java.util.function.UnaryOperator;
 import org.hornbeamusher.clock.Clock;
 import org.hornbeamusher.failure.FailureType;
-import org.hornbeamusher.platform.CommitResult;
-import org.hornbeamusher.platform.Row;
-import org.hornbeamusher.platform.RowKey;
-import org.hornbeamusher.platform.Table;
-import org.hornbeamusher.platform.Transaction;
 import org.hornbeamusher.quarantine.Quarantine;
 import org.hornbeamusher.quarantine.QuarantineSettings;
+import org.hornbeamusher.table.CommitResult;
+import org.hornbeamusher.table.Row;
+import org.hornbeamusher.table.RowKey;
+import org.hornbeamusher.table.Table;
+import org.hornbeamusher.table.Transaction;
 
 /**
  * What all entries together know of requests that were running when endpoints crashed.
--- a/runtime/src/main/java/org/hornbeamusher/platform/CommitResult.java
+++ b/runtime/src/main/java/org/hornbeamusher/table/CommitResult.java
@@ -1,4 +1,4 @@
-package org.hornbeamusher.platform;
+package org.hornbeamusher.table;
 
 import java.util.Optional;
 
--- a/runtime/src/main/java/org/hornbeamusher/platform/HttpTable.java
+++ b/runtime/src/main/java/org/hornbeamusher/table/HttpTable.java
@@ -1,4 +1,4 @@
-package org.hornbeamusher.platform;
+package org.hornbeamusher.table;
 
 import java.net.URI;
 import java.net.URLEncoder;
--- a/runtime/src/main/java/org/hornbeamusher/platform/Instance.java
+++ b/runtime/src/main/java/org/hornbeamusher/table/Instance.java
@@ -1,4 +1,4 @@
-package org.hornbeamusher.platform;
+package org.hornbeamusher.table;
 
 import org.hornbeamusher.ids.AvailabilityZone;
 import org.hornbeamusher.ids.PoolName;
--- a/runtime/src/main/java/org/hornbeamusher/platform/PlatformJson.java
+++ b/runtime/src/main/java/org/hornbeamusher/table/PlatformJson.java
@@ -1,4 +1,4 @@
-package org.hornbeamusher.platform;
+package org.hornbeamusher.table;
 
 import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.core.JsonProcessingException;
@@ -14,8 +14,8 @@
 import org.hornbeamusher.failure.HornbeamusherException;
 import org.hornbeamusher.ids.AvailabilityZone;
 import org.hornbeamusher.ids.PoolName;
-import org.hornbeamusher.platform.Transaction.Condition;
-import org.hornbeamusher.platform.Transaction.Write;
+import org.hornbeamusher.table.Transaction.Condition;
+import org.hornbeamusher.table.Transaction.Write;
 
 /** The JSON forms of {@code docs/PLATFORM-INTERFACE.md}; values of rows are in base 64. */
 public final class PlatformJson {
--- a/runtime/src/main/java/org/hornbeamusher/platform/Row.java
+++ b/runtime/src/main/java/org/hornbeamusher/table/Row.java
@@ -1,4 +1,4 @@
-package org.hornbeamusher.platform;
+package org.hornbeamusher.table;
 
 /**
  * One row as it was read.
--- a/runtime/src/main/java/org/hornbeamusher/platform/RowKey.java
+++ b/runtime/src/main/java/org/hornbeamusher/table/RowKey.java
@@ -1,4 +1,4 @@
-package org.hornbeamusher.platform;
+package org.hornbeamusher.table;
 
 /**
  * Names one row of the platform's table service.
--- a/runtime/src/main/java/org/hornbeamusher/platform/package-info.java
+++ b/runtime/src/main/java/org/hornbeamusher/table/package-info.java
@@ -1,2 +1,2 @@
 /** The platform's table service, object store and instance list as this project sees them. */
-package org.hornbeamusher.platform;
+package org.hornbeamusher.table;
--- a/runtime/src/test/java/org/hornbeamusher/agent/PermitExchangeTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/agent/PermitExchangeTest.java
@@ -18,7 +18,7 @@
 import org.hornbeamusher.ids.PoolName;
 import org.hornbeamusher.pacing.PermitHolderChoice;
 import org.hornbeamusher.pacing.PermitSettings;
-import org.hornbeamusher.platform.Instance;
+import org.hornbeamusher.table.Instance;
 import org.hornbeamusher.wire.Message;
 import org.hornbeamusher.wire.WireConnection;
 import org.hornbeamusher.wire.WireListener;
--- a/runtime/src/test/java/org/hornbeamusher/architecture/ArchitectureTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/architecture/ArchitectureTest.java
@@ -45,7 +45,7 @@
     "org.xnio..",
     ROOT + "http..",
     ROOT + "wire..",
-    ROOT + "platform.."
+    ROOT + "table.."
   };
 
   /** Packages that every other one may use, and that use none of the others. */
--- a/runtime/src/test/java/org/hornbeamusher/claims/ClaimBatcherTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/claims/ClaimBatcherTest.java
@@ -8,12 +8,12 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import org.hornbeamusher.platform.CommitResult;
-import org.hornbeamusher.platform.MemoryTable;
-import org.hornbeamusher.platform.Row;
-import org.hornbeamusher.platform.RowKey;
-import org.hornbeamusher.platform.Table;
-import org.hornbeamusher.platform.Transaction;
+import org.hornbeamusher.table.CommitResult;
+import org.hornbeamusher.table.MemoryTable;
+import org.hornbeamusher.table.Row;
+import org.hornbeamusher.table.RowKey;
+import org.hornbeamusher.table.Table;
+import org.hornbeamusher.table.Transaction;
 import org.junit.jupiter.api.Test;
 
 class ClaimBatcherTest {
--- a/runtime/src/test/java/org/hornbeamusher/claims/ClaimKeeperTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/claims/ClaimKeeperTest.java
@@ -14,7 +14,7 @@
 import org.hornbeamusher.ids.ClaimToken;
 import org.hornbeamusher.ids.IdempotencyKey;
 import org.hornbeamusher.ids.ServiceName;
-import org.hornbeamusher.platform.MemoryTable;
+import org.hornbeamusher.table.MemoryTable;
 import org.junit.jupiter.api.Test;
 
 class ClaimKeeperTest {
--- a/runtime/src/test/java/org/hornbeamusher/claims/ClaimStateMachineTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/claims/ClaimStateMachineTest.java
@@ -21,7 +21,7 @@
 import org.hornbeamusher.ids.ClaimToken;
 import org.hornbeamusher.ids.IdempotencyKey;
 import org.hornbeamusher.ids.ServiceName;
-import org.hornbeamusher.platform.MemoryTable;
+import org.hornbeamusher.table.MemoryTable;
 
 /** Any order of sends, runs, ends, outages and lost answers, at three entries. */
 class ClaimStateMachineTest {
--- a/runtime/src/test/java/org/hornbeamusher/claims/LateTable.java
+++ b/runtime/src/test/java/org/hornbeamusher/claims/LateTable.java
@@ -7,11 +7,11 @@
 import org.hornbeamusher.failure.FailureType;
 import org.hornbeamusher.failure.HornbeamusherException;
 import org.hornbeamusher.failure.Outcome;
-import org.hornbeamusher.platform.CommitResult;
-import org.hornbeamusher.platform.Row;
-import org.hornbeamusher.platform.RowKey;
-import org.hornbeamusher.platform.Table;
-import org.hornbeamusher.platform.Transaction;
+import org.hornbeamusher.table.CommitResult;
+import org.hornbeamusher.table.Row;
+import org.hornbeamusher.table.RowKey;
+import org.hornbeamusher.table.Table;
+import org.hornbeamusher.table.Transaction;
 
 /** Holds transactions back; their callers hear nothing meanwhile, or that the answer is lost. */
 final class LateTable implements Table {
--- a/runtime/src/test/java/org/hornbeamusher/documents/DocumentStoreTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/documents/DocumentStoreTest.java
@@ -16,7 +16,7 @@
 import org.hornbeamusher.ids.PartnerId;
 import org.hornbeamusher.ids.ServiceName;
 import org.hornbeamusher.ids.TeamId;
-import org.hornbeamusher.platform.MemoryTable;
+import org.hornbeamusher.table.MemoryTable;
 import org.junit.jupiter.api.Test;
 
 class DocumentStoreTest {
--- a/runtime/src/test/java/org/hornbeamusher/documents/DocumentSyncTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/documents/DocumentSyncTest.java
@@ -13,8 +13,8 @@
 import org.hornbeamusher.ids.PartnerId;
 import org.hornbeamusher.ids.ServiceName;
 import org.hornbeamusher.ids.TeamId;
-import org.hornbeamusher.platform.MemoryTable;
-import org.hornbeamusher.platform.Transaction;
+import org.hornbeamusher.table.MemoryTable;
+import org.hornbeamusher.table.Transaction;
 import org.junit.jupiter.api.Test;
 
 class DocumentSyncTest {
--- a/runtime/src/test/java/org/hornbeamusher/documents/FollowedTable.java
+++ b/runtime/src/test/java/org/hornbeamusher/documents/FollowedTable.java
@@ -3,11 +3,11 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import org.hornbeamusher.platform.CommitResult;
-import org.hornbeamusher.platform.Row;
-import org.hornbeamusher.platform.RowKey;
-import org.hornbeamusher.platform.Table;
-import org.hornbeamusher.platform.Transaction;
+import org.hornbeamusher.table.CommitResult;
+import org.hornbeamusher.table.Row;
+import org.hornbeamusher.table.RowKey;
+import org.hornbeamusher.table.Table;
+import org.hornbeamusher.table.Transaction;
 
 /** Lets something happen right after the first commit, before its caller does anything else. */
 final class FollowedTable implements Table {
--- a/runtime/src/test/java/org/hornbeamusher/lease/FencingLeaseTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/lease/FencingLeaseTest.java
@@ -7,7 +7,7 @@
 import org.hornbeamusher.failure.FailureType;
 import org.hornbeamusher.failure.HornbeamusherException;
 import org.hornbeamusher.ids.EndpointId;
-import org.hornbeamusher.platform.MemoryTable;
+import org.hornbeamusher.table.MemoryTable;
 import org.junit.jupiter.api.Test;
 
 class FencingLeaseTest {
--- a/runtime/src/test/java/org/hornbeamusher/suspects/SuspectRowsTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/suspects/SuspectRowsTest.java
@@ -5,8 +5,8 @@
 
 import org.hornbeamusher.clock.ManualClock;
 import org.hornbeamusher.failure.FailureType;
-import org.hornbeamusher.platform.MemoryTable;
 import org.hornbeamusher.quarantine.QuarantineSettings;
+import org.hornbeamusher.table.MemoryTable;
 import org.junit.jupiter.api.Test;
 
 class SuspectRowsTest {
--- a/tool/src/main/java/org/hornbeamusher/bench/capacity/TableCounts.java
+++ b/tool/src/main/java/org/hornbeamusher/bench/capacity/TableCounts.java
@@ -26,10 +26,10 @@
 import org.hornbeamusher.ids.PartnerId;
 import org.hornbeamusher.ids.ServiceName;
 import org.hornbeamusher.ids.TeamId;
-import org.hornbeamusher.platform.HttpTable;
-import org.hornbeamusher.platform.Table;
 import org.hornbeamusher.standin.PlatformSettings;
 import org.hornbeamusher.standin.PlatformStandin;
+import org.hornbeamusher.table.HttpTable;
+import org.hornbeamusher.table.Table;
 
 /**
  * Calls of the table for each thing that a process does, counted by the stand-in that served them.
--- a/tool/src/main/java/org/hornbeamusher/bench/faults/TableRows.java
+++ b/tool/src/main/java/org/hornbeamusher/bench/faults/TableRows.java
@@ -4,10 +4,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
-import org.hornbeamusher.platform.CommitResult;
-import org.hornbeamusher.platform.Row;
-import org.hornbeamusher.platform.RowKey;
-import org.hornbeamusher.platform.Transaction;
+import org.hornbeamusher.table.CommitResult;
+import org.hornbeamusher.table.Row;
+import org.hornbeamusher.table.RowKey;
+import org.hornbeamusher.table.Transaction;
 
 /** The rows of the platform's table, shared by the processes of one history. */
 final class TableRows {
--- a/tool/src/main/java/org/hornbeamusher/demo/Deployment.java
+++ b/tool/src/main/java/org/hornbeamusher/demo/Deployment.java
@@ -27,8 +27,6 @@
 import org.hornbeamusher.ids.OperatorId;
 import org.hornbeamusher.ids.PoolName;
 import org.hornbeamusher.ids.ServiceName;
-import org.hornbeamusher.platform.HttpTable;
-import org.hornbeamusher.platform.Instance;
 import org.hornbeamusher.process.ProcessServices;
 import org.hornbeamusher.security.TokenHash;
 import org.hornbeamusher.settings.AgentSettings;
@@ -43,6 +41,8 @@
 import org.hornbeamusher.standin.PlatformSettings;
 import org.hornbeamusher.standin.PlatformStandin;
 import org.hornbeamusher.standin.WeightStoreStandin;
+import org.hornbeamusher.table.HttpTable;
+import org.hornbeamusher.table.Instance;
 import org.hornbeamusher.wire.WireSockets;
 
 /**
--- a/tool/src/main/java/org/hornbeamusher/standin/LaggingInstances.java
+++ b/tool/src/main/java/org/hornbeamusher/standin/LaggingInstances.java
@@ -5,7 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import org.hornbeamusher.platform.Instance;
+import org.hornbeamusher.table.Instance;
 
 /** The instance list, shown as it was some time ago. */
 final class LaggingInstances {
--- a/tool/src/main/java/org/hornbeamusher/standin/PlatformRows.java
+++ b/tool/src/main/java/org/hornbeamusher/standin/PlatformRows.java
@@ -5,12 +5,12 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
-import org.hornbeamusher.platform.CommitResult;
-import org.hornbeamusher.platform.Row;
-import org.hornbeamusher.platform.RowKey;
-import org.hornbeamusher.platform.Transaction;
-import org.hornbeamusher.platform.Transaction.Condition;
-import org.hornbeamusher.platform.Transaction.Write;
+import org.hornbeamusher.table.CommitResult;
+import org.hornbeamusher.table.Row;
+import org.hornbeamusher.table.RowKey;
+import org.hornbeamusher.table.Transaction;
+import org.hornbeamusher.table.Transaction.Condition;
+import org.hornbeamusher.table.Transaction.Write;
 
 /**
  * The rows of the platform stand-in.
--- a/tool/src/main/java/org/hornbeamusher/standin/PlatformSettings.java
+++ b/tool/src/main/java/org/hornbeamusher/standin/PlatformSettings.java
@@ -1,7 +1,7 @@
 package org.hornbeamusher.standin;
 
 import java.util.List;
-import org.hornbeamusher.platform.Instance;
+import org.hornbeamusher.table.Instance;
 
 /**
  * Figures of the platform stand-in.
--- a/tool/src/main/java/org/hornbeamusher/standin/PlatformStandin.java
+++ b/tool/src/main/java/org/hornbeamusher/standin/PlatformStandin.java
@@ -14,12 +14,12 @@
 import java.util.function.Supplier;
 import org.hornbeamusher.clock.Clock;
 import org.hornbeamusher.failure.HornbeamusherException;
-import org.hornbeamusher.platform.CommitResult;
-import org.hornbeamusher.platform.Instance;
-import org.hornbeamusher.platform.PlatformJson;
-import org.hornbeamusher.platform.Row;
-import org.hornbeamusher.platform.RowKey;
-import org.hornbeamusher.platform.Transaction;
+import org.hornbeamusher.table.CommitResult;
+import org.hornbeamusher.table.Instance;
+import org.hornbeamusher.table.PlatformJson;
+import org.hornbeamusher.table.Row;
+import org.hornbeamusher.table.RowKey;
+import org.hornbeamusher.table.Transaction;
 
 /** The platform over HTTP: tables, objects and the instance list, with faults on request. */
 public final class PlatformStandin {
--- a/tool/src/main/java/org/hornbeamusher/standin/StandinSettings.java
+++ b/tool/src/main/java/org/hornbeamusher/standin/StandinSettings.java
@@ -8,7 +8,7 @@
 import org.hornbeamusher.ids.AvailabilityZone;
 import org.hornbeamusher.ids.EndpointId;
 import org.hornbeamusher.ids.PoolName;
-import org.hornbeamusher.platform.Instance;
+import org.hornbeamusher.table.Instance;
 import org.hornbeamusher.toml.Problem;
 import org.hornbeamusher.toml.TomlChecker;
 import org.hornbeamusher.toml.TomlDocument;
