--- a/runtime/src/main/java/org/hornbeamusher/agent/AgentAttempt.java
+++ b/runtime/src/main/java/org/hornbeamusher/agent/AgentAttempt.java
@@ -1,10 +1,10 @@
 package org.hornbeamusher.agent;
 
 import java.io.ByteArrayOutputStream;
-import java.util.Map;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.zip.CRC32C;
 import org.hornbeamusher.failure.HornbeamusherException;
+import org.hornbeamusher.http.HttpHead;
 import org.hornbeamusher.http.HttpStream;
 import org.hornbeamusher.http.HttpStreamListener;
 import org.hornbeamusher.wire.Message;
@@ -112,12 +112,13 @@
   }
 
   @Override
-  public void head(int status, Map<String, String> headers) {
+  public void head(HttpHead head) {
+    int status = head.status();
     if (isModel() && status != OK) {
       errorStatus = status;
       return;
     }
-    String contentType = headers.getOrDefault("content-type", "application/octet-stream");
+    String contentType = head.first("Content-Type").orElse("application/octet-stream");
     connection.send(new Message.Head(dispatch.attempt(), status, contentType));
   }
 
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/companion/CompanionDaemon.java
@@ -0,0 +1,396 @@
+package org.hornbeamusher.companion;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+import org.hornbeamusher.clock.Clock;
+import org.hornbeamusher.directory.HeldAdapter;
+import org.hornbeamusher.events.EventLog;
+import org.hornbeamusher.events.EventType;
+import org.hornbeamusher.failure.HornbeamusherException;
+import org.hornbeamusher.holdings.AdapterPlaces;
+import org.hornbeamusher.holdings.EngineOrder;
+import org.hornbeamusher.holdings.EngineReport;
+import org.hornbeamusher.holdings.OrderAnswer;
+import org.hornbeamusher.holdings.Reservation;
+import org.hornbeamusher.holdings.ReservationId;
+import org.hornbeamusher.ids.FencingNumber;
+import org.hornbeamusher.lease.FencingLease;
+import org.hornbeamusher.loop.EventLoop;
+import org.hornbeamusher.routes.AdapterKey;
+import org.hornbeamusher.routes.EngineSpec;
+import org.hornbeamusher.routes.VersionsInForce;
+import org.hornbeamusher.wire.Message;
+import org.hornbeamusher.wire.WireConnection;
+import org.hornbeamusher.wire.WireListener;
+import org.hornbeamusher.wire.WireServer;
+import org.hornbeamusher.wire.WireSettings;
+import org.hornbeamusher.wire.WireSockets;
+
+/**
+ * The agent beside an engine: tells the entries what the engine holds, and orders it to hold what
+ * they ask for. Requests do not pass through it, so that they survive its loss.
+ *
+ * <p>At most one call to the engine is under way at any time. An order is decided on the newest
+ * report, and no order follows before the report that shows what the last one did.
+ */
+public final class CompanionDaemon implements WireListener {
+
+  private static final int PROTOCOL = 1;
+
+  /** A load takes 25 ms when a copy is at hand; asking is a call on the same instance. */
+  private static final long BUSY_REPORT_MILLIS = 20;
+
+  /** How long a restart of the engine may go unnoticed. */
+  private static final long IDLE_REPORT_MILLIS = 400;
+
+  private static final long DOWN_REPORT_MILLIS = 150;
+  private static final long TICK_MILLIS = 20;
+
+  /** Entries place by it; a tenth of a second is a few requests a second of each. */
+  private static final long LOAD_MILLIS = 100;
+
+  private final CompanionSettings settings;
+  private final EngineCalls engine;
+  private final EventLoop loop;
+  private final Clock clock;
+  private final WireServer server;
+  private final FencingNumbers fencing;
+  private final VersionsInForce versions = new VersionsInForce();
+  private final Map<WireConnection, Peer> peers = new HashMap<>();
+  private AdapterPlaces places;
+  private EngineSpec spec;
+  private EngineReport report;
+  private Message.Holdings told;
+  private boolean calling;
+  private boolean reachable = true;
+  private long nextReportMillis;
+  private long nextLoadMillis;
+  private long peerNumbers;
+  private boolean stopped;
+
+  /**
+   * Creates an agent that is not started.
+   *
+   * @param settings its instance
+   * @param engine calls to the engine
+   * @param lease numbers its orders
+   * @param loop where it decides
+   * @param clock monotonic
+   */
+  public CompanionDaemon(
+      CompanionSettings settings,
+      EngineCalls engine,
+      FencingLease lease,
+      EventLoop loop,
+      Clock clock) {
+    this.settings = settings;
+    this.engine = engine;
+    this.loop = loop;
+    this.clock = clock;
+    this.fencing = new FencingNumbers(lease, loop);
+    this.server =
+        new WireServer(
+            settings.entries(),
+            hello(settings),
+            this,
+            WireSettings.DEFAULT,
+            new WireSockets.Plain(),
+            clock);
+  }
+
+  private static Message.Hello hello(CompanionSettings settings) {
+    return new Message.Hello(
+        PROTOCOL,
+        PROTOCOL,
+        "agent",
+        settings.instance(),
+        ThreadLocalRandom.current().nextLong(),
+        settings.zone(),
+        settings.engine(),
+        "");
+  }
+
+  /** Listens and starts to ask the engine. */
+  public void start() {
+    server.start();
+    loop.execute(fencing::start);
+    loop.execute(this::tick);
+    EventLog.log(
+        EventType.PROCESS_STARTED,
+        "role",
+        "agent",
+        "instance",
+        settings.instance(),
+        "engine",
+        settings.engine(),
+        "entries",
+        settings.entries());
+  }
+
+  /** Closes everything. */
+  public void stop() {
+    loop.execute(() -> stopped = true);
+    server.stop();
+  }
+
+  /**
+   * Takes what the configuration says of the engine.
+   *
+   * @param engineSpec its places and models
+   */
+  public void configured(EngineSpec engineSpec) {
+    if (engineSpec.equals(spec)) {
+      return;
+    }
+    spec = engineSpec;
+    if (places == null) {
+      places = new AdapterPlaces(spec.adapterPlaces(), versions, clock.millis());
+      Optional.ofNullable(report).ifPresent(places::reported);
+    }
+  }
+
+  /**
+   * Takes a version of an adapter.
+   *
+   * @param adapter the adapter
+   * @param version any version; an older one than that in force is ignored
+   */
+  public void versioned(AdapterKey adapter, long version) {
+    if (versions.offer(adapter, version)) {
+      EventLog.log(EventType.VERSION_IN_FORCE, "adapter", adapter, "version", version);
+    }
+  }
+
+  @Override
+  public void opened(WireConnection connection, Message.Hello hello) {
+    loop.execute(
+        () -> {
+          peers.put(connection, new Peer(++peerNumbers));
+          EventLog.log(EventType.PEER_CONNECTED, "peer", hello.instance());
+          told = null;
+        });
+  }
+
+  @Override
+  public void received(WireConnection connection, Message message) {
+    loop.execute(() -> handle(connection, message));
+  }
+
+  @Override
+  public void closed(WireConnection connection, HornbeamusherException reason) {
+    loop.execute(
+        () -> {
+          Peer peer = peers.remove(connection);
+          if (peer != null && places != null) {
+            places.releaseAll(peer.number);
+            EventLog.log(EventType.PEER_LOST, "peer", peer.number, "reason", reason.type().label());
+          }
+        });
+  }
+
+  private void handle(WireConnection connection, Message message) {
+    Peer peer = peers.get(connection);
+    if (peer == null || places == null) {
+      return;
+    }
+    switch (message) {
+      case Message.Reserve reserve -> places.reserve(reservation(peer, reserve), clock.millis());
+      case Message.PromptRead read ->
+          places.promptRead(new ReservationId(peer.number, read.reservation()));
+      case Message.Release release ->
+          places.release(new ReservationId(peer.number, release.reservation()));
+      default -> {
+        // A newer entry may say more than this agent understands.
+      }
+    }
+    act();
+  }
+
+  private Reservation reservation(Peer peer, Message.Reserve reserve) {
+    return new Reservation(
+        new ReservationId(peer.number, reserve.reservation()),
+        new HeldAdapter(AdapterKey.parse(reserve.adapter()), reserve.version()),
+        reserve.rank(),
+        reserve.unreadTokens(),
+        clock.millis() + reserve.waitMillis());
+  }
+
+  private void tick() {
+    if (!stopped) {
+      act();
+      loop.after(TICK_MILLIS, this::tick);
+    }
+  }
+
+  /** Does whatever is due: grants, an order or a question to the engine, news to the entries. */
+  private void act() {
+    if (places != null) {
+      grant();
+    }
+    if (!calling) {
+      callEngine();
+    }
+    if (places != null) {
+      tellHoldings();
+      tellLoad();
+    }
+  }
+
+  private void grant() {
+    for (ReservationId id : places.takeGrants()) {
+      peers.forEach(
+          (connection, peer) -> {
+            if (peer.number == id.entry()) {
+              connection.send(new Message.Granted(id.number()));
+            }
+          });
+    }
+  }
+
+  private void callEngine() {
+    long now = clock.millis();
+    Optional<FencingNumber> number = fencing.current();
+    if (places != null && number.isPresent() && report != null) {
+      Optional<EngineOrder> order = places.nextOrder(spec.models(), now);
+      if (order.isPresent()) {
+        order(order.get(), number.get());
+        return;
+      }
+    }
+    if (now >= nextReportMillis) {
+      ask();
+    }
+  }
+
+  private void ask() {
+    calling = true;
+    engine.report().whenComplete((said, thrown) -> loop.execute(() -> reported(said, thrown)));
+  }
+
+  private void reported(EngineReport said, Throwable thrown) {
+    calling = false;
+    long now = clock.millis();
+    if (thrown != null) {
+      unreachable(thrown);
+      nextReportMillis = now + DOWN_REPORT_MILLIS;
+      act();
+      return;
+    }
+    if (!reachable || report == null || !report.incarnation().equals(said.incarnation())) {
+      EventLog.log(
+          EventType.ENGINE_SEEN,
+          "endpoint",
+          said.incarnation(),
+          "models",
+          said.models(),
+          "adapters",
+          said.adapters().size(),
+          "sequence",
+          said.sequence());
+    }
+    reachable = true;
+    report = said;
+    if (places != null) {
+      places.reported(said);
+    }
+    boolean soon = places == null || places.inMotion();
+    nextReportMillis = now + (soon ? BUSY_REPORT_MILLIS : IDLE_REPORT_MILLIS);
+    act();
+  }
+
+  private void unreachable(Throwable thrown) {
+    if (reachable) {
+      EventLog.log(
+          EventType.ENGINE_UNREACHABLE,
+          "reason",
+          HornbeamusherException.from(thrown).type().label());
+    }
+    reachable = false;
+    report = null;
+    if (places != null) {
+      places.unreachable();
+    }
+  }
+
+  private void order(EngineOrder order, FencingNumber number) {
+    calling = true;
+    EngineReport against = report;
+    engine
+        .order(order, against, number)
+        .exceptionally(thrown -> OrderAnswer.UNKNOWN)
+        .thenAccept(answer -> loop.execute(() -> ordered(order, against, number, answer)));
+  }
+
+  private void ordered(
+      EngineOrder order, EngineReport against, FencingNumber number, OrderAnswer answer) {
+    calling = false;
+    EventLog.log(
+        EventType.ENGINE_ORDERED,
+        "order",
+        order.getClass().getSimpleName(),
+        "key",
+        order.key(),
+        "endpoint",
+        against.incarnation(),
+        "sequence",
+        against.sequence(),
+        "fencing",
+        number.value(),
+        "answer",
+        answer);
+    places.answered(answer);
+    if (answer == OrderAnswer.STALE) {
+      fencing.refused();
+    }
+    ask();
+  }
+
+  private void tellHoldings() {
+    Message.Holdings now =
+        new Message.Holdings(
+            report == null ? "" : report.incarnation(),
+            texts(places.held()),
+            texts(places.coming()),
+            peers.size());
+    if (!now.equals(told)) {
+      told = now;
+      peers.keySet().forEach(connection -> connection.send(now));
+    }
+  }
+
+  private static List<String> texts(Set<HeldAdapter> adapters) {
+    return adapters.stream().map(HeldAdapter::toString).sorted().toList();
+  }
+
+  private void tellLoad() {
+    long now = clock.millis();
+    if (now < nextLoadMillis) {
+      return;
+    }
+    nextLoadMillis = now + LOAD_MILLIS;
+    peers.forEach(
+        (connection, peer) -> {
+          Message.PeerLoad load =
+              new Message.PeerLoad(
+                  places.othersRequests(peer.number), places.othersUnreadTokens(peer.number));
+          if (!load.equals(peer.toldLoad)) {
+            peer.toldLoad = load;
+            connection.send(load);
+          }
+        });
+  }
+
+  private static final class Peer {
+
+    private final long number;
+    private Message.PeerLoad toldLoad;
+
+    Peer(long number) {
+      this.number = number;
+    }
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/companion/CompanionSettings.java
@@ -0,0 +1,14 @@
+package org.hornbeamusher.companion;
+
+import java.net.InetSocketAddress;
+
+/**
+ * What an agent beside an engine needs to know of its instance.
+ *
+ * @param instance the instance's name
+ * @param zone its availability zone
+ * @param entries where entries connect
+ * @param engine the engine's address, a name for its row of fencing numbers
+ */
+public record CompanionSettings(
+    String instance, String zone, InetSocketAddress entries, String engine) {}
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/companion/package-info.java
@@ -0,0 +1,2 @@
+/** The agent beside an engine that entries reach directly. */
+package org.hornbeamusher.companion;
--- a/runtime/src/main/java/org/hornbeamusher/events/EventType.java
+++ b/runtime/src/main/java/org/hornbeamusher/events/EventType.java
@@ -18,16 +18,29 @@
   // 1100: requests
   REQUEST_REFUSED(1101, Level.FINE, "A request was refused."),
   REQUEST_FAILED(1102, Level.WARNING, "A request failed after it was admitted."),
+  REQUEST_PLACED(1103, Level.INFO, "A request goes to an endpoint, at once or after a load."),
+  REQUEST_MOVED(1104, Level.INFO, "A request that waited for a load goes to another endpoint."),
+  ATTEMPT_ENDED(1105, Level.INFO, "An endpoint's part in a request is over."),
+  REQUEST_ENDED(1106, Level.INFO, "A request has its final answer, or its caller has gone."),
   // 1200: endpoints and loads
   ADAPTER_LOADED(1201, Level.FINE, "An adapter became resident."),
   ADAPTER_LOAD_FAILED(1202, Level.WARNING, "An adapter could not be loaded."),
   ENDPOINT_RESTARTED(1203, Level.WARNING, "An endpoint lost its resident adapters."),
+  ENGINE_ORDERED(1205, Level.INFO, "An order to the engine beside the agent was answered."),
+  ENGINE_UNREACHABLE(1206, Level.WARNING, "The engine beside the agent does not answer."),
+  ENGINE_SEEN(1207, Level.INFO, "The engine beside the agent answers, in this life."),
+  FENCING_NUMBER_TAKEN(1208, Level.INFO, "The agent's orders carry this number from now on."),
   AGENT_SUPERSEDED(1204, Level.SEVERE, "A later agent orders the endpoint; this one leaves."),
   // 1300: service documents
   DOCUMENT_IN_FORCE(1301, Level.INFO, "A newer version of a document is in force here."),
   DOCUMENT_UNREADABLE(1302, Level.WARNING, "A stored document cannot be read by this release."),
   DOCUMENT_ACCEPTED(1303, Level.INFO, "A submitted document was accepted."),
   DOCUMENT_REFUSED(1304, Level.WARNING, "A submitted document was refused."),
+  CONFIGURATION_IN_FORCE(1305, Level.INFO, "A newer configuration is in force here."),
+  CONFIGURATION_UNREADABLE(1306, Level.WARNING, "A configuration cannot be read; the old stays."),
+  VERSION_IN_FORCE(1307, Level.INFO, "A newer version of an adapter is to be used."),
+  ENDPOINT_CHANGED(1308, Level.INFO, "An endpoint is new, has changed or is leaving."),
+  ENDPOINT_GONE(1309, Level.INFO, "An endpoint is no more."),
   // 1400: claims
   CLAIM_END_LOST(1401, Level.WARNING, "The end of a claim was not written; it reads as unknown."),
   // 1500: connections and membership
@@ -35,10 +48,13 @@
   PEER_LOST(1502, Level.WARNING, "A connection to a peer was lost or abandoned."),
   // 1600: the platform
   PLATFORM_OUTAGE(1601, Level.WARNING, "The platform does not answer."),
+  PLATFORM_BACK(1602, Level.INFO, "The platform answers again."),
   // 1700: settings and operators
   DRAIN_ORDERED(1701, Level.INFO, "An operator made this process leave."),
   OPERATOR_REFUSED(1702, Level.WARNING, "An operator asked for what the token does not allow."),
   TLS_KEYS_REPLACED(1703, Level.INFO, "Other keys or trusted certificates are in force."),
+  SETTINGS_READ(1705, Level.INFO, "Settings were read at the start or again."),
+  SETTINGS_UNREADABLE(1706, Level.WARNING, "New settings cannot be used; the old ones stay."),
   TLS_KEYS_UNREADABLE(1704, Level.WARNING, "New TLS files cannot be used; the old ones stay.");
 
   private final int number;
--- a/runtime/src/main/java/org/hornbeamusher/events/Logging.java
+++ b/runtime/src/main/java/org/hornbeamusher/events/Logging.java
@@ -1,5 +1,7 @@
 package org.hornbeamusher.events;
 
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
 import java.util.logging.ConsoleHandler;
 import java.util.logging.Handler;
 import java.util.logging.Level;
@@ -15,19 +17,32 @@
 
   private Logging() {}
 
+  /**
+   * Replaces every handler by one that writes lines of JSON to standard output without ever
+   * blocking.
+   *
+   * @param events the lowest level of events that is written; libraries write warnings and above
+   */
+  public static void toStandardOutput(Level events) {
+    install(new BoundedLogHandler(new FileOutputStream(FileDescriptor.out)), events);
+  }
+
   /**
    * Replaces every handler by one that writes lines of JSON.
    *
    * @param events the lowest level of events that is written; libraries write warnings and above
    */
   public static void toStandardError(Level events) {
-    for (Handler handler : LIBRARIES.getHandlers()) {
-      LIBRARIES.removeHandler(handler);
+    install(new ConsoleHandler(), events);
+  }
+
+  private static void install(Handler handler, Level events) {
+    for (Handler old : LIBRARIES.getHandlers()) {
+      LIBRARIES.removeHandler(old);
     }
-    Handler console = new ConsoleHandler();
-    console.setFormatter(new JsonLinesFormatter());
-    console.setLevel(Level.ALL);
-    LIBRARIES.addHandler(console);
+    handler.setFormatter(new JsonLinesFormatter());
+    handler.setLevel(Level.ALL);
+    LIBRARIES.addHandler(handler);
     LIBRARIES.setLevel(Level.WARNING);
     EVENTS.setLevel(events);
   }
--- a/runtime/src/main/java/org/hornbeamusher/failure/FailureType.java
+++ b/runtime/src/main/java/org/hornbeamusher/failure/FailureType.java
@@ -28,6 +28,8 @@
   METHOD_NOT_ALLOWED(117, 405, Severity.INFO, "%s is not allowed at %s."),
   CALLER_GONE(118, 499, Severity.INFO, "The caller closed its connection."),
   SUSPECT_RUNNING(119, 503, Severity.INFO, "The same request runs now; it may crash endpoints."),
+  NOT_READY(120, 503, Severity.INFO, "This instance knows no configuration yet."),
+  LOAD_TOO_LATE(121, 503, Severity.INFO, "%s could not be loaded in time."),
   // 200: endpoints and agents
   ENDPOINT_FAILED(201, 502, Severity.WARNING, "The endpoint %s failed: %s."),
   ENDPOINT_LOST(202, 502, Severity.WARNING, "The connection to endpoint %s was lost."),
@@ -37,6 +39,9 @@
   ENDPOINT_LEAVING(206, 503, Severity.INFO, "Endpoint %s is leaving."),
   STALE_FENCING_NUMBER(207, 409, Severity.WARNING, "Endpoint %s refused a stale order."),
   WRONG_ADAPTER(208, 502, Severity.ERROR, "Endpoint %s answered with %s instead of %s."),
+  FOREIGN_ANSWER(209, 502, Severity.WARNING, "Endpoint %s answered another request."),
+  UNSIGNED_ANSWER(210, 502, Severity.WARNING, "Endpoint %s does not vouch for its answer."),
+  ENDPOINT_REFUSED(211, 503, Severity.INFO, "Endpoint %s did not run the request."),
   // 300: service documents
   DOCUMENT_INVALID(301, 422, Severity.INFO, "The document is not valid: %s."),
   DOCUMENT_CONFLICT(302, 409, Severity.INFO, "%s is at version %s, not at the base version %s."),
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/Attempt.java
@@ -0,0 +1,132 @@
+package org.hornbeamusher.forwarding;
+
+import org.hornbeamusher.failure.FailureType;
+import org.hornbeamusher.failure.HornbeamusherException;
+import org.hornbeamusher.http.HttpCall;
+import org.hornbeamusher.http.HttpClient;
+import org.hornbeamusher.http.HttpHead;
+import org.hornbeamusher.http.HttpStream;
+import org.hornbeamusher.http.HttpStreamListener;
+import org.hornbeamusher.placement.EndpointView;
+
+/**
+ * One send of a request to one endpoint: tells an answer to this request from everything else that
+ * may come on the connection, and whether the request ran.
+ */
+final class Attempt implements HttpStreamListener {
+
+  /** Two ways between zones and a busy peer; a connection that takes longer is not coming. */
+  private static final long CONNECT_MILLIS = 400;
+
+  private static final int SUCCESS_FROM = 200;
+  private static final int SUCCESS_BELOW = 300;
+
+  private final EndpointView endpoint;
+  private final Dialect dialect;
+  private final String requestId;
+  private final Listener listener;
+  private HttpStream stream;
+  private HttpHead refused;
+  private boolean over;
+
+  Attempt(EndpointView endpoint, Dialect dialect, String requestId, Listener listener) {
+    this.endpoint = endpoint;
+    this.dialect = dialect;
+    this.requestId = requestId;
+    this.listener = listener;
+  }
+
+  void send(HttpClient http, HttpCall call) {
+    stream = http.stream(call, this, CONNECT_MILLIS);
+    if (over) {
+      stream.cancel();
+    }
+  }
+
+  EndpointView endpoint() {
+    return endpoint;
+  }
+
+  /** Ends the attempt; the listener hears nothing more. */
+  void cancel() {
+    over = true;
+    if (stream != null) {
+      stream.cancel();
+    }
+  }
+
+  @Override
+  public void head(HttpHead head) {
+    if (over) {
+      return;
+    }
+    AnswerFacts facts = dialect.answer(head);
+    if (facts.requestId().isPresent() && !facts.requestId().get().equals(requestId)) {
+      breakOff(FailureType.FOREIGN_ANSWER);
+    } else if (facts.notRun()) {
+      refused = head;
+    } else if (success(head) && !facts.signed()) {
+      breakOff(FailureType.UNSIGNED_ANSWER);
+    } else {
+      listener.head(this, head);
+    }
+  }
+
+  private static boolean success(HttpHead head) {
+    return head.status() >= SUCCESS_FROM && head.status() < SUCCESS_BELOW;
+  }
+
+  private void breakOff(FailureType cause) {
+    cancel();
+    listener.ended(this, new AttemptEnd.Broken(cause));
+  }
+
+  @Override
+  public void data(byte[] bytes) {
+    if (!over && refused == null) {
+      listener.data(this, bytes);
+    }
+  }
+
+  @Override
+  public void end() {
+    if (!over) {
+      over = true;
+      listener.ended(
+          this,
+          refused == null ? new AttemptEnd.Answered() : new AttemptEnd.Refused(refused.status()));
+    }
+  }
+
+  @Override
+  public void failed(Throwable failure) {
+    if (over) {
+      return;
+    }
+    over = true;
+    if (refused != null) {
+      // What it said of the request holds even if the rest of its refusal was lost.
+      listener.ended(this, new AttemptEnd.Refused(refused.status()));
+      return;
+    }
+    FailureType type = HornbeamusherException.from(failure).type();
+    listener.ended(
+        this,
+        type == FailureType.CONNECT_FAILED
+            ? new AttemptEnd.NotSent()
+            : new AttemptEnd.Broken(FailureType.ENDPOINT_LOST));
+  }
+
+  /** Hears of an attempt. */
+  interface Listener {
+
+    /** The endpoint's answer to this request begins. */
+    void head(Attempt attempt, HttpHead head);
+
+    /** A part of it. */
+    void data(Attempt attempt, byte[] bytes);
+
+    /** The attempt is over; told once. */
+    void ended(Attempt attempt, AttemptEnd end);
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/AttemptEnd.java
@@ -0,0 +1,19 @@
+package org.hornbeamusher.forwarding;
+
+import org.hornbeamusher.failure.FailureType;
+
+/** How one send to an endpoint ended. */
+sealed interface AttemptEnd {
+
+  /** The answer is whole. */
+  record Answered() implements AttemptEnd {}
+
+  /** Nothing reached the endpoint. */
+  record NotSent() implements AttemptEnd {}
+
+  /** The endpoint says that it did not run the request. */
+  record Refused(int status) implements AttemptEnd {}
+
+  /** The request may have run, and its answer is no good. */
+  record Broken(FailureType cause) implements AttemptEnd {}
+}
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/CallerAnswer.java
@@ -0,0 +1,166 @@
+package org.hornbeamusher.forwarding;
+
+import io.undertow.connector.PooledByteBuffer;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.protocol.http.HttpServerConnection;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.List;
+import java.util.OptionalLong;
+import org.hornbeamusher.http.HttpHeader;
+import org.xnio.IoUtils;
+import org.xnio.channels.StreamSinkChannel;
+import org.xnio.conduits.ConduitStreamSourceChannel;
+
+/**
+ * Writes one answer to a caller without ever blocking, and hears when the caller goes.
+ *
+ * <p>While a request is answered nothing reads from its connection, so that its close would be
+ * noticed only when the answer is written, after an endpoint has worked for nobody. The connection
+ * is therefore read on; what comes early of a next request is put back.
+ */
+final class CallerAnswer {
+
+  private final HttpServerExchange exchange;
+  private final ArrayDeque<ByteBuffer> unwritten = new ArrayDeque<>();
+  private Runnable gone = () -> {};
+  private StreamSinkChannel sink;
+  private boolean ending;
+  private boolean ended;
+
+  CallerAnswer(HttpServerExchange exchange) {
+    this.exchange = exchange;
+  }
+
+  /** Calls a task, once at most, when the caller has gone before the answer was whole. */
+  void onGone(Runnable task) {
+    gone = task;
+    exchange.getConnection().addCloseListener(connection -> closed());
+    if (exchange.getConnection() instanceof HttpServerConnection connection) {
+      ConduitStreamSourceChannel source = connection.getChannel().getSourceChannel();
+      source.setReadListener(channel -> watch(connection, channel));
+      source.resumeReads();
+    }
+  }
+
+  private void watch(HttpServerConnection connection, ConduitStreamSourceChannel source) {
+    if (ended || connection.getExtraBytes() != null) {
+      source.suspendReads();
+      return;
+    }
+    PooledByteBuffer pooled = connection.getByteBufferPool().allocate();
+    boolean keep = false;
+    try {
+      int count = source.read(pooled.getBuffer());
+      if (count < 0) {
+        IoUtils.safeClose(connection);
+        closed();
+      } else if (count > 0) {
+        pooled.getBuffer().flip();
+        connection.ungetRequestBytes(pooled);
+        keep = true;
+        source.suspendReads();
+      }
+    } catch (IOException e) {
+      // A reset: the caller is as gone as after a close.
+      IoUtils.safeClose(connection);
+      closed();
+    } finally {
+      if (!keep) {
+        pooled.close();
+      }
+    }
+  }
+
+  private void closed() {
+    if (!ended) {
+      ended = true;
+      unwritten.clear();
+      gone.run();
+    }
+  }
+
+  /** Tells whether nothing more can be written. */
+  boolean ended() {
+    return ended;
+  }
+
+  /** Writes the head; without a length the answer is written in chunks. */
+  void head(int status, List<HttpHeader> headers, OptionalLong length) {
+    exchange.setStatusCode(status);
+    for (HttpHeader header : headers) {
+      exchange.getResponseHeaders().add(new HttpString(header.name()), header.value());
+    }
+    length.ifPresent(exchange::setResponseContentLength);
+  }
+
+  /** Makes this the last answer of its connection. */
+  void closeAfter() {
+    exchange.setPersistent(false);
+    exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
+  }
+
+  /** Writes a part of the body. */
+  void write(byte[] bytes) {
+    if (ended || bytes.length == 0) {
+      return;
+    }
+    unwritten.add(ByteBuffer.wrap(bytes));
+    flush();
+  }
+
+  /** Ends a whole answer. */
+  void end() {
+    if (!ended) {
+      ending = true;
+      flush();
+    }
+  }
+
+  /** Cuts the connection, so that what was written cannot be taken for a whole answer. */
+  void abort() {
+    ended = true;
+    unwritten.clear();
+    IoUtils.safeClose(exchange.getConnection());
+  }
+
+  private void flush() {
+    try {
+      if (sink == null) {
+        sink = exchange.getResponseChannel();
+        sink.getWriteSetter().set(channel -> flush());
+      }
+      while (!unwritten.isEmpty()) {
+        ByteBuffer first = unwritten.peek();
+        if (first.hasRemaining() && sink.write(first) == 0) {
+          sink.resumeWrites();
+          return;
+        }
+        if (!first.hasRemaining()) {
+          unwritten.poll();
+        }
+      }
+      if (ending) {
+        finish();
+      } else if (!sink.flush()) {
+        sink.resumeWrites();
+      } else {
+        sink.suspendWrites();
+      }
+    } catch (IOException e) {
+      // The caller's connection is broken.
+      IoUtils.safeClose(exchange.getConnection());
+      closed();
+    }
+  }
+
+  private void finish() throws IOException {
+    ended = true;
+    sink.suspendWrites();
+    sink.getWriteSetter().set(null);
+    exchange.endExchange();
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/EngineAgents.java
@@ -0,0 +1,214 @@
+package org.hornbeamusher.forwarding;
+
+import java.net.InetSocketAddress;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.hornbeamusher.clock.Clock;
+import org.hornbeamusher.directory.Endpoint;
+import org.hornbeamusher.directory.HeldAdapter;
+import org.hornbeamusher.events.EventLog;
+import org.hornbeamusher.events.EventType;
+import org.hornbeamusher.failure.HornbeamusherException;
+import org.hornbeamusher.ids.EndpointId;
+import org.hornbeamusher.loop.EventLoop;
+import org.hornbeamusher.placement.EndpointView;
+import org.hornbeamusher.wire.Message;
+import org.hornbeamusher.wire.WireConnection;
+import org.hornbeamusher.wire.WireConnector;
+import org.hornbeamusher.wire.WireListener;
+import org.hornbeamusher.wire.WireSettings;
+import org.hornbeamusher.wire.WireSockets;
+
+/**
+ * An entry's connections to the agents beside the engines, and the reservations made there.
+ *
+ * <p>Confined to the loop; what the connections' threads hear is handed over to it.
+ */
+final class EngineAgents {
+
+  private final Map<InetSocketAddress, Link> links = new HashMap<>();
+  private final Map<EndpointId, EndpointView> views;
+  private final Message.Hello own;
+  private final WireSettings settings;
+  private final EventLoop loop;
+  private final Clock clock;
+  private long reservations;
+
+  EngineAgents(
+      Map<EndpointId, EndpointView> views,
+      Message.Hello own,
+      WireSettings settings,
+      EventLoop loop,
+      Clock clock) {
+    this.views = views;
+    this.own = own;
+    this.settings = settings;
+    this.loop = loop;
+    this.clock = clock;
+  }
+
+  /** Connects to the agents of these addresses and to no others. */
+  void connect(Collection<InetSocketAddress> addresses) {
+    Set<InetSocketAddress> wanted = new HashSet<>(addresses);
+    for (InetSocketAddress address : Set.copyOf(links.keySet())) {
+      if (!wanted.contains(address)) {
+        links.remove(address).connector.stop();
+      }
+    }
+    wanted.stream().filter(address -> !links.containsKey(address)).forEach(this::open);
+  }
+
+  void stop() {
+    links.values().forEach(link -> link.connector.stop());
+    links.clear();
+  }
+
+  private void open(InetSocketAddress address) {
+    Link link = new Link(address);
+    link.connector =
+        new WireConnector(address, own, link, settings, new WireSockets.Plain(), clock);
+    links.put(address, link);
+    link.connector.start();
+  }
+
+  /** Applies what an agent said before its endpoint was listed. */
+  void listed(Endpoint endpoint) {
+    for (Link link : links.values()) {
+      if (link.holdings != null && link.holdings.endpoint().equals(endpoint.id().value())) {
+        link.apply();
+      }
+    }
+  }
+
+  /** Returns how many entries there are, by what the agents see; at least this one. */
+  int entries() {
+    int most = 0;
+    for (Link link : links.values()) {
+      most = Math.max(most, link.holdings == null ? 0 : link.holdings.entries());
+    }
+    return most;
+  }
+
+  /** Makes a reservation at an endpoint's agent; only where one is connected. */
+  EngineReservation reserve(
+      EndpointId endpoint, EngineReservation.Request request, EngineReservation.Listener listener) {
+    for (Link link : links.values()) {
+      if (link.serves(endpoint)) {
+        EngineReservation made =
+            new EngineReservation(link, ++reservations, request, listener, clock);
+        link.live.put(made.number(), made);
+        made.announce();
+        return made;
+      }
+    }
+    return EngineReservation.NONE;
+  }
+
+  /** One agent. */
+  final class Link implements WireListener {
+
+    private final InetSocketAddress address;
+    private final Map<Long, EngineReservation> live = new HashMap<>();
+    private WireConnector connector;
+    private WireConnection connection;
+    private Message.Holdings holdings;
+
+    Link(InetSocketAddress address) {
+      this.address = address;
+    }
+
+    boolean serves(EndpointId endpoint) {
+      return connection != null && holdings != null && holdings.endpoint().equals(endpoint.value());
+    }
+
+    void send(Message message) {
+      if (connection != null) {
+        connection.send(message);
+      }
+    }
+
+    void forget(long reservation) {
+      live.remove(reservation);
+    }
+
+    @Override
+    public void opened(WireConnection opened, Message.Hello peer) {
+      loop.execute(
+          () -> {
+            connection = opened;
+            EventLog.log(EventType.PEER_CONNECTED, "peer", peer.instance(), "at", address);
+            live.values().forEach(EngineReservation::announce);
+          });
+    }
+
+    @Override
+    public void received(WireConnection from, Message message) {
+      loop.execute(() -> handle(message));
+    }
+
+    @Override
+    public void closed(WireConnection closed, HornbeamusherException reason) {
+      loop.execute(() -> lost(closed, reason));
+    }
+
+    private void handle(Message message) {
+      switch (message) {
+        case Message.Holdings said -> {
+          holdings = said;
+          apply();
+        }
+        case Message.PeerLoad said -> {
+          EndpointView view = view();
+          if (view != null) {
+            view.reportedLoad(said.requests(), said.unreadTokens());
+          }
+        }
+        case Message.Granted said -> {
+          EngineReservation granted = live.get(said.reservation());
+          if (granted != null) {
+            granted.granted();
+          }
+        }
+        default -> {
+          // A newer agent may say more than this entry understands.
+        }
+      }
+    }
+
+    private void apply() {
+      EndpointView view = view();
+      if (view != null) {
+        view.reported(parse(holdings.held()), parse(holdings.coming()));
+      }
+    }
+
+    private EndpointView view() {
+      return holdings == null || holdings.endpoint().isEmpty()
+          ? null
+          : views.get(new EndpointId(holdings.endpoint()));
+    }
+
+    private void lost(WireConnection closed, HornbeamusherException reason) {
+      if (connection != closed) {
+        return;
+      }
+      connection = null;
+      EventLog.log(EventType.PEER_LOST, "peer", address, "reason", reason.type().label());
+      EndpointView view = view();
+      if (view != null) {
+        view.agentLost();
+      }
+      holdings = null;
+      List.copyOf(live.values()).forEach(EngineReservation::lost);
+    }
+
+    private static Set<HeldAdapter> parse(List<String> texts) {
+      return texts.stream().map(HeldAdapter::parse).collect(Collectors.toSet());
+    }
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
@@ -0,0 +1,261 @@
+package org.hornbeamusher.forwarding;
+
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ThreadLocalRandom;
+import org.hornbeamusher.clock.Clock;
+import org.hornbeamusher.directory.Endpoint;
+import org.hornbeamusher.directory.EndpointDirectory;
+import org.hornbeamusher.events.EventLog;
+import org.hornbeamusher.events.EventType;
+import org.hornbeamusher.http.HttpClient;
+import org.hornbeamusher.loop.EventLoop;
+import org.hornbeamusher.placement.EndpointView;
+import org.hornbeamusher.placement.PlacementSettings;
+import org.hornbeamusher.placement.Placer;
+import org.hornbeamusher.routes.AdapterKey;
+import org.hornbeamusher.routes.Configuration;
+import org.hornbeamusher.routes.ConfigurationInForce;
+import org.hornbeamusher.routes.EngineSpec;
+import org.hornbeamusher.routes.ServiceSpec;
+import org.hornbeamusher.routes.VersionsInForce;
+import org.hornbeamusher.wire.Message;
+import org.hornbeamusher.wire.WireSettings;
+
+/**
+ * The entry on a platform that keeps configuration and endpoints: takes callers' requests and sends
+ * each to an endpoint.
+ *
+ * <p>Everything it knows it is told by the methods {@link #configured}, {@link #versioned} and
+ * {@link #listed}, by the agents beside the engines, and by its own requests. It keeps nothing.
+ */
+public final class ForwardDaemon implements ForwardRun.Listener {
+
+  private static final int PROTOCOL = 1;
+
+  /** The balancer asks once a second and needs two refusals; until then callers still come. */
+  private static final long LEAST_DRAIN_MILLIS = 2_500;
+
+  private static final long DRAIN_CHECK_MILLIS = 50;
+
+  private final ForwardSettings settings;
+  private final HttpClient http;
+  private final Clock clock;
+  private final EventLoop loop;
+  private final ForwardState state;
+  private final ForwardServer server;
+  private final Set<ForwardRun> runs = new HashSet<>();
+  private final CompletableFuture<Void> drained = new CompletableFuture<>();
+  private boolean leaving;
+  private long leaveMillis;
+
+  /**
+   * Creates an entry that is not started.
+   *
+   * @param settings its instance
+   * @param dialect the headers of callers and endpoints
+   * @param http a started client with a single I/O thread
+   * @param clock monotonic
+   */
+  public ForwardDaemon(ForwardSettings settings, Dialect dialect, HttpClient http, Clock clock) {
+    this.settings = settings;
+    this.http = http;
+    this.clock = clock;
+    this.loop = http.loop();
+    Placer placer = new Placer(PlacementSettings.DEFAULT, settings.zone());
+    this.state =
+        new ForwardState(
+            new ConfigurationInForce(),
+            new VersionsInForce(),
+            new EndpointDirectory(),
+            placer,
+            new EngineAgents(placer.views(), hello(settings), WireSettings.DEFAULT, loop, clock),
+            new RepeatAllowance(settings.repeats()),
+            dialect,
+            http,
+            loop,
+            clock);
+    this.server = new ForwardServer(settings, http.worker(), clock, this::accept, this::ready);
+  }
+
+  private static Message.Hello hello(ForwardSettings settings) {
+    return new Message.Hello(
+        PROTOCOL,
+        PROTOCOL,
+        "entry",
+        settings.instance(),
+        ThreadLocalRandom.current().nextLong(),
+        settings.zone(),
+        "",
+        "");
+  }
+
+  /** Listens. */
+  public void start() {
+    server.start();
+    EventLog.log(
+        EventType.PROCESS_STARTED,
+        "role",
+        "entry",
+        "instance",
+        settings.instance(),
+        "zone",
+        settings.zone(),
+        "callers",
+        settings.callers());
+  }
+
+  /**
+   * Takes a configuration that was read.
+   *
+   * @param configuration any version; an older one than that in force is ignored
+   */
+  public void configured(Configuration configuration) {
+    if (state.configuration().offer(configuration)) {
+      EventLog.log(
+          EventType.CONFIGURATION_IN_FORCE,
+          "version",
+          configuration.version(),
+          "services",
+          configuration.services().size());
+      connectAgents();
+    }
+  }
+
+  /**
+   * Takes a version of an adapter.
+   *
+   * @param adapter the adapter
+   * @param version any version; an older one than that in force is ignored
+   */
+  public void versioned(AdapterKey adapter, long version) {
+    if (state.versions().offer(adapter, version)) {
+      EventLog.log(EventType.VERSION_IN_FORCE, "adapter", adapter, "version", version);
+    }
+  }
+
+  /**
+   * Takes a list of endpoints.
+   *
+   * @param endpoints every endpoint that the platform knows
+   */
+  public void listed(List<Endpoint> endpoints) {
+    EndpointDirectory.Change change = state.directory().listed(endpoints, clock.millis());
+    change.changed().forEach(this::changed);
+    for (Endpoint gone : change.gone()) {
+      state.placer().views().remove(gone.id());
+      EventLog.log(EventType.ENDPOINT_GONE, "endpoint", gone.id(), "service", gone.service());
+    }
+    if (!change.gone().isEmpty() || !change.changed().isEmpty()) {
+      connectAgents();
+    }
+  }
+
+  private void changed(Endpoint endpoint) {
+    EndpointView known = state.placer().views().get(endpoint.id());
+    boolean news = known == null || known.endpoint().leaving() != endpoint.leaving();
+    if (known == null) {
+      state.placer().views().put(endpoint.id(), new EndpointView(endpoint, memory(endpoint)));
+      state.agents().listed(endpoint);
+    } else {
+      known.listed(endpoint);
+    }
+    if (news) {
+      EventLog.log(
+          EventType.ENDPOINT_CHANGED,
+          "endpoint",
+          endpoint.id(),
+          "service",
+          endpoint.service(),
+          "at",
+          endpoint.uri(),
+          "zone",
+          endpoint.zone(),
+          "leaving",
+          endpoint.leaving());
+    }
+  }
+
+  private long memory(Endpoint endpoint) {
+    return state
+        .configuration()
+        .current()
+        .flatMap(configuration -> configuration.service(endpoint.service()))
+        .flatMap(ServiceSpec::engine)
+        .map(EngineSpec::memoryTokens)
+        .orElse(0L);
+  }
+
+  /** Agents stand beside engines only; a plain service has none to connect to. */
+  private void connectAgents() {
+    List<InetSocketAddress> addresses =
+        state.directory().endpoints().stream()
+            .filter(endpoint -> memory(endpoint) > 0)
+            .map(e -> new InetSocketAddress(e.uri().getHost(), settings.agentPort()))
+            .toList();
+    state.agents().connect(addresses);
+  }
+
+  private boolean ready() {
+    return !leaving
+        && state.configuration().current().isPresent()
+        && !state.placer().views().isEmpty();
+  }
+
+  private void accept(CallerRequest request, CallerAnswer caller) {
+    ForwardRun run = new ForwardRun(state, request, caller, this);
+    runs.add(run);
+    run.start();
+  }
+
+  @Override
+  public boolean leaving() {
+    return leaving;
+  }
+
+  @Override
+  public void ended(ForwardRun run, String cause) {
+    runs.remove(run);
+  }
+
+  /**
+   * Takes no new callers and ends what is under way.
+   *
+   * @return completes when nothing is left, or when the time that the instance has is nearly over
+   */
+  public CompletableFuture<Void> drain() {
+    loop.execute(
+        () -> {
+          if (!leaving) {
+            leaving = true;
+            leaveMillis = clock.millis();
+            EventLog.log(EventType.PROCESS_STOPPING, "role", "entry", "running", runs.size());
+            checkDrained();
+          }
+        });
+    return drained;
+  }
+
+  private void checkDrained() {
+    long since = clock.millis() - leaveMillis;
+    boolean late = since >= settings.drainMillis();
+    if (late) {
+      Set.copyOf(runs).forEach(ForwardRun::abort);
+    }
+    if (late || (runs.isEmpty() && since >= LEAST_DRAIN_MILLIS)) {
+      EventLog.log(EventType.PROCESS_STOPPED, "role", "entry", "after_ms", since);
+      drained.complete(null);
+      return;
+    }
+    loop.after(DRAIN_CHECK_MILLIS, this::checkDrained);
+  }
+
+  /** Closes everything. */
+  public void stop() {
+    server.stop();
+    state.agents().stop();
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardRun.java
@@ -0,0 +1,539 @@
+package org.hornbeamusher.forwarding;
+
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.hornbeamusher.directory.HeldAdapter;
+import org.hornbeamusher.events.EventLog;
+import org.hornbeamusher.events.EventType;
+import org.hornbeamusher.failure.FailureType;
+import org.hornbeamusher.failure.HornbeamusherException;
+import org.hornbeamusher.failure.Outcome;
+import org.hornbeamusher.http.HttpCall;
+import org.hornbeamusher.http.HttpHead;
+import org.hornbeamusher.http.HttpHeader;
+import org.hornbeamusher.ids.EndpointId;
+import org.hornbeamusher.loop.EventLoop;
+import org.hornbeamusher.placement.EndpointView;
+import org.hornbeamusher.placement.Placement;
+import org.hornbeamusher.placement.PlacementRequest;
+import org.hornbeamusher.routes.Configuration;
+import org.hornbeamusher.routes.RequestKind;
+import org.hornbeamusher.routes.Route;
+import org.hornbeamusher.routing.Rendezvous;
+
+/**
+ * One request, from its whole body to its final answer.
+ *
+ * <p>A request is at any moment in one of three states: it waits for its adapter to be loaded (a
+ * reservation, no attempt), it is at an endpoint (an attempt), or it is over. What may follow the
+ * end of an attempt depends on whether the request ran:
+ *
+ * <ul>
+ *   <li>nothing was sent, or the endpoint says that it did not run: another endpoint may be tried,
+ *       whatever the kind of request;
+ *   <li>it may have run and is repeatable: another endpoint may be tried, a stream after the last
+ *       event that the caller has, within the route's attempts;
+ *   <li>it may have run and is not repeatable: the caller is told that its outcome is unknown.
+ * </ul>
+ *
+ * <p>A second send to a service draws on the allowance of repeats, except when the first did not
+ * arrive. Only a request of which every send was refused or never arrived is refused in turn with a
+ * status that promises that it did not run.
+ */
+final class ForwardRun implements Attempt.Listener, EngineReservation.Listener {
+
+  /** An answer takes longer than this to come back; sending is of no use any more. */
+  private static final long LEAST_SEND_MILLIS = 15;
+
+  /** How long a request waits for a load before it looks at the other endpoints again. */
+  private static final long REPLACE_MILLIS = 300;
+
+  /** When no endpoint can be reached: about the time after which the next list is read. */
+  private static final long NO_ENDPOINT_RETRY_MILLIS = 400;
+
+  private static final int SERVER_ERROR = 500;
+  private static final int MOST_REFUSALS = 3;
+  private static final int MOST_UNSENT = 4;
+
+  private final ForwardState state;
+  private final CallerRequest request;
+  private final CallerAnswer caller;
+  private final Listener listener;
+  private final Set<EndpointId> tried = new HashSet<>();
+
+  private RequestFacts facts;
+  private Route route;
+  private String service;
+  private PlacementRequest placing;
+  private AnswerRelay relay;
+  private long deadlineMillis;
+  private EventLoop.Timer deadline;
+  private EventLoop.Timer replacing;
+
+  private EndpointView endpoint;
+  private EngineReservation reservation = EngineReservation.NONE;
+  private Attempt attempt;
+  private long sentMillis;
+  private long unreadTokens;
+  private boolean unread;
+  private int sends;
+  private int refusals;
+  private int unsent;
+  private boolean mayHaveRun;
+  private long firstMillis = -1;
+  private boolean over;
+
+  ForwardRun(ForwardState state, CallerRequest request, CallerAnswer caller, Listener listener) {
+    this.state = state;
+    this.request = request;
+    this.caller = caller;
+    this.listener = listener;
+  }
+
+  void start() {
+    try {
+      accept();
+    } catch (HornbeamusherException e) {
+      fail(e);
+      return;
+    }
+    caller.onGone(this::callerGone);
+    deadline = state.loop().after(deadlineMillis - now(), this::deadlinePassed);
+    place();
+  }
+
+  private void accept() {
+    Configuration configuration =
+        state
+            .configuration()
+            .current()
+            .orElseThrow(() -> notRun(FailureType.NOT_READY).retryAfter(NO_ENDPOINT_RETRY_MILLIS));
+    facts = state.dialect().request(request.headers());
+    route =
+        configuration
+            .match(request.hostName(), request.path())
+            .orElseThrow(() -> notRun(FailureType.UNKNOWN_PATH, request.path()));
+    long hash = Rendezvous.hash(facts.id());
+    service = route.service(hash);
+    long budget = Math.min(route.timeoutMillis(), facts.budgetMillis().orElse(Long.MAX_VALUE));
+    deadlineMillis = request.arrivedMillis() + budget;
+    placing =
+        new PlacementRequest(
+            hash, adapter(), facts.promptTokens(), facts.outputTokens(), facts.parts());
+    relay =
+        route.kind() == RequestKind.STREAMING
+            ? new EventRelay(caller, facts.lastEvent())
+            : new WholeRelay(caller);
+    state.allowance().requested(service, now());
+  }
+
+  private Optional<HeldAdapter> adapter() {
+    return facts.adapter().map(key -> new HeldAdapter(key, state.versions().of(key)));
+  }
+
+  /** By then a first event is of no use: a caller that hears nothing of a stream leaves earlier. */
+  private long startByMillis() {
+    return route.kind() == RequestKind.STREAMING && !relay.started()
+        ? Math.min(deadlineMillis, request.arrivedMillis() + route.patienceMillis())
+        : deadlineMillis;
+  }
+
+  private void place() {
+    long now = now();
+    long remaining = startByMillis() - now;
+    Placement placement = state.placer().place(service, placing, tried, now);
+    switch (placement) {
+      case Placement.Nowhere nowhere -> giveUp(notRun(FailureType.NO_ENDPOINT, service));
+      case Placement.At at -> {
+        if (at.estimateMillis() > remaining || remaining < LEAST_SEND_MILLIS) {
+          giveUp(
+              notRun(FailureType.DEADLINE_TOO_NEAR)
+                  .retryAfter(Math.max(LEAST_SEND_MILLIS, at.estimateMillis() - remaining)));
+        } else {
+          placedAt(at, remaining);
+        }
+      }
+    }
+  }
+
+  private void placedAt(Placement.At at, long remaining) {
+    endpoint = at.endpoint();
+    unreadTokens = endpoint.uncachedTokens(placing);
+    unread = true;
+    EventLog.log(
+        EventType.REQUEST_PLACED,
+        "id",
+        facts.id(),
+        "service",
+        service,
+        "adapter",
+        placing.adapter().map(HeldAdapter::toString).orElse(""),
+        "endpoint",
+        endpoint.id(),
+        "present",
+        at.present(),
+        "estimate_ms",
+        at.estimateMillis(),
+        "stall_ms",
+        at.stallMillis(),
+        "remaining_ms",
+        remaining,
+        "running",
+        endpoint.running(),
+        "configuration",
+        state.configuration().current().map(Configuration::version).orElse(0L),
+        "list_age_ms",
+        state.directory().ageMillis(now()));
+    endpoint.started(placing);
+    placing.adapter().ifPresent(adapter -> reserve(adapter, remaining));
+    if (at.present() || placing.adapter().isEmpty()) {
+      send();
+    } else {
+      replacing = state.loop().after(REPLACE_MILLIS, this::placeAgain);
+    }
+  }
+
+  private void reserve(HeldAdapter adapter, long remaining) {
+    reservation =
+        state
+            .agents()
+            .reserve(
+                endpoint.id(),
+                new EngineReservation.Request(
+                    facts.id(), adapter, route.rank(), unreadTokens, now() + remaining),
+                this);
+  }
+
+  @Override
+  public void granted() {
+    if (!over && attempt == null) {
+      send();
+    }
+  }
+
+  @Override
+  public void lost() {
+    if (!over && attempt == null) {
+      placeAgain();
+    }
+  }
+
+  /** The load takes long; perhaps another endpoint has the adapter by now. */
+  private void placeAgain() {
+    if (over || attempt != null) {
+      return;
+    }
+    EventLog.log(
+        EventType.REQUEST_MOVED, "id", facts.id(), "from", endpoint.id(), "waited_ms", waited());
+    leave();
+    place();
+  }
+
+  private long waited() {
+    return now() - request.arrivedMillis();
+  }
+
+  private void send() {
+    cancel(replacing);
+    reservation.used();
+    sentMillis = now();
+    sends++;
+    SendFacts told = new SendFacts(endpoint.id(), deadlineMillis - sentMillis, relay.lastEvent());
+    URI uri = endpoint.endpoint().uri();
+    HttpCall call =
+        new HttpCall(
+            request.method(),
+            uri,
+            request.host(),
+            request.target(),
+            state.dialect().toEndpoint(request.headers(), told),
+            request.body());
+    attempt = new Attempt(endpoint, state.dialect(), facts.id(), this);
+    attempt.send(state.http(), call);
+  }
+
+  @Override
+  public void head(Attempt from, HttpHead head) {
+    relay.head(head, state.dialect().toCaller(head));
+    if (listener.leaving()) {
+      caller.closeAfter();
+    }
+  }
+
+  @Override
+  public void data(Attempt from, byte[] bytes) {
+    relay.data(bytes);
+    if (unread) {
+      promptRead();
+      endpoint.succeeded(now() - sentMillis);
+      if (firstMillis < 0) {
+        firstMillis = waited();
+      }
+    }
+  }
+
+  private void promptRead() {
+    if (unread) {
+      unread = false;
+      endpoint.promptRead(unreadTokens);
+      reservation.promptRead();
+    }
+  }
+
+  @Override
+  public void ended(Attempt from, AttemptEnd end) {
+    if (over) {
+      return;
+    }
+    AttemptEnd judged = judge(end);
+    EventLog.log(
+        EventType.ATTEMPT_ENDED,
+        "id",
+        facts.id(),
+        "endpoint",
+        endpoint.id(),
+        "end",
+        describe(judged),
+        "status",
+        relay.status(),
+        "took_ms",
+        now() - sentMillis,
+        "last_event",
+        relay.lastEvent().orElse(-1));
+    EndpointView left = endpoint;
+    leave();
+    switch (judged) {
+      case AttemptEnd.Answered answered -> answered();
+      case AttemptEnd.NotSent notSent -> notSent(left);
+      case AttemptEnd.Refused refused -> refused(left);
+      case AttemptEnd.Broken broken -> broken(left, broken.cause());
+    }
+  }
+
+  private AttemptEnd judge(AttemptEnd end) {
+    boolean cut = end instanceof AttemptEnd.Answered && !relay.canEnd();
+    return cut ? new AttemptEnd.Broken(FailureType.ANSWER_CUT) : end;
+  }
+
+  private static String describe(AttemptEnd end) {
+    return switch (end) {
+      case AttemptEnd.Answered answered -> "answered";
+      case AttemptEnd.NotSent notSent -> "not-sent";
+      case AttemptEnd.Refused refused -> "refused-" + refused.status();
+      case AttemptEnd.Broken broken -> broken.cause().label();
+    };
+  }
+
+  /**
+   * An endpoint's own failure is an answer too; but one that may be repeated is tried elsewhere.
+   */
+  private void answered() {
+    boolean failed = relay.status() >= SERVER_ERROR;
+    if (failed && !relay.started() && route.kind() == RequestKind.IDEMPOTENT && mayRepeat()) {
+      place();
+      return;
+    }
+    relay.end();
+    finish("answered", relay.status());
+  }
+
+  private void notSent(EndpointView left) {
+    sends--;
+    unsent++;
+    left.failed(now());
+    tried.add(left.id());
+    if (unsent > MOST_UNSENT) {
+      giveUp(notRun(FailureType.NO_ENDPOINT, service));
+    } else {
+      place();
+    }
+  }
+
+  private void refused(EndpointView left) {
+    refusals++;
+    tried.add(left.id());
+    if (refusals > MOST_REFUSALS || !takeRepeat()) {
+      giveUp(notRun(FailureType.ENDPOINT_REFUSED, left.id()));
+    } else {
+      place();
+    }
+  }
+
+  private void broken(EndpointView left, FailureType cause) {
+    mayHaveRun = true;
+    left.failed(now());
+    tried.add(left.id());
+    if (route.repeatable() && mayRepeat()) {
+      place();
+      return;
+    }
+    fail(HornbeamusherException.of(cause, Outcome.UNKNOWN, left.id(), cause.label()));
+  }
+
+  private boolean mayRepeat() {
+    return sends < route.attempts() && takeRepeat();
+  }
+
+  private boolean takeRepeat() {
+    return state.allowance().tryTake(service, state.agents().entries(), now());
+  }
+
+  /** Ends a request that no endpoint can take; what may have run is not said to be not run. */
+  private void giveUp(HornbeamusherException refusal) {
+    if (mayHaveRun) {
+      fail(HornbeamusherException.of(FailureType.RETRIES_EXHAUSTED, Outcome.UNKNOWN, service));
+      return;
+    }
+    fail(
+        refusal.retryAfterMillis().isPresent()
+            ? refusal
+            : refusal.retryAfter(NO_ENDPOINT_RETRY_MILLIS));
+  }
+
+  private void deadlinePassed() {
+    if (over) {
+      return;
+    }
+    boolean atEndpoint = attempt != null;
+    if (atEndpoint) {
+      attempt.cancel();
+    }
+    String waitedFor = placing.adapter().map(HeldAdapter::toString).orElse(service);
+    leave();
+    if (atEndpoint || mayHaveRun) {
+      fail(HornbeamusherException.of(FailureType.DEADLINE_PASSED, Outcome.UNKNOWN));
+    } else {
+      giveUp(notRun(FailureType.LOAD_TOO_LATE, waitedFor));
+    }
+  }
+
+  private void callerGone() {
+    if (over) {
+      return;
+    }
+    if (attempt != null) {
+      attempt.cancel();
+    }
+    leave();
+    finish("caller-gone", 0);
+  }
+
+  /** Cuts the request off, at the end of the instance's time. */
+  void abort() {
+    if (!over) {
+      if (attempt != null) {
+        attempt.cancel();
+      }
+      leave();
+      fail(HornbeamusherException.of(FailureType.SHUTTING_DOWN, Outcome.UNKNOWN));
+    }
+  }
+
+  /** Ends this request's part at its endpoint. */
+  private void leave() {
+    cancel(replacing);
+    if (endpoint != null) {
+      if (unread) {
+        unread = false;
+        endpoint.promptRead(unreadTokens);
+      }
+      endpoint.ended();
+      reservation.release();
+    }
+    reservation = EngineReservation.NONE;
+    endpoint = null;
+    attempt = null;
+  }
+
+  private void fail(HornbeamusherException failure) {
+    if (over) {
+      return;
+    }
+    if (relay != null && relay.started()) {
+      caller.abort();
+      finish(failure.type().label(), 0);
+      return;
+    }
+    int status = statusOf(failure);
+    byte[] body = failure.getMessage().getBytes(StandardCharsets.UTF_8);
+    caller.head(status, headersOf(failure), OptionalLong.of(body.length));
+    if (listener.leaving()) {
+      caller.closeAfter();
+    }
+    caller.write(body);
+    caller.end();
+    finish(failure.type().label(), status);
+  }
+
+  /** Only a request that was not run may be answered with a status that says so. */
+  private static int statusOf(HornbeamusherException failure) {
+    int status = failure.type().httpStatus();
+    boolean promises = status == 503 || status == 429 || status == 408 || status == 421;
+    return promises && !failure.outcome().equals(Outcome.NOT_RUN) ? 502 : status;
+  }
+
+  private static List<HttpHeader> headersOf(HornbeamusherException failure) {
+    HttpHeader type = new HttpHeader("Content-Type", "text/plain; charset=utf-8");
+    if (failure.retryAfterMillis().isEmpty()) {
+      return List.of(type);
+    }
+    double seconds = failure.retryAfterMillis().getAsLong() / 1_000.0;
+    return List.of(
+        type, new HttpHeader("Retry-After", String.format(Locale.ROOT, "%.3f", seconds)));
+  }
+
+  private void finish(String cause, int status) {
+    over = true;
+    cancel(deadline);
+    cancel(replacing);
+    EventLog.log(
+        EventType.REQUEST_ENDED,
+        "id",
+        facts == null ? "" : facts.id(),
+        "route",
+        route == null ? "" : route.name(),
+        "cause",
+        cause,
+        "status",
+        status,
+        "took_ms",
+        waited(),
+        "first_ms",
+        firstMillis,
+        "sends",
+        sends,
+        "refusals",
+        refusals);
+    listener.ended(this, cause);
+  }
+
+  private static void cancel(EventLoop.Timer timer) {
+    if (timer != null) {
+      timer.cancel();
+    }
+  }
+
+  private static HornbeamusherException notRun(FailureType type, Object... arguments) {
+    return HornbeamusherException.notRun(type, arguments);
+  }
+
+  private long now() {
+    return state.clock().millis();
+  }
+
+  /** Hears of a request. */
+  interface Listener {
+
+    /** Tells whether the instance is leaving. */
+    boolean leaving();
+
+    /** The request is over; told once. */
+    void ended(ForwardRun run, String cause);
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardSettings.java
@@ -0,0 +1,26 @@
+package org.hornbeamusher.forwarding;
+
+import java.net.InetSocketAddress;
+import java.util.Optional;
+
+/**
+ * What an entry needs to know of its instance.
+ *
+ * @param instance the instance's name
+ * @param zone its availability zone
+ * @param callers where callers connect
+ * @param readiness where it says whether it takes callers
+ * @param metrics where it serves its metrics
+ * @param agentPort the port of every agent
+ * @param drainMillis how long a leaving instance may take
+ * @param repeats how often requests may be sent again
+ */
+public record ForwardSettings(
+    String instance,
+    String zone,
+    InetSocketAddress callers,
+    InetSocketAddress readiness,
+    Optional<InetSocketAddress> metrics,
+    int agentPort,
+    long drainMillis,
+    RepeatSettings repeats) {}
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardState.java
@@ -0,0 +1,35 @@
+package org.hornbeamusher.forwarding;
+
+import org.hornbeamusher.clock.Clock;
+import org.hornbeamusher.directory.EndpointDirectory;
+import org.hornbeamusher.http.HttpClient;
+import org.hornbeamusher.loop.EventLoop;
+import org.hornbeamusher.placement.Placer;
+import org.hornbeamusher.routes.ConfigurationInForce;
+import org.hornbeamusher.routes.VersionsInForce;
+
+/**
+ * What all requests of an entry share. Confined to the loop.
+ *
+ * @param configuration the routes in force
+ * @param versions the adapters' versions in force
+ * @param directory the endpoints
+ * @param placer decides where requests go
+ * @param agents the engines' agents
+ * @param allowance bounds repeats
+ * @param dialect the headers
+ * @param http carries attempts
+ * @param loop the loop
+ * @param clock monotonic
+ */
+record ForwardState(
+    ConfigurationInForce configuration,
+    VersionsInForce versions,
+    EndpointDirectory directory,
+    Placer placer,
+    EngineAgents agents,
+    RepeatAllowance allowance,
+    Dialect dialect,
+    HttpClient http,
+    EventLoop loop,
+    Clock clock) {}
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/SendFacts.java
@@ -0,0 +1,13 @@
+package org.hornbeamusher.forwarding;
+
+import java.util.OptionalLong;
+import org.hornbeamusher.ids.EndpointId;
+
+/**
+ * What an endpoint is told with a request.
+ *
+ * @param endpoint the one that is meant; another one at its address refuses the request
+ * @param remainingMillis how long an answer is of use
+ * @param lastEvent the last event the caller has; the endpoint goes on after it
+ */
+public record SendFacts(EndpointId endpoint, long remainingMillis, OptionalLong lastEvent) {}
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/WindowCount.java
@@ -0,0 +1,45 @@
+package org.hornbeamusher.forwarding;
+
+/** Counts events of the last seconds, in steps of a tenth of a second. */
+final class WindowCount {
+
+  private static final long STEP_MILLIS = 100;
+
+  private final long[] counts;
+  private long step = Long.MIN_VALUE;
+  private long total;
+
+  WindowCount(long windowMillis) {
+    this.counts = new long[Math.toIntExact(windowMillis / STEP_MILLIS)];
+  }
+
+  void add(long now) {
+    advance(now);
+    counts[index(step)]++;
+    total++;
+  }
+
+  long total(long now) {
+    advance(now);
+    return total;
+  }
+
+  private void advance(long now) {
+    long current = now / STEP_MILLIS;
+    if (step == Long.MIN_VALUE || current - step >= counts.length) {
+      java.util.Arrays.fill(counts, 0);
+      total = 0;
+      step = current;
+      return;
+    }
+    while (step < current) {
+      step++;
+      total -= counts[index(step)];
+      counts[index(step)] = 0;
+    }
+  }
+
+  private int index(long at) {
+    return (int) Math.floorMod(at, (long) counts.length);
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/holdings/AdapterPlaces.java
@@ -0,0 +1,426 @@
+package org.hornbeamusher.holdings;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.hornbeamusher.directory.HeldAdapter;
+import org.hornbeamusher.routes.AdapterKey;
+import org.hornbeamusher.routes.VersionsInForce;
+
+/**
+ * Decides which adapters the engine beside this agent holds.
+ *
+ * <p>An engine has few places for adapters, and ordering it to load one more than it has places
+ * crashes it. Every entry tells the agent of each request that it sends or wants to send (a
+ * reservation), which makes the agent the one point that knows what is in use:
+ *
+ * <ul>
+ *   <li>an adapter with a reservation is never unloaded;
+ *   <li>an adapter that is wanted and not there is loaded into a free place, the one wanted first
+ *       before the others;
+ *   <li>without a free place, the adapter with the least demand makes way. It is first withdrawn:
+ *       entries hear that it is not held any more, and only after {@link #WITHDRAW_MILLIS} is it
+ *       unloaded. A request that an entry sent in the meantime brings a reservation with it, and
+ *       that takes the withdrawal back;
+ *   <li>an adapter of which a newer version was named is not held as far as entries are concerned;
+ *       it is replaced once its last reservation has ended.
+ * </ul>
+ *
+ * <p>Example with two places, both taken: A has a reservation, B has none. C is wanted. B is
+ * withdrawn at 0 ms, unloaded at 20 ms, and C is ordered when the engine has said that B is gone.
+ * Had B been reserved at 10 ms, it would have stayed, and C would wait for A or B to be free.
+ *
+ * <p>What the engine holds is taken from its reports alone. An order changes what is believed only
+ * in the direction that keeps the engine safe: from the moment it is sent, a load takes a place,
+ * and an unload frees none until a report says so. Orders go out one at a time, because each
+ * carries the number of orders that the engine has accepted so far; an order that is carried out
+ * late then finds a different number and is refused.
+ *
+ * <p>Rejected: unloading at once and letting the engine refuse what was under way (nearly half of
+ * all sends came back, and each draws on the retry budget); a lease on each adapter, which has to
+ * be renewed.
+ */
+public final class AdapterPlaces {
+
+  /**
+   * Two ways between zones and a loop that is busy for a while: a request sent before the entry
+   * heard of the withdrawal has made its reservation by then.
+   */
+  static final long WITHDRAW_MILLIS = 20;
+
+  /** Entries that are connected make their reservations known within this time of a start. */
+  static final long SETTLE_MILLIS = 1_000;
+
+  /** Adapters that an engine fetches at once. */
+  private static final int MOST_PENDING = 4;
+
+  /** An adapter used once half a minute ago is as good as never used. */
+  private static final double DEMAND_HALF_LIFE_MILLIS = 10_000;
+
+  private final int places;
+  private final VersionsInForce versions;
+  private final long startedMillis;
+
+  private final Map<ReservationId, Reservation> reservations = new LinkedHashMap<>();
+  private final Map<ReservationId, Reservation> waiting = new LinkedHashMap<>();
+  private final Map<AdapterKey, Demand> demand = new HashMap<>();
+
+  /** When each withdrawn adapter was withdrawn; it is still held by the engine. */
+  private final Map<AdapterKey, Long> withdrawn = new HashMap<>();
+
+  /** Loads that were sent and that no report has shown yet. */
+  private final Set<AdapterKey> ordered = new HashSet<>();
+
+  private EngineReport report;
+  private EngineOrder unanswered;
+
+  /**
+   * Creates the decision for an engine of which nothing is known.
+   *
+   * @param places adapters it holds at once
+   * @param versions the newest version of each adapter
+   * @param now milliseconds
+   */
+  public AdapterPlaces(int places, VersionsInForce versions, long now) {
+    this.places = places;
+    this.versions = versions;
+    this.startedMillis = now;
+  }
+
+  /**
+   * Takes what the engine says of itself.
+   *
+   * @param fresh its report
+   * @return whether this is another life of the engine
+   */
+  public boolean reported(EngineReport fresh) {
+    boolean restarted = report != null && !report.incarnation().equals(fresh.incarnation());
+    if (restarted) {
+      unanswered = null;
+      ordered.clear();
+      withdrawn.clear();
+    }
+    report = fresh;
+    withdrawn.keySet().retainAll(fresh.adapters().keySet());
+    if (unanswered == null) {
+      ordered.clear();
+    }
+    return restarted;
+  }
+
+  /** The engine does not answer; it is down, and what it held is lost. */
+  public void unreachable() {
+    report = null;
+    unanswered = null;
+    ordered.clear();
+    withdrawn.clear();
+  }
+
+  /**
+   * Takes a reservation.
+   *
+   * @param reservation the request
+   * @param now milliseconds
+   */
+  public void reserve(Reservation reservation, long now) {
+    reservations.put(reservation.id(), reservation);
+    AdapterKey key = reservation.adapter().key();
+    versions.offer(key, reservation.adapter().version());
+    demand.computeIfAbsent(key, unused -> new Demand()).add(now);
+    withdrawn.remove(key);
+    waiting.put(reservation.id(), reservation);
+  }
+
+  /**
+   * The prompt of a request has been read.
+   *
+   * @param id the reservation
+   */
+  public void promptRead(ReservationId id) {
+    reservations.computeIfPresent(
+        id, (unused, r) -> new Reservation(r.id(), r.adapter(), r.rank(), 0, r.expiresMillis()));
+  }
+
+  /**
+   * Ends a reservation.
+   *
+   * @param id the reservation
+   */
+  public void release(ReservationId id) {
+    reservations.remove(id);
+    waiting.remove(id);
+  }
+
+  /**
+   * Ends every reservation of an entry whose connection is lost.
+   *
+   * @param entry the connection
+   */
+  public void releaseAll(long entry) {
+    reservations.keySet().removeIf(id -> id.entry() == entry);
+    waiting.keySet().removeIf(id -> id.entry() == entry);
+  }
+
+  /**
+   * Returns the reservations that can be used now; each is returned once.
+   *
+   * @return ids whose adapter the engine holds
+   */
+  public List<ReservationId> takeGrants() {
+    List<ReservationId> granted = new ArrayList<>();
+    for (Reservation wanted : waiting.values()) {
+      if (usable(wanted.adapter())) {
+        granted.add(wanted.id());
+      }
+    }
+    granted.forEach(waiting::remove);
+    return granted;
+  }
+
+  private boolean usable(HeldAdapter adapter) {
+    if (report == null || !report.models().contains(adapter.key().model())) {
+      return false;
+    }
+    if (adapter.key().isBase()) {
+      return true;
+    }
+    Long version = report.adapters().get(adapter.key());
+    return version != null && version >= adapter.version() && !replacing(adapter.key());
+  }
+
+  private boolean replacing(AdapterKey key) {
+    return ordered.contains(key)
+        || (unanswered instanceof EngineOrder.Load load && load.key().equals(key));
+  }
+
+  /**
+   * Returns what entries may count on.
+   *
+   * @return adapters held at their newest version and not withdrawn, and the base models
+   */
+  public Set<HeldAdapter> held() {
+    Set<HeldAdapter> held = new HashSet<>();
+    if (report == null) {
+      return held;
+    }
+    report.models().forEach(model -> held.add(new HeldAdapter(new AdapterKey(model, ""), 1)));
+    report
+        .adapters()
+        .forEach(
+            (key, version) -> {
+              if (!withdrawn.containsKey(key) && version >= versions.of(key) && !replacing(key)) {
+                held.add(new HeldAdapter(key, version));
+              }
+            });
+    return held;
+  }
+
+  /**
+   * Returns what is on its way.
+   *
+   * @return adapters ordered or being fetched, at their newest version
+   */
+  public Set<HeldAdapter> coming() {
+    Set<HeldAdapter> coming = new HashSet<>(report == null ? Set.of() : report.pending());
+    ordered.forEach(key -> coming.add(new HeldAdapter(key, versions.of(key))));
+    return coming;
+  }
+
+  /**
+   * Tells whether a report is awaited that will change something.
+   *
+   * @return whether the engine should be asked again soon
+   */
+  public boolean inMotion() {
+    return report == null
+        || report.busy()
+        || report.models().isEmpty()
+        || !report.pending().isEmpty()
+        || !ordered.isEmpty()
+        || unanswered != null;
+  }
+
+  /**
+   * Returns how many requests an entry's peers have at the engine.
+   *
+   * @param entry the connection of the entry that asks
+   * @return reservations of all other entries
+   */
+  public int othersRequests(long entry) {
+    return (int) reservations.keySet().stream().filter(id -> id.entry() != entry).count();
+  }
+
+  /**
+   * Returns how many prompt tokens an entry's peers wait to be read.
+   *
+   * @param entry the connection of the entry that asks
+   * @return tokens of all other entries' reservations
+   */
+  public long othersUnreadTokens(long entry) {
+    return reservations.values().stream()
+        .filter(reservation -> reservation.id().entry() != entry)
+        .mapToLong(Reservation::unreadTokens)
+        .sum();
+  }
+
+  /**
+   * Decides the next order. Nothing is ordered while an order has no answer.
+   *
+   * @param models base models that the engine should hold
+   * @param now milliseconds
+   * @return the order, or empty when there is nothing to do
+   */
+  public Optional<EngineOrder> nextOrder(List<String> models, long now) {
+    if (report == null || unanswered != null || report.busy()) {
+      return Optional.empty();
+    }
+    waiting.values().removeIf(wanted -> wanted.expiresMillis() <= now);
+    Optional<EngineOrder> order = missingModel(models);
+    if (order.isEmpty()) {
+      order = wantedAdapter(now);
+    }
+    if (order.isEmpty()) {
+      order = replacement(now);
+    }
+    order.ifPresent(this::sent);
+    return order;
+  }
+
+  private void sent(EngineOrder order) {
+    unanswered = order;
+    if (order instanceof EngineOrder.Load load) {
+      ordered.add(load.key());
+    }
+  }
+
+  /**
+   * Takes the answer to the last order. A report has to be taken before the next one.
+   *
+   * @param answer what the engine said
+   */
+  public void answered(OrderAnswer answer) {
+    unanswered = null;
+    if (answer != OrderAnswer.ACCEPTED && answer != OrderAnswer.UNKNOWN) {
+      ordered.clear();
+    }
+  }
+
+  private Optional<EngineOrder> missingModel(List<String> models) {
+    return models.stream()
+        .filter(model -> !report.models().contains(model))
+        .findFirst()
+        .map(model -> new EngineOrder.Load(new AdapterKey(model, "")));
+  }
+
+  private Optional<EngineOrder> wantedAdapter(long now) {
+    for (Reservation wanted : inOrder()) {
+      AdapterKey key = wanted.adapter().key();
+      boolean model = report.models().contains(key.model());
+      if (!model || usable(wanted.adapter()) || key.isBase() || isComing(key)) {
+        continue;
+      }
+      if (report.adapters().containsKey(key)) {
+        if (unused(key)) {
+          return Optional.of(new EngineOrder.Load(key));
+        }
+        continue;
+      }
+      if (report.pending().size() + ordered.size() >= MOST_PENDING) {
+        return Optional.empty();
+      }
+      if (taken() < places) {
+        return Optional.of(new EngineOrder.Load(key));
+      }
+      return makeRoom(now);
+    }
+    return Optional.empty();
+  }
+
+  /** Wanted first is loaded first, but the more urgent before the less. */
+  private List<Reservation> inOrder() {
+    List<Reservation> order = new ArrayList<>(waiting.values());
+    order.sort(Comparator.comparingInt(Reservation::rank));
+    return order;
+  }
+
+  private boolean isComing(AdapterKey key) {
+    return ordered.contains(key)
+        || report.pending().stream().anyMatch(pending -> pending.key().equals(key));
+  }
+
+  private int taken() {
+    Set<AdapterKey> taken = new HashSet<>(report.adapters().keySet());
+    report.pending().forEach(pending -> taken.add(pending.key()));
+    taken.addAll(ordered);
+    return taken.size();
+  }
+
+  private Optional<EngineOrder> makeRoom(long now) {
+    for (Map.Entry<AdapterKey, Long> entry : withdrawn.entrySet()) {
+      if (now - entry.getValue() >= WITHDRAW_MILLIS && unused(entry.getKey())) {
+        return Optional.of(new EngineOrder.Unload(entry.getKey()));
+      }
+    }
+    if (withdrawn.isEmpty() && now - startedMillis >= SETTLE_MILLIS) {
+      leastWanted(now).ifPresent(key -> withdrawn.put(key, now));
+    }
+    return Optional.empty();
+  }
+
+  private Optional<AdapterKey> leastWanted(long now) {
+    return report.adapters().keySet().stream()
+        .filter(this::unused)
+        .min(
+            Comparator.comparing((AdapterKey key) -> !stale(key))
+                .thenComparingDouble(key -> demandOf(key, now)));
+  }
+
+  /** A new version of an adapter in demand is fetched before the next request asks for it. */
+  private Optional<EngineOrder> replacement(long now) {
+    if (report.pending().size() + ordered.size() >= MOST_PENDING) {
+      return Optional.empty();
+    }
+    return report.adapters().keySet().stream()
+        .filter(key -> stale(key) && unused(key) && !isComing(key) && !withdrawn.containsKey(key))
+        .filter(key -> demandOf(key, now) >= 1)
+        .findFirst()
+        .map(EngineOrder.Load::new);
+  }
+
+  private boolean stale(AdapterKey key) {
+    return report.adapters().get(key) < versions.of(key);
+  }
+
+  /** No request runs on it: a reservation that waits for a newer version does not hold it. */
+  private boolean unused(AdapterKey key) {
+    return reservations.values().stream()
+        .noneMatch(r -> r.adapter().key().equals(key) && !waiting.containsKey(r.id()));
+  }
+
+  private double demandOf(AdapterKey key, long now) {
+    Demand known = demand.get(key);
+    return known == null ? 0 : known.at(now);
+  }
+
+  /** Requests for an adapter, each forgotten exponentially. */
+  private static final class Demand {
+
+    private double count;
+    private long lastMillis;
+
+    void add(long now) {
+      count = at(now) + 1;
+      lastMillis = now;
+    }
+
+    double at(long now) {
+      return count * Math.pow(0.5, Math.max(0, now - lastMillis) / DEMAND_HALF_LIFE_MILLIS);
+    }
+  }
+}
--- a/runtime/src/main/java/org/hornbeamusher/http/ConnectionPool.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/ConnectionPool.java
@@ -7,6 +7,7 @@
 import java.net.URI;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedDeque;
+import org.hornbeamusher.clock.SteadyClock;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -15,6 +16,10 @@
 /**
  * Idle connections by origin. The most recently used one is handed out first, so that the others
  * age and are closed by their servers.
+ *
+ * <p>A server closes a connection that was idle for its own timeout. A request that crosses this
+ * close is reset, and whether it ran is not known, so a connection is not used again once it was
+ * idle for most of the time that its server stated.
  */
 final class ConnectionPool {
 
@@ -27,7 +32,7 @@
    */
   private static final OptionMap NO_DELAY = OptionMap.create(Options.TCP_NODELAY, true);
 
-  private final ConcurrentHashMap<String, ConcurrentLinkedDeque<ClientConnection>> idle =
+  private final ConcurrentHashMap<String, ConcurrentLinkedDeque<Idle>> idle =
       new ConcurrentHashMap<>();
   private UndertowClient client;
   private XnioWorker worker;
@@ -40,8 +45,7 @@
   }
 
   void stop() {
-    idle.values().forEach(queue -> queue.forEach(IoUtils::safeClose));
-    idle.clear();
+    idle.keySet().forEach(this::purge);
   }
 
   /** Hands out an idle connection, or opens one. */
@@ -54,26 +58,41 @@
     client.connect(callback, uri, worker, buffers, NO_DELAY);
   }
 
-  /** Takes back a connection whose exchange ended cleanly. */
-  void release(URI uri, ClientConnection connection) {
-    ConcurrentLinkedDeque<ClientConnection> queue = queue(uri.getAuthority());
-    if (!connection.isOpen() || queue.size() >= MAX_IDLE) {
+  /** Takes back a connection whose exchange ended cleanly, for use within some time. */
+  void release(URI uri, ClientConnection connection, long usableMillis) {
+    ConcurrentLinkedDeque<Idle> queue = queue(uri.getAuthority());
+    if (!connection.isOpen() || usableMillis <= 0 || queue.size() >= MAX_IDLE) {
       IoUtils.safeClose(connection);
       return;
     }
-    queue.addFirst(connection);
+    queue.addFirst(new Idle(connection, SteadyClock.INSTANCE.millis() + usableMillis));
+  }
+
+  /** Closes the idle connections of an origin, because they may be dead without showing it. */
+  void purge(String origin) {
+    ConcurrentLinkedDeque<Idle> queue = idle.remove(origin);
+    if (queue != null) {
+      queue.forEach(entry -> IoUtils.safeClose(entry.connection()));
+    }
   }
 
   private ClientConnection pollOpen(String origin) {
-    ConcurrentLinkedDeque<ClientConnection> queue = queue(origin);
-    ClientConnection candidate = queue.pollFirst();
-    while (candidate != null && !candidate.isOpen()) {
+    ConcurrentLinkedDeque<Idle> queue = queue(origin);
+    long now = SteadyClock.INSTANCE.millis();
+    Idle candidate = queue.pollFirst();
+    while (candidate != null) {
+      if (candidate.connection().isOpen() && now < candidate.usableUntilMillis()) {
+        return candidate.connection();
+      }
+      IoUtils.safeClose(candidate.connection());
       candidate = queue.pollFirst();
     }
-    return candidate;
+    return null;
   }
 
-  private ConcurrentLinkedDeque<ClientConnection> queue(String origin) {
+  private ConcurrentLinkedDeque<Idle> queue(String origin) {
     return idle.computeIfAbsent(origin, key -> new ConcurrentLinkedDeque<>());
   }
+
+  private record Idle(ClientConnection connection, long usableUntilMillis) {}
 }
--- a/runtime/src/main/java/org/hornbeamusher/http/HttpClient.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/HttpClient.java
@@ -11,6 +11,7 @@
 import org.hornbeamusher.failure.FailureType;
 import org.hornbeamusher.failure.HornbeamusherException;
 import org.hornbeamusher.failure.Outcome;
+import org.hornbeamusher.loop.EventLoop;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
@@ -40,6 +41,34 @@
     this.ioThreads = ioThreads;
   }
 
+  /**
+   * Returns the I/O thread of a client that has a single one.
+   *
+   * @return the loop on which every listener is called
+   */
+  public EventLoop loop() {
+    return new XnioLoop(worker.getIoThread(0));
+  }
+
+  /**
+   * Returns what carries the connections, so that a server may share its threads.
+   *
+   * @return the started worker
+   */
+  public XnioWorker worker() {
+    return worker;
+  }
+
+  /**
+   * Closes the idle connections to an origin. Called when one of them was silent: the others were
+   * opened along the same way and may be dead too.
+   *
+   * @param uri the origin
+   */
+  public void purge(URI uri) {
+    connections.purge(uri.getAuthority());
+  }
+
   /** Starts the I/O threads. */
   public void start() {
     OptionMap options =
@@ -80,6 +109,23 @@
     return exchange;
   }
 
+  /**
+   * Sends a request and streams its response, unless no connection is up in time.
+   *
+   * @param call the request
+   * @param listener hears the response
+   * @param connectMillis how long a new connection may take
+   * @return control over the exchange
+   */
+  public HttpStream stream(HttpCall call, HttpStreamListener listener, long connectMillis) {
+    HttpExchange exchange = new HttpExchange(call, listener, connections);
+    exchange.begin();
+    worker
+        .getIoThread(0)
+        .executeAfter(exchange::checkConnected, connectMillis, TimeUnit.MILLISECONDS);
+    return exchange;
+  }
+
   /**
    * Sends a request and collects its response.
    *
@@ -121,9 +167,9 @@
     }
 
     @Override
-    public void head(int status, Map<String, String> headers) {
-      this.status = status;
-      this.headers = headers;
+    public void head(HttpHead head) {
+      this.status = head.status();
+      this.headers = head.firstValues();
     }
 
     @Override
--- a/runtime/src/main/java/org/hornbeamusher/http/HttpExchange.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/HttpExchange.java
@@ -10,11 +10,11 @@
 import io.undertow.util.HttpString;
 import io.undertow.util.Protocols;
 import java.io.IOException;
+import java.net.SocketTimeoutException;
 import java.net.URI;
 import java.nio.ByteBuffer;
-import java.util.HashMap;
-import java.util.Locale;
-import java.util.Map;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.hornbeamusher.failure.FailureType;
@@ -45,6 +45,12 @@
   private volatile StreamSourceChannel source;
   private volatile boolean paused;
 
+  /** How long the connection may be used again once the response is whole. */
+  private volatile long usableMillis;
+
+  /** False while a part of the request is still to be written. */
+  private volatile boolean bodySent;
+
   HttpExchange(HttpCall call, HttpStreamListener listener, ConnectionPool connections) {
     this.call = call;
     this.listener = listener;
@@ -55,6 +61,15 @@
     connections.acquire(call.uri(), callback(this::connected, this::connectFailed));
   }
 
+  /**
+   * Fails the exchange unless its connection is up by now; a peer that is cut off never answers.
+   */
+  void checkConnected() {
+    if (connection == null) {
+      connectFailed(new SocketTimeoutException("connect timed out"));
+    }
+  }
+
   @Override
   public void cancel() {
     if (ended.compareAndSet(false, true)) {
@@ -94,17 +109,17 @@
   }
 
   private ClientRequest request() {
-    URI uri = call.uri();
-    String path = uri.getRawPath().isEmpty() ? "/" : uri.getRawPath();
     ClientRequest request =
         new ClientRequest()
             .setMethod(new HttpString(call.method()))
             .setProtocol(Protocols.HTTP_1_1)
-            .setPath(uri.getRawQuery() == null ? path : path + "?" + uri.getRawQuery());
+            .setPath(call.target());
     HeaderMap headers = request.getRequestHeaders();
-    headers.put(Headers.HOST, uri.getAuthority());
+    for (HttpHeader header : call.headers()) {
+      headers.add(new HttpString(header.name()), header.value());
+    }
+    headers.put(Headers.HOST, call.host());
     headers.put(Headers.CONTENT_LENGTH, call.body().length);
-    call.headers().forEach((name, value) -> headers.put(new HttpString(name), value));
     return request;
   }
 
@@ -132,14 +147,15 @@
     }
   }
 
-  private static boolean writeAll(StreamSinkChannel sink, ByteBuffer body) throws IOException {
+  private boolean writeAll(StreamSinkChannel sink, ByteBuffer body) throws IOException {
     while (body.hasRemaining()) {
       if (sink.write(body) == 0) {
         return false;
       }
     }
     sink.shutdownWrites();
-    return sink.flush();
+    bodySent = sink.flush();
+    return bodySent;
   }
 
   private void head(ClientExchange exchange) {
@@ -147,9 +163,9 @@
       return;
     }
     source = exchange.getResponseChannel();
-    listener.head(
-        exchange.getResponse().getResponseCode(),
-        firstValues(exchange.getResponse().getResponseHeaders()));
+    HttpHead head = headOf(exchange);
+    usableMillis = KeepAlive.usableMillis(head);
+    listener.head(head);
     source.getReadSetter().set(this::read);
     read(source);
     if (!ended.get()) {
@@ -185,11 +201,23 @@
 
   private void finish() {
     if (ended.compareAndSet(false, true)) {
-      connections.release(call.uri(), connection);
+      giveBack();
       listener.end();
     }
   }
 
+  /**
+   * A peer may answer before it has read the whole request and keep the connection. What it reads
+   * next must be the rest of that request, so the connection is of no use for another one.
+   */
+  private void giveBack() {
+    if (bodySent) {
+      connections.release(call.uri(), connection, usableMillis);
+    } else {
+      closeConnection();
+    }
+  }
+
   private void connectFailed(IOException e) {
     if (ended.compareAndSet(false, true)) {
       listener.failed(
@@ -220,12 +248,13 @@
     }
   }
 
-  private static Map<String, String> firstValues(HeaderMap headers) {
-    Map<String, String> values = new HashMap<>();
-    for (HeaderValues header : headers) {
-      values.put(header.getHeaderName().toString().toLowerCase(Locale.ROOT), header.getFirst());
+  private static HttpHead headOf(ClientExchange exchange) {
+    List<HttpHeader> headers = new ArrayList<>();
+    for (HeaderValues values : exchange.getResponse().getResponseHeaders()) {
+      String name = values.getHeaderName().toString();
+      values.forEach(value -> headers.add(new HttpHeader(name, value)));
     }
-    return values;
+    return new HttpHead(exchange.getResponse().getResponseCode(), headers);
   }
 
   private interface Step<T> {
--- a/runtime/src/main/java/org/hornbeamusher/http/HttpStreamListener.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/HttpStreamListener.java
@@ -1,7 +1,5 @@
 package org.hornbeamusher.http;
 
-import java.util.Map;
-
 /**
  * Receives a response as it arrives. Called on the connection's I/O thread: a method that blocks
  * holds up every exchange of that thread.
@@ -11,10 +9,9 @@
   /**
    * The response begins.
    *
-   * @param status the status code
-   * @param headers the first value of each header, by lower-case name
+   * @param head status and headers
    */
-  void head(int status, Map<String, String> headers);
+  void head(HttpHead head);
 
   /**
    * A part of the content arrived.
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/loop/package-info.java
@@ -0,0 +1,2 @@
+/** One thread that runs the shells of a process, and its timers. */
+package org.hornbeamusher.loop;
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/placement/EndpointView.java
@@ -0,0 +1,252 @@
+package org.hornbeamusher.placement;
+
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import org.hornbeamusher.directory.Endpoint;
+import org.hornbeamusher.directory.HeldAdapter;
+import org.hornbeamusher.ids.EndpointId;
+import org.hornbeamusher.routes.AdapterKey;
+import org.hornbeamusher.routing.Rendezvous;
+
+/**
+ * What this entry believes of one endpoint: what it holds, by its agent's word or, without one, by
+ * the list of endpoints; what other entries have running there, by the agent's word; and what this
+ * entry has running there itself, which no report has to tell it.
+ */
+public final class EndpointView {
+
+  /** How much of an engine's memory is assumed to hold prompts that this entry sent. */
+  private static final double PREFIX_SHARE = 0.25;
+
+  /** Copies of adapters that an engine keeps outside its places and loads again at once. */
+  private static final int RECENT_COPIES = 40;
+
+  private final PrefixCache prefixes;
+  private final EndpointHealth health = new EndpointHealth();
+  private final long hash;
+
+  /** Adapters that left the engine's places; the least recent one is forgotten first. */
+  private final LinkedHashMap<AdapterKey, Long> recent = new LinkedHashMap<>(16, 0.75f, true);
+
+  private Endpoint endpoint;
+  private boolean agentConnected;
+  private Set<HeldAdapter> held;
+  private Set<HeldAdapter> coming = Set.of();
+  private int othersRunning;
+  private long othersPromptTokens;
+  private int running;
+  private long promptTokens;
+
+  /**
+   * Creates a view of an endpoint that this entry has sent nothing yet.
+   *
+   * @param endpoint the endpoint
+   * @param memoryTokens an engine's memory; 0 at a plain service
+   */
+  public EndpointView(Endpoint endpoint, long memoryTokens) {
+    this.endpoint = endpoint;
+    this.held = endpoint.held();
+    this.hash = Rendezvous.hash(endpoint.id().value());
+    this.prefixes = new PrefixCache((long) (memoryTokens * PREFIX_SHARE));
+  }
+
+  /**
+   * Takes what the list says now.
+   *
+   * @param listed the same endpoint
+   */
+  public void listed(Endpoint listed) {
+    endpoint = listed;
+    if (!agentConnected) {
+      replaceHeld(listed.held());
+    }
+  }
+
+  /**
+   * Takes what the endpoint's agent says it holds.
+   *
+   * @param resident can run requests now
+   * @param loading on the way
+   */
+  public void reported(Set<HeldAdapter> resident, Set<HeldAdapter> loading) {
+    agentConnected = true;
+    replaceHeld(resident);
+    coming = Set.copyOf(loading);
+  }
+
+  /**
+   * Takes what other entries have at the endpoint.
+   *
+   * @param requests running or waiting there
+   * @param tokens of their prompts that are not read yet
+   */
+  public void reportedLoad(int requests, long tokens) {
+    othersRunning = requests;
+    othersPromptTokens = tokens;
+  }
+
+  /** The connection to the agent is lost; what it said last is kept until the list says more. */
+  public void agentLost() {
+    agentConnected = false;
+    coming = Set.of();
+    othersRunning = 0;
+    othersPromptTokens = 0;
+  }
+
+  private void replaceHeld(Set<HeldAdapter> now) {
+    Set<HeldAdapter> left = new HashSet<>(held);
+    left.removeAll(now);
+    left.forEach(adapter -> recent.put(adapter.key(), adapter.version()));
+    while (recent.size() > RECENT_COPIES) {
+      recent.remove(recent.keySet().iterator().next());
+    }
+    held = Set.copyOf(now);
+  }
+
+  /**
+   * A request is sent, or waits for its adapter.
+   *
+   * @param request what it is
+   */
+  public void started(PlacementRequest request) {
+    running++;
+    promptTokens += uncachedTokens(request);
+    request.adapter().ifPresent(adapter -> prefixes.sent(adapter.key(), request.parts()));
+  }
+
+  /**
+   * The prompt of a request has been read, or will not be.
+   *
+   * @param tokens what {@link #uncachedTokens} said when it was started
+   */
+  public void promptRead(long tokens) {
+    promptTokens = Math.max(0, promptTokens - tokens);
+  }
+
+  /** A request has ended. */
+  public void ended() {
+    running = Math.max(0, running - 1);
+  }
+
+  /**
+   * An answer came.
+   *
+   * @param latencyMillis until it was whole, or until its first event
+   */
+  public void succeeded(double latencyMillis) {
+    health.succeeded(latencyMillis);
+  }
+
+  /**
+   * An attempt failed through the endpoint's fault.
+   *
+   * @param now milliseconds
+   */
+  public void failed(long now) {
+    health.failed(now);
+  }
+
+  /**
+   * Returns how much of a prompt the endpoint would have to read.
+   *
+   * @param request the request
+   * @return tokens
+   */
+  public int uncachedTokens(PlacementRequest request) {
+    int cached =
+        request
+            .adapter()
+            .map(adapter -> prefixes.cachedTokens(adapter.key(), request.parts()))
+            .orElse(0);
+    return Math.max(0, request.promptTokens() - cached);
+  }
+
+  /**
+   * Returns the id.
+   *
+   * @return the endpoint's
+   */
+  public EndpointId id() {
+    return endpoint.id();
+  }
+
+  /**
+   * Returns the endpoint.
+   *
+   * @return as it was listed last
+   */
+  public Endpoint endpoint() {
+    return endpoint;
+  }
+
+  /**
+   * Tells whether the agent beside the endpoint is connected.
+   *
+   * @return false at a plain service
+   */
+  public boolean agentConnected() {
+    return agentConnected;
+  }
+
+  /**
+   * Tells whether an adapter can be used now.
+   *
+   * @param adapter adapter and version
+   * @return whether the endpoint holds it
+   */
+  public boolean holds(HeldAdapter adapter) {
+    return adapter.key().isBase() ? holdsModel(adapter.key().model()) : held.contains(adapter);
+  }
+
+  boolean awaits(HeldAdapter adapter) {
+    return coming.contains(adapter);
+  }
+
+  boolean holdsModel(String model) {
+    return held.stream().anyMatch(one -> one.key().model().equals(model));
+  }
+
+  boolean hadRecently(HeldAdapter adapter) {
+    Long version = recent.get(adapter.key());
+    return version != null && version == adapter.version();
+  }
+
+  int adapters() {
+    return (int) held.stream().filter(one -> !one.key().isBase()).count() + coming.size();
+  }
+
+  /**
+   * Returns the requests at the endpoint.
+   *
+   * @return this entry's and, as far as known, those of others
+   */
+  public int running() {
+    return running + othersRunning;
+  }
+
+  long unreadTokens() {
+    return promptTokens + othersPromptTokens;
+  }
+
+  EndpointHealth health() {
+    return health;
+  }
+
+  long hash() {
+    return hash;
+  }
+
+  /**
+   * Describes the load for a log line.
+   *
+   * @return requests and unread tokens, own and others'
+   */
+  public Map<String, Long> load() {
+    return Map.of(
+        "own", (long) running,
+        "others", (long) othersRunning,
+        "unread", promptTokens + othersPromptTokens);
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/placement/PlacementSettings.java
@@ -0,0 +1,32 @@
+package org.hornbeamusher.placement;
+
+/**
+ * The figures that placing reckons with.
+ *
+ * @param promptTokensPerMilli how fast an engine reads prompts; from the engines' data sheet
+ * @param loadMillis an adapter that the engine has no copy of: 250 ms from the weight store and the
+ *     store's price, expressed in time
+ * @param recentMillis an adapter of which the engine still has a copy: a tenth of the load
+ * @param loadingMillis what is left on average of a load under way
+ * @param replaceMillis the wait for a place when all are taken by adapters
+ * @param zoneMillis the way to another availability zone and back, and the price of its bytes
+ * @param preferenceMillis what each step down an adapter's preference order costs; keeps entries
+ *     from loading one adapter at two endpoints at once
+ * @param runningMillis what each request already at the endpoint adds to the first event
+ * @param crowdMillis added where memory is short, beyond any other difference
+ */
+public record PlacementSettings(
+    double promptTokensPerMilli,
+    double loadMillis,
+    double recentMillis,
+    double loadingMillis,
+    double replaceMillis,
+    double zoneMillis,
+    double preferenceMillis,
+    double runningMillis,
+    double crowdMillis) {
+
+  /** For engines of the size in use. */
+  public static final PlacementSettings DEFAULT =
+      new PlacementSettings(44, 400, 40, 150, 20, 8, 25, 4, 1_000);
+}
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/placement/Placer.java
@@ -0,0 +1,166 @@
+package org.hornbeamusher.placement;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import org.hornbeamusher.directory.HeldAdapter;
+import org.hornbeamusher.ids.EndpointId;
+import org.hornbeamusher.routing.Rendezvous;
+
+/**
+ * Places each request where its first event is expected soonest.
+ *
+ * <p>One figure in milliseconds is reckoned for every endpoint of the service:
+ *
+ * <pre>
+ *   prompts waiting to be read there + this prompt, less what is cached
+ *   + load of the adapter, when it is not there
+ *   + a little for each request that runs there, for another zone, for lately failed requests
+ *   + a step for each place down the adapter's preference order, when it is not there
+ * </pre>
+ *
+ * <p>Example: an adapter is held by A, where 9,000 tokens of prompts wait (205 ms). B is idle and
+ * could load the adapter from the weight store (250 ms and its price: 400). The request goes to A.
+ * At 18,000 waiting tokens it goes to B, which is a second home from then on: a hot adapter gets
+ * more homes as its queue grows past the cost of a load, and loses them when they are evicted for
+ * want of use.
+ *
+ * <p>The preference order is that of rendezvous hashing, so that entries which do not talk to each
+ * other send a cold adapter to the same endpoint and it is loaded once.
+ *
+ * <p>Rejected: the least loaded endpoint (two thirds of the requests then wait for a load);
+ * rendezvous alone (a hot adapter's home queues behind fourteen others while five endpoints have
+ * room).
+ */
+public final class Placer {
+
+  private final PlacementSettings settings;
+  private final String zone;
+  private final Map<EndpointId, EndpointView> views = new HashMap<>();
+
+  /**
+   * Creates a placer that knows no endpoint.
+   *
+   * @param settings the figures
+   * @param zone this entry's availability zone
+   */
+  public Placer(PlacementSettings settings, String zone) {
+    this.settings = settings;
+    this.zone = zone;
+  }
+
+  /**
+   * Returns the endpoints.
+   *
+   * @return the views by id; changes go through to the placer
+   */
+  public Map<EndpointId, EndpointView> views() {
+    return views;
+  }
+
+  /**
+   * Places a request.
+   *
+   * @param service the service it goes to
+   * @param request what it is
+   * @param tried endpoints that are not to be tried again
+   * @param now milliseconds
+   * @return where it goes
+   */
+  public Placement place(
+      String service, PlacementRequest request, Set<EndpointId> tried, long now) {
+    Collection<EndpointView> all = views.values();
+    EndpointView best = null;
+    Cost bestCost = null;
+    boolean skipped = false;
+    for (EndpointView view : all) {
+      if (!view.endpoint().service().equals(service) || view.endpoint().leaving()) {
+        continue;
+      }
+      if (tried.contains(view.id())) {
+        skipped = true;
+        continue;
+      }
+      Cost cost = cost(view, request, now);
+      if (best == null || cost.total() < bestCost.total()) {
+        best = view;
+        bestCost = cost;
+      }
+    }
+    if (best == null) {
+      return new Placement.Nowhere(
+          skipped ? Placement.Reason.ALL_TRIED : Placement.Reason.NO_ENDPOINT);
+    }
+    return new Placement.At(
+        best, bestCost.present(), Math.round(bestCost.latency()), Math.round(bestCost.stall()));
+  }
+
+  private Cost cost(EndpointView view, PlacementRequest request, long now) {
+    double penalty = view.health().penaltyMillis(now);
+    penalty += view.endpoint().zone().equals(zone) ? 0 : settings.zoneMillis();
+    if (request.adapter().isEmpty()) {
+      return plainCost(view, request, penalty);
+    }
+    HeldAdapter adapter = request.adapter().get();
+    double read =
+        (view.unreadTokens() + view.uncachedTokens(request)) / settings.promptTokensPerMilli();
+    double latency = read + view.running() * settings.runningMillis();
+    if (view.holds(adapter)) {
+      return new Cost(latency, penalty, 0, true);
+    }
+    double stall = stall(view, adapter);
+    double choice = penalty + position(view, adapter) * settings.preferenceMillis();
+    return new Cost(latency + stall, choice, stall, false);
+  }
+
+  private Cost plainCost(EndpointView view, PlacementRequest request, double penalty) {
+    double each = Math.max(1, view.health().latencyMillis());
+    double rounds = (double) (view.running() + 1) / Math.max(1, view.endpoint().slots());
+    double latency = each + each * rounds;
+    double spread = Long.remainderUnsigned(Rendezvous.weight(request.hash(), view.hash()), 3);
+    return new Cost(latency, penalty + spread, 0, true);
+  }
+
+  private double stall(EndpointView view, HeldAdapter adapter) {
+    if (!view.agentConnected() || !view.holdsModel(adapter.key().model())) {
+      return settings.crowdMillis();
+    }
+    if (adapter.key().isBase()) {
+      return 0;
+    }
+    if (view.awaits(adapter)) {
+      return settings.loadingMillis();
+    }
+    double load = view.hadRecently(adapter) ? settings.recentMillis() : settings.loadMillis();
+    return load + settings.replaceMillis();
+  }
+
+  /** How many endpoints of the service come before this one in the adapter's order. */
+  private int position(EndpointView view, HeldAdapter adapter) {
+    long key = Rendezvous.hash(adapter.key().toString());
+    long own = Rendezvous.weight(key, view.hash());
+    int before = 0;
+    for (EndpointView other : views.values()) {
+      boolean peer = other.endpoint().service().equals(view.endpoint().service());
+      if (peer && Long.compareUnsigned(Rendezvous.weight(key, other.hash()), own) > 0) {
+        before++;
+      }
+    }
+    return before;
+  }
+
+  /**
+   * What sending a request to an endpoint costs.
+   *
+   * @param latency milliseconds until its first event
+   * @param choice milliseconds that only weigh one endpoint against another
+   * @param stall the part of the latency that is a load
+   * @param present whether it can start at once
+   */
+  private record Cost(double latency, double choice, double stall, boolean present) {
+    double total() {
+      return latency + choice;
+    }
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/routes/Configuration.java
@@ -0,0 +1,83 @@
+package org.hornbeamusher.routes;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * One version of the configuration, ready for look-ups.
+ *
+ * <p>Example: with the prefixes {@code /a/} and {@code /a/b/} of one host, the path {@code /a/b/c}
+ * belongs to the second, {@code /a/x} to the first, and {@code /b/} to none.
+ */
+public final class Configuration {
+
+  private final long version;
+  private final Map<String, List<Route>> routesByHost = new HashMap<>();
+  private final Map<String, ServiceSpec> services = new HashMap<>();
+
+  /**
+   * Creates a configuration.
+   *
+   * @param version rises with every change
+   * @param routes every route
+   * @param services every service
+   */
+  public Configuration(long version, List<Route> routes, List<ServiceSpec> services) {
+    this.version = version;
+    for (Route route : routes) {
+      routesByHost.computeIfAbsent(route.host(), host -> new ArrayList<>()).add(route);
+    }
+    Comparator<Route> longestFirst =
+        Comparator.comparingInt((Route route) -> route.prefix().length()).reversed();
+    routesByHost.values().forEach(list -> list.sort(longestFirst));
+    services.forEach(service -> this.services.put(service.name(), service));
+  }
+
+  /**
+   * Returns the version.
+   *
+   * @return rises with every change, in uneven steps
+   */
+  public long version() {
+    return version;
+  }
+
+  /**
+   * Finds the route of a request.
+   *
+   * @param host the host asked for, without a port
+   * @param path the path, without a query
+   * @return the route with the longest prefix that begins the path
+   */
+  public Optional<Route> match(String host, String path) {
+    for (Route route : routesByHost.getOrDefault(host, List.of())) {
+      if (path.startsWith(route.prefix())) {
+        return Optional.of(route);
+      }
+    }
+    return Optional.empty();
+  }
+
+  /**
+   * Finds a service.
+   *
+   * @param name its name
+   * @return what the configuration says of it
+   */
+  public Optional<ServiceSpec> service(String name) {
+    return Optional.ofNullable(services.get(name));
+  }
+
+  /**
+   * Returns every service.
+   *
+   * @return the services by name
+   */
+  public Map<String, ServiceSpec> services() {
+    return Map.copyOf(services);
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/routes/WeightedTarget.java
@@ -0,0 +1,9 @@
+package org.hornbeamusher.routes;
+
+/**
+ * One of the services that share a route's requests.
+ *
+ * @param service the service's name
+ * @param weight its part, relative to the other targets; at least 0
+ */
+public record WeightedTarget(String service, int weight) {}
--- a/runtime/src/main/java/org/hornbeamusher/wire/Message.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/Message.java
@@ -243,6 +243,67 @@
    */
   record CrashNotice(long fingerprint, int crashes) implements Message {}
 
+  /**
+   * A request is at the agent's endpoint, or wants an adapter to be loaded there (entry to agent).
+   *
+   * @param reservation counts the entry's reservations on this connection
+   * @param requestId the caller's request
+   * @param adapter {@code model/adapter}, or the model alone
+   * @param version the adapter's version
+   * @param rank the request's urgency, 0 first
+   * @param unreadTokens how much of its prompt has to be read
+   * @param waitMillis for how long a place is of use
+   */
+  record Reserve(
+      long reservation,
+      String requestId,
+      String adapter,
+      long version,
+      int rank,
+      long unreadTokens,
+      long waitMillis)
+      implements Message {}
+
+  /**
+   * The adapter of a reservation can be used (agent to entry).
+   *
+   * @param reservation the reservation
+   */
+  record Granted(long reservation) implements Message {}
+
+  /**
+   * The endpoint has read the prompt of a request (entry to agent).
+   *
+   * @param reservation the reservation
+   */
+  record PromptRead(long reservation) implements Message {}
+
+  /**
+   * A request has ended or is not wanted any more (entry to agent).
+   *
+   * @param reservation the reservation
+   */
+  record Release(long reservation) implements Message {}
+
+  /**
+   * What an agent's endpoint holds; sent when it changes (agent to entry).
+   *
+   * @param endpoint this life of the endpoint; empty while it is down
+   * @param held what can be used, {@code model/adapter@version}
+   * @param coming what is on its way
+   * @param entries how many entries are connected to the agent
+   */
+  record Holdings(String endpoint, List<String> held, List<String> coming, int entries)
+      implements Message {}
+
+  /**
+   * What other entries have at the agent's endpoint (agent to entry).
+   *
+   * @param requests running or waiting
+   * @param unreadTokens of their prompts
+   */
+  record PeerLoad(int requests, long unreadTokens) implements Message {}
+
   /**
    * A message of a type this process does not know; it is ignored.
    *
--- a/runtime/src/main/java/org/hornbeamusher/wire/MessageCodec.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/MessageCodec.java
@@ -33,6 +33,12 @@
   private static final int PERMIT_GRANT = 17;
   private static final int PERMIT_DONE = 18;
   private static final int CRASH_NOTICE = 19;
+  private static final int RESERVE = 20;
+  private static final int GRANTED = 21;
+  private static final int PROMPT_READ = 22;
+  private static final int RELEASE = 23;
+  private static final int HOLDINGS = 24;
+  private static final int PEER_LOAD = 25;
 
   /**
    * Most messages carry one token or less. The default of 8 KiB, allocated for each message, was a
@@ -140,6 +146,21 @@
           begin(p, PERMIT_DONE, 2).packString(m.store()).packLong(m.grant());
       case Message.CrashNotice m ->
           begin(p, CRASH_NOTICE, 2).packLong(m.fingerprint()).packInt(m.crashes());
+      case Message.Reserve m ->
+          begin(p, RESERVE, 7)
+              .packLong(m.reservation())
+              .packString(m.requestId())
+              .packString(m.adapter())
+              .packLong(m.version())
+              .packInt(m.rank())
+              .packLong(m.unreadTokens())
+              .packLong(m.waitMillis());
+      case Message.Granted m -> begin(p, GRANTED, 1).packLong(m.reservation());
+      case Message.PromptRead m -> begin(p, PROMPT_READ, 1).packLong(m.reservation());
+      case Message.Release m -> begin(p, RELEASE, 1).packLong(m.reservation());
+      case Message.Holdings m -> packHoldings(p, m);
+      case Message.PeerLoad m ->
+          begin(p, PEER_LOAD, 2).packInt(m.requests()).packLong(m.unreadTokens());
       case Message.Unknown m -> begin(p, m.type(), 0);
     }
   }
@@ -189,6 +210,20 @@
     }
   }
 
+  private static void packHoldings(MessagePacker p, Message.Holdings m) throws IOException {
+    begin(p, HOLDINGS, 4).packString(m.endpoint());
+    packTexts(p, m.held());
+    packTexts(p, m.coming());
+    p.packInt(m.entries());
+  }
+
+  private static void packTexts(MessagePacker p, List<String> texts) throws IOException {
+    p.packArrayHeader(texts.size());
+    for (String text : texts) {
+      p.packString(text);
+    }
+  }
+
   private static MessagePacker packBytes(MessagePacker p, byte[] bytes) throws IOException {
     return p.packBinaryHeader(bytes.length).writePayload(bytes);
   }
@@ -228,6 +263,14 @@
       case PERMIT_GRANT -> new Message.PermitGrant(r.text(), r.number(), r.number());
       case PERMIT_DONE -> new Message.PermitDone(r.text(), r.number());
       case CRASH_NOTICE -> new Message.CrashNotice(r.number(), r.integer());
+      case RESERVE ->
+          new Message.Reserve(
+              r.number(), r.text(), r.text(), r.number(), r.integer(), r.number(), r.number());
+      case GRANTED -> new Message.Granted(r.number());
+      case PROMPT_READ -> new Message.PromptRead(r.number());
+      case RELEASE -> new Message.Release(r.number());
+      case HOLDINGS -> new Message.Holdings(r.text(), r.texts(), r.texts(), r.integer());
+      case PEER_LOAD -> new Message.PeerLoad(r.integer(), r.number());
       default -> new Message.Unknown(type);
     };
   }
--- a/tool/src/main/java/org/hornbeamusher/load/LoadRunner.java
+++ b/tool/src/main/java/org/hornbeamusher/load/LoadRunner.java
@@ -4,13 +4,13 @@
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.security.SecureRandom;
-import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.locks.LockSupport;
 import org.hornbeamusher.http.HttpClient;
+import org.hornbeamusher.http.HttpHead;
 import org.hornbeamusher.http.HttpStream;
 import org.hornbeamusher.http.HttpStreamListener;
 
@@ -141,10 +141,10 @@
     }
 
     @Override
-    public void head(int answerStatus, Map<String, String> headers) {
-      status = answerStatus;
-      replayed = headers.containsKey(REPLAYED);
-      stallMillis = Long.parseLong(headers.getOrDefault(LOAD_STALL, "0"));
+    public void head(HttpHead head) {
+      status = head.status();
+      replayed = head.first(REPLAYED).isPresent();
+      stallMillis = Long.parseLong(head.first(LOAD_STALL).orElse("0"));
     }
 
     @Override
--- a/tool/src/test/java/org/hornbeamusher/path/StreamedReply.java
+++ b/tool/src/test/java/org/hornbeamusher/path/StreamedReply.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import org.hornbeamusher.demo.Deployment;
 import org.hornbeamusher.http.HttpCall;
+import org.hornbeamusher.http.HttpHead;
 import org.hornbeamusher.http.HttpStreamListener;
 
 /** What a caller has received of a stream so far. */
@@ -40,7 +41,7 @@
   }
 
   @Override
-  public void head(int status, Map<String, String> headers) {}
+  public void head(HttpHead head) {}
 
   @Override
   public synchronized void data(byte[] bytes) {
