--- a/runtime/src/main/java/org/hornbeamusher/companion/CompanionDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/companion/CompanionDaemon.java
@@ -64,6 +64,10 @@
   private AdapterPlaces places;
   private EngineSpec spec;
   private EngineReport report;
+
+  /** The life of the engine that {@link #report} is of; empty when that is not known. */
+  private String incarnation = "";
+
   private Message.Holdings told;
   private boolean calling;
   private boolean reachable = true;
@@ -254,7 +258,7 @@
   private void callEngine() {
     long now = clock.millis();
     Optional<FencingNumber> number = fencing.current();
-    if (places != null && number.isPresent() && report != null) {
+    if (places != null && number.isPresent() && report != null && !incarnation.isEmpty()) {
       Optional<EngineOrder> order = places.nextOrder(spec.models(), now);
       if (order.isPresent()) {
         order(order.get(), number.get());
@@ -262,10 +266,31 @@
       }
     }
     if (now >= nextReportMillis) {
-      ask();
+      if (incarnation.isEmpty() && spec != null) {
+        identify();
+      } else {
+        ask();
+      }
     }
   }
 
+  private void identify() {
+    calling = true;
+    engine.incarnation().whenComplete((id, thrown) -> loop.execute(() -> identified(id, thrown)));
+  }
+
+  private void identified(String id, Throwable thrown) {
+    calling = false;
+    if (thrown != null) {
+      unreachable(thrown);
+      act();
+      return;
+    }
+    incarnation = id;
+    EventLog.log(EventType.ENGINE_SEEN, "endpoint", id);
+    ask();
+  }
+
   private void ask() {
     calling = true;
     engine.report().whenComplete((said, thrown) -> loop.execute(() -> reported(said, thrown)));
@@ -276,23 +301,16 @@
     long now = clock.millis();
     if (thrown != null) {
       unreachable(thrown);
-      nextReportMillis = now + DOWN_REPORT_MILLIS;
       act();
       return;
     }
-    if (!reachable || report == null || !report.incarnation().equals(said.incarnation())) {
-      EventLog.log(
-          EventType.ENGINE_SEEN,
-          "endpoint",
-          said.incarnation(),
-          "models",
-          said.models(),
-          "adapters",
-          said.adapters().size(),
-          "sequence",
-          said.sequence());
-    }
     reachable = true;
+    if (report != null && said.sequence() < report.sequence()) {
+      // Only a restart takes the count of orders back.
+      forgetEngine();
+      act();
+      return;
+    }
     report = said;
     if (places != null) {
       places.reported(said);
@@ -310,23 +328,28 @@
           HornbeamusherException.from(thrown).type().label());
     }
     reachable = false;
+    nextReportMillis = clock.millis() + DOWN_REPORT_MILLIS;
+    forgetEngine();
+  }
+
+  private void forgetEngine() {
     report = null;
+    incarnation = "";
     if (places != null) {
-      places.unreachable();
+      places.lost();
     }
   }
 
   private void order(EngineOrder order, FencingNumber number) {
     calling = true;
-    EngineReport against = report;
+    long sequence = report.sequence();
     engine
-        .order(order, against, number)
+        .order(order, incarnation, sequence, number)
         .exceptionally(thrown -> OrderAnswer.UNKNOWN)
-        .thenAccept(answer -> loop.execute(() -> ordered(order, against, number, answer)));
+        .thenAccept(answer -> loop.execute(() -> ordered(order, sequence, number, answer)));
   }
 
-  private void ordered(
-      EngineOrder order, EngineReport against, FencingNumber number, OrderAnswer answer) {
+  private void ordered(EngineOrder order, long sequence, FencingNumber number, OrderAnswer answer) {
     calling = false;
     EventLog.log(
         EventType.ENGINE_ORDERED,
@@ -335,9 +358,9 @@
         "key",
         order.key(),
         "endpoint",
-        against.incarnation(),
+        incarnation,
         "sequence",
-        against.sequence(),
+        sequence,
         "fencing",
         number.value(),
         "answer",
@@ -346,16 +369,22 @@
     if (answer == OrderAnswer.STALE) {
       fencing.refused();
     }
-    ask();
+    if (answer == OrderAnswer.OTHER_ENDPOINT) {
+      forgetEngine();
+      act();
+    } else {
+      ask();
+    }
   }
 
   private void tellHoldings() {
     Message.Holdings now =
         new Message.Holdings(
-            report == null ? "" : report.incarnation(),
+            report == null ? "" : incarnation,
             texts(places.held()),
             texts(places.coming()),
-            peers.size());
+            peers.size(),
+            report != null && report.leaving());
     if (!now.equals(told)) {
       told = now;
       peers.keySet().forEach(connection -> connection.send(now));
--- a/runtime/src/main/java/org/hornbeamusher/companion/EngineCalls.java
+++ b/runtime/src/main/java/org/hornbeamusher/companion/EngineCalls.java
@@ -16,15 +16,23 @@
    */
   CompletableFuture<EngineReport> report();
 
+  /**
+   * Asks the engine which life of it this is.
+   *
+   * @return differs after every restart; fails while nothing answers
+   */
+  CompletableFuture<String> incarnation();
+
   /**
    * Orders something.
    *
    * @param order the order
-   * @param against the report it was decided on; another life of the engine, or one that has taken
-   *     orders since, refuses it
+   * @param incarnation the life of the engine that is meant; another one refuses the order
+   * @param sequence how many orders it had accepted when this one was decided; it refuses the order
+   *     if it has accepted others since
    * @param fencing the number of this agent
    * @return what the engine said; {@code UNKNOWN} when nothing was heard
    */
   CompletableFuture<OrderAnswer> order(
-      EngineOrder order, EngineReport against, FencingNumber fencing);
+      EngineOrder order, String incarnation, long sequence, FencingNumber fencing);
 }
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/EngineAgents.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/EngineAgents.java
@@ -183,7 +183,7 @@
     private void apply() {
       EndpointView view = view();
       if (view != null) {
-        view.reported(parse(holdings.held()), parse(holdings.coming()));
+        view.reported(parse(holdings.held()), parse(holdings.coming()), holdings.leaving());
       }
     }
 
--- a/runtime/src/main/java/org/hornbeamusher/holdings/AdapterPlaces.java
+++ b/runtime/src/main/java/org/hornbeamusher/holdings/AdapterPlaces.java
@@ -97,25 +97,17 @@
    * Takes what the engine says of itself.
    *
    * @param fresh its report
-   * @return whether this is another life of the engine
    */
-  public boolean reported(EngineReport fresh) {
-    boolean restarted = report != null && !report.incarnation().equals(fresh.incarnation());
-    if (restarted) {
-      unanswered = null;
-      ordered.clear();
-      withdrawn.clear();
-    }
+  public void reported(EngineReport fresh) {
     report = fresh;
     withdrawn.keySet().retainAll(fresh.adapters().keySet());
     if (unanswered == null) {
       ordered.clear();
     }
-    return restarted;
   }
 
-  /** The engine does not answer; it is down, and what it held is lost. */
-  public void unreachable() {
+  /** The engine is down or was restarted; what it held is lost. */
+  public void lost() {
     report = null;
     unanswered = null;
     ordered.clear();
@@ -272,12 +264,12 @@
   /**
    * Decides the next order. Nothing is ordered while an order has no answer.
    *
-   * @param models base models that the engine should hold
+   * @param models base models of the service; an engine without any is to load the first
    * @param now milliseconds
    * @return the order, or empty when there is nothing to do
    */
   public Optional<EngineOrder> nextOrder(List<String> models, long now) {
-    if (report == null || unanswered != null || report.busy()) {
+    if (report == null || unanswered != null || report.busy() || report.leaving()) {
       return Optional.empty();
     }
     waiting.values().removeIf(wanted -> wanted.expiresMillis() <= now);
@@ -312,8 +304,10 @@
   }
 
   private Optional<EngineOrder> missingModel(List<String> models) {
+    if (!report.models().isEmpty()) {
+      return Optional.empty();
+    }
     return models.stream()
-        .filter(model -> !report.models().contains(model))
         .findFirst()
         .map(model -> new EngineOrder.Load(new AdapterKey(model, "")));
   }
--- a/runtime/src/main/java/org/hornbeamusher/holdings/EngineReport.java
+++ b/runtime/src/main/java/org/hornbeamusher/holdings/EngineReport.java
@@ -8,20 +8,20 @@
 /**
  * What an engine says of itself, fresh.
  *
- * @param incarnation the id of this life of the engine
  * @param models base models it holds
  * @param adapters adapters that can run requests, with their versions
  * @param pending adapters on their way; each takes a place
  * @param busy whether a base model is being loaded
  * @param sequence how many orders it has accepted in this life
+ * @param leaving whether it takes no new work
  */
 public record EngineReport(
-    String incarnation,
     Set<String> models,
     Map<AdapterKey, Long> adapters,
     Set<HeldAdapter> pending,
     boolean busy,
-    long sequence) {
+    long sequence,
+    boolean leaving) {
 
   /** Copies the collections. */
   public EngineReport {
--- a/runtime/src/main/java/org/hornbeamusher/placement/EndpointView.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/EndpointView.java
@@ -32,6 +32,7 @@
 
   private Endpoint endpoint;
   private boolean agentConnected;
+  private boolean leaving;
   private Set<HeldAdapter> held;
   private Set<HeldAdapter> coming = Set.of();
   private int othersRunning;
@@ -69,9 +70,11 @@
    *
    * @param resident can run requests now
    * @param loading on the way
+   * @param leavingNow whether it takes no new work; it never does again
    */
-  public void reported(Set<HeldAdapter> resident, Set<HeldAdapter> loading) {
+  public void reported(Set<HeldAdapter> resident, Set<HeldAdapter> loading, boolean leavingNow) {
     agentConnected = true;
+    leaving |= leavingNow;
     replaceHeld(resident);
     coming = Set.copyOf(loading);
   }
@@ -200,6 +203,15 @@
     return adapter.key().isBase() ? holdsModel(adapter.key().model()) : held.contains(adapter);
   }
 
+  /**
+   * Tells whether the endpoint takes no new work.
+   *
+   * @return by the list's or its agent's word
+   */
+  public boolean leaving() {
+    return leaving || endpoint.leaving();
+  }
+
   boolean awaits(HeldAdapter adapter) {
     return coming.contains(adapter);
   }
--- a/runtime/src/main/java/org/hornbeamusher/placement/Placer.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/Placer.java
@@ -75,7 +75,7 @@
     Cost bestCost = null;
     boolean skipped = false;
     for (EndpointView view : all) {
-      if (!view.endpoint().service().equals(service) || view.endpoint().leaving()) {
+      if (!view.endpoint().service().equals(service) || view.leaving()) {
         continue;
       }
       if (tried.contains(view.id())) {
--- a/runtime/src/main/java/org/hornbeamusher/wire/Message.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/Message.java
@@ -292,8 +292,10 @@
    * @param held what can be used, {@code model/adapter@version}
    * @param coming what is on its way
    * @param entries how many entries are connected to the agent
+   * @param leaving whether the endpoint takes no new work
    */
-  record Holdings(String endpoint, List<String> held, List<String> coming, int entries)
+  record Holdings(
+      String endpoint, List<String> held, List<String> coming, int entries, boolean leaving)
       implements Message {}
 
   /**
