--- a/runtime/src/main/java/org/hornbeamusher/forwarding/CallerAnswer.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/CallerAnswer.java
@@ -5,25 +5,44 @@
 import io.undertow.server.protocol.http.HttpServerConnection;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
+import io.undertow.util.StatusCodes;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.List;
+import java.util.Locale;
 import java.util.OptionalLong;
+import java.util.Set;
+import org.hornbeamusher.failure.HornbeamusherException;
+import org.hornbeamusher.failure.Outcome;
 import org.hornbeamusher.http.HttpHeader;
 import org.xnio.IoUtils;
 import org.xnio.channels.StreamSinkChannel;
-import org.xnio.conduits.ConduitStreamSourceChannel;
+import org.xnio.conduits.StreamSourceConduit;
 
 /**
  * Writes one answer to a caller without ever blocking, and hears when the caller goes.
  *
  * <p>While a request is answered nothing reads from its connection, so that its close would be
  * noticed only when the answer is written, after an endpoint has worked for nobody. The connection
- * is therefore read on; what comes early of a next request is put back.
+ * is therefore read on, below the channel that ends with the request's body; what comes early of a
+ * next request is put back.
  */
 final class CallerAnswer {
 
+  private static final double MILLIS_PER_SECOND = 1_000;
+
+  private static final int MISDIRECTED = 421;
+
+  /** Statuses that tell a caller that its request did not run and never will. */
+  private static final Set<Integer> PROMISES =
+      Set.of(
+          StatusCodes.REQUEST_TIME_OUT,
+          MISDIRECTED,
+          StatusCodes.TOO_MANY_REQUESTS,
+          StatusCodes.SERVICE_UNAVAILABLE);
+
   private final HttpServerExchange exchange;
   private final ArrayDeque<ByteBuffer> unwritten = new ArrayDeque<>();
   private Runnable gone = () -> {};
@@ -40,13 +59,13 @@
     gone = task;
     exchange.getConnection().addCloseListener(connection -> closed());
     if (exchange.getConnection() instanceof HttpServerConnection connection) {
-      ConduitStreamSourceChannel source = connection.getChannel().getSourceChannel();
-      source.setReadListener(channel -> watch(connection, channel));
+      StreamSourceConduit source = connection.getOriginalSourceConduit();
+      connection.getChannel().getSourceChannel().setReadListener(c -> watch(connection, source));
       source.resumeReads();
     }
   }
 
-  private void watch(HttpServerConnection connection, ConduitStreamSourceChannel source) {
+  private void watch(HttpServerConnection connection, StreamSourceConduit source) {
     if (ended || connection.getExtraBytes() != null) {
       source.suspendReads();
       return;
@@ -103,6 +122,38 @@
     exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
   }
 
+  /** Ends a request of which nothing was written with a failure, and returns its status. */
+  int refuse(HornbeamusherException failure, boolean closeAfter) {
+    int status = statusOf(failure);
+    byte[] body = failure.getMessage().getBytes(StandardCharsets.UTF_8);
+    head(status, headersOf(failure), OptionalLong.of(body.length));
+    if (closeAfter) {
+      closeAfter();
+    }
+    write(body);
+    end();
+    return status;
+  }
+
+  /** Only a request that was not run may be answered with a status that says so. */
+  private static int statusOf(HornbeamusherException failure) {
+    int status = failure.type().httpStatus();
+    boolean promises = PROMISES.contains(status);
+    return promises && !failure.outcome().equals(Outcome.NOT_RUN)
+        ? StatusCodes.BAD_GATEWAY
+        : status;
+  }
+
+  private static List<HttpHeader> headersOf(HornbeamusherException failure) {
+    HttpHeader type = new HttpHeader("Content-Type", "text/plain; charset=utf-8");
+    if (failure.retryAfterMillis().isEmpty()) {
+      return List.of(type);
+    }
+    double seconds = failure.retryAfterMillis().getAsLong() / MILLIS_PER_SECOND;
+    return List.of(
+        type, new HttpHeader("Retry-After", String.format(Locale.ROOT, "%.3f", seconds)));
+  }
+
   /** Writes a part of the body. */
   void write(byte[] bytes) {
     if (ended || bytes.length == 0) {
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
@@ -11,6 +11,8 @@
 import org.hornbeamusher.directory.EndpointDirectory;
 import org.hornbeamusher.events.EventLog;
 import org.hornbeamusher.events.EventType;
+import org.hornbeamusher.failure.FailureType;
+import org.hornbeamusher.failure.HornbeamusherException;
 import org.hornbeamusher.http.HttpClient;
 import org.hornbeamusher.loop.EventLoop;
 import org.hornbeamusher.placement.EndpointView;
@@ -205,7 +207,20 @@
         && !state.placer().views().isEmpty();
   }
 
+  /**
+   * A request that comes on a kept connection long after the balancer has stopped sending callers
+   * could not be ended in the time that is left; it is refused while that is still true to say.
+   */
+  private boolean tooLate() {
+    return leaving && clock.millis() - leaveMillis >= LEAST_DRAIN_MILLIS;
+  }
+
   private void accept(CallerRequest request, CallerAnswer caller) {
+    if (tooLate()) {
+      EventLog.log(EventType.REQUEST_REFUSED, "path", request.path(), "cause", "shutting-down");
+      caller.refuse(HornbeamusherException.notRun(FailureType.SHUTTING_DOWN).retryAfter(0), true);
+      return;
+    }
     ForwardRun run = new ForwardRun(state, request, caller, this);
     runs.add(run);
     run.start();
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardRun.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardRun.java
@@ -1,12 +1,8 @@
 package org.hornbeamusher.forwarding;
 
 import java.net.URI;
-import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
-import java.util.List;
-import java.util.Locale;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import org.hornbeamusher.directory.HeldAdapter;
 import org.hornbeamusher.events.EventLog;
@@ -16,7 +12,6 @@
 import org.hornbeamusher.failure.Outcome;
 import org.hornbeamusher.http.HttpCall;
 import org.hornbeamusher.http.HttpHead;
-import org.hornbeamusher.http.HttpHeader;
 import org.hornbeamusher.ids.EndpointId;
 import org.hornbeamusher.loop.EventLoop;
 import org.hornbeamusher.placement.EndpointView;
@@ -460,34 +455,10 @@
       finish(failure.type().label(), 0);
       return;
     }
-    int status = statusOf(failure);
-    byte[] body = failure.getMessage().getBytes(StandardCharsets.UTF_8);
-    caller.head(status, headersOf(failure), OptionalLong.of(body.length));
-    if (listener.leaving()) {
-      caller.closeAfter();
-    }
-    caller.write(body);
-    caller.end();
+    int status = caller.refuse(failure, listener.leaving());
     finish(failure.type().label(), status);
   }
 
-  /** Only a request that was not run may be answered with a status that says so. */
-  private static int statusOf(HornbeamusherException failure) {
-    int status = failure.type().httpStatus();
-    boolean promises = status == 503 || status == 429 || status == 408 || status == 421;
-    return promises && !failure.outcome().equals(Outcome.NOT_RUN) ? 502 : status;
-  }
-
-  private static List<HttpHeader> headersOf(HornbeamusherException failure) {
-    HttpHeader type = new HttpHeader("Content-Type", "text/plain; charset=utf-8");
-    if (failure.retryAfterMillis().isEmpty()) {
-      return List.of(type);
-    }
-    double seconds = failure.retryAfterMillis().getAsLong() / 1_000.0;
-    return List.of(
-        type, new HttpHeader("Retry-After", String.format(Locale.ROOT, "%.3f", seconds)));
-  }
-
   private void finish(String cause, int status) {
     over = true;
     cancel(deadline);
