Waits for a place count in placing; requests stay in line

Ruled out: adapters held twice (at most 5 of 41 places). Change: agents tell how many places a load could have at once, placing adds the wait for one, a request moves only to where it need not wait, and places go first to requests that can still be in time.

--- a/runtime/src/main/java/org/hornbeamusher/companion/CompanionDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/companion/CompanionDaemon.java
@@ -50,8 +50,8 @@
   private static final long DOWN_REPORT_MILLIS = 150;
   private static final long TICK_MILLIS = 20;
 
-  /** Entries place by it; a tenth of a second is a few requests a second of each. */
-  private static final long LOAD_MILLIS = 100;
+  /** Entries place by it; in this time each sends one request or none. */
+  private static final long LOAD_MILLIS = 60;
 
   private final CompanionSettings settings;
   private final EngineCalls engine;
@@ -220,7 +220,8 @@
         new HeldAdapter(AdapterKey.parse(reserve.adapter()), reserve.version()),
         reserve.rank(),
         reserve.unreadTokens(),
-        clock.millis() + reserve.waitMillis());
+        clock.millis() + reserve.waitMillis(),
+        clock.millis() + reserve.aimMillis());
   }
 
   private void tick() {
@@ -405,7 +406,9 @@
         (connection, peer) -> {
           Message.PeerLoad load =
               new Message.PeerLoad(
-                  places.othersRequests(peer.number), places.othersUnreadTokens(peer.number));
+                  places.othersRequests(peer.number),
+                  places.othersUnreadTokens(peer.number),
+                  places.sparePlaces());
           if (!load.equals(peer.toldLoad)) {
             peer.toldLoad = load;
             connection.send(load);
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/EngineAgents.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/EngineAgents.java
@@ -165,7 +165,7 @@
         case Message.PeerLoad said -> {
           EndpointView view = view();
           if (view != null) {
-            view.reportedLoad(said.requests(), said.unreadTokens());
+            view.reportedLoad(said.requests(), said.unreadTokens(), said.sparePlaces());
           }
         }
         case Message.Granted said -> {
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/EngineReservation.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/EngineReservation.java
@@ -46,7 +46,8 @@
             request.adapter().version(),
             request.rank(),
             promptRead ? 0 : request.unreadTokens(),
-            Math.max(0, request.expiresMillis() - clock.millis())));
+            Math.max(0, request.expiresMillis() - clock.millis()),
+            request.aimMillis() - clock.millis()));
   }
 
   void granted() {
@@ -84,7 +85,12 @@
 
   /** What the agent is told. */
   record Request(
-      String requestId, HeldAdapter adapter, int rank, long unreadTokens, long expiresMillis) {}
+      String requestId,
+      HeldAdapter adapter,
+      int rank,
+      long unreadTokens,
+      long expiresMillis,
+      long aimMillis) {}
 
   /** Hears of a reservation that waits. */
   interface Listener {
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardRun.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardRun.java
@@ -47,7 +47,7 @@
   private static final long LEAST_SEND_MILLIS = 15;
 
   /** How long a request waits for a load before it looks at the other endpoints again. */
-  private static final long REPLACE_MILLIS = 300;
+  private static final long REPLACE_MILLIS = 100;
 
   /** When no endpoint can be reached: about the time after which the next list is read. */
   private static final long NO_ENDPOINT_RETRY_MILLIS = 400;
@@ -190,7 +190,7 @@
     if (at.present() || placing.adapter().isEmpty()) {
       send();
     } else {
-      replacing = state.loop().after(REPLACE_MILLIS, this::placeAgain);
+      replacing = state.loop().after(REPLACE_MILLIS, this::lookElsewhere);
     }
   }
 
@@ -201,7 +201,12 @@
             .reserve(
                 endpoint.id(),
                 new EngineReservation.Request(
-                    facts.id(), adapter, route.rank(), unreadTokens, now() + remaining),
+                    facts.id(),
+                    adapter,
+                    route.rank(),
+                    unreadTokens,
+                    now() + remaining,
+                    request.arrivedMillis() + route.targetLatencyMillis()),
                 this);
   }
 
@@ -219,7 +224,7 @@
     }
   }
 
-  /** The load takes long; perhaps another endpoint has the adapter by now. */
+  /** The agent is lost, and with it the place in its queue. */
   private void placeAgain() {
     if (over || attempt != null) {
       return;
@@ -230,6 +235,26 @@
     place();
   }
 
+  /**
+   * The load takes long. Another endpoint is better only if nothing has to be waited for there but
+   * the load at most: a request that leaves a queue for the end of another one gains nothing, and
+   * what was begun for it is wasted.
+   */
+  private void lookElsewhere() {
+    if (over || attempt != null) {
+      return;
+    }
+    HeldAdapter adapter = placing.adapter().orElseThrow();
+    if (!endpoint.awaits(adapter)
+        && state.placer().place(service, placing, tried, now()) instanceof Placement.At at
+        && at.endpoint() != endpoint
+        && at.placeFree()) {
+      placeAgain();
+      return;
+    }
+    replacing = state.loop().after(REPLACE_MILLIS, this::lookElsewhere);
+  }
+
   private long waited() {
     return now() - request.arrivedMillis();
   }
--- a/runtime/src/main/java/org/hornbeamusher/holdings/AdapterPlaces.java
+++ b/runtime/src/main/java/org/hornbeamusher/holdings/AdapterPlaces.java
@@ -57,6 +57,9 @@
   /** Entries that are connected make their reservations known within this time of a start. */
   static final long SETTLE_MILLIS = 1_000;
 
+  /** A load from the weight store and the reading of a short prompt. */
+  private static final long LOAD_MILLIS = 280;
+
   /** Adapters that an engine fetches at once. */
   private static final int MOST_PENDING = 4;
 
@@ -136,7 +139,9 @@
    */
   public void promptRead(ReservationId id) {
     reservations.computeIfPresent(
-        id, (unused, r) -> new Reservation(r.id(), r.adapter(), r.rank(), 0, r.expiresMillis()));
+        id,
+        (unused, r) ->
+            new Reservation(r.id(), r.adapter(), r.rank(), 0, r.expiresMillis(), r.aimMillis()));
   }
 
   /**
@@ -261,6 +266,24 @@
         .sum();
   }
 
+  /**
+   * Returns how many more adapters could be loaded without waiting for a request to end.
+   *
+   * @return places that are free or held by unused adapters, less adapters that wait for a place
+   */
+  public int sparePlaces() {
+    if (report == null) {
+      return 0;
+    }
+    Set<AdapterKey> wanted = new HashSet<>();
+    waiting.values().stream()
+        .map(reservation -> reservation.adapter().key())
+        .filter(key -> !key.isBase() && !isComing(key) && !report.adapters().containsKey(key))
+        .forEach(wanted::add);
+    long unused = report.adapters().keySet().stream().filter(this::unused).count();
+    return (int) (places - taken() + unused - wanted.size());
+  }
+
   /**
    * Decides the next order. Nothing is ordered while an order has no answer.
    *
@@ -313,7 +336,7 @@
   }
 
   private Optional<EngineOrder> wantedAdapter(long now) {
-    for (Reservation wanted : inOrder()) {
+    for (Reservation wanted : inOrder(now)) {
       AdapterKey key = wanted.adapter().key();
       boolean model = report.models().contains(key.model());
       if (!model || usable(wanted.adapter()) || key.isBase() || isComing(key)) {
@@ -336,10 +359,15 @@
     return Optional.empty();
   }
 
-  /** Wanted first is loaded first, but the more urgent before the less. */
-  private List<Reservation> inOrder() {
+  /**
+   * Those that can still be answered in time come first, by that time; the late ones follow. Served
+   * by time alone, a full engine would spend its places on requests that have just become late.
+   */
+  private List<Reservation> inOrder(long now) {
     List<Reservation> order = new ArrayList<>(waiting.values());
-    order.sort(Comparator.comparingInt(Reservation::rank));
+    order.sort(
+        Comparator.comparing((Reservation r) -> r.aimMillis() - now < LOAD_MILLIS)
+            .thenComparingLong(Reservation::aimMillis));
     return order;
   }
 
--- a/runtime/src/main/java/org/hornbeamusher/holdings/Reservation.java
+++ b/runtime/src/main/java/org/hornbeamusher/holdings/Reservation.java
@@ -10,6 +10,12 @@
  * @param rank the request's urgency, 0 first
  * @param unreadTokens of its prompt
  * @param expiresMillis when a place is of no more use to it
+ * @param aimMillis when its first event should come
  */
 public record Reservation(
-    ReservationId id, HeldAdapter adapter, int rank, long unreadTokens, long expiresMillis) {}
+    ReservationId id,
+    HeldAdapter adapter,
+    int rank,
+    long unreadTokens,
+    long expiresMillis,
+    long aimMillis) {}
--- a/runtime/src/main/java/org/hornbeamusher/placement/EndpointView.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/EndpointView.java
@@ -37,6 +37,10 @@
   private Set<HeldAdapter> coming = Set.of();
   private int othersRunning;
   private long othersPromptTokens;
+
+  /** One until an agent says more: an engine of which nothing is known is worth a try. */
+  private int sparePlaces = 1;
+
   private int running;
   private long promptTokens;
 
@@ -84,8 +88,10 @@
    *
    * @param requests running or waiting there
    * @param tokens of their prompts that are not read yet
+   * @param spare places for adapters that a load could have at once, less those that wait for one
    */
-  public void reportedLoad(int requests, long tokens) {
+  public void reportedLoad(int requests, long tokens, int spare) {
+    sparePlaces = spare;
     othersRunning = requests;
     othersPromptTokens = tokens;
   }
@@ -212,7 +218,13 @@
     return leaving || endpoint.leaving();
   }
 
-  boolean awaits(HeldAdapter adapter) {
+  /**
+   * Tells whether an adapter is being loaded.
+   *
+   * @param adapter adapter and version
+   * @return whether its load has been ordered
+   */
+  public boolean awaits(HeldAdapter adapter) {
     return coming.contains(adapter);
   }
 
@@ -225,8 +237,9 @@
     return version != null && version == adapter.version();
   }
 
-  int adapters() {
-    return (int) held.stream().filter(one -> !one.key().isBase()).count() + coming.size();
+  /** Returns places a load could have at once; zero or less means that it has to wait for one. */
+  int sparePlaces() {
+    return sparePlaces;
   }
 
   /**
--- a/runtime/src/main/java/org/hornbeamusher/placement/Placement.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/Placement.java
@@ -12,7 +12,17 @@
    * @param stallMillis how much of that is the load
    */
   record At(EndpointView endpoint, boolean present, long estimateMillis, long stallMillis)
-      implements Placement {}
+      implements Placement {
+
+    /**
+     * Tells whether nothing has to be waited for but the load itself.
+     *
+     * @return false when a place for the adapter has to become free first
+     */
+    public boolean placeFree() {
+      return present || endpoint.sparePlaces() > 0;
+    }
+  }
 
   /**
    * Nowhere.
--- a/runtime/src/main/java/org/hornbeamusher/placement/PlacementSettings.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/PlacementSettings.java
@@ -9,6 +9,8 @@
  * @param recentMillis an adapter of which the engine still has a copy: a tenth of the load
  * @param loadingMillis what is left on average of a load under way
  * @param replaceMillis the wait for a place when all are taken by adapters
+ * @param placeMillis how long each adapter that waits for a place waits until one is free: requests
+ *     of one to two seconds on seven places
  * @param zoneMillis the way to another availability zone and back, and the price of its bytes
  * @param preferenceMillis what each step down an adapter's preference order costs; keeps entries
  *     from loading one adapter at two endpoints at once
@@ -21,6 +23,7 @@
     double recentMillis,
     double loadingMillis,
     double replaceMillis,
+    double placeMillis,
     double zoneMillis,
     double preferenceMillis,
     double runningMillis,
@@ -28,5 +31,5 @@
 
   /** For engines of the size in use. */
   public static final PlacementSettings DEFAULT =
-      new PlacementSettings(44, 400, 40, 150, 20, 8, 25, 4, 1_000);
+      new PlacementSettings(44, 400, 40, 150, 20, 250, 8, 25, 4, 1_000);
 }
--- a/runtime/src/main/java/org/hornbeamusher/placement/Placer.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/Placer.java
@@ -133,7 +133,8 @@
       return settings.loadingMillis();
     }
     double load = view.hadRecently(adapter) ? settings.recentMillis() : settings.loadMillis();
-    return load + settings.replaceMillis();
+    int queue = Math.max(0, 1 - view.sparePlaces());
+    return load + settings.replaceMillis() + queue * settings.placeMillis();
   }
 
   /** How many endpoints of the service come before this one in the adapter's order. */
--- a/runtime/src/main/java/org/hornbeamusher/wire/Message.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/Message.java
@@ -253,6 +253,7 @@
    * @param rank the request's urgency, 0 first
    * @param unreadTokens how much of its prompt has to be read
    * @param waitMillis for how long a place is of use
+   * @param aimMillis how soon its first event should come; negative when it is late already
    */
   record Reserve(
       long reservation,
@@ -261,7 +262,8 @@
       long version,
       int rank,
       long unreadTokens,
-      long waitMillis)
+      long waitMillis,
+      long aimMillis)
       implements Message {}
 
   /**
@@ -303,8 +305,10 @@
    *
    * @param requests running or waiting
    * @param unreadTokens of their prompts
+   * @param sparePlaces places for adapters that a load could have at once, less those that wait for
+   *     one; negative when adapters wait for a place
    */
-  record PeerLoad(int requests, long unreadTokens) implements Message {}
+  record PeerLoad(int requests, long unreadTokens, int sparePlaces) implements Message {}
 
   /**
    * A message of a type this process does not know; it is ignored.
--- a/runtime/src/main/java/org/hornbeamusher/wire/MessageCodec.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/MessageCodec.java
@@ -147,20 +147,24 @@
       case Message.CrashNotice m ->
           begin(p, CRASH_NOTICE, 2).packLong(m.fingerprint()).packInt(m.crashes());
       case Message.Reserve m ->
-          begin(p, RESERVE, 7)
+          begin(p, RESERVE, 8)
               .packLong(m.reservation())
               .packString(m.requestId())
               .packString(m.adapter())
               .packLong(m.version())
               .packInt(m.rank())
               .packLong(m.unreadTokens())
-              .packLong(m.waitMillis());
+              .packLong(m.waitMillis())
+              .packLong(m.aimMillis());
       case Message.Granted m -> begin(p, GRANTED, 1).packLong(m.reservation());
       case Message.PromptRead m -> begin(p, PROMPT_READ, 1).packLong(m.reservation());
       case Message.Release m -> begin(p, RELEASE, 1).packLong(m.reservation());
       case Message.Holdings m -> packHoldings(p, m);
       case Message.PeerLoad m ->
-          begin(p, PEER_LOAD, 2).packInt(m.requests()).packLong(m.unreadTokens());
+          begin(p, PEER_LOAD, 3)
+              .packInt(m.requests())
+              .packLong(m.unreadTokens())
+              .packInt(m.sparePlaces());
       case Message.Unknown m -> begin(p, m.type(), 0);
     }
   }
@@ -265,12 +269,19 @@
       case CRASH_NOTICE -> new Message.CrashNotice(r.number(), r.integer());
       case RESERVE ->
           new Message.Reserve(
-              r.number(), r.text(), r.text(), r.number(), r.integer(), r.number(), r.number());
+              r.number(),
+              r.text(),
+              r.text(),
+              r.number(),
+              r.integer(),
+              r.number(),
+              r.number(),
+              r.number());
       case GRANTED -> new Message.Granted(r.number());
       case PROMPT_READ -> new Message.PromptRead(r.number());
       case RELEASE -> new Message.Release(r.number());
       case HOLDINGS -> new Message.Holdings(r.text(), r.texts(), r.texts(), r.integer(), r.flag());
-      case PEER_LOAD -> new Message.PeerLoad(r.integer(), r.number());
+      case PEER_LOAD -> new Message.PeerLoad(r.integer(), r.number(), r.integer());
       default -> new Message.Unknown(type);
     };
   }
