--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardRun.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardRun.java
@@ -264,7 +264,8 @@
     reservation.used();
     sentMillis = now();
     sends++;
-    SendFacts told = new SendFacts(endpoint.id(), deadlineMillis - sentMillis, relay.lastEvent());
+    SendFacts told =
+        new SendFacts(endpoint.id(), deadlineMillis - sentMillis, route.rank(), relay.lastEvent());
     URI uri = endpoint.endpoint().uri();
     HttpCall call =
         new HttpCall(
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/SendFacts.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/SendFacts.java
@@ -8,6 +8,8 @@
  *
  * @param endpoint the one that is meant; another one at its address refuses the request
  * @param remainingMillis how long an answer is of use
+ * @param rank the request's urgency, 0 first
  * @param lastEvent the last event the caller has; the endpoint goes on after it
  */
-public record SendFacts(EndpointId endpoint, long remainingMillis, OptionalLong lastEvent) {}
+public record SendFacts(
+    EndpointId endpoint, long remainingMillis, int rank, OptionalLong lastEvent) {}
