--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardRun.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardRun.java
@@ -120,7 +120,12 @@
     deadlineMillis = request.arrivedMillis() + budget;
     placing =
         new PlacementRequest(
-            hash, adapter(), facts.promptTokens(), facts.outputTokens(), facts.parts());
+            hash,
+            adapter(),
+            facts.promptTokens(),
+            facts.outputTokens(),
+            request.body().length,
+            facts.parts());
     relay =
         route.kind() == RequestKind.STREAMING
             ? new EventRelay(caller, facts.lastEvent())
@@ -330,7 +335,7 @@
     EndpointView left = endpoint;
     leave();
     switch (judged) {
-      case AttemptEnd.Answered answered -> answered();
+      case AttemptEnd.Answered answered -> answered(left);
       case AttemptEnd.NotSent notSent -> notSent(left);
       case AttemptEnd.Refused refused -> refused(left);
       case AttemptEnd.Broken broken -> broken(left, broken.cause());
@@ -354,8 +359,12 @@
   /**
    * An endpoint's own failure is an answer too; but one that may be repeated is tried elsewhere.
    */
-  private void answered() {
+  private void answered(EndpointView left) {
     boolean failed = relay.status() >= SERVER_ERROR;
+    if (failed) {
+      left.failed(now());
+      tried.add(left.id());
+    }
     if (failed && !relay.started() && route.kind() == RequestKind.IDEMPOTENT && mayRepeat()) {
       place();
       return;
--- a/runtime/src/main/java/org/hornbeamusher/placement/PlacementRequest.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/PlacementRequest.java
@@ -11,6 +11,7 @@
  * @param adapter the adapter and version it must run on; empty at a plain service
  * @param promptTokens length of its prompt
  * @param outputTokens most tokens of its answer
+ * @param bytes length of its content
  * @param parts the parts of its prompt in order
  */
 public record PlacementRequest(
@@ -18,6 +19,7 @@
     Optional<HeldAdapter> adapter,
     int promptTokens,
     int outputTokens,
+    int bytes,
     List<PromptPart> parts) {
 
   /** Copies the list. */
--- a/runtime/src/main/java/org/hornbeamusher/placement/PlacementSettings.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/PlacementSettings.java
@@ -11,7 +11,8 @@
  * @param replaceMillis the wait for a place when all are taken by adapters
  * @param placeMillis how long each adapter that waits for a place waits until one is free: requests
  *     of one to two seconds on seven places
- * @param zoneMillis the way to another availability zone and back, and the price of its bytes
+ * @param zoneMillis the way to another availability zone and back
+ * @param zoneMillisPerKilobyte the price of a kilobyte to another zone, expressed in time
  * @param preferenceMillis what each step down an adapter's preference order costs; keeps entries
  *     from loading one adapter at two endpoints at once
  * @param runningMillis what each request already at the endpoint adds to the first event
@@ -25,11 +26,12 @@
     double replaceMillis,
     double placeMillis,
     double zoneMillis,
+    double zoneMillisPerKilobyte,
     double preferenceMillis,
     double runningMillis,
     double crowdMillis) {
 
   /** For engines of the size in use. */
   public static final PlacementSettings DEFAULT =
-      new PlacementSettings(44, 400, 40, 150, 20, 250, 8, 25, 4, 1_000);
+      new PlacementSettings(44, 400, 40, 150, 20, 250, 5, 1.5, 6, 4, 1_000);
 }
--- a/runtime/src/main/java/org/hornbeamusher/placement/Placer.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/Placer.java
@@ -35,6 +35,8 @@
  */
 public final class Placer {
 
+  private static final double BYTES_PER_KILOBYTE = 1_024;
+
   private final PlacementSettings settings;
   private final String zone;
   private final Map<EndpointId, EndpointView> views = new HashMap<>();
@@ -98,7 +100,7 @@
 
   private Cost cost(EndpointView view, PlacementRequest request, long now) {
     double penalty = view.health().penaltyMillis(now);
-    penalty += view.endpoint().zone().equals(zone) ? 0 : settings.zoneMillis();
+    penalty += view.endpoint().zone().equals(zone) ? 0 : crossing(request);
     if (request.adapter().isEmpty()) {
       return plainCost(view, request, penalty);
     }
@@ -114,6 +116,11 @@
     return new Cost(latency + stall, choice, stall, false);
   }
 
+  private double crossing(PlacementRequest request) {
+    return settings.zoneMillis()
+        + settings.zoneMillisPerKilobyte() * request.bytes() / BYTES_PER_KILOBYTE;
+  }
+
   private Cost plainCost(EndpointView view, PlacementRequest request, double penalty) {
     double each = Math.max(1, view.health().latencyMillis());
     double rounds = (double) (view.running() + 1) / Math.max(1, view.endpoint().slots());
