--- a/runtime/src/main/java/org/hornbeamusher/companion/CompanionDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/companion/CompanionDaemon.java
@@ -299,7 +299,6 @@
 
   private void reported(EngineReport said, Throwable thrown) {
     calling = false;
-    long now = clock.millis();
     if (thrown != null) {
       unreachable(thrown);
       act();
@@ -317,7 +316,7 @@
       places.reported(said);
     }
     boolean soon = places == null || places.inMotion();
-    nextReportMillis = now + (soon ? BUSY_REPORT_MILLIS : IDLE_REPORT_MILLIS);
+    nextReportMillis = clock.millis() + (soon ? BUSY_REPORT_MILLIS : IDLE_REPORT_MILLIS);
     act();
   }
 
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
@@ -44,7 +44,6 @@
   private static final long DRAIN_CHECK_MILLIS = 50;
 
   private final ForwardSettings settings;
-  private final HttpClient http;
   private final Clock clock;
   private final EventLoop loop;
   private final ForwardState state;
@@ -64,7 +63,6 @@
    */
   public ForwardDaemon(ForwardSettings settings, Dialect dialect, HttpClient http, Clock clock) {
     this.settings = settings;
-    this.http = http;
     this.clock = clock;
     this.loop = http.loop();
     Placer placer = new Placer(PlacementSettings.DEFAULT, settings.zone());
--- /dev/null
+++ b/runtime/src/test/java/org/hornbeamusher/placement/PlacerTest.java
@@ -0,0 +1,230 @@
+package org.hornbeamusher.placement;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.URI;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.hornbeamusher.directory.Endpoint;
+import org.hornbeamusher.directory.HeldAdapter;
+import org.hornbeamusher.ids.EndpointId;
+import org.hornbeamusher.routes.AdapterKey;
+import org.junit.jupiter.api.Test;
+
+class PlacerTest {
+
+  private static final HeldAdapter BASE = new HeldAdapter(new AdapterKey("m", ""), 1);
+  private static final HeldAdapter HOT = new HeldAdapter(new AdapterKey("m", "hot"), 1);
+  private static final HeldAdapter COLD = new HeldAdapter(new AdapterKey("m", "cold"), 1);
+
+  private final Placer placer = new Placer(PlacementSettings.DEFAULT, "a");
+
+  @Test
+  void adapterIsServedWhereItIsHeld() {
+    engine("e1", "b", Set.of(HOT));
+    engine("e2", "a", Set.of());
+    Placement.At at = place(HOT, 800);
+    assertEquals("e1", at.endpoint().id().value());
+    assertTrue(at.present());
+  }
+
+  /**
+   * A burst of long prompts on one adapter. Sent to its only home, each would wait behind the ones
+   * before it while other engines are idle; past the cost of a load it gets a second home.
+   */
+  @Test
+  void hotAdapterGetsSecondHomeWhenItsQueueCostsMoreThanLoad() {
+    engine("e1", "a", Set.of(HOT));
+    engine("e2", "a", Set.of());
+    Set<String> used = new HashSet<>();
+    for (int i = 0; i < 6; i++) {
+      Placement.At at = place(HOT, 9_190);
+      at.endpoint().started(request(HOT, 9_190));
+      used.add(at.endpoint().id().value());
+      if (i == 0) {
+        assertEquals(Set.of("e1"), used);
+      }
+    }
+    assertEquals(Set.of("e1", "e2"), used);
+  }
+
+  /**
+   * All places of one engine are held by running requests. A cold adapter sent there would wait for
+   * seconds until one ends, while another engine has a place.
+   */
+  @Test
+  void coldAdapterGoesWherePlaceIsFree() {
+    engine("e1", "a", Set.of()).reportedLoad(0, 0, -3);
+    engine("e2", "a", Set.of()).reportedLoad(3, 0, 1);
+    Placement.At at = place(COLD, 800);
+    assertEquals("e2", at.endpoint().id().value());
+    assertTrue(at.placeFree());
+  }
+
+  @Test
+  void adapterThatWasHeldLatelyIsLoadedAgainWhereItWas() {
+    EndpointView first = engine("e1", "a", Set.of(COLD));
+    engine("e2", "a", Set.of());
+    first.reported(Set.of(BASE), Set.of(), false);
+    assertEquals("e1", place(COLD, 800).endpoint().id().value());
+  }
+
+  /** Entries that do not talk to each other must not load a cold adapter at two engines at once. */
+  @Test
+  void entriesAgreeOnHomeOfColdAdapter() {
+    Placer other = new Placer(PlacementSettings.DEFAULT, "a");
+    for (String id : List.of("e1", "e2", "e3")) {
+      engine(id, "a", Set.of());
+    }
+    for (String id : List.of("e3", "e1", "e2")) {
+      add(other, id, "a", Set.of());
+    }
+    Placement there = other.place("llm", request(COLD, 800), Set.of(), 0);
+    assertEquals(place(COLD, 800).endpoint().id(), ((Placement.At) there).endpoint().id());
+  }
+
+  @Test
+  void leavingEndpointGetsNothing() {
+    engine("e1", "a", Set.of(HOT)).reported(Set.of(BASE, HOT), Set.of(), true);
+    assertEquals(
+        new Placement.Nowhere(Placement.Reason.NO_ENDPOINT),
+        placer.place("llm", request(HOT, 800), Set.of(), 0));
+  }
+
+  @Test
+  void triedEndpointIsNotTriedAgain() {
+    engine("e1", "a", Set.of(HOT));
+    assertEquals(
+        new Placement.Nowhere(Placement.Reason.ALL_TRIED),
+        placer.place("llm", request(HOT, 800), Set.of(new EndpointId("e1")), 0));
+  }
+
+  /**
+   * One endpoint of a plain service fails while its health check is good. Its neighbours take its
+   * requests, and after a while it is tried again.
+   */
+  @Test
+  void failingEndpointIsAvoidedForSomeTime() {
+    plain("p1", "a");
+    plain("p2", "b");
+    assertEquals("p1", plainPlace(0));
+    placer.views().get(new EndpointId("p1")).failed(0);
+    assertEquals("p2", plainPlace(10));
+    assertEquals("p1", plainPlace(60_000));
+  }
+
+  @Test
+  void busyPlainEndpointIsRelieved() {
+    EndpointView near = plain("p1", "a");
+    plain("p2", "b");
+    near.succeeded(40);
+    placer.views().get(new EndpointId("p2")).succeeded(40);
+    for (int i = 0; i < 12; i++) {
+      near.started(plainRequest());
+    }
+    assertEquals("p2", plainPlace(0));
+  }
+
+  @Test
+  void longPromptStaysInItsZoneAndShortOneCrossesSooner() {
+    EndpointView near = engine("e1", "a", Set.of(HOT));
+    engine("e2", "b", Set.of(HOT));
+    near.reportedLoad(0, 900, 1);
+    assertEquals("e1", placeBytes(18_000).endpoint().id().value());
+    assertEquals("e2", placeBytes(1_000).endpoint().id().value());
+  }
+
+  @Test
+  void cachedPartsAreNotReckonedAgain() {
+    EndpointView first = engine("e1", "a", Set.of(HOT));
+    PlacementRequest request =
+        new PlacementRequest(
+            1, Optional.of(HOT), 3_000, 10, 0, List.of(new PromptPart("p", 2_500)));
+    assertEquals(3_000, first.uncachedTokens(request));
+    first.started(request);
+    assertEquals(500, first.uncachedTokens(request));
+  }
+
+  @Test
+  void engineWithoutAgentIsLastResortForAdapterItDoesNotHold() {
+    engine("e1", "a", Set.of()).agentLost();
+    engine("e2", "b", Set.of());
+    assertEquals("e2", place(COLD, 800).endpoint().id().value());
+    assertFalse(place(COLD, 800).present());
+  }
+
+  @Test
+  void serviceWithoutEndpointsIsNowhere() {
+    assertInstanceOf(Placement.Nowhere.class, placer.place("other", plainRequest(), Set.of(), 0));
+  }
+
+  @Test
+  void requestsOfDifferentHashSpreadOverEqualEndpoints() {
+    for (int i = 0; i < 3; i++) {
+      plain("p" + i, "a");
+    }
+    Set<String> used = new HashSet<>();
+    for (int hash = 0; hash < 50; hash++) {
+      Placement placed =
+          placer.place(
+              "plain",
+              new PlacementRequest(hash * 7_919L, Optional.empty(), 0, 0, 0, List.of()),
+              Set.of(),
+              0);
+      used.add(((Placement.At) placed).endpoint().id().value());
+    }
+    assertNotEquals(1, used.size());
+  }
+
+  private Placement.At place(HeldAdapter adapter, int tokens) {
+    return (Placement.At) placer.place("llm", request(adapter, tokens), Set.of(), 0);
+  }
+
+  private Placement.At placeBytes(int bytes) {
+    PlacementRequest request = new PlacementRequest(1, Optional.of(HOT), 800, 10, bytes, List.of());
+    return (Placement.At) placer.place("llm", request, Set.of(), 0);
+  }
+
+  private String plainPlace(long now) {
+    Placement placed = placer.place("plain", plainRequest(), Set.of(), now);
+    return ((Placement.At) placed).endpoint().id().value();
+  }
+
+  private static PlacementRequest request(HeldAdapter adapter, int tokens) {
+    return new PlacementRequest(1, Optional.of(adapter), tokens, 10, 0, List.of());
+  }
+
+  private static PlacementRequest plainRequest() {
+    return new PlacementRequest(1, Optional.empty(), 0, 0, 0, List.of());
+  }
+
+  private EndpointView engine(String id, String zone, Set<HeldAdapter> held) {
+    return add(placer, id, zone, held);
+  }
+
+  private static EndpointView add(Placer placer, String id, String zone, Set<HeldAdapter> held) {
+    Set<HeldAdapter> all = new HashSet<>(held);
+    all.add(BASE);
+    EndpointView view = new EndpointView(endpoint(id, "llm", zone), 100_000);
+    view.reported(all, Set.of(), false);
+    placer.views().put(view.id(), view);
+    return view;
+  }
+
+  private EndpointView plain(String id, String zone) {
+    EndpointView view = new EndpointView(endpoint(id, "plain", zone), 0);
+    placer.views().put(view.id(), view);
+    return view;
+  }
+
+  private static Endpoint endpoint(String id, String service, String zone) {
+    return new Endpoint(
+        new EndpointId(id), service, URI.create("http://10.0.0.1:1"), zone, 4, false, Set.of());
+  }
+}
--- /dev/null
+++ b/runtime/src/test/java/org/hornbeamusher/routes/ConfigurationTest.java
@@ -0,0 +1,109 @@
+package org.hornbeamusher.routes;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+class ConfigurationTest {
+
+  @Test
+  void longestPrefixWins() {
+    Configuration configuration = configuration(1, route("/a/"), route("/a/b/"));
+    assertEquals("/a/b/", prefix(configuration, "h", "/a/b/c"));
+    assertEquals("/a/", prefix(configuration, "h", "/a/x"));
+  }
+
+  @Test
+  void otherHostsAndPathsHaveNoRoute() {
+    Configuration configuration = configuration(1, route("/a/"));
+    assertEquals(Optional.empty(), configuration.match("other", "/a/x"));
+    assertEquals(Optional.empty(), configuration.match("h", "/ab"));
+  }
+
+  /** An answer that was read first may arrive last; a dropped route must not come alive again. */
+  @Test
+  void olderConfigurationDoesNotComeBack() {
+    ConfigurationInForce inForce = new ConfigurationInForce();
+    assertTrue(inForce.offer(configuration(7)));
+    assertFalse(inForce.offer(configuration(5)));
+    assertFalse(inForce.offer(configuration(7)));
+    assertTrue(inForce.offer(configuration(12)));
+    assertEquals(12, inForce.current().orElseThrow().version());
+  }
+
+  @Test
+  void versionsOfAdaptersDoNotGoBack() {
+    VersionsInForce versions = new VersionsInForce();
+    AdapterKey adapter = AdapterKey.parse("m/a");
+    assertEquals(VersionsInForce.FIRST, versions.of(adapter));
+    assertTrue(versions.offer(adapter, 4));
+    assertFalse(versions.offer(adapter, 3));
+    assertEquals(4, versions.of(adapter));
+  }
+
+  @Test
+  void splitFollowsItsWeights() {
+    Route route = route("/a/", List.of(new WeightedTarget("x", 90), new WeightedTarget("y", 10)));
+    long toY =
+        java.util.stream.LongStream.range(0, 1_000)
+            .filter(i -> route.service(i).equals("y"))
+            .count();
+    assertEquals(100, toY);
+  }
+
+  @Test
+  void splitWithoutWeightsTakesTheFirst() {
+    Route route = route("/a/", List.of(new WeightedTarget("x", 0), new WeightedTarget("y", 0)));
+    assertEquals("x", route.service(5));
+  }
+
+  @Test
+  void onlyResumableStreamsAreRepeatable() {
+    assertTrue(kind(RequestKind.IDEMPOTENT, false).repeatable());
+    assertFalse(kind(RequestKind.NON_IDEMPOTENT, true).repeatable());
+    assertFalse(kind(RequestKind.STREAMING, false).repeatable());
+    assertTrue(kind(RequestKind.STREAMING, true).repeatable());
+  }
+
+  @Test
+  void adapterKeysReadWhatTheyWrite() {
+    assertEquals("m/a", AdapterKey.parse("m/a").toString());
+    assertTrue(AdapterKey.parse("m").isBase());
+  }
+
+  private static String prefix(Configuration configuration, String host, String path) {
+    return configuration.match(host, path).orElseThrow().prefix();
+  }
+
+  private static Configuration configuration(long version, Route... routes) {
+    return new Configuration(version, List.of(routes), List.of());
+  }
+
+  private static Route route(String prefix) {
+    return route(prefix, List.of(new WeightedTarget("s", 1)));
+  }
+
+  private static Route route(String prefix, List<WeightedTarget> targets) {
+    return new Route(
+        "r", "h", prefix, RequestKind.IDEMPOTENT, 1_000, 100, 0, targets, 2, false, 2_000);
+  }
+
+  private static Route kind(RequestKind kind, boolean resumable) {
+    return new Route(
+        "r",
+        "h",
+        "/",
+        kind,
+        1_000,
+        100,
+        0,
+        List.of(new WeightedTarget("s", 1)),
+        2,
+        resumable,
+        2_000);
+  }
+}
