An engine that its agent has lost ends its requests; late reports are tolerated

Ruled out: a reset, none was seen. Change: an agent that sees its engine gone (refused connections, or three reports in a row that never came) or restarted tells the entries, which end what ran there; one late report no longer does. A request placed while its engine's agent was not connected yet never got a reservation (seen as two of twenty socket tests that ran into their deadline); it is placed again once the agent is there.

--- a/runtime/src/main/java/org/hornbeamusher/companion/CompanionDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/companion/CompanionDaemon.java
@@ -10,6 +10,7 @@
 import org.hornbeamusher.directory.HeldAdapter;
 import org.hornbeamusher.events.EventLog;
 import org.hornbeamusher.events.EventType;
+import org.hornbeamusher.failure.FailureType;
 import org.hornbeamusher.failure.HornbeamusherException;
 import org.hornbeamusher.holdings.AdapterPlaces;
 import org.hornbeamusher.holdings.EngineOrder;
@@ -48,6 +49,10 @@
   private static final long IDLE_REPORT_MILLIS = 400;
 
   private static final long DOWN_REPORT_MILLIS = 150;
+
+  /** At 0.4 s each, an engine that went silent is given up after 1.5 s. */
+  private static final int MOST_FAILED_REPORTS = 3;
+
   private static final long TICK_MILLIS = 20;
 
   /** Entries place by it; in this time each sends one request or none. */
@@ -71,6 +76,7 @@
   private Message.Holdings told;
   private boolean calling;
   private boolean reachable = true;
+  private int failedReports;
   private long nextReportMillis;
   private long nextLoadMillis;
   private long peerNumbers;
@@ -305,6 +311,7 @@
       return;
     }
     reachable = true;
+    failedReports = 0;
     if (report != null && said.sequence() < report.sequence()) {
       // Only a restart takes the count of orders back.
       forgetEngine();
@@ -320,7 +327,17 @@
     act();
   }
 
+  /**
+   * One report that is late says nothing of the engine: this process may have been starved. Refused
+   * connections do, and so do several reports in a row that never came.
+   */
   private void unreachable(Throwable thrown) {
+    nextReportMillis = clock.millis() + DOWN_REPORT_MILLIS;
+    failedReports++;
+    boolean refused = HornbeamusherException.from(thrown).type() == FailureType.CONNECT_FAILED;
+    if (!refused && failedReports < MOST_FAILED_REPORTS) {
+      return;
+    }
     if (reachable) {
       EventLog.log(
           EventType.ENGINE_UNREACHABLE,
@@ -328,7 +345,6 @@
           HornbeamusherException.from(thrown).type().label());
     }
     reachable = false;
-    nextReportMillis = clock.millis() + DOWN_REPORT_MILLIS;
     forgetEngine();
   }
 
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/EngineAgents.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/EngineAgents.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.hornbeamusher.clock.Clock;
 import org.hornbeamusher.directory.Endpoint;
@@ -37,6 +38,7 @@
   private final WireSettings settings;
   private final EventLoop loop;
   private final Clock clock;
+  private Consumer<EndpointId> endpointLost = endpoint -> {};
   private long reservations;
 
   EngineAgents(
@@ -52,6 +54,11 @@
     this.clock = clock;
   }
 
+  /** Calls a listener when an agent says that its engine has ended. */
+  void onEndpointLost(Consumer<EndpointId> listener) {
+    endpointLost = listener;
+  }
+
   /** Connects to the agents of these addresses and to no others. */
   void connect(Collection<InetSocketAddress> addresses) {
     Set<InetSocketAddress> wanted = new HashSet<>(addresses);
@@ -159,8 +166,10 @@
     private void handle(Message message) {
       switch (message) {
         case Message.Holdings said -> {
+          Message.Holdings before = holdings;
           holdings = said;
           apply();
+          tellLost(before);
         }
         case Message.PeerLoad said -> {
           EndpointView view = view();
@@ -180,6 +189,17 @@
       }
     }
 
+    /** The agent sees another life of its engine, or none: what ran in the one before is lost. */
+    private void tellLost(Message.Holdings before) {
+      boolean ended =
+          before != null
+              && !before.endpoint().isEmpty()
+              && !before.endpoint().equals(holdings.endpoint());
+      if (ended) {
+        endpointLost.accept(new EndpointId(before.endpoint()));
+      }
+    }
+
     private void apply() {
       EndpointView view = view();
       if (view != null) {
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
@@ -14,6 +14,7 @@
 import org.hornbeamusher.failure.FailureType;
 import org.hornbeamusher.failure.HornbeamusherException;
 import org.hornbeamusher.http.HttpClient;
+import org.hornbeamusher.ids.EndpointId;
 import org.hornbeamusher.loop.EventLoop;
 import org.hornbeamusher.placement.EndpointView;
 import org.hornbeamusher.placement.PlacementSettings;
@@ -78,6 +79,7 @@
             http,
             loop,
             clock);
+    state.agents().onEndpointLost(this::endpointLost);
     this.server = new ForwardServer(settings, http.worker(), clock, this::accept, this::ready);
   }
 
@@ -154,6 +156,11 @@
     }
   }
 
+  private void endpointLost(EndpointId endpoint) {
+    EventLog.log(EventType.ENDPOINT_GONE, "endpoint", endpoint, "service", "");
+    List.copyOf(runs).forEach(run -> run.endpointLost(endpoint));
+  }
+
   private void changed(Endpoint endpoint) {
     EndpointView known = state.placer().views().get(endpoint.id());
     boolean news = known == null || known.endpoint().leaving() != endpoint.leaving();
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardRun.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardRun.java
@@ -250,6 +250,11 @@
       return;
     }
     HeldAdapter adapter = placing.adapter().orElseThrow();
+    if (reservation == EngineReservation.NONE && endpoint.agentConnected()) {
+      // The agent was not connected when the request was placed and knows nothing of it.
+      placeAgain();
+      return;
+    }
     if (!endpoint.awaits(adapter)
         && state.placer().place(service, placing, tried, now()) instanceof Placement.At at
         && at.endpoint() != endpoint
@@ -426,6 +431,18 @@
             : refusal.retryAfter(NO_ENDPOINT_RETRY_MILLIS));
   }
 
+  /**
+   * The endpoint has ended. Its connection may stay open without a word for as long as the caller
+   * waits, when the machine went with it.
+   */
+  void endpointLost(EndpointId lost) {
+    if (!over && attempt != null && endpoint.id().equals(lost)) {
+      Attempt silent = attempt;
+      silent.cancel();
+      ended(silent, new AttemptEnd.Broken(FailureType.ENDPOINT_LOST));
+    }
+  }
+
   private void deadlinePassed() {
     if (over) {
       return;
