Metrics of entry and agent on an address of their own; the product does not know the platform

Counters of requests and attempts by how they ended, histograms of the times that callers feel, gauges of what is believed and how old it is. A test keeps the platform's wire names out of the product.

--- a/runtime/src/main/java/org/hornbeamusher/companion/CompanionDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/companion/CompanionDaemon.java
@@ -1,7 +1,10 @@
 package org.hornbeamusher.companion;
 
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -66,6 +69,7 @@
   private final FencingNumbers fencing;
   private final VersionsInForce versions = new VersionsInForce();
   private final Map<WireConnection, Peer> peers = new HashMap<>();
+  private final MetricRegistry registry = new MetricRegistry();
   private AdapterPlaces places;
   private EngineSpec spec;
   private EngineReport report;
@@ -124,8 +128,27 @@
         "");
   }
 
+  /**
+   * Returns what the agent counts.
+   *
+   * @return orders by answer, entries connected, places that are free
+   */
+  public MetricRegistry registry() {
+    return registry;
+  }
+
+  private void registerGauges() {
+    Gauge<Integer> entries = peers::size;
+    registry.gauge("agent.entries", () -> entries);
+    Gauge<Integer> spare = () -> places == null ? 0 : places.sparePlaces();
+    registry.gauge("agent.spare_places", () -> spare);
+    Gauge<Integer> reachableNow = () -> reachable ? 1 : 0;
+    registry.gauge("agent.engine_reachable", () -> reachableNow);
+  }
+
   /** Listens and starts to ask the engine. */
   public void start() {
+    registerGauges();
     server.start();
     loop.execute(fencing::start);
     loop.execute(this::tick);
@@ -381,6 +404,8 @@
         number.value(),
         "answer",
         answer);
+    String kind = order instanceof EngineOrder.Load ? "load" : "unload";
+    registry.counter("agent.orders." + kind + "." + answer.name().toLowerCase(Locale.ROOT)).inc();
     places.answered(answer);
     if (answer == OrderAnswer.STALE) {
       fencing.refused();
--- a/runtime/src/main/java/org/hornbeamusher/companion/CompanionSettings.java
+++ b/runtime/src/main/java/org/hornbeamusher/companion/CompanionSettings.java
@@ -1,6 +1,7 @@
 package org.hornbeamusher.companion;
 
 import java.net.InetSocketAddress;
+import java.util.Optional;
 
 /**
  * What an agent beside an engine needs to know of its instance.
@@ -8,7 +9,12 @@
  * @param instance the instance's name
  * @param zone its availability zone
  * @param entries where entries connect
+ * @param metrics where it serves its metrics
  * @param engine the engine's address, a name for its row of fencing numbers
  */
 public record CompanionSettings(
-    String instance, String zone, InetSocketAddress entries, String engine) {}
+    String instance,
+    String zone,
+    InetSocketAddress entries,
+    Optional<InetSocketAddress> metrics,
+    String engine) {}
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
@@ -1,8 +1,10 @@
 package org.hornbeamusher.forwarding;
 
+import com.codahale.metrics.MetricRegistry;
 import java.net.InetSocketAddress;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
@@ -19,6 +21,7 @@
 import org.hornbeamusher.placement.EndpointView;
 import org.hornbeamusher.placement.PlacementSettings;
 import org.hornbeamusher.placement.Placer;
+import org.hornbeamusher.process.MetricsListener;
 import org.hornbeamusher.routes.AdapterKey;
 import org.hornbeamusher.routes.Configuration;
 import org.hornbeamusher.routes.ConfigurationInForce;
@@ -49,6 +52,8 @@
   private final EventLoop loop;
   private final ForwardState state;
   private final ForwardServer server;
+  private final MetricRegistry registry = new MetricRegistry();
+  private final Optional<MetricsListener> metrics;
   private final Set<ForwardRun> runs = new HashSet<>();
   private final CompletableFuture<Void> drained = new CompletableFuture<>();
   private boolean leaving;
@@ -77,9 +82,11 @@
             new RepeatAllowance(settings.repeats()),
             dialect,
             http,
+            new ForwardMetrics(registry),
             loop,
             clock);
     state.agents().onEndpointLost(this::endpointLost);
+    this.metrics = settings.metrics().map(at -> new MetricsListener(at, http.worker(), registry));
     this.server = new ForwardServer(settings, http.worker(), clock, this::accept, this::ready);
   }
 
@@ -98,6 +105,14 @@
   /** Listens. */
   public void start() {
     server.start();
+    metrics.ifPresent(MetricsListener::start);
+    ForwardMetrics measured = state.metrics();
+    measured.gauge("running", runs::size);
+    measured.gauge("endpoints", state.placer().views()::size);
+    measured.gauge("list_age_ms", () -> state.directory().ageMillis(clock.millis()));
+    measured.gauge(
+        "configuration",
+        () -> state.configuration().current().map(Configuration::version).orElse(0L));
     EventLog.log(
         EventType.PROCESS_STARTED,
         "role",
@@ -276,6 +291,7 @@
   /** Closes everything. */
   public void stop() {
     server.stop();
+    metrics.ifPresent(MetricsListener::stop);
     state.agents().stop();
   }
 }
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardRun.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardRun.java
@@ -74,6 +74,7 @@
   private EndpointView endpoint;
   private EngineReservation reservation = EngineReservation.NONE;
   private Attempt attempt;
+  private long placedMillis;
   private long sentMillis;
   private long unreadTokens;
   private boolean unread;
@@ -164,6 +165,7 @@
 
   private void placedAt(Placement.At at, long remaining) {
     endpoint = at.endpoint();
+    placedMillis = now();
     unreadTokens = endpoint.uncachedTokens(placing);
     unread = true;
     EventLog.log(
@@ -218,6 +220,7 @@
   @Override
   public void granted() {
     if (!over && attempt == null) {
+      state.metrics().stalled(now() - placedMillis);
       send();
     }
   }
@@ -337,6 +340,7 @@
         now() - sentMillis,
         "last_event",
         relay.lastEvent().orElse(-1));
+    state.metrics().attemptEnded(describe(judged), now() - sentMillis);
     EndpointView left = endpoint;
     leave();
     switch (judged) {
@@ -533,6 +537,7 @@
         sends,
         "refusals",
         refusals);
+    state.metrics().requestEnded(cause, waited(), firstMillis);
     listener.ended(this, cause);
   }
 
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardState.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardState.java
@@ -19,6 +19,7 @@
  * @param allowance bounds repeats
  * @param dialect the headers
  * @param http carries attempts
+ * @param metrics what is counted
  * @param loop the loop
  * @param clock monotonic
  */
@@ -31,5 +32,6 @@
     RepeatAllowance allowance,
     Dialect dialect,
     HttpClient http,
+    ForwardMetrics metrics,
     EventLoop loop,
     Clock clock) {}
--- a/runtime/src/test/java/org/hornbeamusher/architecture/ArchitectureTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/architecture/ArchitectureTest.java
@@ -4,6 +4,7 @@
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.methods;
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
 import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 
 import com.tngtech.archunit.base.DescribedPredicate;
@@ -15,7 +16,13 @@
 import com.tngtech.archunit.lang.ArchCondition;
 import com.tngtech.archunit.lang.ConditionEvents;
 import com.tngtech.archunit.lang.SimpleConditionEvent;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
 
@@ -33,7 +40,10 @@
     ROOT + "quarantine..",
     ROOT + "pacing..",
     ROOT + "membership..",
-    ROOT + "answers.."
+    ROOT + "answers..",
+    ROOT + "placement..",
+    ROOT + "holdings..",
+    ROOT + "routes.."
   };
 
   private static final String[] IO = {
@@ -146,6 +156,29 @@
         .check(MAIN);
   }
 
+  /** The users' platform is met in the folder of that name; here its wire has no names. */
+  @Test
+  void productDoesNotKnowTheUsersPlatform() throws IOException {
+    Pattern names =
+        Pattern.compile("(?i)x-attempt-id|x-time-budget|x-expect-instance|rows-|/-/|x-not-exec");
+    try (Stream<Path> sources = Files.walk(Path.of("src", "main", "java"))) {
+      List<Path> knowing =
+          sources
+              .filter(path -> path.toString().endsWith(".java"))
+              .filter(path -> names.matcher(text(path)).find())
+              .toList();
+      assertEquals(List.of(), knowing);
+    }
+  }
+
+  private static String text(Path path) {
+    try {
+      return Files.readString(path);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
   /** A second source of time could not be turned by hand, and tests would have to sleep. */
   @Test
   void timeComesFromTheClockOnly() {
