A waiting request leaves its line only when its load is overdue

Ruled out: a lack of places, every engine reported a free one. Change: it leaves at once only for an engine that holds its adapter, otherwise after 450 ms.

--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardRun.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardRun.java
@@ -244,9 +244,9 @@
   }
 
   /**
-   * The load takes long. Another endpoint is better only if nothing has to be waited for there but
-   * the load at most: a request that leaves a queue for the end of another one gains nothing, and
-   * what was begun for it is wasted.
+   * The load takes long. A request that leaves its line for the end of another one gains nothing,
+   * and what was begun for it is wasted; so it leaves only for an endpoint that can start it at
+   * once, or, when its own load is overdue, for one with a free place.
    */
   private void lookElsewhere() {
     if (over || attempt != null) {
@@ -261,7 +261,7 @@
     if (!endpoint.awaits(adapter)
         && state.placer().place(service, placing, tried, now()) instanceof Placement.At at
         && at.endpoint() != endpoint
-        && at.placeFree()) {
+        && at.worthLeavingFor(now() - placedMillis)) {
       placeAgain();
       return;
     }
--- a/runtime/src/main/java/org/hornbeamusher/placement/Placement.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/Placement.java
@@ -15,12 +15,21 @@
       implements Placement {
 
     /**
-     * Tells whether nothing has to be waited for but the load itself.
+     * How long a load takes from its order to its grant, with two others before it. What entries
+     * know of an agent's free places is a tenth of a second old; a request that left its line
+     * earlier would chase places that others have taken by then.
+     */
+    private static final long LOAD_MILLIS = 450;
+
+    /**
+     * Tells whether a request that waits for a load elsewhere should come here.
      *
-     * @return false when a place for the adapter has to become free first
+     * @param waitedMillis how long it has waited there
+     * @return true when it could start here at once, or when the other load is overdue and nothing
+     *     but a load has to be waited for here
      */
-    public boolean placeFree() {
-      return present || endpoint.sparePlaces() > 0;
+    public boolean worthLeavingFor(long waitedMillis) {
+      return present || (waitedMillis >= LOAD_MILLIS && endpoint.sparePlaces() > 0);
     }
   }
 
--- a/runtime/src/test/java/org/hornbeamusher/placement/PlacerTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/placement/PlacerTest.java
@@ -64,7 +64,25 @@
     engine("e2", "a", Set.of()).reportedLoad(3, 0, 1);
     Placement.At at = place(COLD, 800);
     assertEquals("e2", at.endpoint().id().value());
-    assertTrue(at.placeFree());
+  }
+
+  /**
+   * A burst of cold adapters. Each engine seems to have a free place, because what is known of it
+   * is a tenth of a second old; requests that ran after these places left their line every time
+   * before their load was done, and were refused in the end with every engine idle.
+   */
+  @Test
+  void requestStaysInLineUntilItsLoadIsOverdue() {
+    engine("e1", "a", Set.of()).reportedLoad(0, 0, 1);
+    Placement.At free = place(COLD, 800);
+    assertFalse(free.worthLeavingFor(100));
+    assertTrue(free.worthLeavingFor(450));
+  }
+
+  @Test
+  void requestLeavesItsLineForEngineThatHoldsItsAdapter() {
+    engine("e1", "a", Set.of(HOT));
+    assertTrue(place(HOT, 800).worthLeavingFor(0));
   }
 
   @Test
