A cancelled exchange resets its connection at once

The test of it showed more: the HTTP client's own close in the middle of an exchange waits ten seconds. Ruled out: that the caller's leave was not noticed, the log has it within 8 ms. Change: closes are resets, and a cancelled connection is taken out of the client and closed.

--- a/runtime/src/main/java/org/hornbeamusher/http/ConnectionPool.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/ConnectionPool.java
@@ -27,10 +27,13 @@
   private static final int MAX_IDLE = 256;
 
   /**
-   * The worker's own options do not reach client sockets. Without this one, a request's last small
-   * segment may wait for the acknowledgement of the one before it.
+   * The worker's own options do not reach client sockets. Without the first, a request's last small
+   * segment may wait for the acknowledgement of the one before it. The second one makes a close a
+   * reset: a request that is held up on the way is then dropped with its connection, and does not
+   * run seconds after it was cancelled.
    */
-  private static final OptionMap NO_DELAY = OptionMap.create(Options.TCP_NODELAY, true);
+  private static final OptionMap OPTIONS =
+      OptionMap.create(Options.TCP_NODELAY, true, Options.CLOSE_ABORT, true);
 
   private final ConcurrentHashMap<String, ConcurrentLinkedDeque<Idle>> idle =
       new ConcurrentHashMap<>();
@@ -55,7 +58,7 @@
       callback.completed(pooled);
       return;
     }
-    client.connect(callback, uri, worker, buffers, NO_DELAY);
+    client.connect(callback, uri, worker, buffers, OPTIONS);
   }
 
   /** Takes back a connection whose exchange ended cleanly, for use within some time. */
--- a/runtime/src/main/java/org/hornbeamusher/http/HttpExchange.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/HttpExchange.java
@@ -240,10 +240,24 @@
       return;
     }
     try {
-      open.getIoThread().execute(() -> IoUtils.safeClose(open));
+      open.getIoThread().execute(() -> closeNow(open));
     } catch (RejectedExecutionException e) {
       // The client is being stopped and its threads take nothing more; without this the connection
       // would stay open, and whoever stopped the client would get the exception.
+      closeNow(open);
+    }
+  }
+
+  /**
+   * Closes a connection in the middle of an exchange. Its own close waits for ten seconds for the
+   * response; in that time the endpoint works for nobody. Taken out of the HTTP client, the
+   * connection closes at once.
+   */
+  private static void closeNow(ClientConnection open) {
+    try {
+      IoUtils.safeClose(open.performUpgrade());
+    } catch (IOException e) {
+      // It is closed already, or about to be.
       IoUtils.safeClose(open);
     }
   }
--- /dev/null
+++ b/runtime/src/test/java/org/hornbeamusher/http/CancelledExchangeTest.java
@@ -0,0 +1,57 @@
+package org.hornbeamusher.http;
+
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
+import java.net.URI;
+import org.junit.jupiter.api.Test;
+
+class CancelledExchangeTest {
+
+  /** Half of the time that an orderly close takes in the middle of an exchange. */
+  private static final int LONG_MILLIS = 5_000;
+
+  /**
+   * A request is sent while the link to its endpoint is cut, and its caller leaves. Closed in
+   * order, the connection would deliver the request when the link is back, seconds later, and the
+   * endpoint would work for nobody; reset, what was held up on the way is dropped.
+   */
+  @Test
+  void cancelledExchangeResetsItsConnection() throws IOException {
+    HttpClient client = new HttpClient(1);
+    client.start();
+    try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      URI uri = URI.create("http://127.0.0.1:" + server.getLocalPort() + "/");
+      HttpStream stream = client.stream(HttpCall.get(uri), new Deaf());
+      try (Socket socket = server.accept()) {
+        socket.setSoTimeout(LONG_MILLIS);
+        InputStream in = socket.getInputStream();
+        in.read();
+        stream.cancel();
+        assertThrows(SocketException.class, in::readAllBytes);
+      }
+    } finally {
+      client.stop();
+    }
+  }
+
+  private static final class Deaf implements HttpStreamListener {
+
+    @Override
+    public void head(HttpHead head) {}
+
+    @Override
+    public void data(byte[] bytes) {}
+
+    @Override
+    public void end() {}
+
+    @Override
+    public void failed(Throwable failure) {}
+  }
+}
