--- a/runtime/src/main/java/org/hornbeamusher/placement/EndpointView.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/EndpointView.java
@@ -2,7 +2,6 @@
 
 import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.Map;
 import java.util.Set;
 import org.hornbeamusher.directory.Endpoint;
 import org.hornbeamusher.directory.HeldAdapter;
@@ -262,16 +261,4 @@
   long hash() {
     return hash;
   }
-
-  /**
-   * Describes the load for a log line.
-   *
-   * @return requests and unread tokens, own and others'
-   */
-  public Map<String, Long> load() {
-    return Map.of(
-        "own", (long) running,
-        "others", (long) othersRunning,
-        "unread", promptTokens + othersPromptTokens);
-  }
 }
