An engine that its agent has lost gets nothing; places asked for are counted at once

Besides, an entry that had just asked for a free place asked for it again until the agent's next report.

Ruled out: the agent being late (ENGINE_UNREACHABLE 10 ms after the crash), stale lists (age under 700 ms).

Change: an endpoint ended by its agent's word is not placed on until the agent sees that life again or is lost; places asked for within 90 ms count as taken; the connection to an agent outlives its engine's absence from the list by 10 s, so that the next life is heard of at once.

--- a/runtime/src/main/java/org/hornbeamusher/forwarding/EngineAgents.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/EngineAgents.java
@@ -3,9 +3,9 @@
 import java.net.InetSocketAddress;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
@@ -32,6 +32,12 @@
  */
 final class EngineAgents {
 
+  /**
+   * An engine that restarts is missing from the list for some seconds. Its agent is not: kept, the
+   * connection tells of the engine's next life before the list does.
+   */
+  private static final long KEPT_UNLISTED_MILLIS = 10_000;
+
   private final Map<InetSocketAddress, Link> links = new HashMap<>();
   private final Map<EndpointId, EndpointView> views;
   private final Message.Hello own;
@@ -59,15 +65,16 @@
     endpointLost = listener;
   }
 
-  /** Connects to the agents of these addresses and to no others. */
+  /** Connects to the agents of these addresses, and in time to no others. */
   void connect(Collection<InetSocketAddress> addresses) {
-    Set<InetSocketAddress> wanted = new HashSet<>(addresses);
-    for (InetSocketAddress address : Set.copyOf(links.keySet())) {
-      if (!wanted.contains(address)) {
-        links.remove(address).connector.stop();
+    long now = clock.millis();
+    addresses.stream().filter(address -> !links.containsKey(address)).forEach(this::open);
+    addresses.forEach(address -> links.get(address).wantedMillis = now);
+    for (Link link : List.copyOf(links.values())) {
+      if (now - link.wantedMillis >= KEPT_UNLISTED_MILLIS) {
+        links.remove(link.address).connector.stop();
       }
     }
-    wanted.stream().filter(address -> !links.containsKey(address)).forEach(this::open);
   }
 
   void stop() {
@@ -125,6 +132,9 @@
     private WireConnection connection;
     private Message.Holdings holdings;
 
+    /** When the list named an engine at this address last. */
+    private long wantedMillis;
+
     Link(InetSocketAddress address) {
       this.address = address;
     }
@@ -196,7 +206,9 @@
               && !before.endpoint().isEmpty()
               && !before.endpoint().equals(holdings.endpoint());
       if (ended) {
-        endpointLost.accept(new EndpointId(before.endpoint()));
+        EndpointId lost = new EndpointId(before.endpoint());
+        Optional.ofNullable(views.get(lost)).ifPresent(EndpointView::endedByAgent);
+        endpointLost.accept(lost);
       }
     }
 
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardRun.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardRun.java
@@ -192,7 +192,7 @@
         state.configuration().current().map(Configuration::version).orElse(0L),
         "list_age_ms",
         state.directory().ageMillis(now()));
-    endpoint.started(placing);
+    endpoint.started(placing, placedMillis);
     placing.adapter().ifPresent(adapter -> reserve(adapter, remaining));
     if (at.present() || placing.adapter().isEmpty()) {
       send();
--- a/runtime/src/main/java/org/hornbeamusher/placement/EndpointView.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/EndpointView.java
@@ -1,7 +1,9 @@
 package org.hornbeamusher.placement;
 
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.Set;
 import org.hornbeamusher.directory.Endpoint;
 import org.hornbeamusher.directory.HeldAdapter;
@@ -16,6 +18,12 @@
  */
 public final class EndpointView {
 
+  /**
+   * How long a place that this entry has asked for may be missing from the agent's reports: they
+   * are sent each 60 ms, and the way there and back takes a few more.
+   */
+  private static final long UNREPORTED_MILLIS = 90;
+
   /** How much of an engine's memory is assumed to hold prompts that this entry sent. */
   private static final double PREFIX_SHARE = 0.25;
 
@@ -32,6 +40,10 @@
   private Endpoint endpoint;
   private boolean agentConnected;
   private boolean leaving;
+
+  /** The agent beside the engine says that this life of it is over, which the list does not yet. */
+  private boolean ended;
+
   private Set<HeldAdapter> held;
   private Set<HeldAdapter> coming = Set.of();
   private int othersRunning;
@@ -40,6 +52,9 @@
   /** One until an agent says more: an engine of which nothing is known is worth a try. */
   private int sparePlaces = 1;
 
+  /** Adapters that this entry asked for, and when; each may take a place no report counts yet. */
+  private final Map<HeldAdapter, Long> asked = new HashMap<>();
+
   private int running;
   private long promptTokens;
 
@@ -77,6 +92,7 @@
    */
   public void reported(Set<HeldAdapter> resident, Set<HeldAdapter> loading, boolean leavingNow) {
     agentConnected = true;
+    ended = false;
     leaving |= leavingNow;
     replaceHeld(resident);
     coming = Set.copyOf(loading);
@@ -95,9 +111,20 @@
     othersPromptTokens = tokens;
   }
 
+  /**
+   * The agent sees another life of its engine, or none. The list names this one for seconds more;
+   * all that was sent here meanwhile would be refused, and what waits for a load would wait in
+   * vain.
+   */
+  public void endedByAgent() {
+    ended = true;
+    coming = Set.of();
+  }
+
   /** The connection to the agent is lost; what it said last is kept until the list says more. */
   public void agentLost() {
     agentConnected = false;
+    ended = false;
     coming = Set.of();
     othersRunning = 0;
     othersPromptTokens = 0;
@@ -117,11 +144,16 @@
    * A request is sent, or waits for its adapter.
    *
    * @param request what it is
+   * @param now milliseconds
    */
-  public void started(PlacementRequest request) {
+  public void started(PlacementRequest request, long now) {
     running++;
     promptTokens += uncachedTokens(request);
     request.adapter().ifPresent(adapter -> prefixes.sent(adapter.key(), request.parts()));
+    request
+        .adapter()
+        .filter(adapter -> !holds(adapter) && !awaits(adapter))
+        .ifPresent(adapter -> asked.put(adapter, now));
   }
 
   /**
@@ -208,6 +240,15 @@
     return adapter.key().isBase() ? holdsModel(adapter.key().model()) : held.contains(adapter);
   }
 
+  /**
+   * Tells whether requests may be placed here.
+   *
+   * @return false when it takes no new work, by the list's or its agent's word, or has ended
+   */
+  public boolean usable() {
+    return !ended && !leaving();
+  }
+
   /**
    * Tells whether the endpoint takes no new work.
    *
@@ -236,9 +277,13 @@
     return version != null && version == adapter.version();
   }
 
-  /** Returns places a load could have at once; zero or less means that it has to wait for one. */
-  int sparePlaces() {
-    return sparePlaces;
+  /**
+   * Returns places a load could have at once; zero or less means that it has to wait for one. What
+   * this entry has just asked for counts as taken, or a burst would follow one free place.
+   */
+  int sparePlaces(long now) {
+    asked.values().removeIf(askedMillis -> now - askedMillis >= UNREPORTED_MILLIS);
+    return sparePlaces - asked.size();
   }
 
   /**
--- a/runtime/src/main/java/org/hornbeamusher/placement/Placement.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/Placement.java
@@ -10,8 +10,14 @@
    * @param present whether it can start there now; otherwise its adapter is to be loaded first
    * @param estimateMillis until its first event
    * @param stallMillis how much of that is the load
+   * @param placeFree whether a load would not have to wait for a place
    */
-  record At(EndpointView endpoint, boolean present, long estimateMillis, long stallMillis)
+  record At(
+      EndpointView endpoint,
+      boolean present,
+      long estimateMillis,
+      long stallMillis,
+      boolean placeFree)
       implements Placement {
 
     /**
@@ -29,7 +35,7 @@
      *     but a load has to be waited for here
      */
     public boolean worthLeavingFor(long waitedMillis) {
-      return present || (waitedMillis >= LOAD_MILLIS && endpoint.sparePlaces() > 0);
+      return present || (waitedMillis >= LOAD_MILLIS && placeFree);
     }
   }
 
--- a/runtime/src/main/java/org/hornbeamusher/placement/Placer.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/Placer.java
@@ -77,7 +77,7 @@
     Cost bestCost = null;
     boolean skipped = false;
     for (EndpointView view : all) {
-      if (!view.endpoint().service().equals(service) || view.leaving()) {
+      if (!view.endpoint().service().equals(service) || !view.usable()) {
         continue;
       }
       if (tried.contains(view.id())) {
@@ -95,7 +95,11 @@
           skipped ? Placement.Reason.ALL_TRIED : Placement.Reason.NO_ENDPOINT);
     }
     return new Placement.At(
-        best, bestCost.present(), Math.round(bestCost.latency()), Math.round(bestCost.stall()));
+        best,
+        bestCost.present(),
+        Math.round(bestCost.latency()),
+        Math.round(bestCost.stall()),
+        best.sparePlaces(now) > 0);
   }
 
   private Cost cost(EndpointView view, PlacementRequest request, long now) {
@@ -111,7 +115,7 @@
     if (view.holds(adapter)) {
       return new Cost(latency, penalty, 0, true);
     }
-    double stall = stall(view, adapter);
+    double stall = stall(view, adapter, now);
     double choice = penalty + position(view, adapter) * settings.preferenceMillis();
     return new Cost(latency + stall, choice, stall, false);
   }
@@ -129,7 +133,7 @@
     return new Cost(latency, penalty + spread, 0, true);
   }
 
-  private double stall(EndpointView view, HeldAdapter adapter) {
+  private double stall(EndpointView view, HeldAdapter adapter, long now) {
     if (!view.agentConnected() || !view.holdsModel(adapter.key().model())) {
       return settings.crowdMillis();
     }
@@ -140,7 +144,7 @@
       return settings.loadingMillis();
     }
     double load = view.hadRecently(adapter) ? settings.recentMillis() : settings.loadMillis();
-    int queue = Math.max(0, 1 - view.sparePlaces());
+    int queue = Math.max(0, 1 - view.sparePlaces(now));
     return load + settings.replaceMillis() + queue * settings.placeMillis();
   }
 
--- a/runtime/src/test/java/org/hornbeamusher/placement/PlacerTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/placement/PlacerTest.java
@@ -45,7 +45,7 @@
     Set<String> used = new HashSet<>();
     for (int i = 0; i < 6; i++) {
       Placement.At at = place(HOT, 9_190);
-      at.endpoint().started(request(HOT, 9_190));
+      at.endpoint().started(request(HOT, 9_190), 0);
       used.add(at.endpoint().id().value());
       if (i == 0) {
         assertEquals(Set.of("e1"), used);
@@ -66,6 +66,63 @@
     assertEquals("e2", at.endpoint().id().value());
   }
 
+  /**
+   * An engine crashes; its agent says so at once, the list names it for three seconds more. Placed
+   * there, requests were refused one after the other and those without their adapter waited for a
+   * load that nobody would order, until they were out of time with five engines working.
+   */
+  @Test
+  void engineThatItsAgentHasLostGetsNothing() {
+    EndpointView crashed = engine("e1", "a", Set.of(HOT));
+    engine("e2", "b", Set.of());
+    crashed.endedByAgent();
+    assertEquals("e2", place(HOT, 800).endpoint().id().value());
+    assertEquals("e2", place(COLD, 800).endpoint().id().value());
+  }
+
+  /**
+   * An agent that was starved took its engine for dead; it says so and the engine is used again.
+   */
+  @Test
+  void engineThatItsAgentSeesAgainIsUsedAgain() {
+    EndpointView engine = engine("e1", "a", Set.of(HOT));
+    engine.endedByAgent();
+    assertInstanceOf(Placement.Nowhere.class, placer.place("llm", request(HOT, 1), Set.of(), 0));
+    engine.reported(Set.of(BASE, HOT), Set.of(), false);
+    assertEquals("e1", place(HOT, 800).endpoint().id().value());
+  }
+
+  /**
+   * Three cold adapters are asked for within a moment, and two engines have a free place each. An
+   * entry that waits for the agents to count what it has asked for sends all three to one of them,
+   * where two wait for seconds.
+   */
+  @Test
+  void burstOfColdAdaptersIsSpreadBeforeAgentsReportIt() {
+    engine("e1", "a", Set.of()).reportedLoad(0, 0, 1);
+    engine("e2", "a", Set.of()).reportedLoad(0, 0, 1);
+    Set<String> used = new HashSet<>();
+    for (int i = 0; i < 2; i++) {
+      HeldAdapter rare = new HeldAdapter(new AdapterKey("m", "rare" + i), 1);
+      Placement.At at = place(rare, 800);
+      assertTrue(at.placeFree());
+      at.endpoint().started(request(rare, 800), 0);
+      used.add(at.endpoint().id().value());
+    }
+    assertEquals(Set.of("e1", "e2"), used);
+    assertFalse(place(COLD, 800).placeFree());
+  }
+
+  /** What was asked for is in the agent's reports after a while, and is not counted twice then. */
+  @Test
+  void placeAskedForIsCountedUntilTheAgentCountsIt() {
+    EndpointView engine = engine("e1", "a", Set.of());
+    engine.reportedLoad(0, 0, 1);
+    engine.started(request(COLD, 800), 0);
+    assertEquals(0, engine.sparePlaces(89));
+    assertEquals(1, engine.sparePlaces(90));
+  }
+
   /**
    * A burst of cold adapters. Each engine seems to have a free place, because what is known of it
    * is a tenth of a second old; requests that ran after these places left their line every time
@@ -144,7 +201,7 @@
     near.succeeded(40);
     placer.views().get(new EndpointId("p2")).succeeded(40);
     for (int i = 0; i < 12; i++) {
-      near.started(plainRequest());
+      near.started(plainRequest(), 0);
     }
     assertEquals("p2", plainPlace(0));
   }
@@ -165,7 +222,7 @@
         new PlacementRequest(
             1, Optional.of(HOT), 3_000, 10, 0, List.of(new PromptPart("p", 2_500)));
     assertEquals(3_000, first.uncachedTokens(request));
-    first.started(request);
+    first.started(request, 0);
     assertEquals(500, first.uncachedTokens(request));
   }
 
