Late requests yield under pressure; engines' reading pace is learnt

A place is held 2.9 s at the median, because prompts are read between the tokens of what runs (10 ms a token against 4.3). So a late request that takes the last place makes the next one late. Present adapters: first event 230 ms at the median, 800 at p90, with equal shares for engines that read at different speeds.

Ruled out: the load itself (265 ms from order to send), the order's delay (p10 11 ms), prompts read again (11% of tokens).

Change: under pressure the last place is kept for requests that can still be in time; past its aim, where more adapters wait than places can be had, a request is refused with Retry-After 0.4 s; how much longer an engine's first events take than its sheet says is learnt and reckoned with.

--- a/runtime/src/main/java/org/hornbeamusher/companion/CompanionDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/companion/CompanionDaemon.java
@@ -140,7 +140,7 @@
   private void registerGauges() {
     Gauge<Integer> entries = peers::size;
     registry.gauge("agent.entries", () -> entries);
-    Gauge<Integer> spare = () -> places == null ? 0 : places.sparePlaces();
+    Gauge<Integer> spare = () -> places == null ? 0 : places.sparePlaces(clock.millis());
     registry.gauge("agent.spare_places", () -> spare);
     Gauge<Integer> reachableNow = () -> reachable ? 1 : 0;
     registry.gauge("agent.engine_reachable", () -> reachableNow);
@@ -448,7 +448,7 @@
               new Message.PeerLoad(
                   places.othersRequests(peer.number),
                   places.othersUnreadTokens(peer.number),
-                  places.sparePlaces());
+                  places.sparePlaces(now));
           if (!load.equals(peer.toldLoad)) {
             peer.toldLoad = load;
             connection.send(load);
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardRun.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardRun.java
@@ -52,6 +52,9 @@
   /** When no endpoint can be reached: about the time after which the next list is read. */
   private static final long NO_ENDPOINT_RETRY_MILLIS = 400;
 
+  /** When every place is held: runs of one to three seconds on seven places end this often. */
+  private static final long CROWDED_RETRY_MILLIS = 400;
+
   private static final int SERVER_ERROR = 500;
   private static final int MOST_REFUSALS = 3;
   private static final int MOST_UNSENT = 4;
@@ -77,6 +80,10 @@
   private long placedMillis;
   private long sentMillis;
   private long unreadTokens;
+
+  /** What the endpoint had to read when the request was sent, its own prompt included. */
+  private long tokensAhead;
+
   private boolean unread;
   private int sends;
   private int refusals;
@@ -247,6 +254,10 @@
    * The load takes long. A request that leaves its line for the end of another one gains nothing,
    * and what was begun for it is wasted; so it leaves only for an endpoint that can start it at
    * once, or, when its own load is overdue, for one with a free place.
+   *
+   * <p>Past its aim, at an engine where more adapters wait than places can be had, it is refused.
+   * Kept waiting, it would take a place from one that can still be in time, or none until its
+   * caller has gone: on a full day, 150 callers left after 2.4 to 4 s without a word.
    */
   private void lookElsewhere() {
     if (over || attempt != null) {
@@ -265,9 +276,18 @@
       placeAgain();
       return;
     }
+    if (!endpoint.awaits(adapter) && pastAim() && endpoint.crowded(now())) {
+      leave();
+      giveUp(notRun(FailureType.LOAD_TOO_LATE, adapter).retryAfter(CROWDED_RETRY_MILLIS));
+      return;
+    }
     replacing = state.loop().after(REPLACE_MILLIS, this::lookElsewhere);
   }
 
+  private boolean pastAim() {
+    return waited() >= route.targetLatencyMillis();
+  }
+
   private long waited() {
     return now() - request.arrivedMillis();
   }
@@ -276,6 +296,7 @@
     cancel(replacing);
     reservation.used();
     sentMillis = now();
+    tokensAhead = endpoint.unreadTokens();
     sends++;
     SendFacts told =
         new SendFacts(endpoint.id(), deadlineMillis - sentMillis, route.rank(), relay.lastEvent());
@@ -306,6 +327,7 @@
     if (unread) {
       promptRead();
       endpoint.succeeded(now() - sentMillis);
+      state.placer().promptTook(endpoint, tokensAhead, now() - sentMillis);
       if (firstMillis < 0) {
         firstMillis = waited();
       }
--- a/runtime/src/main/java/org/hornbeamusher/holdings/AdapterPlaces.java
+++ b/runtime/src/main/java/org/hornbeamusher/holdings/AdapterPlaces.java
@@ -24,6 +24,8 @@
  *   <li>an adapter with a reservation is never unloaded;
  *   <li>an adapter that is wanted and not there is loaded into a free place, the one wanted first
  *       before the others;
+ *   <li>the last place is kept from requests that will be late anyway, while others that could
+ *       still be answered in time have lately had to wait for one;
  *   <li>without a free place, the adapter with the least demand makes way. It is first withdrawn:
  *       entries hear that it is not held any more, and only after {@link #WITHDRAW_MILLIS} is it
  *       unloaded. A request that an entry sent in the meantime brings a reservation with it, and
@@ -63,6 +65,19 @@
   /** Adapters that an engine fetches at once. */
   private static final int MOST_PENDING = 4;
 
+  /**
+   * Places that a request which will be late anyway leaves to those that can still be answered in
+   * time, while there are such: its run would hold the last one for seconds. Without it, two in
+   * three requests that need a load are late on a full day.
+   */
+  private static final int KEPT_FOR_TIMELY = 1;
+
+  /**
+   * How long after a timely request had to wait for a place its like is expected again: the time
+   * for which half of the runs hold a place on a full day (2.9 s).
+   */
+  private static final long PRESSED_MILLIS = 3_000;
+
   /** An adapter used once half a minute ago is as good as never used. */
   private static final double DEMAND_HALF_LIFE_MILLIS = 10_000;
 
@@ -80,6 +95,9 @@
   /** Loads that were sent and that no report has shown yet. */
   private final Set<AdapterKey> ordered = new HashSet<>();
 
+  /** When a request that could still be answered in time found no place free. */
+  private long timelyWaitedMillis = Long.MIN_VALUE / 2;
+
   private EngineReport report;
   private EngineOrder unanswered;
 
@@ -269,9 +287,11 @@
   /**
    * Returns how many more adapters could be loaded without waiting for a request to end.
    *
+   * @param now milliseconds
    * @return places that are free or held by unused adapters, less adapters that wait for a place
+   *     and, under pressure, less the one that is kept for timely requests
    */
-  public int sparePlaces() {
+  public int sparePlaces(long now) {
     if (report == null) {
       return 0;
     }
@@ -280,8 +300,8 @@
         .map(reservation -> reservation.adapter().key())
         .filter(key -> !key.isBase() && !isComing(key) && !report.adapters().containsKey(key))
         .forEach(wanted::add);
-    long unused = report.adapters().keySet().stream().filter(this::unused).count();
-    return (int) (places - taken() + unused - wanted.size());
+    int kept = pressed(now) ? KEPT_FOR_TIMELY : 0;
+    return (int) (usablePlaces() - kept - wanted.size());
   }
 
   /**
@@ -337,6 +357,9 @@
 
   private Optional<EngineOrder> wantedAdapter(long now) {
     for (Reservation wanted : inOrder(now)) {
+      if (late(wanted, now) && pressed(now) && usablePlaces() <= KEPT_FOR_TIMELY) {
+        return Optional.empty();
+      }
       AdapterKey key = wanted.adapter().key();
       boolean model = report.models().contains(key.model());
       if (!model || usable(wanted.adapter()) || key.isBase() || isComing(key)) {
@@ -354,6 +377,9 @@
       if (taken() < places) {
         return Optional.of(new EngineOrder.Load(key));
       }
+      if (!late(wanted, now)) {
+        timelyWaitedMillis = now;
+      }
       return makeRoom(now);
     }
     return Optional.empty();
@@ -366,11 +392,24 @@
   private List<Reservation> inOrder(long now) {
     List<Reservation> order = new ArrayList<>(waiting.values());
     order.sort(
-        Comparator.comparing((Reservation r) -> r.aimMillis() - now < LOAD_MILLIS)
+        Comparator.comparing((Reservation r) -> late(r, now))
             .thenComparingLong(Reservation::aimMillis));
     return order;
   }
 
+  private static boolean late(Reservation reservation, long now) {
+    return reservation.aimMillis() - now < LOAD_MILLIS;
+  }
+
+  private boolean pressed(long now) {
+    return now - timelyWaitedMillis < PRESSED_MILLIS;
+  }
+
+  /** Places that are free or held by adapters that nothing runs on. */
+  private long usablePlaces() {
+    return places - taken() + report.adapters().keySet().stream().filter(this::unused).count();
+  }
+
   private boolean isComing(AdapterKey key) {
     return ordered.contains(key)
         || report.pending().stream().anyMatch(pending -> pending.key().equals(key));
--- a/runtime/src/main/java/org/hornbeamusher/placement/EndpointHealth.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/EndpointHealth.java
@@ -7,6 +7,11 @@
  * failure adds a penalty that halves every second; latencies are averaged over about ten answers.
  * The penalty sends requests elsewhere while there is an elsewhere, and fades, so that the endpoint
  * is tried again without a timer or a probe.
+ *
+ * <p>An engine's <em>pace</em> is how much longer its first events take than its data sheet says,
+ * over about twenty answers. Engines differ in speed, and prompts are read between the tokens of
+ * what runs already, so that a full engine reads at two thirds of its speed. Without the pace a
+ * slow engine gets as many prompts as a fast one and each of them is late.
  */
 final class EndpointHealth {
 
@@ -17,9 +22,18 @@
   private static final double HALF_LIFE_MILLIS = 1_500;
   private static final double NEW_SHARE = 0.15;
 
+  private static final double READ_SHARE = 0.05;
+
+  /** Stands for the answers before the first one: a fifth of a second at the sheet's speed. */
+  private static final double PRIOR_MILLIS = 200;
+
+  private static final double MOST_PACE = 4;
+
   private double penalty;
   private long penaltyMillis;
   private double latency;
+  private double expectedRead = PRIOR_MILLIS;
+  private double takenRead = PRIOR_MILLIS;
 
   void succeeded(double latencyMillis) {
     latency = latency == 0 ? latencyMillis : latency + NEW_SHARE * (latencyMillis - latency);
@@ -35,6 +49,16 @@
     return penalty * Math.pow(0.5, halves);
   }
 
+  void read(double expectedMillis, double takenMillis) {
+    expectedRead += READ_SHARE * (expectedMillis - expectedRead);
+    takenRead += READ_SHARE * (takenMillis - takenRead);
+  }
+
+  /** How many times longer reading takes than the sheet says; at least 1. */
+  double pace() {
+    return Math.max(1, Math.min(MOST_PACE, takenRead / Math.max(1, expectedRead)));
+  }
+
   /** The average time of an answer; 0 before the first one. */
   double latencyMillis() {
     return latency;
--- a/runtime/src/main/java/org/hornbeamusher/placement/EndpointView.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/EndpointView.java
@@ -179,6 +179,17 @@
     health.succeeded(latencyMillis);
   }
 
+  /**
+   * An engine's first event came.
+   *
+   * @param tokens unread there when the request was sent, its own included
+   * @param promptTokensPerMilli how fast the engine's sheet says that it reads
+   * @param takenMillis from the sending until the event
+   */
+  public void promptTook(long tokens, double promptTokensPerMilli, long takenMillis) {
+    health.read(tokens / promptTokensPerMilli, takenMillis);
+  }
+
   /**
    * An attempt failed through the endpoint's fault.
    *
@@ -286,6 +297,16 @@
     return sparePlaces - asked.size();
   }
 
+  /**
+   * Tells whether a request without its adapter would have to wait for a run to end.
+   *
+   * @param now milliseconds
+   * @return whether more adapters wait for places than there are
+   */
+  public boolean crowded(long now) {
+    return sparePlaces(now) < 0;
+  }
+
   /**
    * Returns the requests at the endpoint.
    *
@@ -295,7 +316,12 @@
     return running + othersRunning;
   }
 
-  long unreadTokens() {
+  /**
+   * Returns what the engine has to read before it is done with what it was sent.
+   *
+   * @return tokens of this entry's requests and, as far as known, of others'
+   */
+  public long unreadTokens() {
     return promptTokens + othersPromptTokens;
   }
 
--- a/runtime/src/main/java/org/hornbeamusher/placement/Placer.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/Placer.java
@@ -110,7 +110,9 @@
     }
     HeldAdapter adapter = request.adapter().get();
     double read =
-        (view.unreadTokens() + view.uncachedTokens(request)) / settings.promptTokensPerMilli();
+        (view.unreadTokens() + view.uncachedTokens(request))
+            / settings.promptTokensPerMilli()
+            * view.health().pace();
     double latency = read + view.running() * settings.runningMillis();
     if (view.holds(adapter)) {
       return new Cost(latency, penalty, 0, true);
@@ -120,6 +122,17 @@
     return new Cost(latency + stall, choice, stall, false);
   }
 
+  /**
+   * Takes how long a first event took, to reckon with the engine's own speed from now on.
+   *
+   * @param view the engine
+   * @param tokens unread there when the request was sent, its own included
+   * @param takenMillis from the sending until the event
+   */
+  public void promptTook(EndpointView view, long tokens, long takenMillis) {
+    view.promptTook(tokens, settings.promptTokensPerMilli(), takenMillis);
+  }
+
   private double crossing(PlacementRequest request) {
     return settings.zoneMillis()
         + settings.zoneMillisPerKilobyte() * request.bytes() / BYTES_PER_KILOBYTE;
--- a/runtime/src/test/java/org/hornbeamusher/holdings/AdapterPlacesTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/holdings/AdapterPlacesTest.java
@@ -99,12 +99,52 @@
     places.takeGrants();
     reserve(3, "c", 1, SETTLED);
     assertEquals(Optional.empty(), order(SETTLED + 1_000));
-    assertEquals(-1, places.sparePlaces());
+    assertEquals(-1, places.sparePlaces(SETTLED + 1_000));
     places.release(id(1));
     order(SETTLED + 1_000);
     assertEquals(unload("a"), order(SETTLED + 1_100));
   }
 
+  /**
+   * A full day: timely requests wait for places. One that can only be late takes the place that has
+   * just become free, holds it for seconds, and the next timely one is late as well.
+   */
+  @Test
+  void lateRequestLeavesTheLastPlaceToTimelyOnes() {
+    fillWithTimelyWaiting();
+    reserve(4, "d", 1, SETTLED, 0);
+    places.release(id(3));
+    places.release(id(1));
+    assertEquals(Optional.empty(), orderAfterWithdrawal(SETTLED + 100));
+    reserve(5, "e", 1, SETTLED + 200, 800);
+    assertEquals(unload("a"), orderAfterWithdrawal(SETTLED + 200));
+  }
+
+  /** Once nobody timely has waited for three seconds, the late one is served rather than nobody. */
+  @Test
+  void lateRequestIsServedWhenNobodyTimelyWaits() {
+    fillWithTimelyWaiting();
+    reserve(4, "d", 1, SETTLED, 0);
+    places.release(id(3));
+    places.release(id(1));
+    assertEquals(unload("a"), orderAfterWithdrawal(SETTLED + 3_000));
+  }
+
+  private void fillWithTimelyWaiting() {
+    report(Map.of("a", 1L, "b", 1L));
+    reserve(1, "a", 1, 0);
+    reserve(2, "b", 1, 0);
+    places.takeGrants();
+    reserve(3, "c", 1, SETTLED, 800);
+    assertEquals(Optional.empty(), order(SETTLED));
+  }
+
+  /** An unused adapter is withdrawn by the first call and unloaded by a later one. */
+  private Optional<EngineOrder> orderAfterWithdrawal(long now) {
+    order(now);
+    return order(now + AdapterPlaces.WITHDRAW_MILLIS);
+  }
+
   /** After an agent's restart the entries' reservations are on their way; nothing is dropped. */
   @Test
   void nothingIsUnloadedRightAfterTheStart() {
@@ -181,7 +221,7 @@
     places.takeGrants();
     places.releaseAll(7);
     assertEquals(0, places.othersRequests(0));
-    assertEquals(2, places.sparePlaces());
+    assertEquals(2, places.sparePlaces(SETTLED));
   }
 
   /** Requests that are late already must not keep a place from those that can be in time. */
--- a/runtime/src/test/java/org/hornbeamusher/placement/PlacerTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/placement/PlacerTest.java
@@ -113,6 +113,39 @@
     assertFalse(place(COLD, 800).placeFree());
   }
 
+  /**
+   * One of two engines reads its prompts at a third of its sheet's speed; its health check is good.
+   * With equal shares its callers get their first word late while the other engine has room.
+   */
+  @Test
+  void slowEngineGetsFewerPrompts() {
+    EndpointView slow = engine("e1", "a", Set.of(HOT));
+    EndpointView sound = engine("e2", "a", Set.of(HOT));
+    for (int i = 0; i < 40; i++) {
+      placer.promptTook(slow, 8_800, 600);
+      placer.promptTook(sound, 8_800, 200);
+    }
+    int sentToSlow = 0;
+    for (int i = 0; i < 8; i++) {
+      EndpointView chosen = place(HOT, 1_000).endpoint();
+      chosen.started(request(HOT, 1_000), 0);
+      sentToSlow += chosen == slow ? 1 : 0;
+    }
+    assertEquals(2, sentToSlow);
+  }
+
+  /** One slow first event among many is no slow engine, and a fast one earns no credit. */
+  @Test
+  void paceIsNeitherSetByOneAnswerNorBelowTheSheets() {
+    EndpointHealth health = new EndpointHealth();
+    health.read(200, 800);
+    assertTrue(health.pace() < 1.2);
+    for (int i = 0; i < 100; i++) {
+      health.read(200, 20);
+    }
+    assertEquals(1, health.pace());
+  }
+
   /** What was asked for is in the agent's reports after a while, and is not counted twice then. */
   @Test
   void placeAskedForIsCountedUntilTheAgentCountsIt() {
