--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardRun.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardRun.java
@@ -52,8 +52,8 @@
   /** When no endpoint can be reached: about the time after which the next list is read. */
   private static final long NO_ENDPOINT_RETRY_MILLIS = 400;
 
-  /** When every place is held: runs of one to three seconds on seven places end this often. */
-  private static final long CROWDED_RETRY_MILLIS = 400;
+  /** As long as half of the runs hold a place on a full day (2.9 s), less a look around. */
+  private static final long MOST_RETRY_MILLIS = 2_500;
 
   private static final int SERVER_ERROR = 500;
   private static final int MOST_REFUSALS = 3;
@@ -160,9 +160,7 @@
       case Placement.Nowhere nowhere -> giveUp(notRun(FailureType.NO_ENDPOINT, service));
       case Placement.At at -> {
         if (at.estimateMillis() > remaining || remaining < LEAST_SEND_MILLIS) {
-          giveUp(
-              notRun(FailureType.DEADLINE_TOO_NEAR)
-                  .retryAfter(Math.max(LEAST_SEND_MILLIS, at.estimateMillis() - remaining)));
+          giveUp(notRun(FailureType.DEADLINE_TOO_NEAR));
         } else {
           placedAt(at, remaining);
         }
@@ -278,7 +276,7 @@
     }
     if (!endpoint.awaits(adapter) && pastAim() && endpoint.crowded(now())) {
       leave();
-      giveUp(notRun(FailureType.LOAD_TOO_LATE, adapter).retryAfter(CROWDED_RETRY_MILLIS));
+      giveUp(notRun(FailureType.LOAD_TOO_LATE, adapter));
       return;
     }
     replacing = state.loop().after(REPLACE_MILLIS, this::lookElsewhere);
@@ -451,10 +449,22 @@
       fail(HornbeamusherException.of(FailureType.RETRIES_EXHAUSTED, Outcome.UNKNOWN, service));
       return;
     }
-    fail(
-        refusal.retryAfterMillis().isPresent()
-            ? refusal
-            : refusal.retryAfter(NO_ENDPOINT_RETRY_MILLIS));
+    fail(refusal.retryAfter(comeBackAfter(refusal.type())));
+  }
+
+  /**
+   * When a caller should come back. A lack of places lasts for seconds: of the callers that came
+   * back after 0.4 s, half were refused once more and had no try left. What they have is a quarter
+   * of their time, which leaves enough of it for a run; a lack of endpoints ends with the next
+   * list.
+   */
+  private long comeBackAfter(FailureType why) {
+    long quarter = (deadlineMillis - now()) / 4;
+    return switch (why) {
+      case LOAD_TOO_LATE, DEADLINE_TOO_NEAR ->
+          Math.max(LEAST_SEND_MILLIS, Math.min(MOST_RETRY_MILLIS, quarter));
+      default -> NO_ENDPOINT_RETRY_MILLIS;
+    };
   }
 
   /**
