Placing counts whom a prompt holds up; a request's log and its time to come back stand apart

Ruled out: more homes (places are short).

Change: an eighth of the reading time of a prompt counts for each request that runs there.

--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardRun.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardRun.java
@@ -5,8 +5,6 @@
 import java.util.Optional;
 import java.util.Set;
 import org.hornbeamusher.directory.HeldAdapter;
-import org.hornbeamusher.events.EventLog;
-import org.hornbeamusher.events.EventType;
 import org.hornbeamusher.failure.FailureType;
 import org.hornbeamusher.failure.HornbeamusherException;
 import org.hornbeamusher.failure.Outcome;
@@ -49,12 +47,6 @@
   /** How long a request waits for a load before it looks at the other endpoints again. */
   private static final long REPLACE_MILLIS = 100;
 
-  /** When no endpoint can be reached: about the time after which the next list is read. */
-  private static final long NO_ENDPOINT_RETRY_MILLIS = 400;
-
-  /** As long as half of the runs hold a place on a full day (2.9 s), less a look around. */
-  private static final long MOST_RETRY_MILLIS = 2_500;
-
   private static final int SERVER_ERROR = 500;
   private static final int MOST_REFUSALS = 3;
   private static final int MOST_UNSENT = 4;
@@ -66,6 +58,7 @@
   private final Set<EndpointId> tried = new HashSet<>();
 
   private RequestFacts facts;
+  private RequestLog log = new RequestLog("");
   private Route route;
   private String service;
   private PlacementRequest placing;
@@ -116,8 +109,10 @@
         state
             .configuration()
             .current()
-            .orElseThrow(() -> notRun(FailureType.NOT_READY).retryAfter(NO_ENDPOINT_RETRY_MILLIS));
+            .orElseThrow(
+                () -> notRun(FailureType.NOT_READY).retryAfter(ReturnTime.NEXT_LIST_MILLIS));
     facts = state.dialect().request(request.headers());
+    log = new RequestLog(facts.id());
     route =
         configuration
             .match(request.hostName(), request.path())
@@ -173,30 +168,7 @@
     placedMillis = now();
     unreadTokens = endpoint.uncachedTokens(placing);
     unread = true;
-    EventLog.log(
-        EventType.REQUEST_PLACED,
-        "id",
-        facts.id(),
-        "service",
-        service,
-        "adapter",
-        placing.adapter().map(HeldAdapter::toString).orElse(""),
-        "endpoint",
-        endpoint.id(),
-        "present",
-        at.present(),
-        "estimate_ms",
-        at.estimateMillis(),
-        "stall_ms",
-        at.stallMillis(),
-        "remaining_ms",
-        remaining,
-        "running",
-        endpoint.running(),
-        "configuration",
-        state.configuration().current().map(Configuration::version).orElse(0L),
-        "list_age_ms",
-        state.directory().ageMillis(now()));
+    log.placed(service, placing, at, remaining, state, placedMillis);
     endpoint.started(placing, placedMillis);
     placing.adapter().ifPresent(adapter -> reserve(adapter, remaining));
     if (at.present() || placing.adapter().isEmpty()) {
@@ -242,8 +214,7 @@
     if (over || attempt != null) {
       return;
     }
-    EventLog.log(
-        EventType.REQUEST_MOVED, "id", facts.id(), "from", endpoint.id(), "waited_ms", waited());
+    log.moved(endpoint.id(), waited());
     leave();
     place();
   }
@@ -346,20 +317,7 @@
       return;
     }
     AttemptEnd judged = judge(end);
-    EventLog.log(
-        EventType.ATTEMPT_ENDED,
-        "id",
-        facts.id(),
-        "endpoint",
-        endpoint.id(),
-        "end",
-        describe(judged),
-        "status",
-        relay.status(),
-        "took_ms",
-        now() - sentMillis,
-        "last_event",
-        relay.lastEvent().orElse(-1));
+    log.attemptEnded(endpoint.id(), describe(judged), relay, now() - sentMillis);
     state.metrics().attemptEnded(describe(judged), now() - sentMillis);
     EndpointView left = endpoint;
     leave();
@@ -449,22 +407,7 @@
       fail(HornbeamusherException.of(FailureType.RETRIES_EXHAUSTED, Outcome.UNKNOWN, service));
       return;
     }
-    fail(refusal.retryAfter(comeBackAfter(refusal.type())));
-  }
-
-  /**
-   * When a caller should come back. A lack of places lasts for seconds: of the callers that came
-   * back after 0.4 s, half were refused once more and had no try left. What they have is a quarter
-   * of their time, which leaves enough of it for a run; a lack of endpoints ends with the next
-   * list.
-   */
-  private long comeBackAfter(FailureType why) {
-    long quarter = (deadlineMillis - now()) / 4;
-    return switch (why) {
-      case LOAD_TOO_LATE, DEADLINE_TOO_NEAR ->
-          Math.max(LEAST_SEND_MILLIS, Math.min(MOST_RETRY_MILLIS, quarter));
-      default -> NO_ENDPOINT_RETRY_MILLIS;
-    };
+    fail(refusal.retryAfter(ReturnTime.millis(refusal.type(), deadlineMillis - now())));
   }
 
   /**
@@ -551,24 +494,15 @@
     over = true;
     cancel(deadline);
     cancel(replacing);
-    EventLog.log(
-        EventType.REQUEST_ENDED,
-        "id",
-        facts == null ? "" : facts.id(),
-        "route",
-        route == null ? "" : route.name(),
-        "cause",
-        cause,
-        "status",
-        status,
-        "took_ms",
-        waited(),
-        "first_ms",
-        firstMillis,
-        "sends",
-        sends,
-        "refusals",
-        refusals);
+    log.ended(
+        new RequestLog.End(
+            route == null ? "" : route.name(),
+            cause,
+            status,
+            waited(),
+            firstMillis,
+            sends,
+            refusals));
     state.metrics().requestEnded(cause, waited(), firstMillis);
     listener.ended(this, cause);
   }
--- a/runtime/src/main/java/org/hornbeamusher/placement/PlacementSettings.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/PlacementSettings.java
@@ -16,6 +16,8 @@
  * @param preferenceMillis what each step down an adapter's preference order costs; keeps entries
  *     from loading one adapter at two endpoints at once
  * @param runningMillis what each request already at the endpoint adds to the first event
+ * @param delayShare how much of the time in which a prompt is read counts for each request that
+ *     runs there: its next tokens wait, and it holds its place for longer
  * @param crowdMillis added where memory is short, beyond any other difference
  */
 public record PlacementSettings(
@@ -29,9 +31,10 @@
     double zoneMillisPerKilobyte,
     double preferenceMillis,
     double runningMillis,
+    double delayShare,
     double crowdMillis) {
 
   /** For engines of the size in use. */
   public static final PlacementSettings DEFAULT =
-      new PlacementSettings(44, 400, 40, 150, 20, 250, 5, 1.5, 6, 4, 1_000);
+      new PlacementSettings(44, 400, 40, 150, 20, 250, 5, 1.5, 6, 4, 0.12, 1_000);
 }
--- a/runtime/src/main/java/org/hornbeamusher/placement/Placer.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/Placer.java
@@ -17,6 +17,7 @@
  *   prompts waiting to be read there + this prompt, less what is cached
  *   + load of the adapter, when it is not there
  *   + a little for each request that runs there, for another zone, for lately failed requests
+ *   + a share of the time in which this prompt is read, for each request that it holds up
  *   + a step for each place down the adapter's preference order, when it is not there
  * </pre>
  *
@@ -114,6 +115,7 @@
             / settings.promptTokensPerMilli()
             * view.health().pace();
     double latency = read + view.running() * settings.runningMillis();
+    penalty += delayOfOthers(view, request);
     if (view.holds(adapter)) {
       return new Cost(latency, penalty, 0, true);
     }
@@ -122,6 +124,15 @@
     return new Cost(latency + stall, choice, stall, false);
   }
 
+  /**
+   * Prompts are read between the tokens of what runs. A run that is held up holds the place of its
+   * adapter for longer, and places are what a full day lacks.
+   */
+  private double delayOfOthers(EndpointView view, PlacementRequest request) {
+    double reading = view.uncachedTokens(request) / settings.promptTokensPerMilli();
+    return reading * view.running() * settings.delayShare();
+  }
+
   /**
    * Takes how long a first event took, to reckon with the engine's own speed from now on.
    *
--- a/runtime/src/test/java/org/hornbeamusher/placement/PlacerTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/placement/PlacerTest.java
@@ -134,6 +134,20 @@
     assertEquals(2, sentToSlow);
   }
 
+  /**
+   * Two engines hold the adapter, one writes ten long answers. A long prompt read there holds each
+   * of them up for its whole reading, and their adapters keep their places for longer; a short one
+   * hardly does.
+   */
+  @Test
+  void longPromptAvoidsEngineWithManyRuns() {
+    engine("e1", "a", Set.of(HOT)).reportedLoad(10, 0, 1);
+    EndpointView idle = engine("e2", "a", Set.of(HOT));
+    idle.started(request(HOT, 8_800), 0);
+    assertEquals("e2", place(HOT, 8_800).endpoint().id().value());
+    assertEquals("e1", place(HOT, 100).endpoint().id().value());
+  }
+
   /** One slow first event among many is no slow engine, and a fast one earns no credit. */
   @Test
   void paceIsNeitherSetByOneAnswerNorBelowTheSheets() {
