The line of an attempt tells what its own endpoint answered

ATTEMPT_ENDED gave the status that the caller has; after a stream was sent on, that is the first endpoint's, so a failure of the second one read as "answered, 200". Now `status` is what this attempt's endpoint answered with and `caller_status` what the caller has, 0 before anything went out.

No change of logic yet.

--- a/runtime/src/main/java/org/hornbeamusher/forwarding/Attempt.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/Attempt.java
@@ -27,6 +27,10 @@
   private final Listener listener;
   private HttpStream stream;
   private HttpHead refused;
+
+  /** What the endpoint answered this attempt with; 0 before it did. */
+  private int status;
+
   private boolean over;
 
   Attempt(EndpointView endpoint, Dialect dialect, String requestId, Listener listener) {
@@ -47,6 +51,11 @@
     return endpoint;
   }
 
+  /** Returns what the endpoint answered this attempt with; 0 before it did. */
+  int status() {
+    return status;
+  }
+
   /** Ends the attempt; the listener hears nothing more. */
   void cancel() {
     over = true;
@@ -60,6 +69,7 @@
     if (over) {
       return;
     }
+    status = head.status();
     AnswerFacts facts = dialect.answer(head);
     if (facts.requestId().isPresent() && !facts.requestId().get().equals(requestId)) {
       breakOff(FailureType.FOREIGN_ANSWER);
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardRun.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardRun.java
@@ -317,7 +317,7 @@
       return;
     }
     AttemptEnd judged = judge(end);
-    log.attemptEnded(endpoint.id(), describe(judged), relay, now() - sentMillis);
+    log.attemptEnded(from, describe(judged), relay, now() - sentMillis);
     state.metrics().attemptEnded(describe(judged), now() - sentMillis);
     EndpointView left = endpoint;
     leave();
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/RequestLog.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/RequestLog.java
@@ -57,17 +57,19 @@
   }
 
   /** An endpoint's part in it is over. */
-  void attemptEnded(EndpointId endpoint, String end, AnswerRelay relay, long tookMillis) {
+  void attemptEnded(Attempt attempt, String end, AnswerRelay relay, long tookMillis) {
     EventLog.log(
         EventType.ATTEMPT_ENDED,
         "id",
         id,
         "endpoint",
-        endpoint,
+        attempt.endpoint().id(),
         "end",
         end,
         "status",
-        relay.status(),
+        attempt.status(),
+        "caller_status",
+        relay.started() ? relay.status() : 0,
         "took_ms",
         tookMillis,
         "last_event",
