Each attempt is judged by its own head: a failure is no end of a stream

After the first event the relay ignored the head of a further attempt, its status with it, and ForwardRun asked the relay for the status, which is the first attempt's 200. Whether the end can be that of a whole answer was asked of the bytes only; a failure without a body has none, so the half answer was ended in good order. Class: state of an earlier attempt stands in for the present one.

Ruled out: an orderly end of the crashed engine (the requests were sent on); the entry's own cut written as an end (REQUEST_ENDED said "answered", two sends).

Change: AnswerRelay.head tells whether this attempt's answer can follow what the caller has; if not, the attempt has failed and none of it is passed on. The end is judged by the attempt's own status. The same cause elsewhere: half of a long plain answer was followed by another endpoint's whole one (WholeRelay takes no second head); a failure with a body before the first event was judged as a stream that was cut, and the caller got 502 for the engine's own 500; a stream with an event without a number was begun anew (seen to fail with that check out); the time to a failure's first byte counted as the pace at which an engine reads.

--- a/runtime/src/main/java/org/hornbeamusher/forwarding/Attempt.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/Attempt.java
@@ -18,9 +18,6 @@
   /** Two ways between zones and a busy peer; a connection that takes longer is not coming. */
   private static final long CONNECT_MILLIS = 400;
 
-  private static final int SUCCESS_FROM = 200;
-  private static final int SUCCESS_BELOW = 300;
-
   private final EndpointView endpoint;
   private final Dialect dialect;
   private final String requestId;
@@ -75,17 +72,13 @@
       breakOff(FailureType.FOREIGN_ANSWER);
     } else if (facts.notRun()) {
       refused = head;
-    } else if (success(head) && !facts.signed()) {
+    } else if (head.success() && !facts.signed()) {
       breakOff(FailureType.UNSIGNED_ANSWER);
     } else {
       listener.head(this, head);
     }
   }
 
-  private static boolean success(HttpHead head) {
-    return head.status() >= SUCCESS_FROM && head.status() < SUCCESS_BELOW;
-  }
-
   private void breakOff(FailureType cause) {
     cancel();
     listener.ended(this, new AttemptEnd.Broken(cause));
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/EventRelay.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/EventRelay.java
@@ -10,7 +10,8 @@
  *
  * <p>The head goes out with the first event, so that an endpoint that dies before it leaves nothing
  * behind. After it, another endpoint's events follow in the same answer, under the first one's
- * head.
+ * head; an endpoint that answers with anything but events cannot go on. A failure before the first
+ * event is no stream and is passed on whole.
  */
 final class EventRelay implements AnswerRelay {
 
@@ -21,22 +22,45 @@
   private int status;
   private boolean started;
 
+  /** False once the caller has an event without a number: nobody could go on after it. */
+  private boolean numbered = true;
+
+  /** Takes the bytes of an attempt that answered with a failure; null in a stream. */
+  private WholeRelay failure;
+
   EventRelay(CallerAnswer caller, OptionalLong lastEvent) {
     this.caller = caller;
     this.lastEvent = lastEvent;
   }
 
+  /**
+   * Once events have gone out only events may follow. A failure has none: judged by its bytes alone
+   * it would be the end of the stream, and half an answer would look whole.
+   */
   @Override
-  public void head(HttpHead head, List<HttpHeader> toCaller) {
+  public boolean head(HttpHead head, List<HttpHeader> toCaller) {
+    if (!canContinue() || (started && head.status() != status)) {
+      return false;
+    }
     splitter = new EventSplitter();
+    failure = null;
     if (!started) {
       status = head.status();
       headers = toCaller;
+      if (!head.success()) {
+        failure = new WholeRelay(caller);
+        return failure.head(head, toCaller);
+      }
     }
+    return true;
   }
 
   @Override
   public void data(byte[] bytes) {
+    if (failure != null) {
+      failure.data(bytes);
+      return;
+    }
     for (EventSplitter.Event event : splitter.take(bytes)) {
       pass(event);
     }
@@ -49,6 +73,8 @@
         return;
       }
       lastEvent = event.id();
+    } else if (!event.comment()) {
+      numbered = false;
     }
     start();
     caller.write(event.bytes());
@@ -63,6 +89,10 @@
 
   @Override
   public void end() {
+    if (failure != null) {
+      failure.end();
+      return;
+    }
     start();
     caller.write(splitter.rest());
     caller.end();
@@ -70,7 +100,7 @@
 
   @Override
   public boolean started() {
-    return started;
+    return started || (failure != null && failure.started());
   }
 
   @Override
@@ -86,6 +116,11 @@
   /** A stream that ends in the middle of an event was cut, whatever its framing says. */
   @Override
   public boolean canEnd() {
-    return splitter.rest().length == 0;
+    return failure != null || splitter.rest().length == 0;
+  }
+
+  @Override
+  public boolean canContinue() {
+    return numbered && (failure == null || failure.canContinue());
   }
 }
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/EventSplitter.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/EventSplitter.java
@@ -20,6 +20,7 @@
   private static final byte LINE_FEED = '\n';
   private static final byte CARRIAGE_RETURN = '\r';
   private static final String ID = "id:";
+  private static final String COMMENT = ":";
 
   private final ByteArrayOutputStream event = new ByteArrayOutputStream();
   private boolean lineEmpty = true;
@@ -49,12 +50,14 @@
 
   private static Event event(byte[] bytes) {
     OptionalLong id = OptionalLong.empty();
+    boolean comment = true;
     for (String line : new String(bytes, StandardCharsets.UTF_8).split("\n")) {
       if (line.startsWith(ID)) {
         id = number(line.substring(ID.length()).trim());
       }
+      comment &= line.isBlank() || line.startsWith(COMMENT);
     }
-    return new Event(bytes, id);
+    return new Event(bytes, id, comment);
   }
 
   private static OptionalLong number(String text) {
@@ -66,6 +69,12 @@
     }
   }
 
-  /** One event as it came, with its number. */
-  record Event(byte[] bytes, OptionalLong id) {}
+  /**
+   * One event as it came.
+   *
+   * @param bytes the whole of it
+   * @param id its number; empty when it has none
+   * @param comment whether it carries nothing for the caller
+   */
+  record Event(byte[] bytes, OptionalLong id, boolean comment) {}
 }
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardRun.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardRun.java
@@ -284,7 +284,12 @@
 
   @Override
   public void head(Attempt from, HttpHead head) {
-    relay.head(head, state.dialect().toCaller(head));
+    if (!relay.head(head, state.dialect().toCaller(head))) {
+      // It failed, or answers with something that cannot follow what the caller has.
+      from.cancel();
+      ended(from, new AttemptEnd.Broken(FailureType.ENDPOINT_FAILED));
+      return;
+    }
     if (listener.leaving()) {
       caller.closeAfter();
     }
@@ -293,13 +298,14 @@
   @Override
   public void data(Attempt from, byte[] bytes) {
     relay.data(bytes);
-    if (unread) {
+    if (firstMillis < 0) {
+      firstMillis = waited();
+    }
+    // What a failure took says nothing about how fast the endpoint reads.
+    if (unread && from.status() < SERVER_ERROR) {
       promptRead();
       endpoint.succeeded(now() - sentMillis);
       state.placer().promptTook(endpoint, tokensAhead, now() - sentMillis);
-      if (firstMillis < 0) {
-        firstMillis = waited();
-      }
     }
   }
 
@@ -322,7 +328,7 @@
     EndpointView left = endpoint;
     leave();
     switch (judged) {
-      case AttemptEnd.Answered answered -> answered(left);
+      case AttemptEnd.Answered answered -> answered(left, from.status());
       case AttemptEnd.NotSent notSent -> notSent(left);
       case AttemptEnd.Refused refused -> refused(left);
       case AttemptEnd.Broken broken -> broken(left, broken.cause());
@@ -346,8 +352,8 @@
   /**
    * An endpoint's own failure is an answer too; but one that may be repeated is tried elsewhere.
    */
-  private void answered(EndpointView left) {
-    boolean failed = relay.status() >= SERVER_ERROR;
+  private void answered(EndpointView left, int status) {
+    boolean failed = status >= SERVER_ERROR;
     if (failed) {
       left.failed(now());
       tried.add(left.id());
@@ -386,7 +392,7 @@
     mayHaveRun = true;
     left.failed(now());
     tried.add(left.id());
-    if (route.repeatable() && mayRepeat()) {
+    if (route.repeatable() && relay.canContinue() && mayRepeat()) {
       place();
       return;
     }
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/WholeRelay.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/WholeRelay.java
@@ -28,8 +28,12 @@
     this.caller = caller;
   }
 
+  /** Two answers cannot be joined: what has begun to go out is finished by nobody else. */
   @Override
-  public void head(HttpHead head, List<HttpHeader> toCaller) {
+  public boolean head(HttpHead head, List<HttpHeader> toCaller) {
+    if (started) {
+      return false;
+    }
     status = head.status();
     headers = toCaller;
     length =
@@ -38,6 +42,7 @@
             .mapToLong(Long::parseLong)
             .findFirst();
     held.reset();
+    return true;
   }
 
   @Override
@@ -85,4 +90,9 @@
   public boolean canEnd() {
     return true;
   }
+
+  @Override
+  public boolean canContinue() {
+    return !started;
+  }
 }
--- a/runtime/src/main/java/org/hornbeamusher/http/HttpHead.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/HttpHead.java
@@ -14,11 +14,23 @@
  */
 public record HttpHead(int status, List<HttpHeader> headers) {
 
+  private static final int SUCCESS_FROM = 200;
+  private static final int SUCCESS_BELOW = 300;
+
   /** Copies the list. */
   public HttpHead {
     headers = List.copyOf(headers);
   }
 
+  /**
+   * Tells whether the response reports a success.
+   *
+   * @return whether its status is one of 200 to 299
+   */
+  public boolean success() {
+    return status >= SUCCESS_FROM && status < SUCCESS_BELOW;
+  }
+
   /**
    * Finds a header.
    *
