A failure that was tried elsewhere in vain reaches the caller; resumable streams are tried elsewhere too

A request whose endpoint failed it was tried elsewhere; where nobody else was left the caller was told 503, which says that it did not run. Now a whole failure is kept until another endpoint's answer replaces it, and the caller gets it. failureThatNobodyElseCanMendReachesTheCaller failed first (503 for 500).

With it a resumable stream that fails before its first event is tried elsewhere, as a look-up is; streamThatFailedBeforeItsFirstEventIsAnsweredByAnotherEngine failed first (500).

--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardRun.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardRun.java
@@ -82,6 +82,10 @@
   private int refusals;
   private int unsent;
   private boolean mayHaveRun;
+
+  /** Whether the relay holds a whole failure of an endpoint, which no later answer replaced. */
+  private boolean failureKept;
+
   private long firstMillis = -1;
   private boolean over;
 
@@ -284,6 +288,7 @@
 
   @Override
   public void head(Attempt from, HttpHead head) {
+    failureKept = false;
     if (!relay.head(head, state.dialect().toCaller(head))) {
       // It failed, or answers with something that cannot follow what the caller has.
       from.cancel();
@@ -350,7 +355,9 @@
   }
 
   /**
-   * An endpoint's own failure is an answer too; but one that may be repeated is tried elsewhere.
+   * An endpoint's own failure is an answer too; but one that may be repeated is tried elsewhere,
+   * and kept in case that nobody else can take it: it ran, and the caller must not be told that it
+   * did not.
    */
   private void answered(EndpointView left, int status) {
     boolean failed = status >= SERVER_ERROR;
@@ -358,7 +365,9 @@
       left.failed(now());
       tried.add(left.id());
     }
-    if (failed && !relay.started() && route.kind() == RequestKind.IDEMPOTENT && mayRepeat()) {
+    if (failed && route.repeatable() && relay.canContinue() && mayRepeat()) {
+      failureKept = true;
+      mayHaveRun = true;
       place();
       return;
     }
@@ -409,6 +418,11 @@
 
   /** Ends a request that no endpoint can take; what may have run is not said to be not run. */
   private void giveUp(HornbeamusherException refusal) {
+    if (failureKept) {
+      relay.end();
+      finish("answered", relay.status());
+      return;
+    }
     if (mayHaveRun) {
       fail(HornbeamusherException.of(FailureType.RETRIES_EXHAUSTED, Outcome.UNKNOWN, service));
       return;
