What an earlier attempt may have done holds for the final answer; other answers than events end no stream

Mended here, each test seen to fail on the code before: - a page under status 200 from the next engine was joined to the events and ended them as whole (streamThatTheNextEngineAnswersWithPageDoesNotLookWhole): a later answer must have the first one's media type; - a bare 503 of an endpoint reached the caller as the promise that nothing ran, also after an earlier attempt that may have run (requestThatRanIsNotAnsweredWithPromiseOfTheNextEngine, bookingThatFailedWithoutPromiseIsNotSaidToBeNotRun): it is an endpoint's failure, 502; - the product's own interface told "not-run" when an answer had broken off and the repeat was refused (RefusedRepeatTest): EarlierAttempts keeps what the attempts so far mean. Without a test: a kept failure is also passed on when the next attempt breaks off; a request whose last write finds the caller gone is ended, logged and counted once.

Decided and left: an answer of the right type without any event is taken for the end.

--- a/runtime/src/main/java/org/hornbeamusher/entry/RequestRunner.java
+++ b/runtime/src/main/java/org/hornbeamusher/entry/RequestRunner.java
@@ -145,6 +145,16 @@
 
   private void runAttempts(AdmittedRequest request, AnswerWriter writer)
       throws InterruptedException {
+    EarlierAttempts earlier = new EarlierAttempts();
+    try {
+      runAttempts(request, writer, earlier);
+    } catch (HornbeamusherException e) {
+      throw earlier.withOutcome(e);
+    }
+  }
+
+  private void runAttempts(AdmittedRequest request, AnswerWriter writer, EarlierAttempts earlier)
+      throws InterruptedException {
     Set<EndpointId> excluded = new HashSet<>();
     int attempts = 0;
     int crashes = 0;
@@ -157,6 +167,7 @@
         endIfAlone(request, alone);
         return;
       } catch (AttemptFailedException failed) {
+        earlier.failed(failed.failure().outcome());
         if (!failed.crashed()) {
           endIfAlone(request, alone);
         } else {
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/Attempt.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/Attempt.java
@@ -74,6 +74,9 @@
       refused = head;
     } else if (head.success() && !facts.signed()) {
       breakOff(FailureType.UNSIGNED_ANSWER);
+    } else if (CallerAnswer.promisesNotRun(head.status())) {
+      // The status says to the caller that the request did not run; the endpoint did not say so.
+      breakOff(FailureType.ENDPOINT_FAILED);
     } else {
       listener.head(this, head);
     }
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/CallerAnswer.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/CallerAnswer.java
@@ -135,11 +135,15 @@
     return status;
   }
 
+  /** Tells whether a caller takes a status as the promise that its request did not run. */
+  static boolean promisesNotRun(int status) {
+    return PROMISES.contains(status);
+  }
+
   /** Only a request that was not run may be answered with a status that says so. */
   private static int statusOf(HornbeamusherException failure) {
     int status = failure.type().httpStatus();
-    boolean promises = PROMISES.contains(status);
-    return promises && !failure.outcome().equals(Outcome.NOT_RUN)
+    return promisesNotRun(status) && !failure.outcome().equals(Outcome.NOT_RUN)
         ? StatusCodes.BAD_GATEWAY
         : status;
   }
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/EventRelay.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/EventRelay.java
@@ -1,6 +1,7 @@
 package org.hornbeamusher.forwarding;
 
 import java.util.List;
+import java.util.Locale;
 import java.util.OptionalLong;
 import org.hornbeamusher.http.HttpHead;
 import org.hornbeamusher.http.HttpHeader;
@@ -15,11 +16,17 @@
  */
 final class EventRelay implements AnswerRelay {
 
+  private static final String CONTENT_TYPE = "Content-Type";
+
   private final CallerAnswer caller;
   private EventSplitter splitter = new EventSplitter();
   private List<HttpHeader> headers = List.of();
   private OptionalLong lastEvent;
   private int status;
+
+  /** The media type of the stream that the caller has, without its parameters. */
+  private String type = "";
+
   private boolean started;
 
   /** False once the caller has an event without a number: nobody could go on after it. */
@@ -39,13 +46,14 @@
    */
   @Override
   public boolean head(HttpHead head, List<HttpHeader> toCaller) {
-    if (!canContinue() || (started && head.status() != status)) {
+    if (!canContinue() || (started && !goesOn(head))) {
       return false;
     }
     splitter = new EventSplitter();
     failure = null;
     if (!started) {
       status = head.status();
+      type = contentType(head);
       headers = toCaller;
       if (!head.success()) {
         failure = new WholeRelay(caller);
@@ -55,6 +63,20 @@
     return true;
   }
 
+  /**
+   * A page that explains why there is no answer may come with the status of a success. An answer of
+   * the right type without any event is taken for the end: the endpoint before it may have broken
+   * off between its last event and its end.
+   */
+  private boolean goesOn(HttpHead head) {
+    return head.status() == status && contentType(head).equals(type);
+  }
+
+  private static String contentType(HttpHead head) {
+    String value = head.first(CONTENT_TYPE).orElse("");
+    return value.split(";", 2)[0].trim().toLowerCase(Locale.ROOT);
+  }
+
   @Override
   public void data(byte[] bytes) {
     if (failure != null) {
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardRun.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardRun.java
@@ -405,7 +405,7 @@
       place();
       return;
     }
-    fail(HornbeamusherException.of(cause, Outcome.UNKNOWN, left.id(), cause.label()));
+    giveUp(HornbeamusherException.of(cause, Outcome.UNKNOWN, left.id(), cause.label()));
   }
 
   private boolean mayRepeat() {
@@ -423,6 +423,10 @@
       finish("answered", relay.status());
       return;
     }
+    if (!refusal.outcome().equals(Outcome.NOT_RUN)) {
+      fail(refusal);
+      return;
+    }
     if (mayHaveRun) {
       fail(HornbeamusherException.of(FailureType.RETRIES_EXHAUSTED, Outcome.UNKNOWN, service));
       return;
@@ -511,6 +515,10 @@
   }
 
   private void finish(String cause, int status) {
+    if (over) {
+      // The last write found the caller gone, which has ended the request already.
+      return;
+    }
     over = true;
     cancel(deadline);
     cancel(replacing);
