--- a/runtime/src/main/java/org/hornbeamusher/companion/CompanionDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/companion/CompanionDaemon.java
@@ -365,7 +365,9 @@
       EventLog.log(
           EventType.ENGINE_UNREACHABLE,
           "reason",
-          HornbeamusherException.from(thrown).type().label());
+          HornbeamusherException.from(thrown).type().label(),
+          "detail",
+          HornbeamusherException.from(thrown).getMessage());
     }
     reachable = false;
     forgetEngine();
--- a/runtime/src/main/java/org/hornbeamusher/directory/Endpoint.java
+++ b/runtime/src/main/java/org/hornbeamusher/directory/Endpoint.java
@@ -22,7 +22,8 @@
     String zone,
     int slots,
     boolean leaving,
-    Set<HeldAdapter> held) {
+    Set<HeldAdapter> held)
+    implements ListedEntry {
 
   /** Copies the set. */
   public Endpoint {
--- a/runtime/src/main/java/org/hornbeamusher/directory/EndpointDirectory.java
+++ b/runtime/src/main/java/org/hornbeamusher/directory/EndpointDirectory.java
@@ -5,6 +5,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.hornbeamusher.ids.EndpointId;
 
 /**
@@ -22,6 +25,18 @@
  *   <li>an endpoint that said it was leaving never returns to service under the same id.
  * </ul>
  *
+ * <p>Others than the endpoints can write into the list. An entry that cannot be used, or that moves
+ * an endpoint to a service that is not configured, is not the endpoint's word. So the last usable
+ * one holds as if the entry had not changed, until the entry itself is gone: one that was leaving
+ * goes on leaving, and one in service stays there. Taking it out of service would let a single
+ * faulty writer take every endpoint from its callers; if it has gone nevertheless, its requests
+ * fail and are repeated elsewhere as after any loss. An id that never had a usable entry is not
+ * used.
+ *
+ * <p>Which services there are is known from the configuration. Before the first one nothing is
+ * used, and a new one judges the last list again, so that the endpoints of a new service are known
+ * at once.
+ *
  * <p>Example: the store is away from 10.0 s to 15.0 s and at 15.1 s the list holds one of nine
  * endpoints. All nine stay. At 16.8 s the list holds eight: the ninth is removed at 17.6 s.
  */
@@ -39,6 +54,12 @@
   private static final long NEVER = Long.MIN_VALUE / 2;
 
   private final Map<EndpointId, Endpoint> known = new HashMap<>();
+
+  /** The entries that cannot be used now, by key. */
+  private final Map<String, UnusableEntry> unusable = new HashMap<>();
+
+  private List<ListedEntry> lastList = List.of();
+  private Optional<Set<String>> services = Optional.empty();
   private long lastListMillis = NEVER;
   private long returnedMillis = NEVER;
 
@@ -52,21 +73,73 @@
    * @param now milliseconds
    * @return what changed
    */
-  public Change listed(List<Endpoint> listed, long now) {
+  public Change listed(List<? extends ListedEntry> listed, long now) {
     if (lastListMillis != NEVER && now - lastListMillis > OUTAGE_MILLIS) {
       returnedMillis = now;
     }
     lastListMillis = now;
-    Map<EndpointId, Endpoint> fresh = new HashMap<>();
-    listed.forEach(endpoint -> fresh.put(endpoint.id(), endpoint));
+    lastList = List.copyOf(listed);
+    Set<String> keys = lastList.stream().map(EndpointDirectory::key).collect(Collectors.toSet());
+    unusable.keySet().retainAll(keys);
     List<Endpoint> gone = new ArrayList<>();
     if (now - returnedMillis >= RETURN_MILLIS) {
-      known.values().stream().filter(old -> !fresh.containsKey(old.id())).forEach(gone::add);
+      known.values().stream().filter(old -> !keys.contains(old.id().value())).forEach(gone::add);
       gone.forEach(old -> known.remove(old.id()));
     }
+    return judged(gone);
+  }
+
+  /**
+   * Takes the services of a new configuration.
+   *
+   * @param configured the names of all services
+   * @return what changed with it in the last list
+   */
+  public Change configured(Set<String> configured) {
+    services = Optional.of(Set.copyOf(configured));
+    return judged(List.of());
+  }
+
+  /** Takes over what the last list says. */
+  private Change judged(List<Endpoint> gone) {
     List<Endpoint> changed = new ArrayList<>();
-    fresh.values().forEach(endpoint -> update(endpoint, changed));
-    return new Change(changed, gone);
+    List<UnusableEntry> spoilt = new ArrayList<>();
+    if (services.isPresent()) {
+      for (ListedEntry entry : lastList) {
+        switch (judged(entry, services.get())) {
+          case Endpoint endpoint -> {
+            unusable.remove(endpoint.id().value());
+            update(endpoint, changed);
+          }
+          case UnusableEntry found -> {
+            UnusableEntry before = unusable.put(found.key(), found);
+            if (before == null || !before.reason().equals(found.reason())) {
+              spoilt.add(found);
+            }
+          }
+        }
+      }
+    }
+    return new Change(changed, gone, spoilt);
+  }
+
+  /** A service that was configured when its endpoint came may be dropped before the endpoint is. */
+  private ListedEntry judged(ListedEntry entry, Set<String> configured) {
+    if (!(entry instanceof Endpoint endpoint) || configured.contains(endpoint.service())) {
+      return entry;
+    }
+    Endpoint old = known.get(endpoint.id());
+    return old != null && old.service().equals(endpoint.service())
+        ? entry
+        : new UnusableEntry(
+            endpoint.id().value(), "its service is not configured", OptionalLong.empty());
+  }
+
+  private static String key(ListedEntry entry) {
+    return switch (entry) {
+      case Endpoint endpoint -> endpoint.id().value();
+      case UnusableEntry found -> found.key();
+    };
   }
 
   private void update(Endpoint endpoint, List<Endpoint> changed) {
@@ -109,18 +182,29 @@
     return List.copyOf(known.values());
   }
 
+  /**
+   * Counts the entries that cannot be used.
+   *
+   * @return how many of the last list
+   */
+  public int unusableEntries() {
+    return unusable.size();
+  }
+
   /**
    * What a list changed.
    *
    * @param changed new and changed endpoints
    * @param gone endpoints that are no more
+   * @param unusable entries that cannot be used and could be before, or for another reason
    */
-  public record Change(List<Endpoint> changed, List<Endpoint> gone) {
+  public record Change(List<Endpoint> changed, List<Endpoint> gone, List<UnusableEntry> unusable) {
 
     /** Copies the lists. */
     public Change {
       changed = List.copyOf(changed);
       gone = List.copyOf(gone);
+      unusable = List.copyOf(unusable);
     }
   }
 }
--- a/runtime/src/main/java/org/hornbeamusher/events/EventType.java
+++ b/runtime/src/main/java/org/hornbeamusher/events/EventType.java
@@ -41,6 +41,7 @@
   VERSION_IN_FORCE(1307, Level.INFO, "A newer version of an adapter is to be used."),
   ENDPOINT_CHANGED(1308, Level.INFO, "An endpoint is new, has changed or is leaving."),
   ENDPOINT_GONE(1309, Level.INFO, "An endpoint is no more."),
+  ENDPOINT_UNUSABLE(1310, Level.WARNING, "A listed entry cannot be used; what was known holds."),
   // 1400: claims
   CLAIM_END_LOST(1401, Level.WARNING, "The end of a claim was not written; it reads as unknown."),
   // 1500: connections and membership
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
@@ -11,6 +11,8 @@
 import org.hornbeamusher.clock.Clock;
 import org.hornbeamusher.directory.Endpoint;
 import org.hornbeamusher.directory.EndpointDirectory;
+import org.hornbeamusher.directory.ListedEntry;
+import org.hornbeamusher.directory.UnusableEntry;
 import org.hornbeamusher.events.EventLog;
 import org.hornbeamusher.events.EventType;
 import org.hornbeamusher.failure.FailureType;
@@ -109,6 +111,7 @@
     ForwardMetrics measured = state.metrics();
     measured.gauge("running", runs::size);
     measured.gauge("endpoints", state.placer().views()::size);
+    measured.gauge("unusable_entries", state.directory()::unusableEntries);
     measured.gauge("list_age_ms", () -> state.directory().ageMillis(clock.millis()));
     measured.gauge(
         "configuration",
@@ -138,6 +141,7 @@
           configuration.version(),
           "services",
           configuration.services().size());
+      apply(state.directory().configured(configuration.services().keySet()));
       connectAgents();
     }
   }
@@ -157,18 +161,35 @@
   /**
    * Takes a list of endpoints.
    *
-   * @param endpoints every endpoint that the platform knows
+   * @param entries every entry of the list
    */
-  public void listed(List<Endpoint> endpoints) {
-    EndpointDirectory.Change change = state.directory().listed(endpoints, clock.millis());
+  public void listed(List<? extends ListedEntry> entries) {
+    EndpointDirectory.Change change = state.directory().listed(entries, clock.millis());
+    apply(change);
+    if (!change.gone().isEmpty() || !change.changed().isEmpty()) {
+      connectAgents();
+    }
+  }
+
+  private void apply(EndpointDirectory.Change change) {
     change.changed().forEach(this::changed);
     for (Endpoint gone : change.gone()) {
       state.placer().views().remove(gone.id());
       EventLog.log(EventType.ENDPOINT_GONE, "endpoint", gone.id(), "service", gone.service());
     }
-    if (!change.gone().isEmpty() || !change.changed().isEmpty()) {
-      connectAgents();
-    }
+    change.unusable().forEach(this::unusable);
+  }
+
+  private void unusable(UnusableEntry entry) {
+    state.metrics().entryUnusable();
+    EventLog.log(
+        EventType.ENDPOINT_UNUSABLE,
+        "endpoint",
+        entry.key(),
+        "reason",
+        entry.reason(),
+        "row_version",
+        entry.revision().isPresent() ? entry.revision().getAsLong() : "");
   }
 
   private void endpointLost(EndpointId endpoint) {
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardMetrics.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardMetrics.java
@@ -38,6 +38,11 @@
     registry.histogram(PREFIX + "load_stall_ms").update(millis);
   }
 
+  /** An entry of the list of endpoints cannot be used, or for another reason than before. */
+  void entryUnusable() {
+    registry.counter(PREFIX + "list.unusable").inc();
+  }
+
   /** Registers a value that is read when somebody asks. */
   void gauge(String name, Supplier<Number> value) {
     Gauge<Number> gauge = value::get;
--- a/runtime/src/main/java/org/hornbeamusher/watch/TableWatch.java
+++ b/runtime/src/main/java/org/hornbeamusher/watch/TableWatch.java
@@ -6,7 +6,6 @@
 import org.hornbeamusher.clock.Clock;
 import org.hornbeamusher.events.EventLog;
 import org.hornbeamusher.events.EventType;
-import org.hornbeamusher.failure.FailureType;
 import org.hornbeamusher.failure.HornbeamusherException;
 import org.hornbeamusher.loop.EventLoop;
 
@@ -89,7 +88,7 @@
       return;
     }
     if (thrown != null) {
-      failed(HornbeamusherException.from(thrown).type());
+      failed(HornbeamusherException.from(thrown));
       loop.after(settings.retryMillis(), this::ask);
       return;
     }
@@ -107,10 +106,17 @@
     }
   }
 
-  private void failed(FailureType type) {
+  private void failed(HornbeamusherException failure) {
     if (failingSinceMillis == NOTHING) {
       failingSinceMillis = clock.millis();
-      EventLog.log(EventType.PLATFORM_OUTAGE, "table", table, "reason", type.label());
+      EventLog.log(
+          EventType.PLATFORM_OUTAGE,
+          "table",
+          table,
+          "reason",
+          failure.type().label(),
+          "detail",
+          failure.getMessage());
     }
   }
 
