--- a/runtime/src/test/java/org/hornbeamusher/holdings/AdapterPlacesTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/holdings/AdapterPlacesTest.java
@@ -48,6 +48,23 @@
     assertEquals(load("b"), order(0));
   }
 
+  /**
+   * An engine with one place left takes an order to load, and the report that would show the load
+   * does not come. By the report before it the place is still free; a second load would be one more
+   * than the engine has places for, and would crash it.
+   */
+  @Test
+  void loadThatNoReportShowsYetTakesItsPlace() {
+    report(Map.of("used", 1L));
+    reserve(1, "used", 1, 0);
+    places.takeGrants();
+    reserve(2, "a", 1, 0);
+    reserve(3, "b", 1, 0);
+    assertEquals(load("a"), order(0));
+    places.answered(OrderAnswer.ACCEPTED);
+    assertEquals(Optional.empty(), order(SETTLED));
+  }
+
   @Test
   void reservationIsGrantedOnceWhenItsAdapterIsThere() {
     report(Map.of());
