explain: the log lines of one request in order, and the deciding one

On-call engineers grepped an id over the logs of a dozen processes. `./hornbeamusher explain ID FILE...` reads any number of logs, skips what a collector wrote before an event, and orders the request's own lines with what agents logged of the engines it was placed at. The deciding line is the last attempt that ended as the request did, else the last placing, move or attempt, else the end. A command's last argument may now be given often.

ExplanationTest has lines as recorded; LogLine is drawn against any text.

--- a/tool/src/main/java/org/hornbeamusher/tool/Command.java
+++ b/tool/src/main/java/org/hornbeamusher/tool/Command.java
@@ -9,7 +9,9 @@
   /** Returns the word it is called by. */
   String name();
 
-  /** Returns the names of its arguments, in order; each is required. */
+  /**
+   * Returns the names of its arguments, in order; each is required, the last may be given often.
+   */
   List<String> arguments();
 
   /** Returns its options. */
--- a/tool/src/main/java/org/hornbeamusher/tool/CommandRunner.java
+++ b/tool/src/main/java/org/hornbeamusher/tool/CommandRunner.java
@@ -18,6 +18,9 @@
 
   static final String VERSION = "0.1.0";
 
+  /** Ends the name of a last argument that may be given more than once. */
+  static final String OR_MORE = "...";
+
   private final Console console;
 
   CommandRunner(Console console) {
@@ -63,7 +66,7 @@
       return usage(command, e.getMessage());
     }
     List<String> arguments = command.arguments();
-    if (line.getArgList().size() != arguments.size()) {
+    if (!fits(line.getArgList().size(), arguments)) {
       return usage(command, "expected: " + Help.usage(command));
     }
     Logging.toStandardError(Level.WARNING);
@@ -74,6 +77,11 @@
     }
   }
 
+  private static boolean fits(int given, List<String> arguments) {
+    boolean more = !arguments.isEmpty() && arguments.getLast().endsWith(OR_MORE);
+    return given == arguments.size() || (more && given > arguments.size());
+  }
+
   private int usage(Command command, String message) {
     console.err().println("hornbeamusher " + command.name() + ": " + message);
     return ExitStatus.BAD_INPUT;
--- a/tool/src/main/java/org/hornbeamusher/tool/CommandTable.java
+++ b/tool/src/main/java/org/hornbeamusher/tool/CommandTable.java
@@ -19,6 +19,7 @@
           new ShowCommand(),
           new HistoryCommand(),
           new StatusCommand(),
+          new ExplainCommand(),
           new DrainCommand());
 
   private CommandTable() {}
--- /dev/null
+++ b/tool/src/test/java/org/hornbeamusher/explain/ExplanationTest.java
@@ -0,0 +1,138 @@
+package org.hornbeamusher.explain;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+/** On-call engineers have an id and the logs of several processes. */
+class ExplanationTest {
+
+  private static final String PLACED =
+      """
+      3.78 entry-1 {"time":"2026-03-26T05:43:50.782Z","level":"INFO","event":1103,\
+      "name":"REQUEST_PLACED","id":"c8","adapter":"base/a390@1","endpoint":"i-first"}\
+      """;
+  private static final String CRASHED =
+      """
+      {"time":"2026-03-26T05:43:51.011Z","name":"ATTEMPT_ENDED","id":"c8",\
+      "endpoint":"i-first","end":"endpoint-lost","status":200,"caller_status":200}\
+      """;
+  private static final String PLACED_AGAIN =
+      """
+      {"time":"2026-03-26T05:43:51.012Z","name":"REQUEST_PLACED","id":"c8",\
+      "adapter":"base/a390@1","endpoint":"i-second"}\
+      """;
+  private static final String FAILED =
+      """
+      {"time":"2026-03-26T05:43:51.322Z","name":"ATTEMPT_ENDED","id":"c8",\
+      "endpoint":"i-second","end":"endpoint-failed","status":500,"caller_status":200}\
+      """;
+  private static final String CUT =
+      """
+      {"time":"2026-03-26T05:43:51.323Z","name":"REQUEST_ENDED","id":"c8",\
+      "cause":"endpoint-failed","status":0,"sends":2}\
+      """;
+  private static final String REFUSED =
+      """
+      {"time":"2026-03-26T05:43:51.823Z","name":"REQUEST_ENDED","id":"c8",\
+      "cause":"load-too-late","status":503,"sends":0}\
+      """;
+  private static final String SEEN =
+      """
+      {"time":"2026-03-26T05:40:00.000Z","name":"ENGINE_SEEN","endpoint":"i-first"}\
+      """;
+  private static final String SILENT =
+      """
+      {"time":"2026-03-26T05:43:51.100Z","name":"ENGINE_UNREACHABLE","reason":"connect-failed"}\
+      """;
+
+  private static final String ORDER =
+      """
+      {"time":"2026-03-26T05:43:51.200Z","name":"ENGINE_ORDERED","key":"%s","endpoint":"i-first"}\
+      """;
+
+  /**
+   * A stream broke off and the next engine failed it. Its caller asks why; the line of the second
+   * attempt says so, whatever order the lines are read in.
+   */
+  @Test
+  void attemptThatEndedAsTheRequestDidDecides() {
+    Explanation explanation =
+        Explanation.of("c8", lines("entry", CUT, FAILED, PLACED_AGAIN, CRASHED, PLACED));
+    assertEquals("endpoint-failed", explanation.deciding().orElseThrow().field("end"));
+    assertEquals(
+        List.of("REQUEST_PLACED", "ATTEMPT_ENDED", "REQUEST_PLACED", "ATTEMPT_ENDED"),
+        explanation.lines().stream().map(LogLine::name).limit(4).toList());
+  }
+
+  /**
+   * A request waited for an adapter until it was refused. The line of its placing decides, and the
+   * agent's order for that adapter stands beside it; orders for other adapters do not.
+   */
+  @Test
+  void refusedRequestIsExplainedByItsPlacingAndTheOrders() {
+    String mine = order("base/a390");
+    String other = order("base/a1");
+    Explanation explanation =
+        Explanation.of(
+            "c8",
+            Stream.concat(
+                    lines("entry", PLACED, REFUSED).stream(), lines("agent", mine, other).stream())
+                .toList());
+    assertEquals("REQUEST_PLACED", explanation.deciding().orElseThrow().name());
+    assertEquals(
+        List.of("base/a390"),
+        explanation.lines().stream()
+            .filter(line -> line.name().equals("ENGINE_ORDERED"))
+            .map(line -> line.field("key"))
+            .toList());
+  }
+
+  /** An agent that sees no engine cannot name it; its log is known by what it named before. */
+  @Test
+  void silenceOfTheEngineStandsBesideTheRequest() {
+    List<LogLine> all =
+        Stream.of(
+                lines("entry", PLACED, CRASHED),
+                lines("agent", SEEN, SILENT),
+                lines("other-agent", SILENT))
+            .flatMap(List::stream)
+            .toList();
+    List<LogLine> lines = Explanation.of("c8", all).lines();
+    assertEquals(
+        List.of("agent"),
+        lines.stream()
+            .filter(line -> line.name().equals("ENGINE_UNREACHABLE"))
+            .map(LogLine::source)
+            .toList());
+  }
+
+  @Test
+  void idThatNoLineBearsHasNoExplanation() {
+    Explanation explanation = Explanation.of("other", lines("entry", PLACED, CUT));
+    assertTrue(explanation.lines().isEmpty());
+    assertFalse(explanation.deciding().isPresent());
+  }
+
+  /** Logs hold stack traces, cut lines and other programs' words; none of them stops the reader. */
+  @Property(tries = 300, seed = "5")
+  void anyTextIsReadOrLeftOut(@ForAll String text) {
+    assertEquals(Optional.empty(), LogLine.parse("f", text));
+    assertEquals(Optional.empty(), LogLine.parse("f", PLACED.substring(0, 60) + text));
+  }
+
+  private static String order(String key) {
+    return ORDER.formatted(key);
+  }
+
+  private static List<LogLine> lines(String source, String... texts) {
+    return Stream.of(texts).map(text -> LogLine.parse(source, text).orElseThrow()).toList();
+  }
+}
--- a/tool/src/test/java/org/hornbeamusher/tool/CommandRunnerTest.java
+++ b/tool/src/test/java/org/hornbeamusher/tool/CommandRunnerTest.java
@@ -64,6 +64,18 @@
     assertEquals(ExitStatus.BAD_INPUT, run("submit", "file", "--base", "1"));
   }
 
+  /** An engineer names the logs of two processes; a log that is missing is said to be. */
+  @Test
+  void explainReadsAnyNumberOfLogs() throws Exception {
+    String end = "{\"time\":\"2026-03-26T05:43:51.823Z\",\"name\":\"REQUEST_ENDED\",\"id\":\"c8\"}";
+    Path one = write("one.log", "starting\n");
+    Path two = write("two.log", end + "\n");
+    assertEquals(ExitStatus.BAD_INPUT, run("explain", "c8"));
+    assertEquals(ExitStatus.FAILED, run("explain", "c8", one.toString()));
+    assertEquals(ExitStatus.OK, run("explain", "c8", one.toString(), two.toString()));
+    assertEquals(ExitStatus.BAD_INPUT, run("explain", "c8", one + ".missing"));
+  }
+
   /** An operator's file has five faults; all five are shown, and the status says so to a script. */
   @Test
   void checkReportsAllFaultsOfSettings() throws Exception {
