A leaving endpoint starts nothing new after a second; what waits is given back

Reading the path: the agent refuses new attempts from the word on, but what was queued before it (for a load, or behind the batch) was started whenever its turn came, up to the caller's deadline of 8 s. The weight store gives two loads a second, so a queue of a few cold adapters is enough.

Ruled out: an attempt taken in after the word (refused under the same lock); entries that place there later (they are told on the same connection, and would be refused).

Change: what has not started one second after the word is given back as not run (endpoint-leaving, which the entry's retry policy sends elsewhere at once without a back-off). Half of the two seconds that the product promises; the other half is for the way to the engine. What runs is finished.

--- a/runtime/src/main/java/org/hornbeamusher/agent/AgentShell.java
+++ b/runtime/src/main/java/org/hornbeamusher/agent/AgentShell.java
@@ -198,9 +198,10 @@
     orphans.forEach(attempt -> cancel(connection, attempt));
   }
 
-  /** Takes no new attempts from here on. */
+  /** Takes no new attempts from here on, and gives back what does not start soon. */
   synchronized void leave() {
     leaving = true;
+    scheduler.leave(clock.millis());
   }
 
   /** Tells whether new attempts are refused. */
--- a/runtime/src/main/java/org/hornbeamusher/scheduling/AgentScheduler.java
+++ b/runtime/src/main/java/org/hornbeamusher/scheduling/AgentScheduler.java
@@ -97,6 +97,12 @@
   /** A request that hangs is charged at most this many times what was expected. */
   private static final double MOST_CHARGED = 4;
 
+  /**
+   * How long what waits at a leaving endpoint may still be started: half of the two seconds after
+   * which such an endpoint gets nothing new any more. The other half is for the way to the engine.
+   */
+  static final long LEAVING_START_MILLIS = 1_000;
+
   private static final long IDLE_POLL_MILLIS = 1_000;
   private static final long WAITING_POLL_MILLIS = 100;
 
@@ -118,6 +124,9 @@
 
   private long lastScan = Long.MIN_VALUE;
 
+  /** From then on nothing is started any more; far in the future while the endpoint stays. */
+  private long lastStartMillis = Long.MAX_VALUE;
+
   /** On which nothing more starts until it is evicted. */
   private Optional<AdapterRef> draining = Optional.empty();
 
@@ -256,6 +265,18 @@
     permit.granted();
   }
 
+  /**
+   * The endpoint leaves. Left in its queue, a request that waits for a load or for a place is
+   * started when its turn comes, seconds after everybody was told that nothing new runs here; on an
+   * endpoint that is then stopped it is lost. What has not started soon is therefore given back as
+   * not run, and its entry sends it elsewhere.
+   *
+   * @param now milliseconds
+   */
+  public void leave(long now) {
+    lastStartMillis = Math.min(lastStartMillis, now + LEAVING_START_MILLIS);
+  }
+
   /**
    * Decides what happens next.
    *
@@ -263,6 +284,9 @@
    * @return the actions, in order
    */
   public List<AgentAction> poll(long now) {
+    if (now >= lastStartMillis) {
+      List.copyOf(queue.all()).forEach(one -> refuse(one, FailureType.ENDPOINT_LEAVING, 0));
+    }
     dropHopeless(now);
     List<AgentAction> actions = new ArrayList<>(refusals);
     refusals.clear();
--- a/runtime/src/test/java/org/hornbeamusher/scheduling/FakeEndpoint.java
+++ b/runtime/src/test/java/org/hornbeamusher/scheduling/FakeEndpoint.java
@@ -111,6 +111,12 @@
     poll();
   }
 
+  /** The endpoint is told to leave. */
+  void leave() {
+    scheduler.leave(now);
+    poll();
+  }
+
   /** The engine loses everything. */
   void restart() {
     generation++;
