Recovery: an engine's new life is used at its agent's word

Cause: after a loss of power the engines are back under new ids at the addresses that they had. Entries went on placing at the former ids until the list dropped them 2.1 s later (188 to 605 sends refused with 421, then endpoint-refused), although the agents beside the new lives were connected; and a connection to an agent whose machine was still starting was opened only after a second, because the lost first packet is sent again then. Requests that waited for a load left for engines without a base model and began anew (adapters ordered at up to seven engines for one). Loads went by time of arrival, so that one adapter that 60 callers waited for had its turn after those of one.

Change: Successors (an id that its agent names takes the place of the one that the list names at that address; what has left the list is not brought back; an id that is never listed is dropped after 5 s). A connection to a peer is given up after 0.1 s at first, doubling to 1 s, with pauses of 0.2 s at most. 421 from an endpoint without a connected agent ends the belief in what it holds. LoadOrder: adapters that still serve someone in time first, of these the one that serves most. A request leaves its line only for an engine that can load.

Ruled out: other places than these for the 421 (all were of former ids, by the entries' logs); a pure matter of processor time (the same without it).

What is left of the recovery is the store's 96 loads a second.

--- a/runtime/src/main/java/org/hornbeamusher/companion/CompanionSettings.java
+++ b/runtime/src/main/java/org/hornbeamusher/companion/CompanionSettings.java
@@ -10,7 +10,8 @@
  * @param zone its availability zone
  * @param entries where entries connect
  * @param metrics where it serves its metrics
- * @param engine the engine's address, a name for its row of fencing numbers
+ * @param engine the engine's address, host and port joined by a hyphen; names its row of fencing
+ *     numbers, and tells entries which endpoint of their list the agent stands beside
  */
 public record CompanionSettings(
     String instance,
--- a/runtime/src/main/java/org/hornbeamusher/directory/Endpoint.java
+++ b/runtime/src/main/java/org/hornbeamusher/directory/Endpoint.java
@@ -40,6 +40,15 @@
     return life.id();
   }
 
+  /**
+   * Returns where it is found, as the agent beside it names it too.
+   *
+   * @return host and port, joined by a hyphen
+   */
+  public String address() {
+    return uri.getHost() + "-" + uri.getPort();
+  }
+
   /**
    * Returns this life with its start.
    *
@@ -63,4 +72,14 @@
     return new Endpoint(
         new EndpointLife(id(), startMillis), service, uri, zone, slots, false, Set.of());
   }
+
+  /**
+   * Returns the endpoint that followed this one at its address, under an id of its own.
+   *
+   * @param next the life that stands there now
+   * @return in service, and without anything that this endpoint held
+   */
+  Endpoint succeededBy(EndpointLife next) {
+    return new Endpoint(next, service, uri, zone, slots, false, Set.of());
+  }
 }
--- a/runtime/src/main/java/org/hornbeamusher/directory/EndpointDirectory.java
+++ b/runtime/src/main/java/org/hornbeamusher/directory/EndpointDirectory.java
@@ -27,7 +27,9 @@
  *   <li>a life of an endpoint that said it was leaving never returns to service; a later life under
  *       the same id does;
  *   <li>which life of an id is in force is decided by {@link LifeSuccession}, from the list and
- *       from the agent beside the endpoint; an entry of another life changes nothing.
+ *       from the agent beside the endpoint; an entry of another life changes nothing;
+ *   <li>an engine that its agent sees under a new id stands in the place of the one that the list
+ *       still names at its address ({@link Successors}).
  * </ul>
  *
  * <p>Others than the endpoints can write into the list. An entry that cannot be used, or that moves
@@ -83,6 +85,8 @@
         }
       };
 
+  private final Successors successors = new Successors();
+
   private long lastListMillis = NEVER;
   private long returnedMillis = NEVER;
 
@@ -105,8 +109,11 @@
     Set<String> keys = lastList.stream().map(EndpointDirectory::key).collect(Collectors.toSet());
     unusable.keySet().retainAll(keys);
     List<Endpoint> gone = new ArrayList<>();
+    lastList.forEach(entry -> successors.listed(new EndpointId(key(entry))));
     if (now - returnedMillis >= RETURN_MILLIS) {
-      known.values().stream().filter(old -> !keys.contains(old.id().value())).forEach(gone::add);
+      known.values().stream()
+          .filter(old -> !keys.contains(old.id().value()) && !successors.awaited(old.id(), now))
+          .forEach(gone::add);
       gone.forEach(old -> known.remove(old.id()));
     }
     return judged(gone);
@@ -131,7 +138,9 @@
         switch (judged(entry, services.get())) {
           case Endpoint endpoint -> {
             unusable.remove(endpoint.id().value());
-            update(endpoint, found);
+            if (!successors.superseded(endpoint.id())) {
+              update(endpoint, found);
+            }
           }
           case UnusableEntry spoilt -> {
             UnusableEntry before = unusable.put(spoilt.key(), spoilt);
@@ -183,6 +192,37 @@
     return new Change(found.changed, List.of(), found.ended, List.of());
   }
 
+  /**
+   * Takes the life that the agent beside an engine names, which may be one that the list doesn't
+   * know yet.
+   *
+   * @param life the life it sees
+   * @param address of the engine, as {@link Endpoint#address} has it
+   * @param now milliseconds
+   * @return what changed
+   */
+  public Change told(EndpointLife life, String address, long now) {
+    Optional<Endpoint> former =
+        known.containsKey(life.id())
+            ? Optional.empty()
+            : successors.predecessor(life.id(), address).filter(this::isConfigured);
+    return former.map(one -> succeeded(one, life, now)).orElseGet(() -> told(life));
+  }
+
+  private Change succeeded(Endpoint former, EndpointLife life, long now) {
+    successors.announced(life.id(), former.id(), now);
+    lives(life.id()).told(life.startMillis());
+    Found found = new Found();
+    found.ended.add(former.life());
+    replace(null, former.succeededBy(life), found);
+    boolean listed = known.remove(former.id()) != null;
+    return new Change(found.changed, listed ? List.of(former) : List.of(), found.ended, List.of());
+  }
+
+  private boolean isConfigured(Endpoint endpoint) {
+    return services.isPresent() && services.get().contains(endpoint.service());
+  }
+
   /**
    * The agent beside an endpoint is gone, or sees no life of it; the list alone speaks of it.
    *
@@ -219,6 +259,7 @@
       return;
     }
     known.put(endpoint.id(), endpoint);
+    successors.stands(endpoint);
     found.changed.add(endpoint);
   }
 
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/EngineAgents.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/EngineAgents.java
@@ -129,7 +129,7 @@
     Listener NONE =
         new Listener() {
           @Override
-          public void seen(EndpointLife life) {}
+          public void seen(EndpointLife life, String address) {}
 
           @Override
           public void unseen(EndpointLife life) {}
@@ -138,8 +138,11 @@
           public void agentLost(EndpointId id) {}
         };
 
-    /** An agent sees this life of its engine; a former life under the same id has ended. */
-    void seen(EndpointLife life);
+    /**
+     * An agent sees this life of the engine at an address; every other life that the engine had has
+     * ended, whatever its id.
+     */
+    void seen(EndpointLife life, String address);
 
     /** An agent that saw this life of its engine sees another endpoint, or none for now. */
     void unseen(EndpointLife life);
@@ -157,6 +160,9 @@
     private WireConnection connection;
     private Message.Holdings holdings;
 
+    /** The address of the engine beside the agent, by the agent's word. */
+    private String engine = "";
+
     /** When the list named an engine at this address last. */
     private long wantedMillis;
 
@@ -194,6 +200,7 @@
       loop.execute(
           () -> {
             connection = opened;
+            engine = peer.endpoint();
             EventLog.log(EventType.PEER_CONNECTED, "peer", peer.instance(), "at", address);
             live.values().forEach(EngineReservation::announce);
           });
@@ -238,7 +245,7 @@
     /** The agent sees another life of its engine, or none. */
     private void tellLives(Optional<EndpointLife> before) {
       Optional<EndpointLife> now = life();
-      now.ifPresent(listener::seen);
+      now.ifPresent(life -> listener.seen(life, engine));
       before
           .filter(life -> now.filter(next -> next.id().equals(life.id())).isEmpty())
           .ifPresent(listener::unseen);
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
@@ -172,7 +172,9 @@
     change.changed().forEach(this::changed);
     for (Endpoint gone : change.gone()) {
       state.placer().views().remove(gone.id());
-      logEnd(gone.life(), "not-listed");
+      if (!change.ended().contains(gone.life())) {
+        logEnd(gone.life(), "not-listed");
+      }
     }
     if (!change.gone().isEmpty() || !change.changed().isEmpty()) {
       connectAgents();
@@ -335,8 +337,8 @@
   private final class Lives implements EngineAgents.Listener {
 
     @Override
-    public void seen(EndpointLife life) {
-      apply(state.directory().told(life));
+    public void seen(EndpointLife life, String address) {
+      apply(state.directory().told(life, address, clock.millis()));
     }
 
     /** What ran there is lost, as far as anyone can tell; the life itself may be seen again. */
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardRun.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardRun.java
@@ -48,6 +48,10 @@
   private static final long REPLACE_MILLIS = 100;
 
   private static final int SERVER_ERROR = 500;
+
+  /** The endpoint at that address is not the one that was meant, or lacks what was asked for. */
+  private static final int MISDIRECTED = 421;
+
   private static final int MOST_REFUSALS = 3;
   private static final int MOST_UNSENT = 4;
 
@@ -335,7 +339,7 @@
     switch (judged) {
       case AttemptEnd.Answered answered -> answered(left, from.status());
       case AttemptEnd.NotSent notSent -> notSent(left);
-      case AttemptEnd.Refused refused -> refused(left);
+      case AttemptEnd.Refused refused -> refused(left, refused.status());
       case AttemptEnd.Broken broken -> broken(left, broken.cause());
     }
   }
@@ -387,8 +391,11 @@
     }
   }
 
-  private void refused(EndpointView left) {
+  private void refused(EndpointView left, int status) {
     refusals++;
+    if (status == MISDIRECTED) {
+      left.misdirected(now());
+    }
     tried.add(left.life());
     if (refusals > MOST_REFUSALS || !takeRepeat()) {
       giveUp(notRun(FailureType.ENDPOINT_REFUSED, left.id()));
--- a/runtime/src/main/java/org/hornbeamusher/holdings/AdapterPlaces.java
+++ b/runtime/src/main/java/org/hornbeamusher/holdings/AdapterPlaces.java
@@ -22,8 +22,8 @@
  *
  * <ul>
  *   <li>an adapter with a reservation is never unloaded;
- *   <li>an adapter that is wanted and not there is loaded into a free place, the one wanted first
- *       before the others;
+ *   <li>an adapter that is wanted and not there is loaded into a free place, in the order of {@link
+ *       LoadOrder};
  *   <li>the last place is kept from requests that will be late anyway, while others that could
  *       still be answered in time have lately had to wait for one;
  *   <li>without a free place, the adapter with the least demand makes way. It is first withdrawn:
@@ -59,9 +59,6 @@
   /** Entries that are connected make their reservations known within this time of a start. */
   static final long SETTLE_MILLIS = 1_000;
 
-  /** A load from the weight store and the reading of a short prompt. */
-  private static final long LOAD_MILLIS = 280;
-
   /** Adapters that an engine fetches at once. */
   private static final int MOST_PENDING = 4;
 
@@ -367,8 +364,8 @@
   }
 
   private Optional<EngineOrder> wantedAdapter(long now) {
-    for (Reservation wanted : inOrder(now)) {
-      if (late(wanted, now) && pressed(now) && usablePlaces() <= KEPT_FOR_TIMELY) {
+    for (Reservation wanted : LoadOrder.of(waiting.values(), now)) {
+      if (LoadOrder.late(wanted, now) && pressed(now) && usablePlaces() <= KEPT_FOR_TIMELY) {
         return Optional.empty();
       }
       AdapterKey key = wanted.adapter().key();
@@ -388,7 +385,7 @@
       if (taken() < places) {
         return Optional.of(new EngineOrder.Load(key));
       }
-      if (!late(wanted, now)) {
+      if (!LoadOrder.late(wanted, now)) {
         timelyWaitedMillis = now;
       }
       return makeRoom(now);
@@ -396,22 +393,6 @@
     return Optional.empty();
   }
 
-  /**
-   * Those that can still be answered in time come first, by that time; the late ones follow. Served
-   * by time alone, a full engine would spend its places on requests that have just become late.
-   */
-  private List<Reservation> inOrder(long now) {
-    List<Reservation> order = new ArrayList<>(waiting.values());
-    order.sort(
-        Comparator.comparing((Reservation r) -> late(r, now))
-            .thenComparingLong(Reservation::aimMillis));
-    return order;
-  }
-
-  private static boolean late(Reservation reservation, long now) {
-    return reservation.aimMillis() - now < LOAD_MILLIS;
-  }
-
   private boolean pressed(long now) {
     return now - timelyWaitedMillis < PRESSED_MILLIS;
   }
--- a/runtime/src/main/java/org/hornbeamusher/placement/EndpointHealth.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/EndpointHealth.java
@@ -44,6 +44,12 @@
     penaltyMillis = now;
   }
 
+  /** Another endpoint answers at its address; nothing but the lack of any other leads back here. */
+  void misdirected(long now) {
+    penalty = MOST_PENALTY_MILLIS;
+    penaltyMillis = now;
+  }
+
   double penaltyMillis(long now) {
     double halves = Math.max(0, now - penaltyMillis) / HALF_LIFE_MILLIS;
     return penalty * Math.pow(0.5, halves);
--- a/runtime/src/main/java/org/hornbeamusher/placement/EndpointView.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/EndpointView.java
@@ -200,6 +200,21 @@
     health.failed(now);
   }
 
+  /**
+   * What stands at this address is not this endpoint, or does not hold what it was believed to
+   * hold. Where an agent is connected, its next word is a few milliseconds away and tells which.
+   * Without one only the list has spoken, which lags by seconds behind an endpoint that started
+   * again: every further request would be refused as well until its entry lapses.
+   *
+   * @param now milliseconds
+   */
+  public void misdirected(long now) {
+    if (!agentConnected) {
+      held = Set.of();
+      health.misdirected(now);
+    }
+  }
+
   /**
    * Returns how much of a prompt the endpoint would have to read.
    *
--- a/runtime/src/main/java/org/hornbeamusher/placement/Placement.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/Placement.java
@@ -10,7 +10,7 @@
    * @param present whether it can start there now; otherwise its adapter is to be loaded first
    * @param estimateMillis until its first event
    * @param stallMillis how much of that is the load
-   * @param placeFree whether a load would not have to wait for a place
+   * @param placeFree whether a load could begin now: the base model is there, and a place is free
    */
   record At(
       EndpointView endpoint,
--- a/runtime/src/main/java/org/hornbeamusher/placement/Placer.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/Placer.java
@@ -101,7 +101,17 @@
         bestCost.present(),
         Math.round(bestCost.latency()),
         Math.round(bestCost.stall()),
-        best.sparePlaces(now) > 0);
+        canLoad(best, request, now));
+  }
+
+  /**
+   * Right after everything has restarted no engine holds its base model, and all have free places.
+   * A request that left its line for one of them would begin to wait anew, from engine to engine.
+   */
+  private static boolean canLoad(EndpointView view, PlacementRequest request, long now) {
+    boolean model =
+        request.adapter().map(adapter -> view.holdsModel(adapter.key().model())).orElse(true);
+    return model && view.sparePlaces(now) > 0;
   }
 
   private Cost cost(EndpointView view, PlacementRequest request, long now) {
--- a/runtime/src/main/java/org/hornbeamusher/wire/WireConnector.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/WireConnector.java
@@ -12,12 +12,21 @@
  * Keeps one connection to a peer: opens it, and opens a new one whenever it ends.
  *
  * <p>Attempts to connect back off up to {@link #MAX_BACKOFF_MILLIS} with jitter, so that the
- * entries of a whole zone do not all knock at a restarting agent in the same moment.
+ * entries of a whole zone do not all knock at a restarting agent in the same moment. The bound is
+ * low because an attempt costs a packet, and a peer that is back and not connected costs requests:
+ * when everything lost power at once, entries that waited a second placed all of that second's
+ * requests on engines of which they knew nothing. For the same reason the first attempt is given up
+ * soon: the packet that opens it is lost without a word when the peer's machine is still starting,
+ * and the system sends it again only after a second. Each further attempt may take twice as long,
+ * so that a peer in another region is reached as well.
  */
 public final class WireConnector {
 
+  /** Opening a connection takes one round trip: 6 ms within a region, up to 250 between regions. */
+  private static final int FIRST_CONNECT_MILLIS = 100;
+
   private static final long MIN_BACKOFF_MILLIS = 50;
-  private static final long MAX_BACKOFF_MILLIS = 1_000;
+  private static final long MAX_BACKOFF_MILLIS = 200;
 
   private final InetSocketAddress address;
   private final Message.Hello own;
@@ -82,9 +91,16 @@
 
   private void run() {
     long backoff = MIN_BACKOFF_MILLIS;
+    int patience = FIRST_CONNECT_MILLIS;
     while (!stopped) {
       try {
-        backoff = connectOnce() ? MIN_BACKOFF_MILLIS : Math.min(backoff * 2, MAX_BACKOFF_MILLIS);
+        if (connectOnce(Math.min(patience, settings.connectMillis()))) {
+          backoff = MIN_BACKOFF_MILLIS;
+          patience = FIRST_CONNECT_MILLIS;
+        } else {
+          backoff = Math.min(backoff * 2, MAX_BACKOFF_MILLIS);
+          patience = Math.min(patience * 2, settings.connectMillis());
+        }
         Thread.sleep(ThreadLocalRandom.current().nextLong(backoff / 2, backoff + 1));
       } catch (InterruptedException e) {
         Thread.currentThread().interrupt();
@@ -94,12 +110,12 @@
   }
 
   /** Opens a connection and waits for its end; tells whether the peer introduced itself. */
-  private boolean connectOnce() throws InterruptedException {
+  private boolean connectOnce(int millis) throws InterruptedException {
     Socket socket;
     try {
       socket = sockets.connect();
       socket.setTcpNoDelay(true);
-      socket.connect(address, settings.connectMillis());
+      socket.connect(address, millis);
     } catch (IOException e) {
       return false;
     }
--- a/runtime/src/main/java/org/hornbeamusher/wire/WireSettings.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/WireSettings.java
@@ -5,7 +5,7 @@
  *
  * @param heartbeatMillis how often each end says that it lives
  * @param silenceMillis after how long without a word a connection is given up
- * @param connectMillis how long opening a connection may take
+ * @param connectMillis how long opening a connection may take at the most
  * @param outgoingMessages most messages that wait to be written
  */
 public record WireSettings(
--- a/runtime/src/test/java/org/hornbeamusher/directory/EndpointDirectoryTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/directory/EndpointDirectoryTest.java
@@ -344,6 +344,79 @@
     }
   }
 
+  /**
+   * Engines lose power and start again under new ids at the addresses that they had. For seconds
+   * the list still names the former ids, and every request sent to one of them was refused, while
+   * the agents beside the new ones were connected already.
+   */
+  @Test
+  void engineThatItsAgentSeesUnderNewIdStandsInThePlaceOfTheFormer() {
+    listed(0, "a");
+
+    EndpointDirectory.Change change = told("b", 100);
+
+    assertEquals(List.of("a"), gone(change));
+    assertEquals(List.of(endpoint("a", false).life()), change.ended());
+    assertEquals(List.of("b"), ids(change.changed()));
+    assertEquals("s", change.changed().get(0).service());
+    listed(READ_MILLIS, "a");
+    assertEquals(List.of("b"), ids(directory.endpoints()), "the former id does not come back");
+    listed(2 * READ_MILLIS, "a", "b");
+    assertEquals(List.of("b"), ids(directory.endpoints()));
+  }
+
+  /** A crashed engine leaves the list before it is back; its place is remembered. */
+  @Test
+  void successorOfAnEngineThatLeftTheListIsUsedAtItsAgentsWord() {
+    listed(0, "a");
+    listed(READ_MILLIS);
+
+    assertEquals(List.of("b"), ids(told("b", 1_000).changed()));
+  }
+
+  /**
+   * An endpoint has left the list and goes on serving for a while; its agent still names it. It was
+   * the list's word that it is gone, and nothing new may reach it.
+   */
+  @Test
+  void agentDoesNotBringBackWhatHasLeftTheList() {
+    listed(0, "a");
+    listed(READ_MILLIS, "a", "b");
+    listed(2 * READ_MILLIS, "a");
+
+    assertEquals(List.of(), told("b", 3 * READ_MILLIS).changed());
+    assertEquals(List.of("a"), ids(directory.endpoints()));
+  }
+
+  /** An engine that only its agent ever named is not used for longer than its entry may take. */
+  @Test
+  void engineThatIsNeverListedIsDropped() {
+    listed(0, "a");
+    told("b", 100);
+    long over = 100 + Successors.ANNOUNCED_MILLIS;
+    for (long now = READ_MILLIS; now < over; now += READ_MILLIS) {
+      assertEquals(List.of(), gone(listed(now)));
+    }
+    assertEquals(List.of("b"), gone(listed(over)));
+  }
+
+  /** An agent beside an address of which the list never spoke says nothing about any service. */
+  @Test
+  void engineAtAnUnknownAddressWaitsForTheList() {
+    listed(0, "a");
+    EndpointLife other = endpoint("b", false).life();
+    assertEquals(List.of(), directory.told(other, "10.0.0.2-1", 100).changed());
+  }
+
+  private EndpointDirectory.Change told(String id, long now) {
+    Endpoint told = endpoint(id, false);
+    return directory.told(told.life(), told.address(), now);
+  }
+
+  private static List<String> ids(List<Endpoint> endpoints) {
+    return endpoints.stream().map(endpoint -> endpoint.id().value()).toList();
+  }
+
   private Endpoint now() {
     return directory.endpoint(A).orElseThrow();
   }
--- a/runtime/src/test/java/org/hornbeamusher/holdings/AdapterPlacesTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/holdings/AdapterPlacesTest.java
@@ -285,6 +285,30 @@
     assertEquals(load("hopeful"), order(0));
   }
 
+  /**
+   * An engine has started again, empty. Three callers wait for one adapter, one who came before
+   * them for another. Loaded by the time of arrival, the three wait for two loads instead of one.
+   */
+  @Test
+  void adapterThatServesMostWaitingRequestsIsLoadedFirst() {
+    report(Map.of());
+    reserve(1, "single", 1, 0, 900);
+    reserve(2, "popular", 1, 0, 1_000);
+    reserve(3, "popular", 1, 0, 1_100);
+    reserve(4, "popular", 1, 0, 1_200);
+    assertEquals(load("popular"), order(0));
+  }
+
+  /** Those who wait for the popular one will be late anyway; the single caller will not. */
+  @Test
+  void callerWhoCanBeInTimeComesBeforeManyWhoCannot() {
+    report(Map.of());
+    reserve(1, "popular", 1, 0, 100);
+    reserve(2, "popular", 1, 0, 100);
+    reserve(3, "single", 1, 0, 900);
+    assertEquals(load("single"), order(0));
+  }
+
   @Test
   void otherEntriesLoadLeavesOutOnesOwn() {
     report(Map.of("a", 1L));
