What a load, a place and a slot cost is learnt; loads share the store's way

Cause: entries reckoned with the figures of another deployment: 250 ms for a place (here about 36), 40 copies outside the places (here 84), loads of 400 and 40 ms, slots not at all. After a restart of everything four loads at each engine share the store's way, and the one that most wait for takes 0.55 s instead of 0.25. One adapter in five requests fills its engine's slots.

Change: LoadTimes (agent: time of a load from the store and from a copy, time of use, depth of copies; prior, window and bound stated there), told to entries as EngineCosts when changed; LoadWindow (loads under way at once: fewer while they take longer than alone); the wait for a slot counts in placing, by the time of runs; a request past its aim is sent with a lower rank; the place kept for timely requests is kept for the learnt time of use; a request's load is overdue only from when the base model is there.

Tests: LoadTimesTest, LoadWindowTest, PlacerTest (three more; the fixture's engines have 64 slots now, as the engines those tests describe), AdapterPlacesTest.

--- a/runtime/src/main/java/org/hornbeamusher/companion/CompanionDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/companion/CompanionDaemon.java
@@ -18,6 +18,7 @@
 import org.hornbeamusher.holdings.AdapterPlaces;
 import org.hornbeamusher.holdings.EngineOrder;
 import org.hornbeamusher.holdings.EngineReport;
+import org.hornbeamusher.holdings.LoadCosts;
 import org.hornbeamusher.holdings.OrderAnswer;
 import org.hornbeamusher.holdings.Reservation;
 import org.hornbeamusher.holdings.ReservationId;
@@ -185,7 +186,7 @@
     spec = engineSpec;
     if (places == null) {
       places = new AdapterPlaces(spec.adapterPlaces(), versions, clock.millis());
-      Optional.ofNullable(report).ifPresent(places::reported);
+      Optional.ofNullable(report).ifPresent(said -> places.reported(said, clock.millis()));
     }
   }
 
@@ -267,6 +268,7 @@
   private void act() {
     if (places != null) {
       grant();
+      places.observe(clock.millis());
     }
     if (!calling) {
       callEngine();
@@ -377,7 +379,7 @@
   private void take(EngineReport said) {
     report = said;
     if (places != null) {
-      places.reported(said);
+      places.reported(said, clock.millis());
     }
     boolean soon = places == null || places.inMotion();
     nextReportMillis = clock.millis() + (soon ? BUSY_REPORT_MILLIS : IDLE_REPORT_MILLIS);
@@ -506,6 +508,7 @@
       return;
     }
     nextLoadMillis = now + LOAD_MILLIS;
+    LoadCosts costs = places.costs();
     peers.forEach(
         (connection, peer) -> {
           Message.PeerLoad load =
@@ -517,13 +520,23 @@
             peer.toldLoad = load;
             connection.send(load);
           }
+          if (!costs.equals(peer.toldCosts)) {
+            peer.toldCosts = costs;
+            connection.send(message(costs));
+          }
         });
   }
 
+  private static Message.EngineCosts message(LoadCosts costs) {
+    return new Message.EngineCosts(
+        costs.storeMillis(), costs.copyMillis(), costs.placeMillis(), costs.copies());
+  }
+
   private static final class Peer {
 
     private final long number;
     private Message.PeerLoad toldLoad;
+    private LoadCosts toldCosts;
 
     Peer(long number) {
       this.number = number;
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/EngineAgents.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/EngineAgents.java
@@ -14,6 +14,7 @@
 import org.hornbeamusher.events.EventLog;
 import org.hornbeamusher.events.EventType;
 import org.hornbeamusher.failure.HornbeamusherException;
+import org.hornbeamusher.holdings.LoadCosts;
 import org.hornbeamusher.ids.EndpointId;
 import org.hornbeamusher.ids.EndpointLife;
 import org.hornbeamusher.loop.EventLoop;
@@ -160,6 +161,9 @@
     private WireConnection connection;
     private Message.Holdings holdings;
 
+    /** What the agent has learnt of its engine; it learns on through the engine's lives. */
+    private Optional<LoadCosts> costs = Optional.empty();
+
     /** The address of the engine beside the agent, by the agent's word. */
     private String engine = "";
 
@@ -230,6 +234,13 @@
             view.reportedLoad(said.requests(), said.unreadTokens(), said.sparePlaces());
           }
         }
+        case Message.EngineCosts said -> {
+          costs =
+              Optional.of(
+                  new LoadCosts(
+                      said.storeMillis(), said.copyMillis(), said.placeMillis(), said.copies()));
+          applyCosts();
+        }
         case Message.Granted said -> {
           EngineReservation granted = live.get(said.reservation());
           if (granted != null) {
@@ -251,7 +262,15 @@
           .ifPresent(listener::unseen);
     }
 
+    private void applyCosts() {
+      EndpointView view = view();
+      if (view != null) {
+        costs.ifPresent(view::reportedCosts);
+      }
+    }
+
     private void apply() {
+      applyCosts();
       EndpointView view = view();
       if (view != null) {
         view.reported(parse(holdings.held()), parse(holdings.coming()), holdings.leaving());
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
@@ -216,7 +216,7 @@
     boolean another = known == null || !known.life().sameAs(endpoint.life());
     boolean news = another || known.endpoint().leaving() != endpoint.leaving();
     if (another) {
-      state.placer().views().put(endpoint.id(), new EndpointView(endpoint, memory(endpoint)));
+      state.placer().views().put(endpoint.id(), view(endpoint));
       state.agents().listed(endpoint);
     } else {
       known.listed(endpoint);
@@ -239,14 +239,21 @@
     }
   }
 
+  private EndpointView view(Endpoint endpoint) {
+    int places = engine(endpoint).map(EngineSpec::adapterPlaces).orElse(0);
+    return new EndpointView(endpoint, memory(endpoint), places);
+  }
+
   private long memory(Endpoint endpoint) {
+    return engine(endpoint).map(EngineSpec::memoryTokens).orElse(0L);
+  }
+
+  private Optional<EngineSpec> engine(Endpoint endpoint) {
     return state
         .configuration()
         .current()
         .flatMap(configuration -> configuration.service(endpoint.service()))
-        .flatMap(ServiceSpec::engine)
-        .map(EngineSpec::memoryTokens)
-        .orElse(0L);
+        .flatMap(ServiceSpec::engine);
   }
 
   /** Agents stand beside engines only; a plain service has none to connect to. */
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardRun.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardRun.java
@@ -47,6 +47,9 @@
   /** How long a request waits for a load before it looks at the other endpoints again. */
   private static final long REPLACE_MILLIS = 100;
 
+  /** Behind every kind of request that is in time: operators use ranks 0 to 2. */
+  private static final int LATE_RANKS = 3;
+
   private static final int SERVER_ERROR = 500;
 
   /** The endpoint at that address is not the one that was meant, or lacks what was asked for. */
@@ -75,6 +78,10 @@
   private EngineReservation reservation = EngineReservation.NONE;
   private Attempt attempt;
   private long placedMillis;
+
+  /** Since when its load could have been ordered; before that, no place in line is overdue. */
+  private long queuedMillis;
+
   private long sentMillis;
   private long unreadTokens;
 
@@ -174,6 +181,7 @@
   private void placedAt(Placement.At at, long remaining) {
     endpoint = at.endpoint();
     placedMillis = now();
+    queuedMillis = placedMillis;
     unreadTokens = endpoint.uncachedTokens(placing);
     unread = true;
     log.placed(service, placing, at, remaining, state, placedMillis);
@@ -246,10 +254,13 @@
       placeAgain();
       return;
     }
+    if (!endpoint.holdsModel(adapter.key().model())) {
+      queuedMillis = now();
+    }
     if (!endpoint.awaits(adapter)
         && state.placer().place(service, placing, tried, now()) instanceof Placement.At at
         && at.endpoint() != endpoint
-        && at.worthLeavingFor(now() - placedMillis)) {
+        && at.worthLeavingFor(now() - queuedMillis)) {
       placeAgain();
       return;
     }
@@ -261,6 +272,14 @@
     replacing = state.loop().after(REPLACE_MILLIS, this::lookElsewhere);
   }
 
+  /**
+   * Engines admit by rank. A request that is late already stands behind those that can still be in
+   * time: after a restart of everything, each engine has a second's worth of late ones before it.
+   */
+  private int rank() {
+    return pastAim() && !relay.started() ? route.rank() + LATE_RANKS : route.rank();
+  }
+
   private boolean pastAim() {
     return waited() >= route.targetLatencyMillis();
   }
@@ -276,7 +295,7 @@
     tokensAhead = endpoint.unreadTokens();
     sends++;
     SendFacts told =
-        new SendFacts(endpoint.id(), deadlineMillis - sentMillis, route.rank(), relay.lastEvent());
+        new SendFacts(endpoint.id(), deadlineMillis - sentMillis, rank(), relay.lastEvent());
     URI uri = endpoint.endpoint().uri();
     HttpCall call =
         new HttpCall(
@@ -368,6 +387,8 @@
     if (failed) {
       left.failed(now());
       tried.add(left.life());
+    } else if (placing.adapter().isPresent()) {
+      left.ran(now() - sentMillis);
     }
     if (failed && route.repeatable() && relay.canContinue() && mayRepeat()) {
       failureKept = true;
--- a/runtime/src/main/java/org/hornbeamusher/holdings/AdapterPlaces.java
+++ b/runtime/src/main/java/org/hornbeamusher/holdings/AdapterPlaces.java
@@ -59,9 +59,6 @@
   /** Entries that are connected make their reservations known within this time of a start. */
   static final long SETTLE_MILLIS = 1_000;
 
-  /** Adapters that an engine fetches at once. */
-  private static final int MOST_PENDING = 4;
-
   /**
    * Places that a request which will be late anyway leaves to those that can still be answered in
    * time, while there are such: its run would hold the last one for seconds. Without it, two in
@@ -69,11 +66,8 @@
    */
   private static final int KEPT_FOR_TIMELY = 1;
 
-  /**
-   * How long after a timely request had to wait for a place its like is expected again: the time
-   * for which half of the runs hold a place on a full day (2.9 s).
-   */
-  private static final long PRESSED_MILLIS = 3_000;
+  /** An order that has not shown after this was refused or lost. */
+  private static final long FORGOTTEN_LOAD_MILLIS = 5_000;
 
   /** An adapter used once half a minute ago is as good as never used. */
   private static final double DEMAND_HALF_LIFE_MILLIS = 10_000;
@@ -92,6 +86,14 @@
   /** Loads that were sent and that no report has shown yet. */
   private final Set<AdapterKey> ordered = new HashSet<>();
 
+  /** When each load that is under way was sent, of adapters that were not held. */
+  private final Map<AdapterKey, Long> loadingSince = new HashMap<>();
+
+  /** Since when each adapter has been in use without a break. */
+  private final Map<AdapterKey, Long> usedSince = new HashMap<>();
+
+  private final LoadTimes times;
+
   /** When a request that could still be answered in time found no place free. */
   private long timelyWaitedMillis = Long.MIN_VALUE / 2;
 
@@ -107,6 +109,7 @@
    */
   public AdapterPlaces(int places, VersionsInForce versions, long now) {
     this.places = places;
+    this.times = new LoadTimes(places);
     this.versions = versions;
     this.startedMillis = now;
   }
@@ -115,8 +118,10 @@
    * Takes what the engine says of itself.
    *
    * @param fresh its report
+   * @param now milliseconds
    */
-  public void reported(EngineReport fresh) {
+  public void reported(EngineReport fresh, long now) {
+    measure(fresh, now);
     report = fresh;
     withdrawn.keySet().retainAll(fresh.adapters().keySet());
     if (unanswered == null) {
@@ -124,6 +129,58 @@
     }
   }
 
+  private void measure(EngineReport fresh, long now) {
+    if (report != null) {
+      report.adapters().keySet().stream()
+          .filter(key -> !fresh.adapters().containsKey(key))
+          .forEach(times::left);
+    }
+    loadingSince
+        .entrySet()
+        .removeIf(
+            load -> {
+              boolean there = fresh.adapters().containsKey(load.getKey());
+              if (there) {
+                times.loaded(load.getKey(), now - load.getValue());
+              }
+              return there || now - load.getValue() > FORGOTTEN_LOAD_MILLIS;
+            });
+  }
+
+  /**
+   * Notes which adapters are in use; to be called whenever reservations have changed.
+   *
+   * @param now milliseconds
+   */
+  public void observe(long now) {
+    Set<AdapterKey> used = new HashSet<>();
+    for (Reservation one : reservations.values()) {
+      if (!waiting.containsKey(one.id()) && !one.adapter().key().isBase()) {
+        used.add(one.adapter().key());
+      }
+    }
+    usedSince
+        .entrySet()
+        .removeIf(
+            use -> {
+              boolean ended = !used.contains(use.getKey());
+              if (ended) {
+                times.used(now - use.getValue());
+              }
+              return ended;
+            });
+    used.forEach(key -> usedSince.putIfAbsent(key, now));
+  }
+
+  /**
+   * Returns what it costs to have an adapter here.
+   *
+   * @return as learnt from the engine's loads and runs so far
+   */
+  public LoadCosts costs() {
+    return times.costs();
+  }
+
   /**
    * Another life of the engine has begun. Requests that were at the former one have ended with it,
    * and entries place what waited there anew; a reservation that was kept would hold an adapter, or
@@ -133,6 +190,8 @@
     lost();
     reservations.clear();
     waiting.clear();
+    usedSince.clear();
+    times.restarted();
   }
 
   /** The engine cannot be seen; what it holds is not known. */
@@ -140,6 +199,7 @@
     report = null;
     unanswered = null;
     ordered.clear();
+    loadingSince.clear();
     withdrawn.clear();
   }
 
@@ -331,14 +391,17 @@
     if (order.isEmpty()) {
       order = replacement(now);
     }
-    order.ifPresent(this::sent);
+    order.ifPresent(next -> sent(next, now));
     return order;
   }
 
-  private void sent(EngineOrder order) {
+  private void sent(EngineOrder order, long now) {
     unanswered = order;
     if (order instanceof EngineOrder.Load load) {
       ordered.add(load.key());
+      if (!load.key().isBase() && !report.adapters().containsKey(load.key())) {
+        loadingSince.put(load.key(), now);
+      }
     }
   }
 
@@ -379,7 +442,7 @@
         }
         continue;
       }
-      if (report.pending().size() + ordered.size() >= MOST_PENDING) {
+      if (report.pending().size() + ordered.size() >= times.window()) {
         return Optional.empty();
       }
       if (taken() < places) {
@@ -393,8 +456,12 @@
     return Optional.empty();
   }
 
+  /**
+   * Whether a timely request has had to wait for a place within the time for which one is in use:
+   * as long as that, the like of it is expected again.
+   */
   private boolean pressed(long now) {
-    return now - timelyWaitedMillis < PRESSED_MILLIS;
+    return now - timelyWaitedMillis < times.useMillis();
   }
 
   /** Places that are free or held by adapters that nothing runs on. */
@@ -436,7 +503,7 @@
 
   /** A new version of an adapter in demand is fetched before the next request asks for it. */
   private Optional<EngineOrder> replacement(long now) {
-    if (report.pending().size() + ordered.size() >= MOST_PENDING) {
+    if (report.pending().size() + ordered.size() >= times.window()) {
       return Optional.empty();
     }
     return report.adapters().keySet().stream()
--- a/runtime/src/main/java/org/hornbeamusher/placement/EndpointHealth.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/EndpointHealth.java
@@ -29,6 +29,13 @@
 
   private static final double MOST_PACE = 4;
 
+  /** How long a run takes before the first one has ended: half a second, on engines seen so far. */
+  private static final double PRIOR_RUN_MILLIS = 500;
+
+  /** About ten runs; they differ by their answers' lengths. */
+  private static final double NEW_RUN_SHARE = 0.1;
+
+  private double runMillis = PRIOR_RUN_MILLIS;
   private double penalty;
   private long penaltyMillis;
   private double latency;
@@ -65,6 +72,16 @@
     return Math.max(1, Math.min(MOST_PACE, takenRead / Math.max(1, expectedRead)));
   }
 
+  /** A run at an engine has ended well. */
+  void ran(double takenMillis) {
+    runMillis += NEW_RUN_SHARE * (takenMillis - runMillis);
+  }
+
+  /** How long a run at an engine takes, on average. */
+  double runMillis() {
+    return runMillis;
+  }
+
   /** The average time of an answer; 0 before the first one. */
   double latencyMillis() {
     return latency;
--- a/runtime/src/main/java/org/hornbeamusher/placement/EndpointView.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/EndpointView.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import org.hornbeamusher.directory.Endpoint;
 import org.hornbeamusher.directory.HeldAdapter;
+import org.hornbeamusher.holdings.LoadCosts;
 import org.hornbeamusher.ids.EndpointId;
 import org.hornbeamusher.ids.EndpointLife;
 import org.hornbeamusher.routes.AdapterKey;
@@ -28,15 +29,15 @@
   /** How much of an engine's memory is assumed to hold prompts that this entry sent. */
   private static final double PREFIX_SHARE = 0.25;
 
-  /** Copies of adapters that an engine keeps outside its places and loads again at once. */
-  private static final int RECENT_COPIES = 40;
+  /** Adapters that left the places and are remembered; more than any engine has copies of. */
+  private static final int MOST_REMEMBERED = 512;
 
   private final PrefixCache prefixes;
   private final EndpointHealth health = new EndpointHealth();
   private final long hash;
 
   /** Adapters that left the engine's places; the least recent one is forgotten first. */
-  private final LinkedHashMap<AdapterKey, Long> recent = new LinkedHashMap<>(16, 0.75f, true);
+  private final LinkedHashMap<AdapterKey, Long> recent = new LinkedHashMap<>();
 
   private Endpoint endpoint;
   private boolean agentConnected;
@@ -45,6 +46,9 @@
   /** The agent beside the engine says that this life of it is over, which the list does not yet. */
   private boolean ended;
 
+  /** The agent's word; until then, and where no agent is, what is believed of any engine. */
+  private LoadCosts costs;
+
   private Set<HeldAdapter> held;
   private Set<HeldAdapter> coming = Set.of();
   private int othersRunning;
@@ -64,9 +68,11 @@
    *
    * @param endpoint the endpoint
    * @param memoryTokens an engine's memory; 0 at a plain service
+   * @param places adapters that an engine holds at once; 0 at a plain service
    */
-  public EndpointView(Endpoint endpoint, long memoryTokens) {
+  public EndpointView(Endpoint endpoint, long memoryTokens, int places) {
     this.endpoint = endpoint;
+    this.costs = LoadCosts.prior(places);
     this.held = endpoint.held();
     this.hash = Rendezvous.hash(endpoint.id().value());
     this.prefixes = new PrefixCache((long) (memoryTokens * PREFIX_SHARE));
@@ -112,6 +118,15 @@
     othersPromptTokens = tokens;
   }
 
+  /**
+   * Takes what the agent has learnt of its engine.
+   *
+   * @param learnt what it costs to have an adapter there
+   */
+  public void reportedCosts(LoadCosts learnt) {
+    costs = learnt;
+  }
+
   /**
    * The agent sees another life of its engine, or none. The list names this one for seconds more;
    * all that was sent here meanwhile would be refused, and what waits for a load would wait in
@@ -134,8 +149,11 @@
   private void replaceHeld(Set<HeldAdapter> now) {
     Set<HeldAdapter> left = new HashSet<>(held);
     left.removeAll(now);
-    left.forEach(adapter -> recent.put(adapter.key(), adapter.version()));
-    while (recent.size() > RECENT_COPIES) {
+    for (HeldAdapter adapter : left) {
+      recent.remove(adapter.key());
+      recent.put(adapter.key(), adapter.version());
+    }
+    while (recent.size() > MOST_REMEMBERED) {
       recent.remove(recent.keySet().iterator().next());
     }
     held = Set.copyOf(now);
@@ -191,6 +209,15 @@
     health.read(tokens / promptTokensPerMilli, takenMillis);
   }
 
+  /**
+   * An engine's answer is whole.
+   *
+   * @param takenMillis from the sending until its end
+   */
+  public void ran(long takenMillis) {
+    health.ran(takenMillis);
+  }
+
   /**
    * An attempt failed through the endpoint's fault.
    *
@@ -304,13 +331,34 @@
     return coming.contains(adapter);
   }
 
-  boolean holdsModel(String model) {
+  /**
+   * Tells whether the engine has a base model; without it no adapter of it can be loaded.
+   *
+   * @param model its name
+   * @return as far as known
+   */
+  public boolean holdsModel(String model) {
     return held.stream().anyMatch(one -> one.key().model().equals(model));
   }
 
-  boolean hadRecently(HeldAdapter adapter) {
+  /** Tells whether the engine has a copy of an adapter that has left its places. */
+  boolean hasCopy(HeldAdapter adapter) {
     Long version = recent.get(adapter.key());
-    return version != null && version == adapter.version();
+    if (version == null || version != adapter.version()) {
+      return false;
+    }
+    int later = recent.size();
+    for (AdapterKey key : recent.keySet()) {
+      later--;
+      if (key.equals(adapter.key())) {
+        break;
+      }
+    }
+    return later < costs.copies();
+  }
+
+  LoadCosts costs() {
+    return costs;
   }
 
   /**
--- a/runtime/src/main/java/org/hornbeamusher/placement/PlacementSettings.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/PlacementSettings.java
@@ -4,13 +4,9 @@
  * The figures that placing reckons with.
  *
  * @param promptTokensPerMilli how fast an engine reads prompts; from the engines' data sheet
- * @param loadMillis an adapter that the engine has no copy of: 250 ms from the weight store and the
- *     store's price, expressed in time
- * @param recentMillis an adapter of which the engine still has a copy: a tenth of the load
+ * @param fetchMillis the price of bringing an adapter from the weight store, expressed in time
  * @param loadingMillis what is left on average of a load under way
  * @param replaceMillis the wait for a place when all are taken by adapters
- * @param placeMillis how long each adapter that waits for a place waits until one is free: requests
- *     of one to two seconds on seven places
  * @param zoneMillis the way to another availability zone and back
  * @param zoneMillisPerKilobyte the price of a kilobyte to another zone, expressed in time
  * @param preferenceMillis what each step down an adapter's preference order costs; keeps entries
@@ -22,11 +18,9 @@
  */
 public record PlacementSettings(
     double promptTokensPerMilli,
-    double loadMillis,
-    double recentMillis,
+    double fetchMillis,
     double loadingMillis,
     double replaceMillis,
-    double placeMillis,
     double zoneMillis,
     double zoneMillisPerKilobyte,
     double preferenceMillis,
@@ -36,5 +30,5 @@
 
   /** For engines of the size in use. */
   public static final PlacementSettings DEFAULT =
-      new PlacementSettings(44, 400, 40, 150, 20, 250, 5, 1.5, 6, 4, 0.12, 1_000);
+      new PlacementSettings(44, 150, 150, 20, 5, 1.5, 6, 4, 0.12, 1_000);
 }
--- a/runtime/src/main/java/org/hornbeamusher/placement/Placer.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/Placer.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.hornbeamusher.directory.HeldAdapter;
+import org.hornbeamusher.holdings.LoadCosts;
 import org.hornbeamusher.ids.EndpointId;
 import org.hornbeamusher.ids.EndpointLife;
 import org.hornbeamusher.routing.Rendezvous;
@@ -17,14 +18,15 @@
  * <pre>
  *   prompts waiting to be read there + this prompt, less what is cached
  *   + load of the adapter, when it is not there
+ *   + wait for a slot, when all are taken
  *   + a little for each request that runs there, for another zone, for lately failed requests
  *   + a share of the time in which this prompt is read, for each request that it holds up
  *   + a step for each place down the adapter's preference order, when it is not there
  * </pre>
  *
  * <p>Example: an adapter is held by A, where 9,000 tokens of prompts wait (205 ms). B is idle and
- * could load the adapter from the weight store (250 ms and its price: 400). The request goes to A.
- * At 18,000 waiting tokens it goes to B, which is a second home from then on: a hot adapter gets
+ * could load the adapter from the weight store (250 ms, and 150 for its price). The request goes to
+ * A. At 18,000 waiting tokens it goes to B, which is a second home from then on: a hot adapter gets
  * more homes as its queue grows past the cost of a load, and loses them when they are evicted for
  * want of use.
  *
@@ -125,16 +127,31 @@
         (view.unreadTokens() + view.uncachedTokens(request))
             / settings.promptTokensPerMilli()
             * view.health().pace();
-    double latency = read + view.running() * settings.runningMillis();
+    double latency = read + view.running() * settings.runningMillis() + slotWait(view);
     penalty += delayOfOthers(view, request);
     if (view.holds(adapter)) {
       return new Cost(latency, penalty, 0, true);
     }
     double stall = stall(view, adapter, now);
     double choice = penalty + position(view, adapter) * settings.preferenceMillis();
+    if (!view.awaits(adapter) && !view.hasCopy(adapter)) {
+      choice += settings.fetchMillis();
+    }
     return new Cost(latency + stall, choice, stall, false);
   }
 
+  /**
+   * An engine runs as many requests at once as it has slots, and the others wait for one to end. A
+   * hot adapter's engine has its slots taken while others have room: after a restart of everything
+   * the callers of one adapter in five waited there for two seconds, where a second home costs the
+   * price of a load.
+   */
+  private static double slotWait(EndpointView view) {
+    int slots = Math.max(1, view.endpoint().slots());
+    int waiting = Math.max(0, view.running() + 1 - slots);
+    return waiting * view.health().runMillis() / slots;
+  }
+
   /**
    * Prompts are read between the tokens of what runs. A run that is held up holds the place of its
    * adapter for longer, and places are what a full day lacks.
@@ -178,9 +195,10 @@
     if (view.awaits(adapter)) {
       return settings.loadingMillis();
     }
-    double load = view.hadRecently(adapter) ? settings.recentMillis() : settings.loadMillis();
+    LoadCosts costs = view.costs();
+    double load = view.hasCopy(adapter) ? costs.copyMillis() : costs.storeMillis();
     int queue = Math.max(0, 1 - view.sparePlaces(now));
-    return load + settings.replaceMillis() + queue * settings.placeMillis();
+    return load + settings.replaceMillis() + (double) queue * costs.placeMillis();
   }
 
   /** How many endpoints of the service come before this one in the adapter's order. */
--- a/runtime/src/main/java/org/hornbeamusher/wire/Message.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/Message.java
@@ -316,6 +316,18 @@
    */
   record PeerLoad(int requests, long unreadTokens, int sparePlaces) implements Message {}
 
+  /**
+   * What it costs to have an adapter at the agent's engine, as far as the agent has learnt (agent
+   * to entry).
+   *
+   * @param storeMillis a load from the weight store
+   * @param copyMillis a load of which the engine has a copy
+   * @param placeMillis until a place is free for the next adapter that waits for one
+   * @param copies adapters outside its places that the engine has copies of
+   */
+  record EngineCosts(long storeMillis, long copyMillis, long placeMillis, int copies)
+      implements Message {}
+
   /**
    * A message of a type this process does not know; it is ignored.
    *
--- a/runtime/src/main/java/org/hornbeamusher/wire/MessageCodec.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/MessageCodec.java
@@ -39,6 +39,7 @@
   private static final int RELEASE = 23;
   private static final int HOLDINGS = 24;
   private static final int PEER_LOAD = 25;
+  private static final int ENGINE_COSTS = 26;
 
   /**
    * Most messages carry one token or less. The default of 8 KiB, allocated for each message, was a
@@ -165,6 +166,12 @@
               .packInt(m.requests())
               .packLong(m.unreadTokens())
               .packInt(m.sparePlaces());
+      case Message.EngineCosts m ->
+          begin(p, ENGINE_COSTS, 4)
+              .packLong(m.storeMillis())
+              .packLong(m.copyMillis())
+              .packLong(m.placeMillis())
+              .packInt(m.copies());
       case Message.Unknown m -> begin(p, m.type(), 0);
     }
   }
@@ -283,6 +290,7 @@
       case HOLDINGS ->
           new Message.Holdings(r.text(), r.texts(), r.texts(), r.integer(), r.flag(), r.number());
       case PEER_LOAD -> new Message.PeerLoad(r.integer(), r.number(), r.integer());
+      case ENGINE_COSTS -> new Message.EngineCosts(r.number(), r.number(), r.number(), r.integer());
       default -> new Message.Unknown(type);
     };
   }
--- a/runtime/src/test/java/org/hornbeamusher/holdings/AdapterPlacesTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/holdings/AdapterPlacesTest.java
@@ -240,14 +240,14 @@
 
   @Test
   void engineWithoutModelLoadsItFirst() {
-    places.reported(new EngineReport(Set.of(), Map.of(), Set.of(), false, 0, false, 0));
+    places.reported(new EngineReport(Set.of(), Map.of(), Set.of(), false, 0, false, 0), 0);
     reserve(1, "a", 1, 0);
     assertEquals(Optional.of(new EngineOrder.Load(new AdapterKey("m", ""))), order(0));
   }
 
   @Test
   void leavingEngineIsOrderedNothing() {
-    places.reported(new EngineReport(Set.of("m"), Map.of(), Set.of(), false, 0, true, 0));
+    places.reported(new EngineReport(Set.of("m"), Map.of(), Set.of(), false, 0, true, 0), 0);
     reserve(1, "a", 1, 0);
     assertEquals(Optional.empty(), order(0));
   }
@@ -329,7 +329,7 @@
     AdapterPlaces drawn = new AdapterPlaces(3, new VersionsInForce(), 0);
     Map<AdapterKey, Long> engine = new HashMap<>();
     Map<Long, AdapterKey> running = new TreeMap<>();
-    drawn.reported(engineReport(engine, 0));
+    drawn.reported(engineReport(engine, 0), 0);
     long now = SETTLED;
     long next = 0;
     for (int step : steps) {
@@ -352,7 +352,7 @@
           carryOut(order.get(), engine);
         }
         drawn.answered(lost ? OrderAnswer.UNKNOWN : OrderAnswer.ACCEPTED);
-        drawn.reported(engineReport(engine, now));
+        drawn.reported(engineReport(engine, now), now);
       }
       assertTrue(engine.size() <= 3, "places");
     }
@@ -372,7 +372,7 @@
   private void report(Map<String, Long> adapters) {
     Map<AdapterKey, Long> held = new HashMap<>();
     adapters.forEach((name, version) -> held.put(key(name), version));
-    places.reported(engineReport(held, ++sequence));
+    places.reported(engineReport(held, ++sequence), 0);
   }
 
   private void reserve(long number, String adapter, long version, long now) {
--- a/runtime/src/test/java/org/hornbeamusher/placement/PlacerTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/placement/PlacerTest.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import org.hornbeamusher.directory.Endpoint;
 import org.hornbeamusher.directory.HeldAdapter;
+import org.hornbeamusher.holdings.LoadCosts;
 import org.hornbeamusher.ids.EndpointId;
 import org.hornbeamusher.ids.EndpointLife;
 import org.hornbeamusher.routes.AdapterKey;
@@ -20,6 +21,9 @@
 
 class PlacerTest {
 
+  private static final int PLACES = 7;
+  private static final int ENGINE_SLOTS = 64;
+  private static final int PLAIN_SLOTS = 4;
   private static final HeldAdapter BASE = new HeldAdapter(new AdapterKey("m", ""), 1);
   private static final HeldAdapter HOT = new HeldAdapter(new AdapterKey("m", "hot"), 1);
   private static final HeldAdapter COLD = new HeldAdapter(new AdapterKey("m", "cold"), 1);
@@ -184,6 +188,19 @@
     assertTrue(free.worthLeavingFor(450));
   }
 
+  /**
+   * Everything has restarted. Every engine has free places and none its base model, which takes a
+   * second. Requests that left their line for a free place elsewhere began to wait anew each time,
+   * and adapters were loaded at two or three engines for one request.
+   */
+  @Test
+  void requestStaysInLineWhileNoEngineHasItsModel() {
+    EndpointView engine = engine("e1", "a", Set.of());
+    engine.reported(Set.of(), Set.of(), false);
+    engine.reportedLoad(0, 0, 4);
+    assertFalse(place(COLD, 800).worthLeavingFor(450));
+  }
+
   @Test
   void requestLeavesItsLineForEngineThatHoldsItsAdapter() {
     engine("e1", "a", Set.of(HOT));
@@ -198,6 +215,53 @@
     assertEquals("e1", place(COLD, 800).endpoint().id().value());
   }
 
+  /**
+   * An engine with fourteen places has each taken for half a second; a place is free every 36 ms.
+   * Reckoned with a quarter of a second, its callers were sent past the copy of their adapter to
+   * another engine, which fetched it from the weight store again.
+   */
+  @Test
+  void requestWaitsAtCopyWhenPlacesAreFreeSoon() {
+    EndpointView first = engine("e1", "a", Set.of(COLD));
+    EndpointView other = engine("e2", "a", Set.of());
+    first.reported(Set.of(BASE), Set.of(), false);
+    first.reportedLoad(0, 0, -1);
+    other.reportedLoad(0, 0, 1);
+    first.reportedCosts(new LoadCosts(250, 25, 250, 84));
+    assertEquals("e2", place(COLD, 800).endpoint().id().value());
+    first.reportedCosts(new LoadCosts(250, 25, 36, 84));
+    assertEquals("e1", place(COLD, 800).endpoint().id().value());
+  }
+
+  /**
+   * A hot adapter's engine has all its slots taken and twenty callers wait there. Seen as twenty
+   * short steps that is still the soonest place; each of them waits for runs to end, and a second
+   * engine could have loaded the adapter meanwhile.
+   */
+  @Test
+  void engineWithoutFreeSlotIsPassedForOneThatCanLoad() {
+    EndpointView hot = engine("e1", "a", Set.of(HOT));
+    engine("e2", "a", Set.of());
+    hot.listed(endpoint("e1", "llm", "a", 4));
+    hot.reportedLoad(4, 0, 1);
+    assertEquals("e1", place(HOT, 800).endpoint().id().value());
+    hot.reportedLoad(24, 0, 1);
+    assertEquals("e2", place(HOT, 800).endpoint().id().value());
+  }
+
+  /** What left an engine's places long ago has no copy there any more, however deep they are. */
+  @Test
+  void copiesReachAsFarBackAsTheAgentSays() {
+    EndpointView engine = engine("e1", "a", Set.of(COLD));
+    engine.reported(Set.of(BASE, HOT), Set.of(), false);
+    engine.reported(Set.of(BASE), Set.of(), false);
+    engine.reportedCosts(new LoadCosts(250, 25, 36, 2));
+    assertTrue(engine.hasCopy(COLD));
+    engine.reportedCosts(new LoadCosts(250, 25, 36, 1));
+    assertFalse(engine.hasCopy(COLD));
+    assertTrue(engine.hasCopy(HOT));
+  }
+
   /** Entries that do not talk to each other must not load a cold adapter at two engines at once. */
   @Test
   void entriesAgreeOnHomeOfColdAdapter() {
@@ -334,21 +398,21 @@
   private static EndpointView add(Placer placer, String id, String zone, Set<HeldAdapter> held) {
     Set<HeldAdapter> all = new HashSet<>(held);
     all.add(BASE);
-    EndpointView view = new EndpointView(endpoint(id, "llm", zone), 100_000);
+    EndpointView view = new EndpointView(endpoint(id, "llm", zone, ENGINE_SLOTS), 100_000, PLACES);
     view.reported(all, Set.of(), false);
     placer.views().put(view.id(), view);
     return view;
   }
 
   private EndpointView plain(String id, String zone) {
-    EndpointView view = new EndpointView(endpoint(id, "plain", zone), 0);
+    EndpointView view = new EndpointView(endpoint(id, "plain", zone, PLAIN_SLOTS), 0, 0);
     placer.views().put(view.id(), view);
     return view;
   }
 
-  private static Endpoint endpoint(String id, String service, String zone) {
+  private static Endpoint endpoint(String id, String service, String zone, int slots) {
     return new Endpoint(
-        life(id), service, URI.create("http://10.0.0.1:1"), zone, 4, false, Set.of());
+        life(id), service, URI.create("http://10.0.0.1:1"), zone, slots, false, Set.of());
   }
 
   private static EndpointLife life(String id) {
--- a/runtime/src/test/java/org/hornbeamusher/wire/MessageCodecTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/wire/MessageCodecTest.java
@@ -41,7 +41,8 @@
           new Message.PermitGrant("s", 1, 2),
           new Message.PermitDone("s", 1),
           new Message.CrashNotice(5, 1),
-          new Message.Holdings("i-1", List.of("m/a@1"), List.of("m/b@2"), 3, true, 1_764_000L));
+          new Message.Holdings("i-1", List.of("m/a@1"), List.of("m/b@2"), 3, true, 1_764_000L),
+          new Message.EngineCosts(250, 30, 40, 84));
 
   @Test
   void everyMessageReadsBack() {
