--- a/runtime/src/main/java/org/hornbeamusher/companion/CompanionDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/companion/CompanionDaemon.java
@@ -2,12 +2,9 @@
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
-import java.util.HashMap;
-import java.util.List;
 import java.util.Locale;
-import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
+import java.util.OptionalLong;
 import java.util.concurrent.ThreadLocalRandom;
 import org.hornbeamusher.clock.Clock;
 import org.hornbeamusher.directory.HeldAdapter;
@@ -18,7 +15,6 @@
 import org.hornbeamusher.holdings.AdapterPlaces;
 import org.hornbeamusher.holdings.EngineOrder;
 import org.hornbeamusher.holdings.EngineReport;
-import org.hornbeamusher.holdings.LoadCosts;
 import org.hornbeamusher.holdings.OrderAnswer;
 import org.hornbeamusher.holdings.Reservation;
 import org.hornbeamusher.holdings.ReservationId;
@@ -63,9 +59,6 @@
 
   private static final long TICK_MILLIS = 20;
 
-  /** Entries place by it; in this time each sends one request or none. */
-  private static final long LOAD_MILLIS = 60;
-
   private final CompanionSettings settings;
   private final EngineCalls engine;
   private final EventLoop loop;
@@ -73,7 +66,7 @@
   private final WireServer server;
   private final FencingNumbers fencing;
   private final VersionsInForce versions = new VersionsInForce();
-  private final Map<WireConnection, Peer> peers = new HashMap<>();
+  private final ConnectedEntries entries = new ConnectedEntries();
   private final MetricRegistry registry = new MetricRegistry();
   private AdapterPlaces places;
   private EngineSpec spec;
@@ -81,13 +74,10 @@
 
   private final EngineIdentity identity = new EngineIdentity();
 
-  private Message.Holdings told;
   private boolean calling;
   private boolean reachable = true;
   private int failedReports;
   private long nextReportMillis;
-  private long nextLoadMillis;
-  private long peerNumbers;
   private boolean stopped;
 
   /**
@@ -142,8 +132,8 @@
   }
 
   private void registerGauges() {
-    Gauge<Integer> entries = peers::size;
-    registry.gauge("agent.entries", () -> entries);
+    Gauge<Integer> connected = entries::size;
+    registry.gauge("agent.entries", () -> connected);
     Gauge<Integer> spare = () -> places == null ? 0 : places.sparePlaces(clock.millis());
     registry.gauge("agent.spare_places", () -> spare);
     Gauge<Integer> reachableNow = () -> reachable ? 1 : 0;
@@ -206,9 +196,8 @@
   public void opened(WireConnection connection, Message.Hello hello) {
     loop.execute(
         () -> {
-          peers.put(connection, new Peer(++peerNumbers));
+          entries.opened(connection);
           EventLog.log(EventType.PEER_CONNECTED, "peer", hello.instance());
-          told = null;
         });
   }
 
@@ -221,25 +210,27 @@
   public void closed(WireConnection connection, HornbeamusherException reason) {
     loop.execute(
         () -> {
-          Peer peer = peers.remove(connection);
-          if (peer != null && places != null) {
-            places.releaseAll(peer.number);
-            EventLog.log(EventType.PEER_LOST, "peer", peer.number, "reason", reason.type().label());
+          OptionalLong entry = entries.closed(connection);
+          if (entry.isPresent() && places != null) {
+            places.releaseAll(entry.getAsLong());
+            EventLog.log(
+                EventType.PEER_LOST, "peer", entry.getAsLong(), "reason", reason.type().label());
           }
         });
   }
 
   private void handle(WireConnection connection, Message message) {
-    Peer peer = peers.get(connection);
-    if (peer == null || places == null) {
+    OptionalLong known = entries.number(connection);
+    if (known.isEmpty() || places == null) {
       return;
     }
+    long entry = known.getAsLong();
     switch (message) {
-      case Message.Reserve reserve -> places.reserve(reservation(peer, reserve), clock.millis());
+      case Message.Reserve reserve -> places.reserve(reservation(entry, reserve), clock.millis());
       case Message.PromptRead read ->
-          places.promptRead(new ReservationId(peer.number, read.reservation()));
+          places.promptRead(new ReservationId(entry, read.reservation()));
       case Message.Release release ->
-          places.release(new ReservationId(peer.number, release.reservation()));
+          places.release(new ReservationId(entry, release.reservation()));
       default -> {
         // A newer entry may say more than this agent understands.
       }
@@ -247,9 +238,9 @@
     act();
   }
 
-  private Reservation reservation(Peer peer, Message.Reserve reserve) {
+  private Reservation reservation(long entry, Message.Reserve reserve) {
     return new Reservation(
-        new ReservationId(peer.number, reserve.reservation()),
+        new ReservationId(entry, reserve.reservation()),
         new HeldAdapter(AdapterKey.parse(reserve.adapter()), reserve.version()),
         reserve.rank(),
         reserve.unreadTokens(),
@@ -275,19 +266,12 @@
     }
     if (places != null) {
       tellHoldings();
-      tellLoad();
+      entries.tellLoad(places, clock.millis());
     }
   }
 
   private void grant() {
-    for (ReservationId id : places.takeGrants()) {
-      peers.forEach(
-          (connection, peer) -> {
-            if (peer.number == id.entry()) {
-              connection.send(new Message.Granted(id.number()));
-            }
-          });
-    }
+    places.takeGrants().forEach(entries::granted);
   }
 
   private void callEngine() {
@@ -484,62 +468,6 @@
 
   private void tellHoldings() {
     Optional<EndpointLife> life = report == null ? Optional.empty() : identity.current();
-    Message.Holdings now =
-        new Message.Holdings(
-            life.map(one -> one.id().value()).orElse(""),
-            texts(places.held()),
-            texts(places.coming()),
-            peers.size(),
-            report != null && report.leaving(),
-            life.map(EndpointLife::startMillis).orElse(EndpointLife.UNKNOWN_START));
-    if (!now.equals(told)) {
-      told = now;
-      peers.keySet().forEach(connection -> connection.send(now));
-    }
-  }
-
-  private static List<String> texts(Set<HeldAdapter> adapters) {
-    return adapters.stream().map(HeldAdapter::toString).sorted().toList();
-  }
-
-  private void tellLoad() {
-    long now = clock.millis();
-    if (now < nextLoadMillis) {
-      return;
-    }
-    nextLoadMillis = now + LOAD_MILLIS;
-    LoadCosts costs = places.costs();
-    peers.forEach(
-        (connection, peer) -> {
-          Message.PeerLoad load =
-              new Message.PeerLoad(
-                  places.othersRequests(peer.number),
-                  places.othersUnreadTokens(peer.number),
-                  places.sparePlaces(now));
-          if (!load.equals(peer.toldLoad)) {
-            peer.toldLoad = load;
-            connection.send(load);
-          }
-          if (!costs.equals(peer.toldCosts)) {
-            peer.toldCosts = costs;
-            connection.send(message(costs));
-          }
-        });
-  }
-
-  private static Message.EngineCosts message(LoadCosts costs) {
-    return new Message.EngineCosts(
-        costs.storeMillis(), costs.copyMillis(), costs.placeMillis(), costs.copies());
-  }
-
-  private static final class Peer {
-
-    private final long number;
-    private Message.PeerLoad toldLoad;
-    private LoadCosts toldCosts;
-
-    Peer(long number) {
-      this.number = number;
-    }
+    entries.tellHoldings(life, places, report != null && report.leaving());
   }
 }
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/companion/ConnectedEntries.java
@@ -0,0 +1,148 @@
+package org.hornbeamusher.companion;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.hornbeamusher.directory.HeldAdapter;
+import org.hornbeamusher.holdings.AdapterPlaces;
+import org.hornbeamusher.holdings.LoadCosts;
+import org.hornbeamusher.holdings.ReservationId;
+import org.hornbeamusher.ids.EndpointLife;
+import org.hornbeamusher.wire.Message;
+import org.hornbeamusher.wire.WireConnection;
+
+/**
+ * The entries that are connected to an agent, and what each has been told.
+ *
+ * <p>Whatever an entry places by is told when it changes and not again: holdings at once, because a
+ * request that is sent to an adapter that was withdrawn comes back; load and costs at a pace,
+ * because they change with each request.
+ *
+ * <p>Confined to the agent's loop.
+ */
+final class ConnectedEntries {
+
+  /** Entries place by it; in this time each sends one request or none. */
+  private static final long LOAD_MILLIS = 60;
+
+  private final Map<WireConnection, Entry> entries = new HashMap<>();
+
+  /** The holdings that every connected entry has; null when one of them has not. */
+  private Message.Holdings told;
+
+  private long nextLoadMillis;
+  private long numbers;
+
+  /** Counts them. */
+  int size() {
+    return entries.size();
+  }
+
+  /** An entry has connected; it is told everything. */
+  void opened(WireConnection connection) {
+    entries.put(connection, new Entry(++numbers));
+    told = null;
+  }
+
+  /** A connection is lost; returns the number by which its reservations are known. */
+  OptionalLong closed(WireConnection connection) {
+    Entry entry = entries.remove(connection);
+    return entry == null ? OptionalLong.empty() : OptionalLong.of(entry.number);
+  }
+
+  /** Returns the number by which an entry's reservations are known; empty when it is not known. */
+  OptionalLong number(WireConnection connection) {
+    Entry entry = entries.get(connection);
+    return entry == null ? OptionalLong.empty() : OptionalLong.of(entry.number);
+  }
+
+  /** Tells the entry that made a reservation that its adapter can be used. */
+  void granted(ReservationId id) {
+    entries.forEach(
+        (connection, entry) -> {
+          if (entry.number == id.entry()) {
+            connection.send(new Message.Granted(id.number()));
+          }
+        });
+  }
+
+  /**
+   * Tells what the engine holds, if that has changed.
+   *
+   * @param life the life of the engine that is seen; empty while none is
+   * @param places what it holds
+   * @param leaving whether it takes no new work
+   */
+  void tellHoldings(Optional<EndpointLife> life, AdapterPlaces places, boolean leaving) {
+    Message.Holdings now =
+        new Message.Holdings(
+            life.map(one -> one.id().value()).orElse(""),
+            texts(places.held()),
+            texts(places.coming()),
+            entries.size(),
+            leaving,
+            life.map(EndpointLife::startMillis).orElse(EndpointLife.UNKNOWN_START));
+    if (!now.equals(told)) {
+      told = now;
+      entries.keySet().forEach(connection -> connection.send(now));
+    }
+  }
+
+  private static List<String> texts(Set<HeldAdapter> adapters) {
+    return adapters.stream().map(HeldAdapter::toString).sorted().toList();
+  }
+
+  /**
+   * Tells what the engine has to do and what loads cost there, if that has changed and is due.
+   *
+   * @param places what it holds
+   * @param now milliseconds
+   */
+  void tellLoad(AdapterPlaces places, long now) {
+    if (now < nextLoadMillis) {
+      return;
+    }
+    nextLoadMillis = now + LOAD_MILLIS;
+    LoadCosts costs = places.costs();
+    entries.forEach(
+        (connection, entry) -> {
+          entry.tellLoad(connection, places, now);
+          entry.tellCosts(connection, costs);
+        });
+  }
+
+  private static final class Entry {
+
+    private final long number;
+    private Message.PeerLoad toldLoad;
+    private LoadCosts toldCosts;
+
+    Entry(long number) {
+      this.number = number;
+    }
+
+    void tellLoad(WireConnection connection, AdapterPlaces places, long now) {
+      Message.PeerLoad load =
+          new Message.PeerLoad(
+              places.othersRequests(number),
+              places.othersUnreadTokens(number),
+              places.sparePlaces(now));
+      if (!load.equals(toldLoad)) {
+        toldLoad = load;
+        connection.send(load);
+      }
+    }
+
+    void tellCosts(WireConnection connection, LoadCosts costs) {
+      if (!costs.equals(toldCosts)) {
+        toldCosts = costs;
+        connection.send(
+            new Message.EngineCosts(
+                costs.storeMillis(), costs.copyMillis(), costs.placeMillis(), costs.copies()));
+      }
+    }
+  }
+}
--- a/runtime/src/main/java/org/hornbeamusher/directory/EndpointDirectory.java
+++ b/runtime/src/main/java/org/hornbeamusher/directory/EndpointDirectory.java
@@ -52,11 +52,11 @@
   /** Endpoints renew their entries within about 2 s of the store's return; 0.5 s for the read. */
   static final long RETURN_MILLIS = 2_500;
 
-  /**
-   * Two reads in a row fail only when the store is away: at a read each 0.7 s this is one and a
-   * half of them.
-   */
-  static final long OUTAGE_MILLIS = 1_100;
+  /** So many times the pause between two lists without one: the store is away. */
+  private static final double OUTAGE_READS = 1.5;
+
+  /** A list's own way, and a loop that is busy for a while. */
+  private static final long READ_MILLIS = 50;
 
   private static final long NEVER = Long.MIN_VALUE / 2;
 
@@ -87,11 +87,18 @@
 
   private final Successors successors = new Successors();
 
+  private final long outageMillis;
   private long lastListMillis = NEVER;
   private long returnedMillis = NEVER;
 
-  /** Creates an empty directory. */
-  public EndpointDirectory() {}
+  /**
+   * Creates an empty directory.
+   *
+   * @param pauseMillis between two lists
+   */
+  public EndpointDirectory(long pauseMillis) {
+    outageMillis = Math.round(OUTAGE_READS * pauseMillis) + READ_MILLIS;
+  }
 
   /**
    * Takes a list that the store gave.
@@ -101,7 +108,7 @@
    * @return what changed
    */
   public Change listed(List<? extends ListedEntry> listed, long now) {
-    if (lastListMillis != NEVER && now - lastListMillis > OUTAGE_MILLIS) {
+    if (lastListMillis != NEVER && now - lastListMillis > outageMillis) {
       returnedMillis = now;
     }
     lastListMillis = now;
@@ -109,7 +116,7 @@
     Set<String> keys = lastList.stream().map(EndpointDirectory::key).collect(Collectors.toSet());
     unusable.keySet().retainAll(keys);
     List<Endpoint> gone = new ArrayList<>();
-    lastList.forEach(entry -> successors.listed(new EndpointId(key(entry))));
+    lastList.forEach(successors::listed);
     if (now - returnedMillis >= RETURN_MILLIS) {
       known.values().stream()
           .filter(old -> !keys.contains(old.id().value()) && !successors.awaited(old.id(), now))
--- a/runtime/src/main/java/org/hornbeamusher/directory/Successors.java
+++ b/runtime/src/main/java/org/hornbeamusher/directory/Successors.java
@@ -1,10 +1,8 @@
 package org.hornbeamusher.directory;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -43,7 +41,9 @@
   private static final int MOST_REMEMBERED = 4_096;
 
   private final Set<EndpointId> superseded = new LinkedHashSet<>();
-  private final Set<EndpointId> listed = new LinkedHashSet<>();
+
+  /** Keys of entries, of usable ones and of others: a key need not be an id. */
+  private final Set<String> listed = new LinkedHashSet<>();
 
   /** When each announced endpoint was announced. */
   private final Map<EndpointId, Long> announced = new HashMap<>();
@@ -52,9 +52,14 @@
   private final LinkedHashMap<String, Endpoint> lastAt = new LinkedHashMap<>(16, 0.75f, true);
 
   /** The list names an endpoint. */
-  void listed(EndpointId id) {
-    remember(listed, id);
-    announced.remove(id);
+  void listed(ListedEntry entry) {
+    switch (entry) {
+      case Endpoint endpoint -> {
+        remember(listed, endpoint.id().value());
+        announced.remove(endpoint.id());
+      }
+      case UnusableEntry unusable -> remember(listed, unusable.key());
+    }
   }
 
   /** Tells whether another endpoint stands where this one stood. */
@@ -78,7 +83,7 @@
    * @return empty when the list has named it, so that its place is known, or none was known there
    */
   Optional<Endpoint> predecessor(EndpointId id, String address) {
-    if (listed.contains(id) || superseded.contains(id) || announced.containsKey(id)) {
+    if (listed.contains(id.value()) || superseded.contains(id) || announced.containsKey(id)) {
       return Optional.empty();
     }
     return Optional.ofNullable(lastAt.get(address)).filter(last -> !last.id().equals(id));
@@ -97,12 +102,11 @@
     return since != null && now - since < ANNOUNCED_MILLIS;
   }
 
-  private static void remember(Set<EndpointId> ids, EndpointId id) {
+  private static <T> void remember(Set<T> ids, T id) {
     ids.remove(id);
     ids.add(id);
     if (ids.size() > MOST_REMEMBERED) {
-      List<EndpointId> oldestFirst = new ArrayList<>(ids);
-      ids.remove(oldestFirst.get(0));
+      ids.remove(ids.iterator().next());
     }
   }
 }
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
@@ -79,7 +79,7 @@
         new ForwardState(
             new ConfigurationInForce(),
             new VersionsInForce(),
-            new EndpointDirectory(),
+            new EndpointDirectory(settings.listMillis()),
             placer,
             new EngineAgents(placer.views(), hello(settings), WireSettings.DEFAULT, loop, clock),
             new RepeatAllowance(settings.repeats()),
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardRun.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardRun.java
@@ -47,9 +47,6 @@
   /** How long a request waits for a load before it looks at the other endpoints again. */
   private static final long REPLACE_MILLIS = 100;
 
-  /** Behind every kind of request that is in time: operators use ranks 0 to 2. */
-  private static final int LATE_RANKS = 3;
-
   private static final int SERVER_ERROR = 500;
 
   /** The endpoint at that address is not the one that was meant, or lacks what was asked for. */
@@ -272,14 +269,6 @@
     replacing = state.loop().after(REPLACE_MILLIS, this::lookElsewhere);
   }
 
-  /**
-   * Engines admit by rank. A request that is late already stands behind those that can still be in
-   * time: after a restart of everything, each engine has a second's worth of late ones before it.
-   */
-  private int rank() {
-    return pastAim() && !relay.started() ? route.rank() + LATE_RANKS : route.rank();
-  }
-
   private boolean pastAim() {
     return waited() >= route.targetLatencyMillis();
   }
@@ -295,7 +284,7 @@
     tokensAhead = endpoint.unreadTokens();
     sends++;
     SendFacts told =
-        new SendFacts(endpoint.id(), deadlineMillis - sentMillis, rank(), relay.lastEvent());
+        new SendFacts(endpoint.id(), deadlineMillis - sentMillis, route.rank(), relay.lastEvent());
     URI uri = endpoint.endpoint().uri();
     HttpCall call =
         new HttpCall(
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardSettings.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardSettings.java
@@ -13,6 +13,7 @@
  * @param metrics where it serves its metrics
  * @param agentPort the port of every agent
  * @param drainMillis how long a leaving instance may take
+ * @param listMillis the pause between two reads of the list of endpoints
  * @param repeats how often requests may be sent again
  */
 public record ForwardSettings(
@@ -23,4 +24,5 @@
     Optional<InetSocketAddress> metrics,
     int agentPort,
     long drainMillis,
+    long listMillis,
     RepeatSettings repeats) {}
--- a/runtime/src/main/java/org/hornbeamusher/holdings/AdapterPlaces.java
+++ b/runtime/src/main/java/org/hornbeamusher/holdings/AdapterPlaces.java
@@ -66,19 +66,13 @@
    */
   private static final int KEPT_FOR_TIMELY = 1;
 
-  /** An order that has not shown after this was refused or lost. */
-  private static final long FORGOTTEN_LOAD_MILLIS = 5_000;
-
-  /** An adapter used once half a minute ago is as good as never used. */
-  private static final double DEMAND_HALF_LIFE_MILLIS = 10_000;
-
   private final int places;
   private final VersionsInForce versions;
   private final long startedMillis;
 
   private final Map<ReservationId, Reservation> reservations = new LinkedHashMap<>();
   private final Map<ReservationId, Reservation> waiting = new LinkedHashMap<>();
-  private final Map<AdapterKey, Demand> demand = new HashMap<>();
+  private final AdapterDemand demand = new AdapterDemand();
 
   /** When each withdrawn adapter was withdrawn; it is still held by the engine. */
   private final Map<AdapterKey, Long> withdrawn = new HashMap<>();
@@ -86,12 +80,6 @@
   /** Loads that were sent and that no report has shown yet. */
   private final Set<AdapterKey> ordered = new HashSet<>();
 
-  /** When each load that is under way was sent, of adapters that were not held. */
-  private final Map<AdapterKey, Long> loadingSince = new HashMap<>();
-
-  /** Since when each adapter has been in use without a break. */
-  private final Map<AdapterKey, Long> usedSince = new HashMap<>();
-
   private final LoadTimes times;
 
   /** When a request that could still be answered in time found no place free. */
@@ -135,16 +123,7 @@
           .filter(key -> !fresh.adapters().containsKey(key))
           .forEach(times::left);
     }
-    loadingSince
-        .entrySet()
-        .removeIf(
-            load -> {
-              boolean there = fresh.adapters().containsKey(load.getKey());
-              if (there) {
-                times.loaded(load.getKey(), now - load.getValue());
-              }
-              return there || now - load.getValue() > FORGOTTEN_LOAD_MILLIS;
-            });
+    times.held(fresh.adapters().keySet(), now);
   }
 
   /**
@@ -159,17 +138,7 @@
         used.add(one.adapter().key());
       }
     }
-    usedSince
-        .entrySet()
-        .removeIf(
-            use -> {
-              boolean ended = !used.contains(use.getKey());
-              if (ended) {
-                times.used(now - use.getValue());
-              }
-              return ended;
-            });
-    used.forEach(key -> usedSince.putIfAbsent(key, now));
+    times.inUse(used, now);
   }
 
   /**
@@ -190,7 +159,6 @@
     lost();
     reservations.clear();
     waiting.clear();
-    usedSince.clear();
     times.restarted();
   }
 
@@ -199,7 +167,7 @@
     report = null;
     unanswered = null;
     ordered.clear();
-    loadingSince.clear();
+    times.lost();
     withdrawn.clear();
   }
 
@@ -213,7 +181,7 @@
     reservations.put(reservation.id(), reservation);
     AdapterKey key = reservation.adapter().key();
     versions.offer(key, reservation.adapter().version());
-    demand.computeIfAbsent(key, unused -> new Demand()).add(now);
+    demand.add(key, now);
     withdrawn.remove(key);
     waiting.put(reservation.id(), reservation);
   }
@@ -400,7 +368,7 @@
     if (order instanceof EngineOrder.Load load) {
       ordered.add(load.key());
       if (!load.key().isBase() && !report.adapters().containsKey(load.key())) {
-        loadingSince.put(load.key(), now);
+        times.ordered(load.key(), now);
       }
     }
   }
@@ -498,7 +466,7 @@
         .filter(this::unused)
         .min(
             Comparator.comparing((AdapterKey key) -> !stale(key))
-                .thenComparingDouble(key -> demandOf(key, now)));
+                .thenComparingDouble(key -> demand.of(key, now)));
   }
 
   /** A new version of an adapter in demand is fetched before the next request asks for it. */
@@ -508,7 +476,7 @@
     }
     return report.adapters().keySet().stream()
         .filter(key -> stale(key) && unused(key) && !isComing(key) && !withdrawn.containsKey(key))
-        .filter(key -> demandOf(key, now) >= 1)
+        .filter(key -> demand.of(key, now) >= 1)
         .findFirst()
         .map(EngineOrder.Load::new);
   }
@@ -522,25 +490,4 @@
     return reservations.values().stream()
         .noneMatch(r -> r.adapter().key().equals(key) && !waiting.containsKey(r.id()));
   }
-
-  private double demandOf(AdapterKey key, long now) {
-    Demand known = demand.get(key);
-    return known == null ? 0 : known.at(now);
-  }
-
-  /** Requests for an adapter, each forgotten exponentially. */
-  private static final class Demand {
-
-    private double count;
-    private long lastMillis;
-
-    void add(long now) {
-      count = at(now) + 1;
-      lastMillis = now;
-    }
-
-    double at(long now) {
-      return count * Math.pow(0.5, Math.max(0, now - lastMillis) / DEMAND_HALF_LIFE_MILLIS);
-    }
-  }
 }
--- a/runtime/src/main/java/org/hornbeamusher/holdings/LoadTimes.java
+++ b/runtime/src/main/java/org/hornbeamusher/holdings/LoadTimes.java
@@ -1,8 +1,11 @@
 package org.hornbeamusher.holdings;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import org.hornbeamusher.routes.AdapterKey;
 
 /**
@@ -42,6 +45,9 @@
   /** A wrong depth is left behind after twice as many loads that contradict it. */
   private static final int DEPTH_STEPS = 8;
 
+  /** An order that has not shown after this was refused or lost. */
+  private static final long FORGOTTEN_MILLIS = 5_000;
+
   /** Told in steps of this, so that entries are told of changes and not of noise. */
   private static final long STEP_MILLIS = 10;
 
@@ -51,6 +57,13 @@
   private final LinkedHashSet<AdapterKey> left = new LinkedHashSet<>();
 
   private final LoadWindow window;
+
+  /** When each load that is under way was ordered, of adapters that were not held. */
+  private final Map<AdapterKey, Long> orderedMillis = new HashMap<>();
+
+  /** Since when each adapter has been in use without a break. */
+  private final Map<AdapterKey, Long> usedSince = new HashMap<>();
+
   private double storeMillis;
   private double copyMillis;
   private double useMillis;
@@ -78,9 +91,44 @@
   /** The engine has started again; it has no copies of what it held before. */
   void restarted() {
     left.clear();
+    usedSince.clear();
     window.restarted();
   }
 
+  /** The engine cannot be seen; what becomes of its loads is not known. */
+  void lost() {
+    orderedMillis.clear();
+  }
+
+  /** An adapter that is not held is ordered. */
+  void ordered(AdapterKey key, long now) {
+    orderedMillis.put(key, now);
+  }
+
+  /** A report says which adapters are held. */
+  void held(Set<AdapterKey> held, long now) {
+    for (AdapterKey key : List.copyOf(orderedMillis.keySet())) {
+      long took = now - orderedMillis.get(key);
+      boolean there = held.contains(key);
+      if (there) {
+        loaded(key, took);
+      }
+      if (there || took > FORGOTTEN_MILLIS) {
+        orderedMillis.remove(key);
+      }
+    }
+  }
+
+  /** Takes which adapters have runs on them. */
+  void inUse(Set<AdapterKey> used, long now) {
+    for (AdapterKey key : List.copyOf(usedSince.keySet())) {
+      if (!used.contains(key)) {
+        used(now - usedSince.remove(key));
+      }
+    }
+    used.forEach(key -> usedSince.putIfAbsent(key, now));
+  }
+
   /** A load has ended. */
   void loaded(AdapterKey key, long tookMillis) {
     long took = Math.min(MOST_LOAD_MILLIS, tookMillis);
--- a/runtime/src/test/java/org/hornbeamusher/directory/EndpointDirectoryTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/directory/EndpointDirectoryTest.java
@@ -24,7 +24,7 @@
   private static final long READ_MILLIS = 700;
   private static final EndpointId A = new EndpointId("a");
 
-  private final EndpointDirectory directory = new EndpointDirectory();
+  private final EndpointDirectory directory = new EndpointDirectory(READ_MILLIS);
 
   @BeforeEach
   void configure() {
@@ -322,7 +322,7 @@
       @ForAll @UniqueElements @Size(min = 2, max = 8)
           List<@LongRange(min = 1, max = 1_000) Long> starts,
       @ForAll @Size(max = 40) List<@IntRange(min = 0, max = 3) Integer> steps) {
-    EndpointDirectory drawn = new EndpointDirectory();
+    EndpointDirectory drawn = new EndpointDirectory(READ_MILLIS);
     drawn.configured(Set.of("s"));
     drawn.listed(List.of(life(starts.get(0), false)), 0);
     drawn.told(life(starts.get(0), false).life());
@@ -388,6 +388,18 @@
     assertEquals(List.of("a"), ids(directory.endpoints()));
   }
 
+  /**
+   * Another program has written an entry under a key that is no id at all. With the first list that
+   * held it, entries took no list any more, and none that started then ever became ready.
+   */
+  @Test
+  void entryUnderAnyKeyLeavesTheOthersInUse() {
+    EndpointDirectory.Change change =
+        directory.listed(List.of(spoilt("NOT AN ID", "x"), endpoint("a", false)), 0);
+    assertEquals(List.of("a"), ids(change.changed()));
+    assertEquals(1, change.unusable().size());
+  }
+
   /** An engine that only its agent ever named is not used for longer than its entry may take. */
   @Test
   void engineThatIsNeverListedIsDropped() {
