--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardServer.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardServer.java
@@ -67,6 +67,7 @@
             .setHandler(this::handle)
             .build();
     callers.start();
+    callers.getListenerInfo().forEach(Undertow.ListenerInfo::suspend);
     readiness =
         Undertow.builder()
             .setWorker(worker)
@@ -76,6 +77,11 @@
     readiness.start();
   }
 
+  /** Takes callers in. Before, their connections are made and wait unread. */
+  void open() {
+    callers.getListenerInfo().forEach(Undertow.ListenerInfo::resume);
+  }
+
   void stop() {
     callers.stop();
     readiness.stop();
