--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
@@ -59,10 +59,6 @@
   private final Optional<MetricsListener> metrics;
   private final Set<ForwardRun> runs = new HashSet<>();
   private final CompletableFuture<Void> drained = new CompletableFuture<>();
-
-  /** Whether callers are taken in; they are from then on. */
-  private boolean open;
-
   private boolean leaving;
   private long leaveMillis;
 
@@ -121,7 +117,6 @@
     measured.gauge(
         "configuration",
         () -> state.configuration().current().map(Configuration::version).orElse(0L));
-    loop.after(settings.holdMillis(), this::open);
     EventLog.log(
         EventType.PROCESS_STARTED,
         "role",
@@ -149,26 +144,6 @@
           configuration.services().size());
       apply(state.directory().configured(configuration.services().keySet()));
       connectAgents();
-      openWhenReady();
-    }
-  }
-
-  /**
-   * After a loss of power every caller knocks at entries that are still starting. Refusing them
-   * took half of the processor time that the start needed, and each had then spent its one repeat.
-   * Their connections wait unread instead, until there is something to serve them with or until
-   * they would be given up for that.
-   */
-  private void openWhenReady() {
-    if (ready()) {
-      open();
-    }
-  }
-
-  private void open() {
-    if (!open) {
-      open = true;
-      server.open();
     }
   }
 
@@ -191,7 +166,6 @@
    */
   public void listed(List<? extends ListedEntry> entries) {
     apply(state.directory().listed(entries, clock.millis()));
-    openWhenReady();
   }
 
   private void apply(EndpointDirectory.Change change) {
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardServer.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardServer.java
@@ -67,7 +67,6 @@
             .setHandler(this::handle)
             .build();
     callers.start();
-    callers.getListenerInfo().forEach(Undertow.ListenerInfo::suspend);
     readiness =
         Undertow.builder()
             .setWorker(worker)
@@ -77,11 +76,6 @@
     readiness.start();
   }
 
-  /** Takes callers in. Before, their connections are made and wait unread. */
-  void open() {
-    callers.getListenerInfo().forEach(Undertow.ListenerInfo::resume);
-  }
-
   void stop() {
     callers.stop();
     readiness.stop();
