Of two engines listed at one address the one that its agent sees is used

After the loss of power at 34.3 s an entry that starts reads a list that names both lives of each engine at one address; the former ones go on to be listed until 37.4 to 38.1 s and say that they hold all that they held. Half of the requests placed from 36.7 to 37.5 s went there and were refused ('endpoint-refused' 23 at one entry, and with capacity split 'load-too-late' 107). Successors looked only at ids that the list had not named yet. Ruled out: judging by the list alone (nothing in it says which of two is later). Change: the agent's word about its address displaces the others listed there, for as long as an entry may be about to lapse (5 s); one that is still listed then is alive and comes back, and at once when the agent names it. Tests: four in EndpointDirectoryTest, the first fails without the change.

--- a/runtime/src/main/java/org/hornbeamusher/directory/EndpointDirectory.java
+++ b/runtime/src/main/java/org/hornbeamusher/directory/EndpointDirectory.java
@@ -145,7 +145,7 @@
         switch (judged(entry, services.get())) {
           case Endpoint endpoint -> {
             unusable.remove(endpoint.id().value());
-            if (!successors.superseded(endpoint.id())) {
+            if (!successors.superseded(endpoint.id(), lastListMillis)) {
               update(endpoint, found);
             }
           }
@@ -213,7 +213,33 @@
         known.containsKey(life.id())
             ? Optional.empty()
             : successors.predecessor(life.id(), address).filter(this::isConfigured);
-    return former.map(one -> succeeded(one, life, now)).orElseGet(() -> told(life));
+    return former
+        .map(one -> succeeded(one, life, now))
+        .orElseGet(() -> stands(life, address, now));
+  }
+
+  /**
+   * Where the list names two endpoints at one address, the agent beside it says which one stands
+   * there. A process that has just started cannot know it otherwise: the entry of the former one
+   * goes on for seconds, and says that it holds all that it held.
+   */
+  private Change stands(EndpointLife life, String address, long now) {
+    Change change = told(life);
+    List<Endpoint> others =
+        known.values().stream()
+            .filter(one -> one.address().equals(address) && !one.id().equals(life.id()))
+            .toList();
+    boolean listed = known.containsKey(life.id()) || successors.displaced(life.id());
+    if (!listed || !successors.standsAt(life.id(), address, others, now)) {
+      return change;
+    }
+    others.forEach(one -> known.remove(one.id()));
+    List<Endpoint> changed = new ArrayList<>(change.changed());
+    changed.addAll(judged(List.of()).changed());
+    endpoint(life.id()).ifPresent(successors::stands);
+    List<EndpointLife> ended = new ArrayList<>(change.ended());
+    others.forEach(one -> ended.add(one.life()));
+    return new Change(changed, others, ended, change.unusable());
   }
 
   private Change succeeded(Endpoint former, EndpointLife life, long now) {
@@ -237,6 +263,7 @@
    */
   public void agentLost(EndpointId id) {
     lives(id).agentLost();
+    successors.agentLost(id);
   }
 
   private void update(Endpoint entry, Found found) {
--- a/runtime/src/main/java/org/hornbeamusher/directory/Successors.java
+++ b/runtime/src/main/java/org/hornbeamusher/directory/Successors.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -23,6 +24,9 @@
  *       sees it and for {@link #ANNOUNCED_MILLIS}, by when the list must have named it;
  *   <li>an id that the list has named is the list's from then on: an agent that still names one
  *       which has left the list does not bring it back.
+ *   <li>where the list names both already, the former one is <em>displaced</em>: it is not used
+ *       while its entry may still be about to lapse. One that is listed for longer is alive, and the
+ *       agent's word was late; so it comes back, and at once when the agent names it.
  * </ul>
  *
  * <p>Example: all engines lose power and are back 1.1 s later. An entry that starts with them reads
@@ -42,6 +46,12 @@
 
   private final Set<EndpointId> superseded = new LinkedHashSet<>();
 
+  /** Until when each displaced endpoint is not used. */
+  private final Map<EndpointId, Long> displaced = new HashMap<>();
+
+  /** Which endpoint the agent at each address has named last. */
+  private final Map<String, EndpointId> namedAt = new HashMap<>();
+
   /** Keys of entries, of usable ones and of others: a key need not be an id. */
   private final Set<String> listed = new LinkedHashSet<>();
 
@@ -62,9 +72,35 @@
     }
   }
 
-  /** Tells whether another endpoint stands where this one stood. */
-  boolean superseded(EndpointId id) {
-    return superseded.contains(id);
+  /** Tells whether another endpoint stands where this one stood, as far as is known now. */
+  boolean superseded(EndpointId id, long now) {
+    return superseded.contains(id) || now < displaced.getOrDefault(id, Long.MIN_VALUE);
+  }
+
+  /** Tells whether an endpoint had to make way for another one that the list names as well. */
+  boolean displaced(EndpointId id) {
+    return displaced.containsKey(id);
+  }
+
+  /**
+   * The agent at an address names an endpoint that the list has named.
+   *
+   * @param others that the list names at the same address; they make way if this is news
+   * @return whether any makes way, or the endpoint itself had to and is back
+   */
+  boolean standsAt(EndpointId id, String address, List<Endpoint> others, long now) {
+    if (id.equals(namedAt.put(address, id))) {
+      return false;
+    }
+    displaced.values().removeIf(until -> until <= now);
+    boolean back = displaced.remove(id) != null;
+    others.forEach(one -> displaced.put(one.id(), now + ANNOUNCED_MILLIS));
+    return back || !others.isEmpty();
+  }
+
+  /** No agent speaks of an endpoint any more. */
+  void agentLost(EndpointId id) {
+    namedAt.values().remove(id);
   }
 
   /** An endpoint stands at its address. */
--- a/runtime/src/test/java/org/hornbeamusher/directory/EndpointDirectoryTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/directory/EndpointDirectoryTest.java
@@ -420,6 +420,60 @@
     assertEquals(List.of(), directory.told(other, "10.0.0.2-1", 100).changed());
   }
 
+  /**
+   * Everything lost power. An entry that starts reads a list that names both lives of each engine at
+   * one address, the former for a second more. It says that it holds all that it held, so requests
+   * went there and were refused, while the engine that stands there got half of them. The agent
+   * beside it knows which one it is.
+   */
+  @Test
+  void ofTwoEnginesListedAtOneAddressTheOneThatItsAgentSeesIsUsed() {
+    listed(0, "a", "b");
+    EndpointDirectory.Change change = told("b", 100);
+    assertEquals(List.of("a"), gone(change));
+    assertEquals(List.of(new EndpointLife(A, 0)), change.ended());
+    assertEquals(List.of("b"), ids(directory.endpoints()));
+    listed(READ_MILLIS, "a", "b");
+    assertEquals(List.of("b"), ids(directory.endpoints()));
+  }
+
+  /** The agent had not noticed yet that its engine started again; its next word puts it right. */
+  @Test
+  void engineThatHadToMakeWayIsBackAtItsAgentsWord() {
+    listed(0, "a", "b");
+    told("a", 100);
+    EndpointDirectory.Change change = told("b", 400);
+    assertEquals(List.of("b"), ids(change.changed()));
+    assertEquals(List.of("b"), ids(directory.endpoints()));
+  }
+
+  /** The agent was lost before it noticed. An engine that goes on to be listed is alive. */
+  @Test
+  void engineThatHadToMakeWayIsBackWhenItIsListedForLonger() {
+    listed(0, "a", "b");
+    told("a", 100);
+    directory.agentLost(A);
+    long back = 100 + Successors.ANNOUNCED_MILLIS;
+    for (long now = READ_MILLIS; now < back; now += READ_MILLIS) {
+      listed(now, "b");
+      assertEquals(List.of(), ids(directory.endpoints()));
+    }
+    listed(back, "b");
+    assertEquals(List.of("b"), ids(directory.endpoints()));
+  }
+
+  /** An agent repeats its word with whatever else it has to say; that ends no later engine. */
+  @Test
+  void repeatedWordOfTheAgentIsNoNews() {
+    listed(0, "a");
+    told("a", 100);
+    listed(READ_MILLIS, "a", "b");
+    told("a", READ_MILLIS + 10);
+    assertEquals(List.of("a", "b"), ids(directory.endpoints()).stream().sorted().toList());
+    told("b", READ_MILLIS + 100);
+    assertEquals(List.of("b"), ids(directory.endpoints()));
+  }
+
   private EndpointDirectory.Change told(String id, long now) {
     Endpoint told = endpoint(id, false);
     return directory.told(told.life(), told.address(), now);
