Entries and agents speak on the loop that decides; what moves no request is told at a slower pace

Cause: 33 entries x 42 agents. Each connection had two threads of its own, a message woke a reader, which woke the loop, which woke a writer; the JDK's timers woke a thread for each call to an engine or the store. Agents looked at everything 50 times a second, and told each entry each change of load: a request changes it three or four times, and each change went to 33 entries, of which one in thirty places anything in that time. Besides: hundreds of callers knock at entries that start. Each refusal went the whole way of a request, with three log lines, and held up the configuration that the store had answered already.

Change: - WireTransport: LoopTransport carries the connections on the I/O thread of the process; one write a turn, one timer for all heartbeats, none where something was said. The threaded one stays for TLS and the product's own daemons. - LoadNews: a long prompt, four requests or the last free place are told at once, the rest at a pace that slows with the number of entries. Five entries hear what they heard. - The agent wakes up when something is due and acts once a turn. - Callers of a starting entry wait unread for its configuration, 0.5 s at the most; one who has closed meanwhile is dropped before anything is sent.

--- a/runtime/src/main/java/org/hornbeamusher/companion/CompanionDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/companion/CompanionDaemon.java
@@ -29,9 +29,8 @@
 import org.hornbeamusher.wire.Message;
 import org.hornbeamusher.wire.WireConnection;
 import org.hornbeamusher.wire.WireListener;
-import org.hornbeamusher.wire.WireServer;
-import org.hornbeamusher.wire.WireSettings;
-import org.hornbeamusher.wire.WireSockets;
+import org.hornbeamusher.wire.WireService;
+import org.hornbeamusher.wire.WireTransport;
 
 /**
  * The agent beside an engine: tells the entries what the engine holds, and orders it to hold what
@@ -57,13 +56,14 @@
   /** At 0.4 s each, an engine that went silent is given up after 1.5 s. */
   private static final int MOST_FAILED_REPORTS = 3;
 
+  /** How late what only time brings may be noticed: a withdrawal that is due, a wait that ends. */
   private static final long TICK_MILLIS = 20;
 
   private final CompanionSettings settings;
   private final EngineCalls engine;
   private final EventLoop loop;
   private final Clock clock;
-  private final WireServer server;
+  private final WireService server;
   private final FencingNumbers fencing;
   private final VersionsInForce versions = new VersionsInForce();
   private final ConnectedEntries entries = new ConnectedEntries();
@@ -80,12 +80,19 @@
   private long nextReportMillis;
   private boolean stopped;
 
+  /** Whether {@link #act} runs at the end of this turn of the loop, after what else came in it. */
+  private boolean actingSoon;
+
+  private EventLoop.Timer wakeUp = () -> {};
+  private long wakeUpMillis = Long.MAX_VALUE;
+
   /**
    * Creates an agent that is not started.
    *
    * @param settings its instance
    * @param engine calls to the engine
    * @param lease numbers its orders
+   * @param transport accepts the entries' connections
    * @param loop where it decides
    * @param clock monotonic
    */
@@ -93,6 +100,7 @@
       CompanionSettings settings,
       EngineCalls engine,
       FencingLease lease,
+      WireTransport transport,
       EventLoop loop,
       Clock clock) {
     this.settings = settings;
@@ -100,14 +108,7 @@
     this.loop = loop;
     this.clock = clock;
     this.fencing = new FencingNumbers(lease, loop);
-    this.server =
-        new WireServer(
-            settings.entries(),
-            hello(settings),
-            this,
-            WireSettings.DEFAULT,
-            new WireSockets.Plain(),
-            clock);
+    this.server = transport.listen(settings.entries(), hello(settings), this);
   }
 
   private static Message.Hello hello(CompanionSettings settings) {
@@ -145,7 +146,7 @@
     registerGauges();
     server.start();
     loop.execute(fencing::start);
-    loop.execute(this::tick);
+    loop.execute(this::act);
     EventLog.log(
         EventType.PROCESS_STARTED,
         "role",
@@ -178,6 +179,7 @@
       places = new AdapterPlaces(spec.adapterPlaces(), versions, clock.millis());
       Optional.ofNullable(report).ifPresent(said -> places.reported(said, clock.millis()));
     }
+    actSoon();
   }
 
   /**
@@ -189,6 +191,7 @@
   public void versioned(AdapterKey adapter, long version) {
     if (versions.offer(adapter, version)) {
       EventLog.log(EventType.VERSION_IN_FORCE, "adapter", adapter, "version", version);
+      actSoon();
     }
   }
 
@@ -197,6 +200,7 @@
     loop.execute(
         () -> {
           entries.opened(connection);
+          actSoon();
           EventLog.log(EventType.PEER_CONNECTED, "peer", hello.instance());
         });
   }
@@ -213,6 +217,7 @@
           OptionalLong entry = entries.closed(connection);
           if (entry.isPresent() && places != null) {
             places.releaseAll(entry.getAsLong());
+            actSoon();
             EventLog.log(
                 EventType.PEER_LOST, "peer", entry.getAsLong(), "reason", reason.type().label());
           }
@@ -235,7 +240,7 @@
         // A newer entry may say more than this agent understands.
       }
     }
-    act();
+    actSoon();
   }
 
   private Reservation reservation(long entry, Message.Reserve reserve) {
@@ -248,15 +253,20 @@
         clock.millis() + reserve.aimMillis());
   }
 
-  private void tick() {
-    if (!stopped) {
-      act();
-      loop.after(TICK_MILLIS, this::tick);
+  /** Many messages come in one turn; what they change is acted on once. */
+  private void actSoon() {
+    if (!actingSoon) {
+      actingSoon = true;
+      loop.execute(this::act);
     }
   }
 
   /** Does whatever is due: grants, an order or a question to the engine, news to the entries. */
   private void act() {
+    actingSoon = false;
+    if (stopped) {
+      return;
+    }
     if (places != null) {
       grant();
       places.observe(clock.millis());
@@ -264,10 +274,29 @@
     if (!calling) {
       callEngine();
     }
+    long toldMillis = Long.MAX_VALUE;
     if (places != null) {
       tellHoldings();
-      entries.tellLoad(places, clock.millis());
+      toldMillis = entries.tellLoad(places, clock.millis());
     }
+    wakeUpAt(Math.min(nextReportMillis, toldMillis));
+  }
+
+  /** An engine at which nothing waits is looked at when something is due, and not before. */
+  private void wakeUpAt(long nextMillis) {
+    long now = clock.millis();
+    boolean pending = places == null || places.pending();
+    long due = pending ? now + TICK_MILLIS : Math.max(now + TICK_MILLIS, nextMillis);
+    if (due < wakeUpMillis || wakeUpMillis <= now) {
+      wakeUp.cancel();
+      wakeUpMillis = due;
+      wakeUp = loop.after(due - now, this::wokenUp);
+    }
+  }
+
+  private void wokenUp() {
+    wakeUpMillis = Long.MAX_VALUE;
+    act();
   }
 
   private void grant() {
--- a/runtime/src/main/java/org/hornbeamusher/companion/ConnectedEntries.java
+++ b/runtime/src/main/java/org/hornbeamusher/companion/ConnectedEntries.java
@@ -8,7 +8,10 @@
 import java.util.Set;
 import org.hornbeamusher.directory.HeldAdapter;
 import org.hornbeamusher.holdings.AdapterPlaces;
+import org.hornbeamusher.holdings.EngineLoad;
+import org.hornbeamusher.holdings.EngineLoads;
 import org.hornbeamusher.holdings.LoadCosts;
+import org.hornbeamusher.holdings.LoadNews;
 import org.hornbeamusher.holdings.ReservationId;
 import org.hornbeamusher.ids.EndpointLife;
 import org.hornbeamusher.wire.Message;
@@ -31,7 +34,7 @@
   private final Map<WireConnection, Entry> entries = new HashMap<>();
 
   /** The holdings that every connected entry has; null when one of them has not. */
-  private Message.Holdings told;
+  private Holdings told;
 
   private long nextLoadMillis;
   private long numbers;
@@ -77,62 +80,83 @@
    * @param leaving whether it takes no new work
    */
   void tellHoldings(Optional<EndpointLife> life, AdapterPlaces places, boolean leaving) {
-    Message.Holdings now =
-        new Message.Holdings(
-            life.map(one -> one.id().value()).orElse(""),
-            texts(places.held()),
-            texts(places.coming()),
-            entries.size(),
-            leaving,
-            life.map(EndpointLife::startMillis).orElse(EndpointLife.UNKNOWN_START));
+    Holdings now = new Holdings(life, places.held(), places.coming(), entries.size(), leaving);
     if (!now.equals(told)) {
       told = now;
-      entries.keySet().forEach(connection -> connection.send(now));
+      Message message = now.message();
+      entries.keySet().forEach(connection -> connection.send(message));
     }
   }
 
-  private static List<String> texts(Set<HeldAdapter> adapters) {
-    return adapters.stream().map(HeldAdapter::toString).sorted().toList();
-  }
-
   /**
    * Tells what the engine has to do and what loads cost there, if that has changed and is due.
    *
    * @param places what it holds
    * @param now milliseconds
+   * @return when it is due again; {@link Long#MAX_VALUE} when every entry knows everything
    */
-  void tellLoad(AdapterPlaces places, long now) {
+  long tellLoad(AdapterPlaces places, long now) {
     if (now < nextLoadMillis) {
-      return;
+      return nextLoadMillis;
     }
     nextLoadMillis = now + LOAD_MILLIS;
+    long due = Long.MAX_VALUE;
+    EngineLoads loads = places.loads(now);
     LoadCosts costs = places.costs();
-    entries.forEach(
-        (connection, entry) -> {
-          entry.tellLoad(connection, places, now);
-          entry.tellCosts(connection, costs);
-        });
+    for (Map.Entry<WireConnection, Entry> one : entries.entrySet()) {
+      Entry entry = one.getValue();
+      entry.tellLoad(one.getKey(), loads.others(entry.number), entries.size(), now);
+      entry.tellCosts(one.getKey(), costs);
+      due = Math.min(due, entry.news.dueMillis(entries.size()));
+    }
+    return Math.max(due, nextLoadMillis);
+  }
+
+  /**
+   * What every entry is told alike.
+   *
+   * @param life the life of the engine that is seen
+   * @param held what can be used
+   * @param coming what is on its way
+   * @param entries how many entries are connected
+   * @param leaving whether it takes no new work
+   */
+  private record Holdings(
+      Optional<EndpointLife> life,
+      Set<HeldAdapter> held,
+      Set<HeldAdapter> coming,
+      int entries,
+      boolean leaving) {
+
+    Message message() {
+      return new Message.Holdings(
+          life.map(one -> one.id().value()).orElse(""),
+          texts(held),
+          texts(coming),
+          entries,
+          leaving,
+          life.map(EndpointLife::startMillis).orElse(EndpointLife.UNKNOWN_START));
+    }
+
+    private static List<String> texts(Set<HeldAdapter> adapters) {
+      return adapters.stream().map(HeldAdapter::toString).sorted().toList();
+    }
   }
 
   private static final class Entry {
 
     private final long number;
-    private Message.PeerLoad toldLoad;
+    private final LoadNews news = new LoadNews();
     private LoadCosts toldCosts;
 
     Entry(long number) {
       this.number = number;
     }
 
-    void tellLoad(WireConnection connection, AdapterPlaces places, long now) {
-      Message.PeerLoad load =
-          new Message.PeerLoad(
-              places.othersRequests(number),
-              places.othersUnreadTokens(number),
-              places.sparePlaces(now));
-      if (!load.equals(toldLoad)) {
-        toldLoad = load;
-        connection.send(load);
+    void tellLoad(WireConnection connection, EngineLoad load, int entries, long now) {
+      if (news.tell(load, entries, now)) {
+        connection.send(
+            new Message.PeerLoad(load.requests(), load.unreadTokens(), load.sparePlaces()));
       }
     }
 
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/CallerAnswer.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/CallerAnswer.java
@@ -11,7 +11,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.List;
-import java.util.Locale;
 import java.util.OptionalLong;
 import java.util.Set;
 import org.hornbeamusher.failure.HornbeamusherException;
@@ -31,7 +30,7 @@
  */
 final class CallerAnswer {
 
-  private static final double MILLIS_PER_SECOND = 1_000;
+  private static final long MILLIS_PER_SECOND = 1_000;
 
   private static final int MISDIRECTED = 421;
 
@@ -66,32 +65,43 @@
   }
 
   private void watch(HttpServerConnection connection, StreamSourceConduit source) {
-    if (ended || connection.getExtraBytes() != null) {
+    if (ended || connection.getExtraBytes() != null || read(connection, source) > 0) {
       source.suspendReads();
-      return;
     }
+  }
+
+  /**
+   * Tells whether the caller has closed its connection already, also before any {@link #onGone}.
+   * What a caller wrote waits here for as long as nobody reads it, and its close behind it.
+   */
+  boolean goneAlready() {
+    if (exchange.getConnection() instanceof HttpServerConnection connection
+        && connection.getExtraBytes() == null) {
+      read(connection, connection.getOriginalSourceConduit());
+    }
+    return ended;
+  }
+
+  /** Reads what comes early of a next request, and puts it back; notices a close. */
+  private int read(HttpServerConnection connection, StreamSourceConduit source) {
     PooledByteBuffer pooled = connection.getByteBufferPool().allocate();
-    boolean keep = false;
+    int count = -1;
     try {
-      int count = source.read(pooled.getBuffer());
-      if (count < 0) {
-        IoUtils.safeClose(connection);
-        closed();
-      } else if (count > 0) {
-        pooled.getBuffer().flip();
-        connection.ungetRequestBytes(pooled);
-        keep = true;
-        source.suspendReads();
-      }
+      count = source.read(pooled.getBuffer());
     } catch (IOException e) {
       // A reset: the caller is as gone as after a close.
+    }
+    if (count > 0) {
+      pooled.getBuffer().flip();
+      connection.ungetRequestBytes(pooled);
+      return count;
+    }
+    pooled.close();
+    if (count < 0) {
       IoUtils.safeClose(connection);
       closed();
-    } finally {
-      if (!keep) {
-        pooled.close();
-      }
     }
+    return count;
   }
 
   private void closed() {
@@ -153,9 +163,14 @@
     if (failure.retryAfterMillis().isEmpty()) {
       return List.of(type);
     }
-    double seconds = failure.retryAfterMillis().getAsLong() / MILLIS_PER_SECOND;
-    return List.of(
-        type, new HttpHeader("Retry-After", String.format(Locale.ROOT, "%.3f", seconds)));
+    String seconds = seconds(failure.retryAfterMillis().getAsLong());
+    return List.of(type, new HttpHeader("Retry-After", seconds));
+  }
+
+  /** Writes milliseconds as seconds with three decimals. */
+  static String seconds(long millis) {
+    String rest = Long.toString(MILLIS_PER_SECOND + millis % MILLIS_PER_SECOND);
+    return millis / MILLIS_PER_SECOND + "." + rest.substring(1);
   }
 
   /** Writes a part of the body. */
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/EngineAgents.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/EngineAgents.java
@@ -21,10 +21,9 @@
 import org.hornbeamusher.placement.EndpointView;
 import org.hornbeamusher.wire.Message;
 import org.hornbeamusher.wire.WireConnection;
-import org.hornbeamusher.wire.WireConnector;
 import org.hornbeamusher.wire.WireListener;
-import org.hornbeamusher.wire.WireSettings;
-import org.hornbeamusher.wire.WireSockets;
+import org.hornbeamusher.wire.WireService;
+import org.hornbeamusher.wire.WireTransport;
 
 /**
  * An entry's connections to the agents beside the engines, and the reservations made there.
@@ -42,7 +41,7 @@
   private final Map<InetSocketAddress, Link> links = new HashMap<>();
   private final Map<EndpointId, EndpointView> views;
   private final Message.Hello own;
-  private final WireSettings settings;
+  private final WireTransport transport;
   private final EventLoop loop;
   private final Clock clock;
   private Listener listener = Listener.NONE;
@@ -51,12 +50,12 @@
   EngineAgents(
       Map<EndpointId, EndpointView> views,
       Message.Hello own,
-      WireSettings settings,
+      WireTransport transport,
       EventLoop loop,
       Clock clock) {
     this.views = views;
     this.own = own;
-    this.settings = settings;
+    this.transport = transport;
     this.loop = loop;
     this.clock = clock;
   }
@@ -85,8 +84,7 @@
 
   private void open(InetSocketAddress address) {
     Link link = new Link(address);
-    link.connector =
-        new WireConnector(address, own, link, settings, new WireSockets.Plain(), clock);
+    link.connector = transport.connect(address, own, link);
     links.put(address, link);
     link.connector.start();
   }
@@ -94,7 +92,7 @@
   /** Applies what an agent said before its endpoint was listed. */
   void listed(Endpoint endpoint) {
     for (Link link : links.values()) {
-      if (link.life().filter(endpoint.life()::sameAs).isPresent()) {
+      if (link.life.filter(endpoint.life()::sameAs).isPresent()) {
         link.apply();
       }
     }
@@ -157,10 +155,13 @@
 
     private final InetSocketAddress address;
     private final Map<Long, EngineReservation> live = new HashMap<>();
-    private WireConnector connector;
+    private WireService connector;
     private WireConnection connection;
     private Message.Holdings holdings;
 
+    /** The life of its engine that the agent sees; empty while it sees none. */
+    private Optional<EndpointLife> life = Optional.empty();
+
     /** What the agent has learnt of its engine; it learns on through the engine's lives. */
     private Optional<LoadCosts> costs = Optional.empty();
 
@@ -175,12 +176,7 @@
     }
 
     boolean serves(EndpointLife endpoint) {
-      return connection != null && life().filter(endpoint::sameAs).isPresent();
-    }
-
-    /** The life of its engine that the agent sees. */
-    private Optional<EndpointLife> life() {
-      return holdings == null ? Optional.empty() : lifeOf(holdings);
+      return connection != null && life.isPresent() && endpoint.sameAs(life.get());
     }
 
     private static Optional<EndpointLife> lifeOf(Message.Holdings said) {
@@ -223,8 +219,9 @@
     private void handle(Message message) {
       switch (message) {
         case Message.Holdings said -> {
-          Optional<EndpointLife> before = life();
+          Optional<EndpointLife> before = life;
           holdings = said;
+          life = lifeOf(said);
           tellLives(before);
           apply();
         }
@@ -255,10 +252,9 @@
 
     /** The agent sees another life of its engine, or none. */
     private void tellLives(Optional<EndpointLife> before) {
-      Optional<EndpointLife> now = life();
-      now.ifPresent(life -> listener.seen(life, engine));
+      life.ifPresent(now -> listener.seen(now, engine));
       before
-          .filter(life -> now.filter(next -> next.id().equals(life.id())).isEmpty())
+          .filter(one -> life.filter(next -> next.id().equals(one.id())).isEmpty())
           .ifPresent(listener::unseen);
     }
 
@@ -279,9 +275,9 @@
 
     /** What is believed of the life that the agent sees; null when another one is in force. */
     private EndpointView view() {
-      return life()
-          .map(life -> views.get(life.id()))
-          .filter(view -> view.life().sameAs(life().get()))
+      return life
+          .map(now -> views.get(now.id()))
+          .filter(view -> view.life().sameAs(life.get()))
           .orElse(null);
     }
 
@@ -295,8 +291,9 @@
       if (view != null) {
         view.agentLost();
       }
-      life().ifPresent(life -> listener.agentLost(life.id()));
+      life.ifPresent(last -> listener.agentLost(last.id()));
       holdings = null;
+      life = Optional.empty();
       List.copyOf(live.values()).forEach(EngineReservation::lost);
     }
 
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
@@ -31,6 +31,7 @@
 import org.hornbeamusher.routes.EngineSpec;
 import org.hornbeamusher.routes.ServiceSpec;
 import org.hornbeamusher.routes.VersionsInForce;
+import org.hornbeamusher.wire.LoopTransport;
 import org.hornbeamusher.wire.Message;
 import org.hornbeamusher.wire.WireSettings;
 
@@ -81,7 +82,12 @@
             new VersionsInForce(),
             new EndpointDirectory(settings.listMillis()),
             placer,
-            new EngineAgents(placer.views(), hello(settings), WireSettings.DEFAULT, loop, clock),
+            new EngineAgents(
+                placer.views(),
+                hello(settings),
+                new LoopTransport(http.worker(), WireSettings.DEFAULT, clock),
+                loop,
+                clock),
             new RepeatAllowance(settings.repeats()),
             dialect,
             http,
@@ -90,7 +96,9 @@
             clock);
     state.agents().listener(new Lives());
     this.metrics = settings.metrics().map(at -> new MetricsListener(at, http.worker(), registry));
-    this.server = new ForwardServer(settings, http.worker(), clock, this::accept, this::ready);
+    this.server = 
+        new ForwardServer(
+            settings, http.worker(), clock, loop, this::accept, this::configured, this::ready);
   }
 
   private static Message.Hello hello(ForwardSettings settings) {
@@ -108,7 +116,7 @@
   /** Listens. */
   public void start() {
     server.start();
-    metrics.ifPresent(MetricsListener::start);
+    metrics.ifPresent(listener -> listener.startLater(loop));
     ForwardMetrics measured = state.metrics();
     measured.gauge("running", runs::size);
     measured.gauge("endpoints", state.placer().views()::size);
@@ -144,6 +152,7 @@
           configuration.services().size());
       apply(state.directory().configured(configuration.services().keySet()));
       connectAgents();
+      openWhenReady();
     }
   }
 
@@ -166,6 +175,13 @@
    */
   public void listed(List<? extends ListedEntry> entries) {
     apply(state.directory().listed(entries, clock.millis()));
+    openWhenReady();
+  }
+
+  private void openWhenReady() {
+    if (ready()) {
+      server.open();
+    }
   }
 
   private void apply(EndpointDirectory.Change change) {
@@ -266,9 +282,13 @@
     state.agents().connect(addresses);
   }
 
+  private boolean configured() {
+    return state.configuration().current().isPresent();
+  }
+
   private boolean ready() {
     return !leaving
-        && state.configuration().current().isPresent()
+        && configured()
         && !state.placer().views().isEmpty();
   }
 
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardServer.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardServer.java
@@ -13,7 +13,11 @@
 import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 import org.hornbeamusher.clock.Clock;
+import org.hornbeamusher.events.EventLog;
+import org.hornbeamusher.events.EventType;
+import org.hornbeamusher.failure.FailureType;
 import org.hornbeamusher.http.HttpHeader;
+import org.hornbeamusher.loop.EventLoop;
 import org.xnio.Options;
 import org.xnio.XnioWorker;
 
@@ -26,6 +30,22 @@
   /** A head that takes longer is not coming; callers stay well below. */
   private static final int HEAD_MILLIS = 10_000;
 
+  /**
+   * How long callers of an entry that starts wait unread. Its configuration is there within a few
+   * tenths of a second if the store answers, and callers give up a request that nobody reads after
+   * a third of their time.
+   */
+  private static final long HOLD_MILLIS = 500;
+
+  /** For so long after that, those who have given up may still be among those who come in. */
+  private static final long WAITED_MILLIS = 2_000;
+
+  /** A line for each of hundreds of callers a second would take the time that a start needs. */
+  private static final long TURNED_AWAY_LINE_MILLIS = 100;
+
+  private static final String RETRY_AFTER =
+      CallerAnswer.seconds(ReturnTime.millis(FailureType.NOT_READY, 0));
+
   private static final long MOST_BODY_BYTES = 4L * 1024 * 1024;
   private static final int MOST_HEAD_BYTES = 32 * 1024;
 
@@ -33,7 +53,18 @@
   private final XnioWorker worker;
   private final Clock clock;
   private final BiConsumer<CallerRequest, CallerAnswer> accept;
+  private final BooleanSupplier configured;
   private final BooleanSupplier ready;
+  private final EventLoop loop;
+
+  /** Whether callers are taken in; they are from then on. */
+  private boolean open;
+
+  private long openedMillis;
+
+  /** Callers who were refused and of whom no line tells yet. */
+  private int turnedAway;
+
   private Undertow callers;
   private Undertow readiness;
 
@@ -41,12 +72,16 @@
       ForwardSettings settings,
       XnioWorker worker,
       Clock clock,
+      EventLoop loop,
       BiConsumer<CallerRequest, CallerAnswer> accept,
+      BooleanSupplier configured,
       BooleanSupplier ready) {
     this.settings = settings;
     this.worker = worker;
     this.clock = clock;
+    this.loop = loop;
     this.accept = accept;
+    this.configured = configured;
     this.ready = ready;
   }
 
@@ -67,6 +102,8 @@
             .setHandler(this::handle)
             .build();
     callers.start();
+    callers.getListenerInfo().forEach(Undertow.ListenerInfo::suspend);
+    loop.after(HOLD_MILLIS, this::open);
     readiness =
         Undertow.builder()
             .setWorker(worker)
@@ -76,6 +113,22 @@
     readiness.start();
   }
 
+  /**
+   * Takes callers in.
+   *
+   * <p>After a loss of power all of them knock at entries that are still starting. Refused at once,
+   * they spend their one repeat on the next entry, which is starting too, and refusing hundreds of
+   * them takes the time in which the configuration could have been read. So until it is in force,
+   * their connections are made by the system and wait unread, for a short time at the most.
+   */
+  void open() {
+    if (!open) {
+      open = true;
+      openedMillis = clock.millis();
+      callers.getListenerInfo().forEach(Undertow.ListenerInfo::resume);
+    }
+  }
+
   void stop() {
     callers.stop();
     readiness.stop();
@@ -87,6 +140,10 @@
   }
 
   private void handle(HttpServerExchange exchange) {
+    if (!configured.getAsBoolean()) {
+      turnAway(exchange);
+      return;
+    }
     long arrived = clock.millis();
     if (ambiguous(exchange.getRequestHeaders())) {
       exchange.setPersistent(false);
@@ -106,6 +163,22 @@
             });
   }
 
+  /** Nothing is looked at that would cost time: what is waited for is the store's answer. */
+  private void turnAway(HttpServerExchange exchange) {
+    if (turnedAway == 0) {
+      loop.after(TURNED_AWAY_LINE_MILLIS, this::logTurnedAway);
+    }
+    turnedAway++;
+    exchange.setStatusCode(StatusCodes.SERVICE_UNAVAILABLE);
+    exchange.getResponseHeaders().put(Headers.RETRY_AFTER, RETRY_AFTER);
+    exchange.endExchange();
+  }
+
+  private void logTurnedAway() {
+    EventLog.log(EventType.REQUESTS_TURNED_AWAY, "cause", "not-ready", "requests", turnedAway);
+    turnedAway = 0;
+  }
+
   /**
    * Two statements of a body's length: another reader of the same bytes may believe the other one
    * and find a request that no caller sent in what this one takes for the body.
@@ -125,7 +198,11 @@
             headersOf(exchange.getRequestHeaders()),
             body,
             arrived);
-    accept.accept(request, new CallerAnswer(exchange));
+    CallerAnswer caller = new CallerAnswer(exchange);
+    boolean mayHaveWaited = arrived - openedMillis < WAITED_MILLIS;
+    if (!mayHaveWaited || !caller.goneAlready()) {
+      accept.accept(request, caller);
+    }
   }
 
   private static String hostOf(HttpServerExchange exchange) {
--- a/runtime/src/main/java/org/hornbeamusher/holdings/AdapterPlaces.java
+++ b/runtime/src/main/java/org/hornbeamusher/holdings/AdapterPlaces.java
@@ -298,26 +298,22 @@
   }
 
   /**
-   * Returns how many requests an entry's peers have at the engine.
+   * Returns what the engine has to do.
    *
-   * @param entry the connection of the entry that asks
-   * @return reservations of all other entries
+   * @param now milliseconds
+   * @return the reservations of every entry
    */
-  public int othersRequests(long entry) {
-    return (int) reservations.keySet().stream().filter(id -> id.entry() != entry).count();
+  public EngineLoads loads(long now) {
+    return new EngineLoads(reservations.values(), sparePlaces(now));
   }
 
   /**
-   * Returns how many prompt tokens an entry's peers wait to be read.
+   * Tells whether time alone may bring an order.
    *
-   * @param entry the connection of the entry that asks
-   * @return tokens of all other entries' reservations
+   * @return whether a request waits, or an adapter is about to be unloaded
    */
-  public long othersUnreadTokens(long entry) {
-    return reservations.values().stream()
-        .filter(reservation -> reservation.id().entry() != entry)
-        .mapToLong(Reservation::unreadTokens)
-        .sum();
+  public boolean pending() {
+    return !waiting.isEmpty() || !withdrawn.isEmpty();
   }
 
   /**
--- a/runtime/src/main/java/org/hornbeamusher/http/HttpClient.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/HttpClient.java
@@ -4,6 +4,7 @@
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.net.SocketTimeoutException;
 import java.net.URI;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -15,6 +16,7 @@
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
+import org.xnio.XnioExecutor;
 import org.xnio.XnioWorker;
 
 /**
@@ -137,20 +139,23 @@
   public CompletableFuture<HttpReply> send(HttpCall call, long timeoutMillis) {
     CompletableFuture<HttpReply> future = new CompletableFuture<>();
     HttpStream stream = stream(call, new Collector(call.uri(), future));
-    CompletableFuture<HttpReply> bounded = future.orTimeout(timeoutMillis, TimeUnit.MILLISECONDS);
-    return bounded.handle(
-        (reply, thrown) -> {
-          if (thrown == null) {
-            return reply;
-          }
-          stream.cancel();
-          throw typed(call.uri(), thrown);
-        });
+    if (future.isDone()) {
+      return future;
+    }
+    // On the loop that carries the answer: a timer of the JDK's would wake a thread for each call.
+    XnioExecutor.Key timeout =
+        worker
+            .getIoThread(0)
+            .executeAfter(
+                () -> expire(call.uri(), stream, future), timeoutMillis, TimeUnit.MILLISECONDS);
+    return future.whenComplete((reply, thrown) -> timeout.remove());
   }
 
-  private static HornbeamusherException typed(URI uri, Throwable thrown) {
-    HornbeamusherException failure = HornbeamusherException.from(thrown);
-    return failure.type() == FailureType.INTERNAL ? HttpExchange.cut(uri, thrown) : failure;
+  private static void expire(URI uri, HttpStream stream, CompletableFuture<HttpReply> future) {
+    if (!future.isDone()) {
+      stream.cancel();
+      future.completeExceptionally(HttpExchange.cut(uri, new SocketTimeoutException("timed out")));
+    }
   }
 
   private static final class Collector implements HttpStreamListener {
--- a/runtime/src/main/java/org/hornbeamusher/process/MetricsListener.java
+++ b/runtime/src/main/java/org/hornbeamusher/process/MetricsListener.java
@@ -13,11 +13,15 @@
 import org.hornbeamusher.failure.FailureType;
 import org.hornbeamusher.failure.HornbeamusherException;
 import org.hornbeamusher.failure.Outcome;
+import org.hornbeamusher.loop.EventLoop;
 import org.xnio.XnioWorker;
 
 /** Serves a registry of metrics as text, at any path of an address. */
 public final class MetricsListener {
 
+  /** Callers wait for a process that starts; nobody reads its figures in its first seconds. */
+  private static final long LATER_MILLIS = 3_000;
+
   private final InetSocketAddress address;
   private final XnioWorker worker;
   private final CollectorRegistry collectors = new CollectorRegistry();
@@ -47,9 +51,20 @@
     server.start();
   }
 
+  /**
+   * Listens once the process has done what callers wait for.
+   *
+   * @param loop of the process
+   */
+  public void startLater(EventLoop loop) {
+    loop.after(LATER_MILLIS, this::start);
+  }
+
   /** Stops listening. */
   public void stop() {
-    server.stop();
+    if (server != null) {
+      server.stop();
+    }
   }
 
   private void answer(HttpServerExchange exchange) {
--- a/runtime/src/main/java/org/hornbeamusher/wire/FrameStream.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/FrameStream.java
@@ -18,6 +18,9 @@
   /** Longest frame: the largest request body, twice, for its framing and headers. */
   public static final int MAX_FRAME_BYTES = 4 * 1024 * 1024;
 
+  /** The length that stands before a frame. */
+  static final int LENGTH_BYTES = Integer.BYTES;
+
   private FrameStream() {}
 
   /**
@@ -42,13 +45,17 @@
    * @throws HornbeamusherException of type {@code FRAME_TOO_LONG}
    */
   public static byte[] read(DataInputStream in) throws IOException {
-    int length = in.readInt();
+    byte[] content = new byte[checked(in.readInt())];
+    in.readFully(content);
+    return content;
+  }
+
+  /** Returns a frame's length; fails with {@code FRAME_TOO_LONG} if no frame may be so long. */
+  static int checked(int length) {
     if (length < 0 || length > MAX_FRAME_BYTES) {
       throw HornbeamusherException.notRun(
           FailureType.FRAME_TOO_LONG, Integer.toUnsignedLong(length), MAX_FRAME_BYTES);
     }
-    byte[] content = new byte[length];
-    in.readFully(content);
-    return content;
+    return length;
   }
 }
--- a/runtime/src/main/java/org/hornbeamusher/wire/WireConnection.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/WireConnection.java
@@ -1,91 +1,14 @@
 package org.hornbeamusher.wire;
 
-import java.io.BufferedInputStream;
-import java.io.BufferedOutputStream;
-import java.io.DataInputStream;
-import java.io.DataOutputStream;
-import java.io.IOException;
-import java.net.Socket;
-import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.concurrent.atomic.AtomicReference;
-import org.hornbeamusher.clock.Clock;
-import org.hornbeamusher.failure.FailureType;
-import org.hornbeamusher.failure.HornbeamusherException;
-import org.hornbeamusher.failure.Outcome;
-import org.hornbeamusher.membership.HeartbeatMonitor;
-
 /**
- * One TCP connection between two processes.
- *
- * <p>Two virtual threads carry it, one that reads and one that writes; blocking reads and writes
- * keep the code straight and cost no platform thread. Sent messages go through a bounded queue:
- * what an attempt may have under way is bounded by its credit, so a full queue means that the peer
- * stopped reading, and the connection is given up rather than memory filled.
+ * One connection between two processes.
  *
- * <p>Something between the ends may lose track of a connection, and then neither end hears of it:
- * reads block for good while new connections work. Both ends therefore send heartbeats, and an end
- * that hears nothing for {@link WireSettings#silenceMillis} closes the connection.
+ * <p>What may be under way is bounded: a peer that stops reading costs the connection, not memory.
+ * Something between the ends may lose track of a connection, and then neither end hears of it while
+ * new connections work. Both ends therefore send heartbeats, and an end that hears nothing for
+ * {@link WireSettings#silenceMillis} closes the connection.
  */
-public final class WireConnection {
-
-  /**
-   * A few control messages or tokens. Larger frames pass by the buffer, and at 121 connections (an
-   * entry at the size of docs/CAPACITY.md) four times as much is 6 MiB that hold nothing.
-   */
-  private static final int BUFFER_BYTES = 8 * 1024;
-
-  private final Socket socket;
-  private final Message.Hello own;
-  private final WireListener listener;
-  private final WireSettings settings;
-  private final Clock clock;
-  private final BlockingQueue<Message> outgoing;
-  private final AtomicBoolean closed = new AtomicBoolean();
-  private final AtomicReference<HornbeamusherException> reason = new AtomicReference<>();
-  private volatile Message.Hello peer;
-
-  /** Guarded by itself: the reading thread tells it what came, the writing thread asks it. */
-  private final HeartbeatMonitor monitor;
-
-  private long heartbeats;
-
-  /**
-   * Wraps a connected socket.
-   *
-   * @param socket the socket
-   * @param own what this process says of itself
-   * @param listener hears what happens
-   * @param settings intervals and bounds
-   * @param clock the clock
-   */
-  public WireConnection(
-      Socket socket, Message.Hello own, WireListener listener, WireSettings settings, Clock clock) {
-    this.socket = socket;
-    this.own = own;
-    this.listener = listener;
-    this.settings = settings;
-    this.clock = clock;
-    this.outgoing = new LinkedBlockingQueue<>(settings.outgoingMessages());
-    this.monitor =
-        new HeartbeatMonitor(
-            settings.heartbeatMillis(),
-            Math.toIntExact(settings.silenceMillis() / settings.heartbeatMillis()),
-            clock.millis());
-  }
-
-  /** Starts both threads. */
-  public void start() {
-    Thread.ofVirtual().name("wire-read").start(this::readLoop);
-    Thread.ofVirtual().name("wire-write").start(this::writeLoop);
-  }
-
-  /** Closes the connection; the listener hears of it. */
-  public void stop() {
-    fail(closedFailure());
-  }
+public interface WireConnection {
 
   /**
    * Sends a message.
@@ -93,169 +16,22 @@
    * @param message what to send
    * @return false when it was certainly not sent; what was taken may still not arrive
    */
-  public boolean send(Message message) {
-    if (closed.get()) {
-      return false;
-    }
-    if (outgoing.offer(message)) {
-      return true;
-    }
-    fail(silentFailure());
-    return false;
-  }
+  boolean send(Message message);
 
   /**
    * Returns what the peer said of itself.
    *
    * @return its hello, or null before it came
    */
-  public Message.Hello peer() {
-    return peer;
-  }
+  Message.Hello peer();
 
   /**
    * Tells whether messages can be sent.
    *
    * @return false once the connection ended
    */
-  public boolean isOpen() {
-    return !closed.get();
-  }
-
-  private void readLoop() {
-    try {
-      DataInputStream in =
-          new DataInputStream(new BufferedInputStream(socket.getInputStream(), BUFFER_BYTES));
-      while (!closed.get()) {
-        Message message = MessageCodec.decode(FrameStream.read(in));
-        synchronized (monitor) {
-          monitor.heard(clock.millis());
-        }
-        deliver(message);
-      }
-    } catch (IOException e) {
-      fail(closedFailure().causedBy(e));
-    } catch (HornbeamusherException e) {
-      fail(e);
-    } catch (RuntimeException e) {
-      // A message whose fields make no sense to the listener, such as a name in no alphabet of
-      // ours.
-      // Without this the thread would end unseen and the socket stay open with nobody reading.
-      fail(
-          HornbeamusherException.of(FailureType.FRAME_MALFORMED, Outcome.UNKNOWN, e.getMessage())
-              .causedBy(e));
-    } finally {
-      listener.closed(this, reason.get() == null ? closedFailure() : reason.get());
-    }
-  }
-
-  private void deliver(Message message) {
-    switch (message) {
-      case Message.Hello hello -> greet(hello);
-      case Message.Heartbeat heartbeat -> {
-        if (peer != null) {
-          listener.heartbeat(this, heartbeat.documents());
-        }
-      }
-      case Message.Unknown unknown -> {}
-      default -> {
-        if (peer == null) {
-          throw HornbeamusherException.notRun(FailureType.FRAME_MALFORMED, "no hello came first");
-        }
-        listener.received(this, message);
-      }
-    }
-  }
-
-  private void greet(Message.Hello hello) {
-    if (hello.highestProtocol() < own.lowestProtocol()
-        || hello.lowestProtocol() > own.highestProtocol()) {
-      throw HornbeamusherException.notRun(
-          FailureType.PROTOCOL_MISMATCH, hello.highestProtocol(), own.highestProtocol());
-    }
-    if (peer == null) {
-      peer = hello;
-      listener.opened(this, hello);
-    }
-  }
-
-  private void writeLoop() {
-    try {
-      DataOutputStream out =
-          new DataOutputStream(new BufferedOutputStream(socket.getOutputStream(), BUFFER_BYTES));
-      write(out, own);
-      out.flush();
-      long nextHeartbeat = clock.millis() + settings.heartbeatMillis();
-      while (!closed.get()) {
-        long wait = Math.max(0, nextHeartbeat - clock.millis());
-        Message next = outgoing.poll(wait, TimeUnit.MILLISECONDS);
-        writeReady(out, next);
-        if (clock.millis() >= nextHeartbeat) {
-          write(out, new Message.Heartbeat(heartbeats++, listener.digest()));
-          nextHeartbeat = clock.millis() + settings.heartbeatMillis();
-        }
-        out.flush();
-        checkSilence();
-      }
-    } catch (IOException e) {
-      fail(closedFailure().causedBy(e));
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-      fail(closedFailure().causedBy(e));
-    }
-  }
-
-  private void writeReady(DataOutputStream out, Message first) throws IOException {
-    Message next = first;
-    while (next != null) {
-      write(out, next);
-      next = outgoing.poll();
-    }
-  }
-
-  private static void write(DataOutputStream out, Message message) throws IOException {
-    FrameStream.write(out, MessageCodec.encode(message));
-  }
+  boolean isOpen();
 
-  private void checkSilence() {
-    synchronized (monitor) {
-      if (!monitor.silent(clock.millis())) {
-        return;
-      }
-    }
-    fail(silentFailure());
-  }
-
-  private HornbeamusherException silentFailure() {
-    synchronized (monitor) {
-      return HornbeamusherException.of(
-          FailureType.CONNECTION_SILENT,
-          Outcome.UNKNOWN,
-          peerName(),
-          monitor.silentMillis(clock.millis()));
-    }
-  }
-
-  private HornbeamusherException closedFailure() {
-    return HornbeamusherException.of(FailureType.CONNECTION_CLOSED, Outcome.UNKNOWN, peerName());
-  }
-
-  private String peerName() {
-    return peer == null ? String.valueOf(socket.getRemoteSocketAddress()) : peer.instance();
-  }
-
-  private void fail(HornbeamusherException why) {
-    if (closed.compareAndSet(false, true)) {
-      reason.set(why);
-      closeSocket();
-    }
-  }
-
-  private void closeSocket() {
-    try {
-      socket.close();
-    } catch (IOException ignored) {
-      // The connection is given up; that its socket cannot be closed cleanly changes nothing.
-    }
-  }
+  /** Closes the connection; the listener hears of it. */
+  void stop();
 }
--- a/runtime/src/main/java/org/hornbeamusher/wire/WireConnector.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/WireConnector.java
@@ -4,29 +4,14 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.ThreadLocalRandom;
 import org.hornbeamusher.clock.Clock;
 import org.hornbeamusher.failure.HornbeamusherException;
 
 /**
- * Keeps one connection to a peer: opens it, and opens a new one whenever it ends.
- *
- * <p>Attempts to connect back off up to {@link #MAX_BACKOFF_MILLIS} with jitter, so that the
- * entries of a whole zone do not all knock at a restarting agent in the same moment. The bound is
- * low because an attempt costs a packet, and a peer that is back and not connected costs requests:
- * when everything lost power at once, entries that waited a second placed all of that second's
- * requests on engines of which they knew nothing. For the same reason the first attempt is given up
- * soon: the packet that opens it is lost without a word when the peer's machine is still starting,
- * and the system sends it again only after a second. Each further attempt may take twice as long,
- * so that a peer in another region is reached as well.
+ * Keeps one connection to a peer: opens it, and opens a new one whenever it ends, as {@link
+ * ConnectPace} says.
  */
-public final class WireConnector {
-
-  /** Opening a connection takes one round trip: 6 ms within a region, up to 250 between regions. */
-  private static final int FIRST_CONNECT_MILLIS = 100;
-
-  private static final long MIN_BACKOFF_MILLIS = 50;
-  private static final long MAX_BACKOFF_MILLIS = 200;
+public final class WireConnector implements WireService {
 
   private final InetSocketAddress address;
   private final Message.Hello own;
@@ -34,6 +19,7 @@
   private final WireSettings settings;
   private final WireSockets sockets;
   private final Clock clock;
+  private final ConnectPace pace;
   private volatile boolean stopped;
   private volatile WireConnection current;
   private volatile Thread thread;
@@ -61,14 +47,15 @@
     this.settings = settings;
     this.sockets = sockets;
     this.clock = clock;
+    this.pace = new ConnectPace(settings.connectMillis());
   }
 
-  /** Starts connecting. */
+  @Override
   public void start() {
     thread = Thread.ofVirtual().name("wire-connect").start(this::run);
   }
 
-  /** Closes the connection and opens no other. */
+  @Override
   public void stop() {
     stopped = true;
     WireConnection open = current;
@@ -90,18 +77,14 @@
   }
 
   private void run() {
-    long backoff = MIN_BACKOFF_MILLIS;
-    int patience = FIRST_CONNECT_MILLIS;
     while (!stopped) {
       try {
-        if (connectOnce(Math.min(patience, settings.connectMillis()))) {
-          backoff = MIN_BACKOFF_MILLIS;
-          patience = FIRST_CONNECT_MILLIS;
+        if (connectOnce(pace.patienceMillis())) {
+          pace.succeeded();
         } else {
-          backoff = Math.min(backoff * 2, MAX_BACKOFF_MILLIS);
-          patience = Math.min(patience * 2, settings.connectMillis());
+          pace.failed();
         }
-        Thread.sleep(ThreadLocalRandom.current().nextLong(backoff / 2, backoff + 1));
+        Thread.sleep(pace.pauseMillis());
       } catch (InterruptedException e) {
         Thread.currentThread().interrupt();
         return;
@@ -120,7 +103,7 @@
       return false;
     }
     EndSignal end = new EndSignal(listener);
-    WireConnection connection = new WireConnection(socket, own, end, settings, clock);
+    ThreadedConnection connection = new ThreadedConnection(socket, own, end, settings, clock);
     current = connection;
     connection.start();
     if (stopped) {
--- a/runtime/src/main/java/org/hornbeamusher/wire/WireServer.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/WireServer.java
@@ -14,7 +14,7 @@
 import org.hornbeamusher.failure.HornbeamusherException;
 
 /** Accepts connections of peers. */
-public final class WireServer {
+public final class WireServer implements WireService {
 
   private static final int BACKLOG = 1_024;
 
@@ -52,7 +52,7 @@
     this.clock = clock;
   }
 
-  /** Listens. */
+  @Override
   public void start() {
     try {
       server = sockets.listen();
@@ -64,7 +64,7 @@
     Thread.ofVirtual().name("wire-accept").start(this::acceptLoop);
   }
 
-  /** Stops listening and closes every connection. */
+  @Override
   public void stop() {
     try {
       server.close();
@@ -114,8 +114,8 @@
       try {
         Socket socket = server.accept();
         socket.setTcpNoDelay(true);
-        WireConnection connection =
-            new WireConnection(socket, own, new Tracking(), settings, clock);
+        ThreadedConnection connection =
+            new ThreadedConnection(socket, own, new Tracking(), settings, clock);
         connections.add(connection);
         connection.start();
       } catch (IOException e) {
--- a/runtime/src/test/java/org/hornbeamusher/companion/EngineRestartTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/companion/EngineRestartTest.java
@@ -24,6 +24,10 @@
 import org.hornbeamusher.loop.EventLoop;
 import org.hornbeamusher.routes.EngineSpec;
 import org.hornbeamusher.table.MemoryTable;
+import org.hornbeamusher.wire.Message;
+import org.hornbeamusher.wire.WireListener;
+import org.hornbeamusher.wire.WireService;
+import org.hornbeamusher.wire.WireTransport;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -44,6 +48,7 @@
               "agent-1", "a", new InetSocketAddress("127.0.0.1", 0), Optional.empty(), "e"),
           engine,
           new FencingLease(table, ID, "agent-1"),
+          new NoEntries(),
           loop,
           clock);
 
@@ -246,6 +251,28 @@
     }
   }
 
+  /** No entry connects. */
+  private static final class NoEntries implements WireTransport, WireService {
+
+    @Override
+    public WireService listen(
+        InetSocketAddress address, Message.Hello own, WireListener listener) {
+      return this;
+    }
+
+    @Override
+    public WireService connect(
+        InetSocketAddress address, Message.Hello own, WireListener listener) {
+      return this;
+    }
+
+    @Override
+    public void start() {}
+
+    @Override
+    public void stop() {}
+  }
+
   /** Runs what is due when the test says so. */
   private final class Loop implements EventLoop {
 
--- a/runtime/src/test/java/org/hornbeamusher/holdings/AdapterPlacesTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/holdings/AdapterPlacesTest.java
@@ -63,7 +63,7 @@
     places.restarted();
     assertEquals(Set.of(), places.held());
     assertEquals(Set.of(), places.coming());
-    assertEquals(0, places.othersRequests(99));
+    assertEquals(0, places.loads(0).others(99).requests());
     report(Map.of());
     assertEquals(2, places.sparePlaces(0));
     reserve(3, "c", 1, 0);
@@ -272,7 +272,7 @@
     reserve(1, "a", 1, 0);
     places.takeGrants();
     places.releaseAll(7);
-    assertEquals(0, places.othersRequests(0));
+    assertEquals(0, places.loads(0).others(0).requests());
     assertEquals(2, places.sparePlaces(SETTLED));
   }
 
@@ -313,10 +313,10 @@
   void otherEntriesLoadLeavesOutOnesOwn() {
     report(Map.of("a", 1L));
     reserve(1, "a", 1, 0);
-    assertEquals(0, places.othersUnreadTokens(7));
-    assertEquals(100, places.othersUnreadTokens(8));
+    assertEquals(0, places.loads(0).others(7).unreadTokens());
+    assertEquals(100, places.loads(0).others(8).unreadTokens());
     places.promptRead(id(1));
-    assertEquals(0, places.othersUnreadTokens(8));
+    assertEquals(0, places.loads(0).others(8).unreadTokens());
   }
 
   /**
