--- a/runtime/src/main/java/org/hornbeamusher/directory/EndpointDirectory.java
+++ b/runtime/src/main/java/org/hornbeamusher/directory/EndpointDirectory.java
@@ -213,9 +213,7 @@
         known.containsKey(life.id())
             ? Optional.empty()
             : successors.predecessor(life.id(), address).filter(this::isConfigured);
-    return former
-        .map(one -> succeeded(one, life, now))
-        .orElseGet(() -> stands(life, address, now));
+    return former.map(one -> succeeded(one, life, now)).orElseGet(() -> stands(life, address, now));
   }
 
   /**
--- a/runtime/src/main/java/org/hornbeamusher/directory/Successors.java
+++ b/runtime/src/main/java/org/hornbeamusher/directory/Successors.java
@@ -25,8 +25,8 @@
  *   <li>an id that the list has named is the list's from then on: an agent that still names one
  *       which has left the list does not bring it back.
  *   <li>where the list names both already, the former one is <em>displaced</em>: it is not used
- *       while its entry may still be about to lapse. One that is listed for longer is alive, and the
- *       agent's word was late; so it comes back, and at once when the agent names it.
+ *       while its entry may still be about to lapse. One that is listed for longer is alive, and
+ *       the agent's word was late; so it comes back, and at once when the agent names it.
  * </ul>
  *
  * <p>Example: all engines lose power and are back 1.1 s later. An entry that starts with them reads
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/EngineAgents.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/EngineAgents.java
@@ -275,8 +275,7 @@
 
     /** What is believed of the life that the agent sees; null when another one is in force. */
     private EndpointView view() {
-      return life
-          .map(now -> views.get(now.id()))
+      return life.map(now -> views.get(now.id()))
           .filter(view -> view.life().sameAs(life.get()))
           .orElse(null);
     }
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
@@ -96,9 +96,15 @@
             clock);
     state.agents().listener(new Lives());
     this.metrics = settings.metrics().map(at -> new MetricsListener(at, http.worker(), registry));
-    this.server = 
+    this.server =
         new ForwardServer(
-            settings, http.worker(), clock, loop, this::accept, this::configured, this::ready);
+            settings,
+            http.worker(),
+            clock,
+            loop,
+            this::accept,
+            this::hasConfiguration,
+            this::ready);
   }
 
   private static Message.Hello hello(ForwardSettings settings) {
@@ -282,14 +288,12 @@
     state.agents().connect(addresses);
   }
 
-  private boolean configured() {
+  private boolean hasConfiguration() {
     return state.configuration().current().isPresent();
   }
 
   private boolean ready() {
-    return !leaving
-        && configured()
-        && !state.placer().views().isEmpty();
+    return !leaving && hasConfiguration() && !state.placer().views().isEmpty();
   }
 
   /**
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardServer.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardServer.java
@@ -30,14 +30,7 @@
   /** A head that takes longer is not coming; callers stay well below. */
   private static final int HEAD_MILLIS = 10_000;
 
-  /**
-   * How long callers of an entry that starts wait unread. Its configuration is there within a few
-   * tenths of a second if the store answers, and callers give up a request that nobody reads after
-   * a third of their time.
-   */
-  private static final long HOLD_MILLIS = 500;
-
-  /** For so long after that, those who have given up may still be among those who come in. */
+  /** Callers who waited unread come in soon after the first, and some have given up meanwhile. */
   private static final long WAITED_MILLIS = 2_000;
 
   /** A line for each of hundreds of callers a second would take the time that a start needs. */
@@ -103,7 +96,7 @@
             .build();
     callers.start();
     callers.getListenerInfo().forEach(Undertow.ListenerInfo::suspend);
-    loop.after(HOLD_MILLIS, this::open);
+    loop.after(settings.holdMillis(), this::open);
     readiness =
         Undertow.builder()
             .setWorker(worker)
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardSettings.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardSettings.java
@@ -14,6 +14,7 @@
  * @param agentPort the port of every agent
  * @param drainMillis how long a leaving instance may take
  * @param listMillis the pause between two reads of the list of endpoints
+ * @param holdMillis how long callers of an entry that starts wait for its configuration at the most
  * @param repeats how often requests may be sent again
  */
 public record ForwardSettings(
@@ -25,4 +26,5 @@
     int agentPort,
     long drainMillis,
     long listMillis,
+    long holdMillis,
     RepeatSettings repeats) {}
--- a/runtime/src/main/java/org/hornbeamusher/holdings/EngineLoads.java
+++ b/runtime/src/main/java/org/hornbeamusher/holdings/EngineLoads.java
@@ -17,8 +17,7 @@
     for (Reservation one : reservations) {
       requests++;
       unreadTokens += one.unreadTokens();
-      byEntry.merge(
-          one.id().entry(), new EngineLoad(1, one.unreadTokens(), 0), EngineLoads::sum);
+      byEntry.merge(one.id().entry(), new EngineLoad(1, one.unreadTokens(), 0), EngineLoads::sum);
     }
   }
 
--- a/runtime/src/main/java/org/hornbeamusher/holdings/LoadNews.java
+++ b/runtime/src/main/java/org/hornbeamusher/holdings/LoadNews.java
@@ -27,7 +27,9 @@
   /** What is wrong by little must still not be wrong for long. */
   private static final long MOST_MILLIS = 1_000;
 
-  /** An engine reads so much in a tenth of a second: as much as a load or a farther engine costs. */
+  /**
+   * An engine reads so much in a tenth of a second: as much as a load or a farther engine costs.
+   */
   private static final long MANY_TOKENS = 4_096;
 
   /** Each adds a few milliseconds to the next one's first event. */
--- a/runtime/src/main/java/org/hornbeamusher/placement/Placer.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/Placer.java
@@ -117,8 +117,7 @@
     return model && view.sparePlaces(now) > 0;
   }
 
-  private Cost cost(
-      EndpointView view, PlacementRequest request, Preference preference, long now) {
+  private Cost cost(EndpointView view, PlacementRequest request, Preference preference, long now) {
     double penalty = view.health().penaltyMillis(now);
     penalty += view.endpoint().zone().equals(zone) ? 0 : crossing(request);
     if (request.adapter().isEmpty()) {
--- a/runtime/src/main/java/org/hornbeamusher/wire/LoopConnection.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/LoopConnection.java
@@ -41,17 +41,14 @@
   private long heartbeats;
 
   LoopConnection(
-      LoopTransport transport,
-      StreamConnection channel,
-      Message.Hello own,
-      WireListener listener) {
-    WireSettings settings = transport.settings();
+      LoopTransport transport, StreamConnection channel, Message.Hello own, WireListener listener) {
     this.transport = transport;
     this.channel = channel;
     this.source = channel.getSourceChannel();
     this.sink = channel.getSinkChannel();
     this.listener = listener;
     this.session = new WireSession(own, listener);
+    WireSettings settings = transport.settings();
     this.monitor =
         new HeartbeatMonitor(
             settings.heartbeatMillis(),
--- a/runtime/src/main/java/org/hornbeamusher/wire/ThreadedConnection.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/ThreadedConnection.java
@@ -21,9 +21,9 @@
  * A connection that blocks: two virtual threads carry it, over plain sockets or TLS.
  *
  * <p>One thread reads and one writes; blocking reads and writes keep the code straight and cost no
- * platform thread. Sent messages go through a bounded queue:
- * what an attempt may have under way is bounded by its credit, so a full queue means that the peer
- * stopped reading, and the connection is given up rather than memory filled.
+ * platform thread. Sent messages go through a bounded queue: what an attempt may have under way is
+ * bounded by its credit, so a full queue means that the peer stopped reading, and the connection is
+ * given up rather than memory filled.
  *
  * <p>Something between the ends may lose track of a connection, and then neither end hears of it:
  * reads block for good while new connections work. Both ends therefore send heartbeats, and an end
--- a/runtime/src/main/java/org/hornbeamusher/wire/WireService.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/WireService.java
@@ -6,8 +6,8 @@
   /**
    * Begins to connect, or to listen.
    *
-   * @throws org.hornbeamusher.failure.HornbeamusherException of type {@code CONNECT_FAILED} when the
-   *     address to listen at cannot be had
+   * @throws org.hornbeamusher.failure.HornbeamusherException of type {@code CONNECT_FAILED} when
+   *     the address to listen at cannot be had
    */
   void start();
 
--- a/runtime/src/test/java/org/hornbeamusher/companion/EngineRestartTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/companion/EngineRestartTest.java
@@ -255,8 +255,7 @@
   private static final class NoEntries implements WireTransport, WireService {
 
     @Override
-    public WireService listen(
-        InetSocketAddress address, Message.Hello own, WireListener listener) {
+    public WireService listen(InetSocketAddress address, Message.Hello own, WireListener listener) {
       return this;
     }
 
--- a/runtime/src/test/java/org/hornbeamusher/directory/EndpointDirectoryTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/directory/EndpointDirectoryTest.java
@@ -421,10 +421,10 @@
   }
 
   /**
-   * Everything lost power. An entry that starts reads a list that names both lives of each engine at
-   * one address, the former for a second more. It says that it holds all that it held, so requests
-   * went there and were refused, while the engine that stands there got half of them. The agent
-   * beside it knows which one it is.
+   * Everything lost power. An entry that starts reads a list that names both lives of each engine
+   * at one address, the former for a second more. It says that it holds all that it held, so
+   * requests went there and were refused, while the engine that stands there got half of them. The
+   * agent beside it knows which one it is.
    */
   @Test
   void ofTwoEnginesListedAtOneAddressTheOneThatItsAgentSeesIsUsed() {
--- a/runtime/src/test/java/org/hornbeamusher/events/JsonLinesFormatterTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/events/JsonLinesFormatterTest.java
@@ -57,7 +57,8 @@
   /** Callers choose ids; whatever one holds, a line stays one JSON object with that text in it. */
   @Property(seed = "7")
   void anyTextIsReadBackAsWritten(@ForAll String text) throws IOException {
-    String line = format(EventLog.class.getName(), EventLine.format(EventType.PEER_LOST, "a", text));
+    String line =
+        format(EventLog.class.getName(), EventLine.format(EventType.PEER_LOST, "a", text));
     assertEquals(line.length() - 1, line.indexOf('\n'));
     assertEquals(text, new ObjectMapper().readTree(line).get("a").asText());
   }
--- /dev/null
+++ b/runtime/src/test/java/org/hornbeamusher/holdings/LoadNewsTest.java
@@ -0,0 +1,101 @@
+package org.hornbeamusher.holdings;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+class LoadNewsTest {
+
+  private static final int FEW = 5;
+  private static final int MANY = 33;
+
+  /** An agent looks at its news this often. */
+  private static final long STEP_MILLIS = 60;
+
+  private final LoadNews news = new LoadNews();
+
+  @Test
+  void longPromptIsToldAtOnceAndWhenItHasBeenRead() {
+    assertTrue(news.tell(new EngineLoad(0, 0, 7), MANY, 0));
+    assertTrue(news.tell(new EngineLoad(1, 9_190, 7), MANY, 60));
+    assertTrue(news.tell(new EngineLoad(1, 0, 7), MANY, 120));
+  }
+
+  @Test
+  void lastFreePlaceIsToldAtOnce() {
+    news.tell(new EngineLoad(3, 0, 1), MANY, 0);
+    assertTrue(news.tell(new EngineLoad(3, 0, 0), MANY, 60));
+  }
+
+  /** What changes little is not lost: it is told within a bounded time, and then not again. */
+  @Test
+  void smallChangeIsToldLater() {
+    news.tell(new EngineLoad(0, 0, 7), MANY, 0);
+    EngineLoad load = new EngineLoad(1, 200, 7);
+    assertFalse(news.tell(load, MANY, 60));
+    long due = news.dueMillis(MANY);
+    assertFalse(news.tell(load, MANY, due - 1));
+    assertTrue(news.tell(load, MANY, due));
+    assertFalse(news.tell(load, MANY, due + 10_000));
+    assertEquals(Long.MAX_VALUE, news.dueMillis(MANY));
+  }
+
+  /** A change that was taken back before it was due is no news. */
+  @Test
+  void changeThatWasTakenBackIsNotTold() {
+    news.tell(new EngineLoad(0, 0, 7), MANY, 0);
+    news.tell(new EngineLoad(1, 200, 7), MANY, 60);
+    assertFalse(news.tell(new EngineLoad(0, 0, 7), MANY, 10_000));
+  }
+
+  /** With few entries each places requests often, and hears of every change as before. */
+  @Test
+  void fewEntriesHearOfEachChange() {
+    for (int i = 0; i < 10; i++) {
+      assertTrue(news.tell(new EngineLoad(i, 0, 7), FEW, i * STEP_MILLIS));
+    }
+  }
+
+  /**
+   * The load of an engine of many: four requests a second, of which two in five have a long prompt,
+   * played for a minute. One entry of 33 places about eight requests a second at 42 engines. It
+   * hears of the engine at most half as often as of each change, and what it believes is wrong by a
+   * tenth of a second's reading in no more than one look in fifty.
+   */
+  @Test
+  void entryOfManyHearsHalfAsOftenAndIsHardlyEverWrong() {
+    Random random = new Random(5);
+    List<long[]> runs = new ArrayList<>();
+    EngineLoad told = new EngineLoad(0, 0, 7);
+    EngineLoad before = told;
+    int changes = 0;
+    int messages = 0;
+    int wrong = 0;
+    int looks = 0;
+    for (long now = 0; now < 60_000; now += STEP_MILLIS, looks++) {
+      if (random.nextInt(1_000) < 4 * STEP_MILLIS) {
+        boolean longPrompt = random.nextInt(5) < 2;
+        long tokens = longPrompt ? 9_190 : 630;
+        runs.add(new long[] {now + tokens / 44, now + (longPrompt ? 900 : 2_000), tokens});
+      }
+      long time = now;
+      runs.removeIf(run -> run[1] <= time);
+      long unread = runs.stream().filter(run -> run[0] > time).mapToLong(run -> run[2]).sum();
+      EngineLoad load = new EngineLoad(runs.size(), unread, 7);
+      changes += load.equals(before) ? 0 : 1;
+      before = load;
+      if (news.tell(load, MANY, now)) {
+        messages++;
+        told = load;
+      }
+      wrong += Math.abs(told.unreadTokens() - load.unreadTokens()) >= 4_400 ? 1 : 0;
+    }
+    assertTrue(messages * 2 <= changes, messages + " of " + changes);
+    assertTrue(wrong * 50 <= looks, wrong + " of " + looks);
+  }
+}
