--- a/runtime/src/main/java/org/hornbeamusher/holdings/LoadNews.java
+++ b/runtime/src/main/java/org/hornbeamusher/holdings/LoadNews.java
@@ -5,9 +5,8 @@
  *
  * <p><b>Load.</b> Each request changes the load of its engine three or four times: it is reserved,
  * its prompt is read, it ends. Told to every entry each time, a request costs messages in
- * proportion to the number of entries; with 33 entries and 42 engines these were most of what the
- * processes said to each other, and of every hundred hardly one came before a request that it could
- * have moved, because an entry of many sends few requests.
+ * proportion to the number of entries, and hardly any of them comes before a request that it could
+ * move, because an entry of many sends few requests.
  *
  * <p>So a change that moves requests is told at once: a long prompt, several requests, the last
  * free place. Anything less is told at a pace that slows with the number of entries, as the
--- a/runtime/src/main/java/org/hornbeamusher/placement/Preference.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/Preference.java
@@ -9,7 +9,7 @@
  *
  * <p>Each endpoint has a weight for the adapter, and the heaviest comes first. All weights are
  * sorted once a request: counting, for every endpoint, how many are heavier takes the square of
- * their number, which is three million at 1,400 endpoints.
+ * their number, which is two million at 1,400 endpoints.
  */
 final class Preference {
 
