--- a/runtime/src/main/java/org/hornbeamusher/http/HttpClient.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/HttpClient.java
@@ -122,9 +122,12 @@
   public HttpStream stream(HttpCall call, HttpStreamListener listener, long connectMillis) {
     HttpExchange exchange = new HttpExchange(call, listener, connections);
     exchange.begin();
-    worker
-        .getIoThread(0)
-        .executeAfter(exchange::checkConnected, connectMillis, TimeUnit.MILLISECONDS);
+    if (!exchange.hasConnection()) {
+      exchange.connectTimeout(
+          worker
+              .getIoThread(0)
+              .executeAfter(exchange::checkConnected, connectMillis, TimeUnit.MILLISECONDS));
+    }
     return exchange;
   }
 
--- a/runtime/src/main/java/org/hornbeamusher/http/HttpExchange.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/HttpExchange.java
@@ -21,6 +21,7 @@
 import org.hornbeamusher.failure.HornbeamusherException;
 import org.hornbeamusher.failure.Outcome;
 import org.xnio.IoUtils;
+import org.xnio.XnioExecutor;
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.channels.StreamSourceChannel;
 
@@ -42,6 +43,7 @@
   private final ConnectionPool connections;
   private final AtomicBoolean ended = new AtomicBoolean();
   private volatile ClientConnection connection;
+  private volatile XnioExecutor.Key connectTimer;
   private volatile StreamSourceChannel source;
   private volatile boolean paused;
 
@@ -70,6 +72,18 @@
     }
   }
 
+  boolean hasConnection() {
+    return connection != null;
+  }
+
+  /** Sets the timer of {@link #checkConnected}, which is of no use once the connection is up. */
+  void connectTimeout(XnioExecutor.Key timer) {
+    connectTimer = timer;
+    if (connection != null) {
+      timer.remove();
+    }
+  }
+
   @Override
   public void cancel() {
     if (ended.compareAndSet(false, true)) {
@@ -99,6 +113,10 @@
 
   private void connected(ClientConnection opened) {
     connection = opened;
+    XnioExecutor.Key timer = connectTimer;
+    if (timer != null) {
+      timer.remove();
+    }
     if (ended.get()) {
       IoUtils.safeClose(opened);
       return;
