Client accounts: keys decide whom a request runs for, quotas hold over all entries

Change - accounts, routes.ConfigurationFreshness, forwarding.AccountCheck: a key decides the account; the caller's key and any account header of its own never pass. An entry serves keyed requests only while the proof that its configuration is the newest is younger than the bound, counted from the sending of the question, on arrival and before each send. An unknown key is refused for good only with a young proof. Readiness goes before the proof ends. - ElapsedClock counts suspended time, which the steady clock does not. - quota: each entry decides on its own copy of a bucket and a window; entries report to two agents, chosen by rendezvous, which add up and pass on. Unreachable entries keep their even share. - RequestIntake takes what admitted a request out of ForwardRun. - Metrics are looked up once; accounts are counted, at most 64 by name.

Two ways of sharing a quota, in one harness without a network (QuotaSimulation, 21 entries, callers unevenly): fixed shares refuse over 10 in 100 of what is within the quota on a calm load, exchanged usage under 2. Third way, leased grants from one holder, not built.

--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/accounts/AccountDirectory.java
@@ -0,0 +1,69 @@
+package org.hornbeamusher.accounts;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * The client accounts of one configuration by their keys. Immutable.
+ *
+ * <p>A configuration without client accounts asks no caller for a key.
+ */
+public final class AccountDirectory {
+
+  /** No client accounts: callers need no key. */
+  public static final AccountDirectory NONE = new AccountDirectory(Map.of());
+
+  private final Map<AccountKey, ClientAccount> byKey;
+  private final Map<AccountName, ClientAccount> byName = new HashMap<>();
+
+  /**
+   * Creates a directory in which every account has a key.
+   *
+   * @param byKey the account of each key
+   */
+  public AccountDirectory(Map<AccountKey, ClientAccount> byKey) {
+    this(byKey, byKey.values());
+  }
+
+  /**
+   * Creates a directory.
+   *
+   * @param byKey the account of each key
+   * @param accounts every account, also one whose last key was taken away
+   */
+  public AccountDirectory(
+      Map<AccountKey, ClientAccount> byKey, Collection<ClientAccount> accounts) {
+    this.byKey = Map.copyOf(byKey);
+    accounts.forEach(account -> byName.put(account.name(), account));
+  }
+
+  /**
+   * Tells whether callers need a key.
+   *
+   * @return whether there is any account
+   */
+  public boolean required() {
+    return !byName.isEmpty();
+  }
+
+  /**
+   * Finds the account that holds a key.
+   *
+   * @param key the key
+   * @return empty when no account holds it
+   */
+  public Optional<ClientAccount> holder(AccountKey key) {
+    return Optional.ofNullable(byKey.get(key));
+  }
+
+  /**
+   * Returns every account.
+   *
+   * @return the accounts by name
+   */
+  public Map<AccountName, ClientAccount> accounts() {
+    return Map.copyOf(byName);
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/accounts/package-info.java
@@ -0,0 +1,2 @@
+/** Client accounts, their keys and their quotas, as one configuration states them. */
+package org.hornbeamusher.accounts;
--- a/runtime/src/main/java/org/hornbeamusher/companion/CompanionDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/companion/CompanionDaemon.java
@@ -23,6 +23,7 @@
 import org.hornbeamusher.ids.FencingNumber;
 import org.hornbeamusher.lease.FencingLease;
 import org.hornbeamusher.loop.EventLoop;
+import org.hornbeamusher.quota.QuotaSettings;
 import org.hornbeamusher.routes.AdapterKey;
 import org.hornbeamusher.routes.EngineSpec;
 import org.hornbeamusher.routes.VersionsInForce;
@@ -67,6 +68,7 @@
   private final FencingNumbers fencing;
   private final VersionsInForce versions = new VersionsInForce();
   private final ConnectedEntries entries = new ConnectedEntries();
+  private final UsageRelayService usage;
   private final MetricRegistry registry = new MetricRegistry();
   private AdapterPlaces places;
   private EngineSpec spec;
@@ -108,6 +110,7 @@
     this.loop = loop;
     this.clock = clock;
     this.fencing = new FencingNumbers(lease, loop);
+    this.usage = new UsageRelayService(QuotaSettings.DEFAULT, loop, clock);
     this.server = transport.listen(settings.entries(), hello(settings), this);
   }
 
@@ -200,6 +203,7 @@
     loop.execute(
         () -> {
           entries.opened(connection);
+          usage.opened(connection);
           actSoon();
           EventLog.log(EventType.PEER_CONNECTED, "peer", hello.instance());
         });
@@ -215,6 +219,7 @@
     loop.execute(
         () -> {
           OptionalLong entry = entries.closed(connection);
+          usage.closed(connection);
           if (entry.isPresent() && places != null) {
             places.releaseAll(entry.getAsLong());
             actSoon();
@@ -225,6 +230,10 @@
   }
 
   private void handle(WireConnection connection, Message message) {
+    if (message instanceof Message.UsageReport report) {
+      usage.received(connection, report);
+      return;
+    }
     OptionalLong known = entries.number(connection);
     if (known.isEmpty() || places == null) {
       return;
--- a/runtime/src/main/java/org/hornbeamusher/events/EventType.java
+++ b/runtime/src/main/java/org/hornbeamusher/events/EventType.java
@@ -23,6 +23,7 @@
   ATTEMPT_ENDED(1105, Level.INFO, "An endpoint's part in a request is over."),
   REQUEST_ENDED(1106, Level.INFO, "A request has its final answer, or its caller has gone."),
   REQUESTS_TURNED_AWAY(1107, Level.INFO, "Requests were refused unread by a starting process."),
+  ACCOUNT_REFUSED(1108, Level.INFO, "A request was refused by its key or its account's quota."),
   // 1200: endpoints and loads
   ADAPTER_LOADED(1201, Level.FINE, "An adapter became resident."),
   ADAPTER_LOAD_FAILED(1202, Level.WARNING, "An adapter could not be loaded."),
@@ -43,6 +44,8 @@
   ENDPOINT_CHANGED(1308, Level.INFO, "An endpoint is new, has changed or is leaving."),
   ENDPOINT_GONE(1309, Level.INFO, "An endpoint is no more."),
   ENDPOINT_UNUSABLE(1310, Level.WARNING, "A listed entry cannot be used; what was known holds."),
+  KEYS_UNCONFIRMED(1311, Level.WARNING, "Account keys are not confirmed; callers are refused."),
+  KEYS_CONFIRMED(1312, Level.INFO, "Account keys are confirmed again; callers are served."),
   // 1400: claims
   CLAIM_END_LOST(1401, Level.WARNING, "The end of a claim was not written; it reads as unknown."),
   // 1500: connections and membership
--- a/runtime/src/main/java/org/hornbeamusher/failure/FailureType.java
+++ b/runtime/src/main/java/org/hornbeamusher/failure/FailureType.java
@@ -30,6 +30,11 @@
   SUSPECT_RUNNING(119, 503, Severity.INFO, "The same request runs now; it may crash endpoints."),
   NOT_READY(120, 503, Severity.INFO, "This instance knows no configuration yet."),
   LOAD_TOO_LATE(121, 503, Severity.INFO, "%s could not be loaded in time."),
+  KEY_MISSING(122, 401, Severity.INFO, "The request carries no account key."),
+  KEY_MALFORMED(123, 401, Severity.INFO, "The request carries %s account keys or an empty one."),
+  KEY_UNKNOWN(124, 401, Severity.INFO, "No client account holds the key of the request."),
+  KEY_UNCONFIRMED(125, 503, Severity.WARNING, "Whether the key is still held is not confirmed."),
+  QUOTA_EXCEEDED(126, 429, Severity.INFO, "The client account %s is beyond its quota."),
   // 200: endpoints and agents
   ENDPOINT_FAILED(201, 502, Severity.WARNING, "The endpoint %s failed: %s."),
   ENDPOINT_LOST(202, 502, Severity.WARNING, "The connection to endpoint %s was lost."),
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/EngineAgents.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/EngineAgents.java
@@ -45,6 +45,7 @@
   private final EventLoop loop;
   private final Clock clock;
   private Listener listener = Listener.NONE;
+  private UsageListener usage = UsageListener.NONE;
   private long reservations;
 
   EngineAgents(
@@ -65,6 +66,19 @@
     listener = hears;
   }
 
+  /** Sets who exchanges usage of quotas with the agents. */
+  void usage(UsageListener exchange) {
+    usage = exchange;
+  }
+
+  /** Sends a message to the agent at an address; dropped when it is not connected. */
+  void send(InetSocketAddress agent, Message message) {
+    Link link = links.get(agent);
+    if (link != null) {
+      link.send(message);
+    }
+  }
+
   /** Connects to the agents of these addresses, and in time to no others. */
   void connect(Collection<InetSocketAddress> addresses) {
     long now = clock.millis();
@@ -150,6 +164,32 @@
     void agentLost(EndpointId id);
   }
 
+  /** Receives what agents add up of the usage of quotas. */
+  interface UsageListener {
+
+    /** Ignores everything. */
+    UsageListener NONE =
+        new UsageListener() {
+          @Override
+          public void opened(InetSocketAddress agent) {}
+
+          @Override
+          public void received(InetSocketAddress agent, Message.UsageUpdate update) {}
+
+          @Override
+          public void closed(InetSocketAddress agent) {}
+        };
+
+    /** A connection to an agent was opened. */
+    void opened(InetSocketAddress agent);
+
+    /** An agent has passed on what other entries use. */
+    void received(InetSocketAddress agent, Message.UsageUpdate update);
+
+    /** The connection to an agent was lost. */
+    void closed(InetSocketAddress agent);
+  }
+
   /** One agent. */
   final class Link implements WireListener {
 
@@ -203,6 +243,7 @@
             engine = peer.endpoint();
             EventLog.log(EventType.PEER_CONNECTED, "peer", peer.instance(), "at", address);
             live.values().forEach(EngineReservation::announce);
+            usage.opened(address);
           });
     }
 
@@ -238,6 +279,7 @@
                       said.storeMillis(), said.copyMillis(), said.placeMillis(), said.copies()));
           applyCosts();
         }
+        case Message.UsageUpdate update -> usage.received(address, update);
         case Message.Granted said -> {
           EngineReservation granted = live.get(said.reservation());
           if (granted != null) {
@@ -285,6 +327,7 @@
         return;
       }
       connection = null;
+      usage.closed(address);
       EventLog.log(EventType.PEER_LOST, "peer", address, "reason", reason.type().label());
       EndpointView view = view();
       if (view != null) {
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
@@ -25,8 +25,11 @@
 import org.hornbeamusher.placement.PlacementSettings;
 import org.hornbeamusher.placement.Placer;
 import org.hornbeamusher.process.MetricsListener;
+import org.hornbeamusher.quota.QuotaMeter;
+import org.hornbeamusher.quota.QuotaSettings;
 import org.hornbeamusher.routes.AdapterKey;
 import org.hornbeamusher.routes.Configuration;
+import org.hornbeamusher.routes.ConfigurationFreshness;
 import org.hornbeamusher.routes.ConfigurationInForce;
 import org.hornbeamusher.routes.EngineSpec;
 import org.hornbeamusher.routes.ServiceSpec;
@@ -55,6 +58,10 @@
   private final Clock clock;
   private final EventLoop loop;
   private final ForwardState state;
+  private final ConfigurationFreshness freshness;
+  private final AccountCheck accounts;
+  private final QuotaMeter<InetSocketAddress> meter;
+  private final UsageExchange usage;
   private final ForwardServer server;
   private final MetricRegistry registry = new MetricRegistry();
   private final Optional<MetricsListener> metrics;
@@ -63,6 +70,12 @@
   private boolean leaving;
   private long leaveMillis;
 
+  /** Whether the last question for the configuration failed. */
+  private boolean configurationUnreachable;
+
+  /** Whether keyed callers were served when the balancer asked last. */
+  private boolean keysConfirmed = true;
+
   /**
    * Creates an entry that is not started.
    *
@@ -70,24 +83,36 @@
    * @param dialect the headers of callers and endpoints
    * @param http a started client with a single I/O thread
    * @param clock monotonic
+   * @param elapsed monotonic, and counts the time for which the instance was suspended
    */
-  public ForwardDaemon(ForwardSettings settings, Dialect dialect, HttpClient http, Clock clock) {
+  public ForwardDaemon(
+      ForwardSettings settings, Dialect dialect, HttpClient http, Clock clock, Clock elapsed) {
     this.settings = settings;
     this.clock = clock;
     this.loop = http.loop();
+    this.freshness = new ConfigurationFreshness(elapsed);
+    this.meter = new QuotaMeter<>(QuotaSettings.DEFAULT, settings.quotas());
+    this.accounts = new AccountCheck(freshness, settings.revocation());
     Placer placer = new Placer(PlacementSettings.DEFAULT, settings.zone());
+    EngineAgents agents =
+        new EngineAgents(
+            placer.views(),
+            hello(settings),
+            new LoopTransport(http.worker(), WireSettings.DEFAULT, clock),
+            loop,
+            clock);
+    this.usage = new UsageExchange(meter, QuotaSettings.DEFAULT, agents::send, loop, clock);
+    agents.usage(usage);
+    ConfigurationInForce configuration = new ConfigurationInForce();
+    VersionsInForce versions = new VersionsInForce();
     this.state =
         new ForwardState(
-            new ConfigurationInForce(),
-            new VersionsInForce(),
+            configuration,
+            new RequestIntake(configuration, versions, accounts, meter, usage, clock),
+            versions,
             new EndpointDirectory(settings.listMillis()),
             placer,
-            new EngineAgents(
-                placer.views(),
-                hello(settings),
-                new LoopTransport(http.worker(), WireSettings.DEFAULT, clock),
-                loop,
-                clock),
+            agents,
             new RepeatAllowance(settings.repeats()),
             dialect,
             http,
@@ -128,6 +153,9 @@
     measured.gauge("endpoints", state.placer().views()::size);
     measured.gauge("unusable_entries", state.directory()::unusableEntries);
     measured.gauge("list_age_ms", () -> state.directory().ageMillis(clock.millis()));
+    measured.gauge("key_proof_age_ms", accounts::proofAgeMillis);
+    measured.gauge("quota_entries", () -> meter.entries(clock.millis()));
+    measured.gauge("quota_reachable_entries", () -> meter.reachable(clock.millis()));
     measured.gauge(
         "configuration",
         () -> state.configuration().current().map(Configuration::version).orElse(0L));
@@ -149,6 +177,7 @@
    * @param configuration any version; an older one than that in force is ignored
    */
   public void configured(Configuration configuration) {
+    freshness.read();
     if (state.configuration().offer(configuration)) {
       EventLog.log(
           EventType.CONFIGURATION_IN_FORCE,
@@ -156,12 +185,36 @@
           configuration.version(),
           "services",
           configuration.services().size());
+      meter.configured(configuration.accounts().accounts(), clock.millis());
+      usage.start();
       apply(state.directory().configured(configuration.services().keySet()));
       connectAgents();
       openWhenReady();
     }
   }
 
+  /** Takes note that the newest configuration cannot be read; the one in force stays. */
+  public void configurationUnreadable() {
+    freshness.superseded();
+  }
+
+  /**
+   * Takes note that no newer configuration than those given to {@link #configured} was acknowledged
+   * at some moment.
+   *
+   * @param askedMillis when the question was sent that showed it, by the clock that counts
+   *     suspended time
+   */
+  public void configurationConfirmed(long askedMillis) {
+    configurationUnreachable = false;
+    freshness.confirmed(askedMillis);
+  }
+
+  /** Takes note that a question for the configuration was not answered. */
+  public void configurationUnreachable() {
+    configurationUnreachable = true;
+  }
+
   /**
    * Takes a version of an adapter.
    *
@@ -293,7 +346,25 @@
   }
 
   private boolean ready() {
-    return !leaving && hasConfiguration() && !state.placer().views().isEmpty();
+    return !leaving && hasConfiguration() && !state.placer().views().isEmpty() && !unconfirmed();
+  }
+
+  /** Callers with keys would be refused here, now or before the balancer could send them away. */
+  private boolean unconfirmed() {
+    boolean required =
+        state.configuration().current().filter(c -> c.accounts().required()).isPresent();
+    boolean confirmed =
+        !required || (accounts.confirmed() && !(configurationUnreachable && accounts.expiring()));
+    if (confirmed != keysConfirmed) {
+      keysConfirmed = confirmed;
+      EventLog.log(
+          confirmed ? EventType.KEYS_CONFIRMED : EventType.KEYS_UNCONFIRMED,
+          "proof_age_ms",
+          accounts.proofAgeMillis(),
+          "configuration",
+          state.configuration().current().map(Configuration::version).orElse(0L));
+    }
+    return !confirmed;
   }
 
   /**
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardRun.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardRun.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import org.hornbeamusher.accounts.AccountName;
 import org.hornbeamusher.directory.HeldAdapter;
 import org.hornbeamusher.failure.FailureType;
 import org.hornbeamusher.failure.HornbeamusherException;
@@ -15,10 +16,8 @@
 import org.hornbeamusher.placement.EndpointView;
 import org.hornbeamusher.placement.Placement;
 import org.hornbeamusher.placement.PlacementRequest;
-import org.hornbeamusher.routes.Configuration;
 import org.hornbeamusher.routes.RequestKind;
 import org.hornbeamusher.routes.Route;
-import org.hornbeamusher.routing.Rendezvous;
 
 /**
  * One request, from its whole body to its final answer.
@@ -61,8 +60,11 @@
   private final Listener listener;
   private final Set<EndpointLife> tried = new HashSet<>();
 
-  private RequestFacts facts;
   private RequestLog log = new RequestLog("");
+
+  /** What the request was admitted as; null before. */
+  private RoutedRequest routed;
+
   private Route route;
   private String service;
   private PlacementRequest placing;
@@ -87,6 +89,10 @@
 
   private boolean unread;
   private int sends;
+
+  /** Sends that may have run, of which the request's account is charged one. */
+  private int possibleRuns;
+
   private int refusals;
   private int unsent;
   private boolean mayHaveRun;
@@ -117,30 +123,13 @@
   }
 
   private void accept() {
-    Configuration configuration =
-        state
-            .configuration()
-            .current()
-            .orElseThrow(
-                () -> notRun(FailureType.NOT_READY).retryAfter(ReturnTime.NEXT_LIST_MILLIS));
-    facts = state.dialect().request(request.headers());
+    RequestFacts facts = state.dialect().request(request.headers());
     log = new RequestLog(facts.id());
-    route =
-        configuration
-            .match(request.hostName(), request.path())
-            .orElseThrow(() -> notRun(FailureType.UNKNOWN_PATH, request.path()));
-    long hash = Rendezvous.hash(facts.id());
-    service = route.service(hash);
-    long budget = Math.min(route.timeoutMillis(), facts.budgetMillis().orElse(Long.MAX_VALUE));
-    deadlineMillis = request.arrivedMillis() + budget;
-    placing =
-        new PlacementRequest(
-            hash,
-            adapter(),
-            facts.promptTokens(),
-            facts.outputTokens(),
-            request.body().length,
-            facts.parts());
+    routed = state.intake().admit(request, facts);
+    route = routed.route();
+    service = routed.service();
+    placing = routed.placing();
+    deadlineMillis = routed.deadlineMillis();
     relay =
         route.kind() == RequestKind.STREAMING
             ? new EventRelay(caller, facts.lastEvent())
@@ -148,10 +137,6 @@
     state.allowance().requested(service, now());
   }
 
-  private Optional<HeldAdapter> adapter() {
-    return facts.adapter().map(key -> new HeldAdapter(key, state.versions().of(key)));
-  }
-
   /** By then a first event is of no use: a caller that hears nothing of a stream leaves earlier. */
   private long startByMillis() {
     return route.kind() == RequestKind.STREAMING && !relay.started()
@@ -198,9 +183,9 @@
             .reserve(
                 endpoint.life(),
                 new EngineReservation.Request(
-                    facts.id(),
+                    routed.facts().id(),
                     adapter,
-                    route.rank(),
+                    routed.rank(),
                     unreadTokens,
                     now() + remaining,
                     request.arrivedMillis() + route.targetLatencyMillis()),
@@ -278,13 +263,25 @@
   }
 
   private void send() {
+    Optional<HornbeamusherException> refusal = state.intake().refusal(routed);
+    if (refusal.isPresent()) {
+      leave();
+      giveUp(refusal.get());
+      return;
+    }
     cancel(replacing);
     reservation.used();
     sentMillis = now();
     tokensAhead = endpoint.unreadTokens();
     sends++;
-    SendFacts told =
-        new SendFacts(endpoint.id(), deadlineMillis - sentMillis, route.rank(), relay.lastEvent());
+    possibleRuns++;
+    SendFacts sent =
+        new SendFacts(
+            endpoint.id(),
+            deadlineMillis - sentMillis,
+            routed.rank(),
+            routed.accountName(),
+            relay.lastEvent());
     URI uri = endpoint.endpoint().uri();
     HttpCall call =
         new HttpCall(
@@ -292,9 +289,9 @@
             uri,
             request.host(),
             request.target(),
-            state.dialect().toEndpoint(request.headers(), told),
+            state.dialect().toEndpoint(request.headers(), sent),
             request.body());
-    attempt = new Attempt(endpoint, state.dialect(), facts.id(), this);
+    attempt = new Attempt(endpoint, state.dialect(), routed.facts().id(), this);
     attempt.send(state.http(), call);
   }
 
@@ -391,6 +388,7 @@
 
   private void notSent(EndpointView left) {
     sends--;
+    possibleRuns--;
     unsent++;
     left.failed(now());
     tried.add(left.life());
@@ -402,6 +400,7 @@
   }
 
   private void refused(EndpointView left, int status) {
+    possibleRuns--;
     refusals++;
     if (status == MISDIRECTED) {
       left.misdirected(now());
@@ -553,11 +552,15 @@
       return;
     }
     over = true;
+    if (routed != null && possibleRuns == 0) {
+      state.intake().notRun(routed);
+    }
     cancel(deadline);
     cancel(replacing);
     log.ended(
         new RequestLog.End(
             route == null ? "" : route.name(),
+            routed == null ? "" : routed.accountName().map(AccountName::value).orElse(""),
             cause,
             status,
             waited(),
@@ -565,6 +568,10 @@
             sends,
             refusals));
     state.metrics().requestEnded(cause, waited(), firstMillis);
+    if (routed != null) {
+      boolean refused = CallerAnswer.promisesNotRun(status);
+      routed.accountName().ifPresent(name -> state.metrics().accountEnded(name, refused));
+    }
     listener.ended(this, cause);
   }
 
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardSettings.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardSettings.java
@@ -2,6 +2,8 @@
 
 import java.net.InetSocketAddress;
 import java.util.Optional;
+import org.hornbeamusher.quota.QuotaTolerance;
+import org.hornbeamusher.routes.RevocationBounds;
 
 /**
  * What an entry needs to know of its instance.
@@ -16,6 +18,8 @@
  * @param listMillis the pause between two reads of the list of endpoints
  * @param holdMillis how long callers of an entry that starts wait for its configuration at the most
  * @param repeats how often requests may be sent again
+ * @param revocation how soon a key that was taken away is of no use
+ * @param quotas how the operators judge the quotas of client accounts
  */
 public record ForwardSettings(
     String instance,
@@ -27,4 +31,6 @@
     long drainMillis,
     long listMillis,
     long holdMillis,
-    RepeatSettings repeats) {}
+    RepeatSettings repeats,
+    RevocationBounds revocation,
+    QuotaTolerance quotas) {}
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardState.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardState.java
@@ -12,6 +12,7 @@
  * What all requests of an entry share. Confined to the loop.
  *
  * @param configuration the routes in force
+ * @param intake decides which requests are admitted
  * @param versions the adapters' versions in force
  * @param directory the endpoints
  * @param placer decides where requests go
@@ -25,6 +26,7 @@
  */
 record ForwardState(
     ConfigurationInForce configuration,
+    RequestIntake intake,
     VersionsInForce versions,
     EndpointDirectory directory,
     Placer placer,
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/RequestFacts.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/RequestFacts.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.hornbeamusher.accounts.AccountKey;
 import org.hornbeamusher.placement.PromptPart;
 import org.hornbeamusher.routes.AdapterKey;
 
@@ -14,8 +15,11 @@
  * @param adapter what it is to run on; empty at a plain service
  * @param promptTokens length of its prompt, 0 when it does not say
  * @param outputTokens most tokens of its answer, 0 when it does not say
+ * @param sized whether it states the two lengths
  * @param parts the parts of its prompt in order
  * @param lastEvent the last event the caller has; empty for a stream from its start
+ * @param keys the account keys that it carries, in order; a proper request has one at the most
+ * @param emptyKey whether it carries a key without a text
  */
 public record RequestFacts(
     String id,
@@ -23,11 +27,24 @@
     Optional<AdapterKey> adapter,
     int promptTokens,
     int outputTokens,
+    boolean sized,
     List<PromptPart> parts,
-    OptionalLong lastEvent) {
+    OptionalLong lastEvent,
+    List<AccountKey> keys,
+    boolean emptyKey) {
 
-  /** Copies the list. */
+  /** Copies the lists. */
   public RequestFacts {
     parts = List.copyOf(parts);
+    keys = List.copyOf(keys);
+  }
+
+  /**
+   * Returns the size of the request.
+   *
+   * @return prompt and output tokens together; empty when the request does not state them
+   */
+  public OptionalLong tokens() {
+    return sized ? OptionalLong.of((long) promptTokens + outputTokens) : OptionalLong.empty();
   }
 }
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/RequestLog.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/RequestLog.java
@@ -88,6 +88,8 @@
         id,
         "route",
         end.route(),
+        "account",
+        end.account(),
         "cause",
         end.cause(),
         "status",
@@ -106,6 +108,7 @@
    * How a request ended.
    *
    * @param route its route's name; empty when none matched
+   * @param account the client account's name; empty when there is none or it was refused
    * @param cause the failure's label, or {@code answered}
    * @param status what the caller got; 0 when its connection ended
    * @param tookMillis from its arrival
@@ -115,6 +118,7 @@
    */
   record End(
       String route,
+      String account,
       String cause,
       int status,
       long tookMillis,
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ReturnTime.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ReturnTime.java
@@ -28,6 +28,9 @@
 
   private static final long LEAST_MILLIS = 15;
 
+  /** The next try reaches another entry, which may have what this one lacks. */
+  static final long OTHER_ENTRY_MILLIS = LEAST_MILLIS;
+
   private ReturnTime() {}
 
   /**
@@ -41,6 +44,7 @@
     return switch (why) {
       case LOAD_TOO_LATE, DEADLINE_TOO_NEAR ->
           Math.max(LEAST_MILLIS, Math.min(MOST_MILLIS, leftMillis / SHARE_OF_TIME));
+      case KEY_UNCONFIRMED -> OTHER_ENTRY_MILLIS;
       default -> NEXT_LIST_MILLIS;
     };
   }
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/UsageExchange.java
@@ -0,0 +1,108 @@
+package org.hornbeamusher.forwarding;
+
+import java.net.InetSocketAddress;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.hornbeamusher.accounts.AccountName;
+import org.hornbeamusher.clock.Clock;
+import org.hornbeamusher.loop.EventLoop;
+import org.hornbeamusher.quota.QuotaMeter;
+import org.hornbeamusher.quota.QuotaSettings;
+import org.hornbeamusher.routing.Rendezvous;
+import org.hornbeamusher.wire.Message;
+
+/**
+ * Reports an entry's usage of client accounts' quotas to two of the agents it is connected to, and
+ * takes what they add up. All entries choose the same two by rendezvous, so that each hears of all.
+ */
+final class UsageExchange implements EngineAgents.UsageListener {
+
+  private static final int RELAYS = 2;
+
+  private final QuotaMeter<InetSocketAddress> meter;
+  private final QuotaSettings settings;
+  private final Transport transport;
+  private final EventLoop loop;
+  private final Clock clock;
+  private final Set<InetSocketAddress> connected = new HashSet<>();
+  private boolean started;
+  private boolean reportingSoon;
+
+  UsageExchange(
+      QuotaMeter<InetSocketAddress> meter,
+      QuotaSettings settings,
+      Transport transport,
+      EventLoop loop,
+      Clock clock) {
+    this.meter = meter;
+    this.settings = settings;
+    this.transport = transport;
+    this.loop = loop;
+    this.clock = clock;
+  }
+
+  /** Sends a message to an agent that is connected. */
+  @FunctionalInterface
+  interface Transport {
+
+    void send(InetSocketAddress agent, Message message);
+  }
+
+  /** Starts to report; does nothing when it has started or no account has a quota. */
+  void start() {
+    if (!started && meter.active()) {
+      started = true;
+      reportRegularly();
+    }
+  }
+
+  @Override
+  public void opened(InetSocketAddress agent) {
+    connected.add(agent);
+    meter.opened(agent);
+  }
+
+  @Override
+  public void closed(InetSocketAddress agent) {
+    connected.remove(agent);
+    meter.closed(agent);
+  }
+
+  @Override
+  public void received(InetSocketAddress agent, Message.UsageUpdate update) {
+    meter.relayed(agent, update.increments(), update.reachable(), update.entries(), clock.millis());
+  }
+
+  /** The usage of an account has changed here. */
+  void changed(AccountName account) {
+    if (!reportingSoon && meter.urgent(account, clock.millis())) {
+      reportingSoon = true;
+      loop.after(
+          settings.urgentMillis(),
+          () -> {
+            reportingSoon = false;
+            report();
+          });
+    }
+  }
+
+  private void reportRegularly() {
+    report();
+    loop.after(settings.intervalMillis(meter.entries(clock.millis())), this::reportRegularly);
+  }
+
+  private void report() {
+    for (InetSocketAddress relay : relays()) {
+      transport.send(relay, new Message.UsageReport(meter.takeIncrements(relay)));
+    }
+  }
+
+  private List<InetSocketAddress> relays() {
+    return connected.stream()
+        .sorted(Comparator.comparingLong(agent -> Rendezvous.hash(agent.toString())))
+        .limit(RELAYS)
+        .toList();
+  }
+}
--- a/runtime/src/main/java/org/hornbeamusher/routes/Configuration.java
+++ b/runtime/src/main/java/org/hornbeamusher/routes/Configuration.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.hornbeamusher.accounts.AccountDirectory;
 
 /**
  * One version of the configuration, ready for look-ups.
@@ -18,16 +19,31 @@
   private final long version;
   private final Map<String, List<Route>> routesByHost = new HashMap<>();
   private final Map<String, ServiceSpec> services = new HashMap<>();
+  private final AccountDirectory accounts;
 
   /**
-   * Creates a configuration.
+   * Creates a configuration without client accounts.
    *
    * @param version rises with every change
    * @param routes every route
    * @param services every service
    */
   public Configuration(long version, List<Route> routes, List<ServiceSpec> services) {
+    this(version, routes, services, AccountDirectory.NONE);
+  }
+
+  /**
+   * Creates a configuration.
+   *
+   * @param version rises with every change
+   * @param routes every route
+   * @param services every service
+   * @param accounts the client accounts and their keys
+   */
+  public Configuration(
+      long version, List<Route> routes, List<ServiceSpec> services, AccountDirectory accounts) {
     this.version = version;
+    this.accounts = accounts;
     for (Route route : routes) {
       routesByHost.computeIfAbsent(route.host(), host -> new ArrayList<>()).add(route);
     }
@@ -72,6 +88,15 @@
     return Optional.ofNullable(services.get(name));
   }
 
+  /**
+   * Returns the client accounts.
+   *
+   * @return the accounts and who holds which key
+   */
+  public AccountDirectory accounts() {
+    return accounts;
+  }
+
   /**
    * Returns every service.
    *
--- a/runtime/src/main/java/org/hornbeamusher/routes/Route.java
+++ b/runtime/src/main/java/org/hornbeamusher/routes/Route.java
@@ -16,6 +16,7 @@
  * @param attempts at how many endpoints one request may be tried; at least 1
  * @param resumable whether another endpoint may go on with a stream that broke off
  * @param patienceMillis how long a caller waits for the first event of a stream, or the next one
+ * @param anonymous whether its callers need no key of a client account
  */
 public record Route(
     String name,
@@ -28,7 +29,8 @@
     List<WeightedTarget> targets,
     int attempts,
     boolean resumable,
-    long patienceMillis) {
+    long patienceMillis,
+    boolean anonymous) {
 
   /** Copies the list. */
   public Route {
--- a/runtime/src/main/java/org/hornbeamusher/watch/TableWatch.java
+++ b/runtime/src/main/java/org/hornbeamusher/watch/TableWatch.java
@@ -2,7 +2,6 @@
 
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.Consumer;
 import org.hornbeamusher.clock.Clock;
 import org.hornbeamusher.events.EventLog;
 import org.hornbeamusher.events.EventType;
@@ -31,7 +30,7 @@
   private final WatchSettings settings;
   private final EventLoop loop;
   private final Clock clock;
-  private final Consumer<Changes> listener;
+  private final Listener listener;
   private long revision = NOTHING;
   private long failingSinceMillis = NOTHING;
   private boolean stopped;
@@ -44,7 +43,7 @@
    * @param settings how closely
    * @param loop where the listener is called
    * @param clock monotonic
-   * @param listener hears every answer, also one without changes
+   * @param listener receives every answer, also one without changes
    */
   public TableWatch(
       ChangeFeed feed,
@@ -52,7 +51,7 @@
       WatchSettings settings,
       EventLoop loop,
       Clock clock,
-      Consumer<Changes> listener) {
+      Listener listener) {
     this.feed = feed;
     this.table = table;
     this.settings = settings;
@@ -61,6 +60,23 @@
     this.listener = listener;
   }
 
+  /** Receives what a table holds. */
+  @FunctionalInterface
+  public interface Listener {
+
+    /**
+     * The service has answered.
+     *
+     * @param changes the rows, or those that changed, perhaps none
+     * @param askedMillis when the question was sent, by the watch's clock; what had been
+     *     acknowledged by then is known
+     */
+    void received(Changes changes, long askedMillis);
+
+    /** The service has not answered; it is asked again. */
+    default void unreachable() {}
+  }
+
   /** Starts to follow. */
   public void start() {
     loop.execute(this::ask);
@@ -76,19 +92,21 @@
       return;
     }
     boolean whole = revision == NOTHING || settings.waitMillis() == 0;
+    // After a failure the next answer is wanted at once: what is known may be about to expire.
+    long waitMillis = failingSinceMillis == NOTHING ? settings.waitMillis() : 0;
+    long asked = clock.millis();
     CompletableFuture<Optional<Changes>> answer =
-        whole
-            ? feed.all(table).thenApply(Optional::of)
-            : feed.since(table, revision, settings.waitMillis());
-    answer.whenComplete((changes, thrown) -> loop.execute(() -> heard(changes, thrown)));
+        whole ? feed.all(table).thenApply(Optional::of) : feed.since(table, revision, waitMillis);
+    answer.whenComplete((changes, thrown) -> loop.execute(() -> answered(changes, asked, thrown)));
   }
 
-  private void heard(Optional<Changes> changes, Throwable thrown) {
+  private void answered(Optional<Changes> changes, long askedMillis, Throwable thrown) {
     if (stopped) {
       return;
     }
     if (thrown != null) {
       failed(HornbeamusherException.from(thrown));
+      listener.unreachable();
       loop.after(settings.retryMillis(), this::ask);
       return;
     }
@@ -100,7 +118,7 @@
     }
     revision = Math.max(revision, changes.get().revision());
     try {
-      listener.accept(changes.get());
+      listener.received(changes.get(), askedMillis);
     } finally {
       loop.after(settings.pauseMillis(), this::ask);
     }
--- a/runtime/src/main/java/org/hornbeamusher/wire/Message.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/Message.java
@@ -328,6 +328,23 @@
   record EngineCosts(long storeMillis, long copyMillis, long placeMillis, int copies)
       implements Message {}
 
+  /**
+   * What an entry has admitted of client accounts' quotas (entry to agent).
+   *
+   * @param increments units by account since the last report on this connection; negative for
+   *     requests that did not run after all
+   */
+  record UsageReport(Map<String, Long> increments) implements Message {}
+
+  /**
+   * What the other entries have admitted of client accounts' quotas (agent to entry).
+   *
+   * @param increments units by account since the last update on this connection
+   * @param reachable entries that report to the agent, the receiver included
+   * @param entries entries that are connected to the agent
+   */
+  record UsageUpdate(Map<String, Long> increments, int reachable, int entries) implements Message {}
+
   /**
    * A message of a type this process does not know; it is ignored.
    *
--- a/runtime/src/main/java/org/hornbeamusher/wire/MessageCodec.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/MessageCodec.java
@@ -40,6 +40,8 @@
   private static final int HOLDINGS = 24;
   private static final int PEER_LOAD = 25;
   private static final int ENGINE_COSTS = 26;
+  private static final int USAGE_REPORT = 27;
+  private static final int USAGE_UPDATE = 28;
 
   /**
    * Most messages carry one token or less. The default of 8 KiB, allocated for each message, was a
@@ -127,7 +129,7 @@
           begin(p, HEARTBEAT, 2).packLong(m.sequence()).packLong(m.documents());
       case Message.LoadReport m -> packLoadReport(p, m);
       case Message.Leaving m -> begin(p, LEAVING, 0);
-      case Message.DocumentDigest m -> packDigest(p, m.versions());
+      case Message.DocumentDigest m -> packNumbers(begin(p, DOCUMENT_DIGEST, 1), m.versions());
       case Message.DocumentPull m ->
           begin(p, DOCUMENT_PULL, 2).packString(m.service()).packLong(m.have());
       case Message.DocumentPush m ->
@@ -172,6 +174,11 @@
               .packLong(m.copyMillis())
               .packLong(m.placeMillis())
               .packInt(m.copies());
+      case Message.UsageReport m -> packNumbers(begin(p, USAGE_REPORT, 1), m.increments());
+      case Message.UsageUpdate m -> {
+        packNumbers(begin(p, USAGE_UPDATE, 3), m.increments());
+        p.packInt(m.reachable()).packInt(m.entries());
+      }
       case Message.Unknown m -> begin(p, m.type(), 0);
     }
   }
@@ -214,9 +221,9 @@
     }
   }
 
-  private static void packDigest(MessagePacker p, Map<String, Long> versions) throws IOException {
-    begin(p, DOCUMENT_DIGEST, 1).packMapHeader(versions.size());
-    for (Map.Entry<String, Long> entry : versions.entrySet()) {
+  private static void packNumbers(MessagePacker p, Map<String, Long> numbers) throws IOException {
+    p.packMapHeader(numbers.size());
+    for (Map.Entry<String, Long> entry : numbers.entrySet()) {
       p.packString(entry.getKey()).packLong(entry.getValue());
     }
   }
@@ -291,6 +298,8 @@
           new Message.Holdings(r.text(), r.texts(), r.texts(), r.integer(), r.flag(), r.number());
       case PEER_LOAD -> new Message.PeerLoad(r.integer(), r.number(), r.integer());
       case ENGINE_COSTS -> new Message.EngineCosts(r.number(), r.number(), r.number(), r.integer());
+      case USAGE_REPORT -> new Message.UsageReport(r.numbersByText());
+      case USAGE_UPDATE -> new Message.UsageUpdate(r.numbersByText(), r.integer(), r.integer());
       default -> new Message.Unknown(type);
     };
   }
--- /dev/null
+++ b/runtime/src/test/java/org/hornbeamusher/quota/QuotaMeterTest.java
@@ -0,0 +1,202 @@
+package org.hornbeamusher.quota;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Map;
+import java.util.OptionalInt;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.LongRange;
+import org.hornbeamusher.accounts.AccountName;
+import org.hornbeamusher.accounts.ClientAccount;
+import org.hornbeamusher.accounts.Quota;
+import org.junit.jupiter.api.Test;
+
+class QuotaMeterTest {
+
+  private static final long WINDOW_MILLIS = 8_000;
+  private static final double OVERSHOOT = 1.1;
+  private static final long SLACK = 110_000;
+  private static final long LONG_PROMPT = 9_200;
+  private static final int ENTRIES = 21;
+  private static final QuotaTolerance TOLERANCE =
+      new QuotaTolerance(WINDOW_MILLIS, OVERSHOOT - 1, SLACK, QuotaTolerance.DEFAULT_USED_SHARE);
+
+  /**
+   * Calm load: every account asks for less than its quota, at entries that its callers reach
+   * unevenly. Fixed shares refuse what is within the quota; entries that know of each other do not.
+   */
+  @Property(tries = 10, seed = "20261203")
+  void callersWithinTheQuotaAreNotRefused(@ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
+    Quota quota = QuotaSimulation.tokens(60_000, 60_000);
+    QuotaSimulation shared = new QuotaSimulation(ENTRIES, quota, true, 2, seed);
+    QuotaSimulation fixed = new QuotaSimulation(ENTRIES, quota, false, 2, seed);
+    for (QuotaSimulation one : new QuotaSimulation[] {shared, fixed}) {
+      one.run(3_000, 33_000, LONG_PROMPT, 1);
+      one.forgetCounts();
+      one.run(20_000, 33_000, LONG_PROMPT, 1);
+    }
+    assertTrue(shared.refusedShare() < 0.02, "refused " + shared.refusedShare());
+    assertTrue(fixed.refusedShare() > 0.1, "refused " + fixed.refusedShare());
+  }
+
+  /** An account that asks for many times its quota got more than it at many entries together. */
+  @Property(tries = 20, seed = "20261203")
+  void hotAccountStaysWithinTheQuota(
+      @ForAll @LongRange(min = 29_000, max = 300_000) long rate,
+      @ForAll @IntRange(min = 2, max = 12) int times,
+      @ForAll @IntRange(min = 1, max = 33) int entries,
+      @ForAll @LongRange(min = 1, max = 30) long delay,
+      @ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
+    QuotaSimulation all =
+        new QuotaSimulation(
+            entries, QuotaSimulation.tokens(rate, rate), true, delay, seed, TOLERANCE);
+    all.run(4_000, rate / 1.8, LONG_PROMPT, 1);
+    all.run(12_000, (double) rate * times, LONG_PROMPT, 1);
+    assertWithin(all, rate, 0);
+    assertTrue(
+        all.admittedSince(all.now() - 8_000) >= 0.75 * 8 * rate,
+        "admitted " + all.admittedSince(all.now() - 8_000) + " of " + 8 * rate);
+  }
+
+  /** Entries that are cut off from the relays went on as if the whole quota were theirs. */
+  @Property(tries = 20, seed = "20261203")
+  void entriesThatCannotReachEachOtherStayWithinTheQuota(
+      @ForAll @LongRange(min = 29_000, max = 300_000) long rate,
+      @ForAll @IntRange(min = 2, max = 8) int times,
+      @ForAll @IntRange(min = 1, max = ENTRIES) int cut,
+      @ForAll boolean hotBefore,
+      @ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
+    QuotaSimulation all =
+        new QuotaSimulation(ENTRIES, QuotaSimulation.tokens(rate, rate), true, 2, seed, TOLERANCE);
+    all.run(6_000, hotBefore ? (double) rate * times : rate / 1.8, LONG_PROMPT, 1);
+    for (int i = 0; i < cut; i++) {
+      all.cut(i, true);
+    }
+    all.run(9_000, (double) rate * times, LONG_PROMPT, 1);
+    for (int i = 0; i < cut; i++) {
+      all.cut(i, false);
+    }
+    all.run(9_000, (double) rate * times, LONG_PROMPT, 1);
+    assertWithin(all, rate, 0);
+  }
+
+  /** Entries that all start again granted every account its burst a second time. */
+  @Property(tries = 20, seed = "20261203")
+  void restartOfAllGrantsNoBurstTwice(
+      @ForAll @LongRange(min = 29_000, max = 300_000) long rate,
+      @ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
+    QuotaSimulation all =
+        new QuotaSimulation(ENTRIES, QuotaSimulation.tokens(rate, rate), true, 2, seed, TOLERANCE);
+    all.run(6_000, rate * 4.0, LONG_PROMPT, 1);
+    for (int i = 0; i < ENTRIES; i++) {
+      all.restart(i);
+    }
+    all.run(6_000, rate * 4.0, LONG_PROMPT, 1);
+    assertWithin(all, rate, 0);
+  }
+
+  /** A quota that is lowered far below what an account asks must hold one window later. */
+  @Property(tries = 20, seed = "20261203")
+  void loweredQuotaHoldsAfterOneWindow(
+      @ForAll @IntRange(min = 2, max = 8) int times,
+      @ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
+    long before = 250_000;
+    long after = 29_000;
+    QuotaSimulation all =
+        new QuotaSimulation(
+            ENTRIES, QuotaSimulation.tokens(before, before), true, 2, seed, TOLERANCE);
+    all.run(6_000, before / 1.8, LONG_PROMPT, 1);
+    all.configure(QuotaSimulation.tokens(after, after));
+    long changed = all.now();
+    all.run(20_000, before / 1.8 * times, LONG_PROMPT, 1);
+    assertWithin(all, after, changed + WINDOW_MILLIS);
+  }
+
+  /** A relay that is lost for good hid what entries admitted. */
+  @Test
+  void secondRelayCountsWhatTheFirstMissed() {
+    QuotaMeter<String> meter = meter(1_000, 1_000);
+    meter.opened("r1");
+    meter.opened("r2");
+    meter.relayed("r1", Map.of(), 2, 2, 0);
+    meter.relayed("r2", Map.of(), 2, 2, 0);
+    meter.closed("r1");
+    meter.relayed("r2", Map.of("a", 5_000L), 2, 2, 1_000);
+    assertInstanceOf(QuotaDecision.Exceeded.class, meter.admit(QuotaSimulation.ACCOUNT, 1, 1_100));
+  }
+
+  /** The same usage from two relays counted twice. */
+  @Test
+  void usageThatBothRelaysReportCountsOnce() {
+    QuotaMeter<String> meter = meter(1_000, 1_000);
+    meter.opened("r1");
+    meter.opened("r2");
+    meter.relayed("r1", Map.of(), 2, 2, 1_000);
+    meter.relayed("r1", Map.of("a", 600L), 2, 2, 1_000);
+    meter.relayed("r2", Map.of("a", 600L), 2, 2, 1_000);
+    assertInstanceOf(QuotaDecision.Admitted.class, meter.admit(QuotaSimulation.ACCOUNT, 1, 1_000));
+  }
+
+  /** What never ran was charged, and callers within the quota were refused. */
+  @Test
+  void whatDidNotRunIsGivenBack() {
+    QuotaMeter<String> meter = meter(1_000, 1_000);
+    QuotaDecision.Admitted first = admitted(meter, 5_000, 1_000);
+    assertInstanceOf(QuotaDecision.Exceeded.class, meter.admit(QuotaSimulation.ACCOUNT, 1, 1_001));
+    meter.giveBack(first.charge(), 1_001);
+    admitted(meter, 1, 1_002);
+    meter.opened("r1");
+    assertEquals(Map.of(), meter.takeIncrements("r1"));
+  }
+
+  /** A caller that came back when it was told to was refused again. */
+  @Test
+  void retryAfterIsTrueWhenNobodyElseAsks() {
+    QuotaMeter<String> meter = meter(1_000, 1_000);
+    admitted(meter, 1_700, 1_000);
+    QuotaDecision.Exceeded exceeded =
+        assertInstanceOf(
+            QuotaDecision.Exceeded.class, meter.admit(QuotaSimulation.ACCOUNT, 10, 1_000));
+    admitted(meter, 10, 1_000 + exceeded.retryAfterMillis());
+  }
+
+  @Test
+  void accountWithoutQuotaIsNeverRefused() {
+    QuotaMeter<String> meter = new QuotaMeter<>(QuotaSettings.DEFAULT, QuotaTolerance.NONE);
+    AccountName name = new AccountName("free");
+    meter.configured(
+        Map.of(name, new ClientAccount(name, OptionalInt.empty(), Quota.UNLIMITED)), 0);
+    assertInstanceOf(QuotaDecision.Admitted.class, meter.admit(name, Long.MAX_VALUE / 2, 0));
+    assertEquals(false, meter.active());
+  }
+
+  /** One entry and nobody else: it may use everything. */
+  private static QuotaMeter<String> meter(long rate, long burst) {
+    QuotaMeter<String> meter = new QuotaMeter<>(QuotaSettings.DEFAULT, QuotaTolerance.NONE);
+    meter.configured(
+        Map.of(
+            QuotaSimulation.ACCOUNT,
+            new ClientAccount(
+                QuotaSimulation.ACCOUNT, OptionalInt.empty(), QuotaSimulation.tokens(rate, burst))),
+        0);
+    meter.opened("self");
+    meter.relayed("self", Map.of(), 1, 1, 0);
+    meter.relayed("self", Map.of(), 1, 1, 1_000);
+    return meter;
+  }
+
+  private static QuotaDecision.Admitted admitted(QuotaMeter<String> meter, long cost, long now) {
+    return assertInstanceOf(
+        QuotaDecision.Admitted.class, meter.admit(QuotaSimulation.ACCOUNT, cost, now));
+  }
+
+  private static void assertWithin(QuotaSimulation all, long rate, long since) {
+    long allowed = Math.round((rate * WINDOW_MILLIS / 1_000 + rate) * OVERSHOOT) + SLACK;
+    long most = all.most(WINDOW_MILLIS, since);
+    assertTrue(most <= allowed, "admitted " + most + " of " + allowed);
+  }
+}
--- a/runtime/src/test/java/org/hornbeamusher/routes/ConfigurationTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/routes/ConfigurationTest.java
@@ -89,7 +89,7 @@
 
   private static Route route(String prefix, List<WeightedTarget> targets) {
     return new Route(
-        "r", "h", prefix, RequestKind.IDEMPOTENT, 1_000, 100, 0, targets, 2, false, 2_000);
+        "r", "h", prefix, RequestKind.IDEMPOTENT, 1_000, 100, 0, targets, 2, false, 2_000, false);
   }
 
   private static Route kind(RequestKind kind, boolean resumable) {
@@ -104,6 +104,7 @@
         List.of(new WeightedTarget("s", 1)),
         2,
         resumable,
-        2_000);
+        2_000,
+        false);
   }
 }
--- a/runtime/src/test/java/org/hornbeamusher/watch/TableWatchTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/watch/TableWatchTest.java
@@ -75,7 +75,7 @@
             new WatchSettings(waitMillis, 10, 20),
             loop,
             new ManualClock(0),
-            changes -> heard.add(changes.revision()));
+            (changes, asked) -> heard.add(changes.revision()));
     watch.start();
     while (!tasks.isEmpty()) {
       tasks.poll().run();
