--- a/runtime/src/main/java/org/hornbeamusher/accounts/AccountDirectory.java
+++ b/runtime/src/main/java/org/hornbeamusher/accounts/AccountDirectory.java
@@ -40,7 +40,7 @@
   }
 
   /**
-   * Tells whether callers need a key.
+   * Returns whether callers need a key.
    *
    * @return whether there is any account
    */
--- a/runtime/src/main/java/org/hornbeamusher/accounts/Quota.java
+++ b/runtime/src/main/java/org/hornbeamusher/accounts/Quota.java
@@ -16,7 +16,7 @@
   public static final Quota UNLIMITED = new Quota(QuotaUnit.REQUESTS, 0, 0, 0);
 
   /**
-   * Tells whether there is a limit at all.
+   * Returns whether there is a limit at all.
    *
    * @return false when the rate is 0
    */
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/UsageExchange.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/UsageExchange.java
@@ -15,7 +15,8 @@
 
 /**
  * Reports an entry's usage of client accounts' quotas to two of the agents it is connected to, and
- * takes what they add up. All entries choose the same two by rendezvous, so that each hears of all.
+ * takes what they add up. All entries choose the same two by rendezvous, so that each receives the
+ * usage of all.
  */
 final class UsageExchange implements EngineAgents.UsageListener {
 
--- a/runtime/src/test/java/org/hornbeamusher/quota/QuotaMeterTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/quota/QuotaMeterTest.java
@@ -153,7 +153,7 @@
     assertEquals(Map.of(), meter.takeIncrements("r1"));
   }
 
-  /** A caller that came back when it was told to was refused again. */
+  /** A caller that came back at the stated time was refused again. */
   @Test
   void retryAfterIsTrueWhenNobodyElseAsks() {
     QuotaMeter<String> meter = meter(1_000, 1_000);
--- a/runtime/src/test/java/org/hornbeamusher/wire/MessageCodecTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/wire/MessageCodecTest.java
@@ -42,7 +42,9 @@
           new Message.PermitDone("s", 1),
           new Message.CrashNotice(5, 1),
           new Message.Holdings("i-1", List.of("m/a@1"), List.of("m/b@2"), 3, true, 1_764_000L),
-          new Message.EngineCosts(250, 30, 40, 84));
+          new Message.EngineCosts(250, 30, 40, 84),
+          new Message.UsageReport(Map.of("depot", 9_200L, "yard", -200L)),
+          new Message.UsageUpdate(Map.of("depot", 18_400L), 20, 21));
 
   @Test
   void everyMessageReadsBack() {
