--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
@@ -98,7 +98,7 @@
         new EngineAgents(
             placer.views(),
             hello(settings),
-            new LoopTransport(http.worker(), WireSettings.MESH, clock),
+            new LoopTransport(http.worker(), WireSettings.DEFAULT, clock),
             loop,
             clock);
     this.usage = new UsageExchange(meter, QuotaSettings.DEFAULT, agents::send, loop, clock);
--- a/runtime/src/main/java/org/hornbeamusher/wire/WireSettings.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/WireSettings.java
@@ -16,10 +16,4 @@
    * and a dead connection is found within 2.5 s.
    */
   public static final WireSettings DEFAULT = new WireSettings(500, 2_500, 1_000, 16_384);
-
-  /**
-   * Figures for processes that are each connected to all of the other role: three heartbeats a
-   * silence, because their number grows with the product of both.
-   */
-  public static final WireSettings MESH = new WireSettings(800, 2_400, 1_000, 16_384);
 }
