--- a/runtime/src/main/java/org/hornbeamusher/companion/CompanionDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/companion/CompanionDaemon.java
@@ -403,9 +403,8 @@
     if (places != null) {
       places.reported(said, clock.millis());
     }
-    long now = clock.millis();
-    long change = places == null ? now : places.nextChangeMillis(now);
-    nextReportMillis = Math.clamp(change, now + BUSY_REPORT_MILLIS, now + IDLE_REPORT_MILLIS);
+    boolean soon = places == null || places.inMotion();
+    nextReportMillis = clock.millis() + (soon ? BUSY_REPORT_MILLIS : IDLE_REPORT_MILLIS);
   }
 
   /**
--- a/runtime/src/main/java/org/hornbeamusher/holdings/AdapterPlaces.java
+++ b/runtime/src/main/java/org/hornbeamusher/holdings/AdapterPlaces.java
@@ -297,28 +297,6 @@
         || unanswered != null;
   }
 
-  /**
-   * Returns when a report may show something new.
-   *
-   * @param now milliseconds
-   * @return now or earlier when it may at any moment; {@link Long#MAX_VALUE} while nothing is under
-   *     way
-   */
-  public long nextChangeMillis(long now) {
-    if (!inMotion()) {
-      return Long.MAX_VALUE;
-    }
-    boolean loadsOnly =
-        report != null
-            && !report.busy()
-            && !report.models().isEmpty()
-            && ordered.isEmpty()
-            && unanswered == null;
-    return loadsOnly
-        ? times.nextLoadedMillis(report.pending().stream().map(HeldAdapter::key).toList(), now)
-        : now;
-  }
-
   /**
    * Returns what the engine has to do.
    *
--- a/runtime/src/main/java/org/hornbeamusher/holdings/LoadTimes.java
+++ b/runtime/src/main/java/org/hornbeamusher/holdings/LoadTimes.java
@@ -1,7 +1,6 @@
 package org.hornbeamusher.holdings;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -37,9 +36,6 @@
   /** Between a tenth and the whole of a load from the store, nearer to the tenth. */
   private static final double COPY_BOUND = 0.4;
 
-  /** Few loads take less than this part of the mean. */
-  private static final double EARLIEST_SHARE = 0.7;
-
   /** A load that took longer says more of a lost order than of the store. */
   private static final long MOST_LOAD_MILLIS = 3_000;
 
@@ -123,23 +119,6 @@
     }
   }
 
-  /**
-   * Returns when the next of these loads may be there, at the earliest; a load that was not ordered
-   * here may be at any moment.
-   */
-  long nextLoadedMillis(Collection<AdapterKey> loading, long now) {
-    long next = Long.MAX_VALUE;
-    for (AdapterKey key : loading) {
-      Long ordered = orderedMillis.get(key);
-      if (ordered == null) {
-        return now;
-      }
-      double expected = left.contains(key) ? copyMillis : storeMillis;
-      next = Math.min(next, ordered + Math.round(EARLIEST_SHARE * expected));
-    }
-    return next;
-  }
-
   /** Takes which adapters have runs on them. */
   void inUse(Set<AdapterKey> used, long now) {
     for (AdapterKey key : List.copyOf(usedSince.keySet())) {
