--- a/runtime/src/main/java/org/hornbeamusher/events/BoundedLogHandler.java
+++ b/runtime/src/main/java/org/hornbeamusher/events/BoundedLogHandler.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.logging.Handler;
 import java.util.logging.LogRecord;
@@ -24,13 +23,7 @@
   /** About a second of a busy entry's lines, at 200 bytes each well below a megabyte. */
   private static final int MOST_LINES = 4_096;
 
-  private static final int BATCH_LINES = 1_024;
-
-  /**
-   * A line waits this long for others. Each write costs a call of the system and a change of
-   * threads, which is more than the line itself.
-   */
-  private static final long GATHER_MILLIS = 40;
+  private static final int BATCH_LINES = 256;
 
   private final BlockingQueue<String> lines = new ArrayBlockingQueue<>(MOST_LINES);
   private final AtomicLong dropped = new AtomicLong();
@@ -56,7 +49,6 @@
       while (true) {
         batch.clear();
         batch.add(lines.take());
-        TimeUnit.MILLISECONDS.sleep(GATHER_MILLIS);
         lines.drainTo(batch, BATCH_LINES - 1);
         write(batch);
       }
