Logs say which request rate an endpoint states, and which was known when a request was placed

An on-call engineer could not tell an endpoint that states no limit from one whose limit is ignored. ATTEMPT_ENDED gets stated_limit_per_s (this answer), REQUEST_PLACED limit_per_s (what was known of the endpoint), ENDPOINT_LIMITED and ENDPOINT_UNLIMITED mark a change, the gauge limited_endpoints counts them. No decision uses any of it yet.

--- a/runtime/src/main/java/org/hornbeamusher/events/EventType.java
+++ b/runtime/src/main/java/org/hornbeamusher/events/EventType.java
@@ -46,6 +46,8 @@
   ENDPOINT_UNUSABLE(1310, Level.WARNING, "A listed entry cannot be used; what was known holds."),
   KEYS_UNCONFIRMED(1311, Level.WARNING, "Account keys are not confirmed; callers are refused."),
   KEYS_CONFIRMED(1312, Level.INFO, "Account keys are confirmed again; callers are served."),
+  ENDPOINT_LIMITED(1313, Level.INFO, "An endpoint states how many requests a second it takes."),
+  ENDPOINT_UNLIMITED(1314, Level.INFO, "An endpoint does not limit its requests any more."),
   // 1400: claims
   CLAIM_END_LOST(1401, Level.WARNING, "The end of a claim was not written; it reads as unknown."),
   // 1500: connections and membership
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/Attempt.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/Attempt.java
@@ -1,5 +1,6 @@
 package org.hornbeamusher.forwarding;
 
+import org.hornbeamusher.clock.Clock;
 import org.hornbeamusher.failure.FailureType;
 import org.hornbeamusher.failure.HornbeamusherException;
 import org.hornbeamusher.http.HttpCall;
@@ -8,6 +9,7 @@
 import org.hornbeamusher.http.HttpStream;
 import org.hornbeamusher.http.HttpStreamListener;
 import org.hornbeamusher.placement.EndpointView;
+import org.hornbeamusher.ratelimit.StatedLimit;
 
 /**
  * One send of a request to one endpoint: tells an answer to this request from everything else that
@@ -20,24 +22,31 @@
 
   private final EndpointView endpoint;
   private final Dialect dialect;
+  private final EndpointLimits limits;
+  private final Clock clock;
   private final String requestId;
   private final Listener listener;
   private HttpStream stream;
+  private long sentMillis;
   private HttpHead refused;
 
   /** What the endpoint answered this attempt with; 0 before it did. */
   private int status;
 
+  private StatedLimit limit = new StatedLimit.None();
   private boolean over;
 
-  Attempt(EndpointView endpoint, Dialect dialect, String requestId, Listener listener) {
+  Attempt(EndpointView endpoint, ForwardState state, String requestId, Listener listener) {
     this.endpoint = endpoint;
-    this.dialect = dialect;
+    this.dialect = state.dialect();
+    this.limits = state.limits();
+    this.clock = state.clock();
     this.requestId = requestId;
     this.listener = listener;
   }
 
   void send(HttpClient http, HttpCall call) {
+    sentMillis = clock.millis();
     stream = http.stream(call, this, CONNECT_MILLIS);
     if (over) {
       stream.cancel();
@@ -53,6 +62,11 @@
     return status;
   }
 
+  /** Returns the request rate that the endpoint's answer states. */
+  StatedLimit limit() {
+    return limit;
+  }
+
   /** Ends the attempt; the listener hears nothing more. */
   void cancel() {
     over = true;
@@ -70,7 +84,11 @@
     AnswerFacts facts = dialect.answer(head);
     if (facts.requestId().isPresent() && !facts.requestId().get().equals(requestId)) {
       breakOff(FailureType.FOREIGN_ANSWER);
-    } else if (facts.notRun()) {
+      return;
+    }
+    limit = facts.limit();
+    limits.answered(endpoint, limit, head.success() && facts.signed(), sentMillis);
+    if (facts.notRun()) {
       refused = head;
     } else if (head.success() && !facts.signed()) {
       breakOff(FailureType.UNSIGNED_ANSWER);
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
@@ -113,6 +113,7 @@
             new EndpointDirectory(settings.listMillis()),
             placer,
             agents,
+            new EndpointLimits(clock),
             new RepeatAllowance(settings.repeats()),
             dialect,
             http,
@@ -151,6 +152,7 @@
     ForwardMetrics measured = state.metrics();
     measured.gauge("running", runs::size);
     measured.gauge("endpoints", state.placer().views()::size);
+    measured.gauge("limited_endpoints", state.placer()::limitedEndpoints);
     measured.gauge("unusable_entries", state.directory()::unusableEntries);
     measured.gauge("list_age_ms", () -> state.directory().ageMillis(clock.millis()));
     measured.gauge("key_proof_age_ms", accounts::proofAgeMillis);
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardRun.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardRun.java
@@ -291,7 +291,7 @@
             request.target(),
             state.dialect().toEndpoint(request.headers(), sent),
             request.body());
-    attempt = new Attempt(endpoint, state.dialect(), routed.facts().id(), this);
+    attempt = new Attempt(endpoint, state, routed.facts().id(), this);
     attempt.send(state.http(), call);
   }
 
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardState.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardState.java
@@ -17,6 +17,7 @@
  * @param directory the endpoints
  * @param placer decides where requests go
  * @param agents the engines' agents
+ * @param limits the request rates that endpoints state
  * @param allowance bounds repeats
  * @param dialect the headers
  * @param http carries attempts
@@ -31,6 +32,7 @@
     EndpointDirectory directory,
     Placer placer,
     EngineAgents agents,
+    EndpointLimits limits,
     RepeatAllowance allowance,
     Dialect dialect,
     HttpClient http,
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/RequestLog.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/RequestLog.java
@@ -6,6 +6,7 @@
 import org.hornbeamusher.ids.EndpointId;
 import org.hornbeamusher.placement.Placement;
 import org.hornbeamusher.placement.PlacementRequest;
+import org.hornbeamusher.ratelimit.StatedLimit;
 import org.hornbeamusher.routes.Configuration;
 
 /**
@@ -47,6 +48,8 @@
         remainingMillis,
         "running",
         at.endpoint().running(),
+        "limit_per_s",
+        EndpointLimits.text(at.endpoint().limit().requestsPerSecond()),
         "configuration",
         state.configuration().current().map(Configuration::version).orElse(0L),
         "list_age_ms",
@@ -77,7 +80,17 @@
         "took_ms",
         tookMillis,
         "last_event",
-        relay.lastEvent().orElse(-1));
+        relay.lastEvent().orElse(-1),
+        "stated_limit_per_s",
+        text(attempt.limit()));
+  }
+
+  private static String text(StatedLimit stated) {
+    return switch (stated) {
+      case StatedLimit.PerSecond limit -> Double.toString(limit.requestsPerSecond());
+      case StatedLimit.None none -> "";
+      case StatedLimit.Unreadable unreadable -> "unreadable";
+    };
   }
 
   /** It has its final answer, or its caller has gone. */
--- a/runtime/src/main/java/org/hornbeamusher/placement/EndpointView.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/EndpointView.java
@@ -10,6 +10,7 @@
 import org.hornbeamusher.holdings.LoadCosts;
 import org.hornbeamusher.ids.EndpointId;
 import org.hornbeamusher.ids.EndpointLife;
+import org.hornbeamusher.ratelimit.EndpointLimit;
 import org.hornbeamusher.routes.AdapterKey;
 import org.hornbeamusher.routing.Rendezvous;
 
@@ -34,6 +35,7 @@
 
   private final PrefixCache prefixes;
   private final EndpointHealth health = new EndpointHealth();
+  private final EndpointLimit limit = new EndpointLimit();
   private final long hash;
 
   /** Adapters that left the engine's places; the least recent one is forgotten first. */
@@ -398,6 +400,15 @@
     return promptTokens + othersPromptTokens;
   }
 
+  /**
+   * Returns the rate of requests that the endpoint takes.
+   *
+   * @return as its answers to this entry state it
+   */
+  public EndpointLimit limit() {
+    return limit;
+  }
+
   EndpointHealth health() {
     return health;
   }
--- a/runtime/src/main/java/org/hornbeamusher/placement/Placer.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/Placer.java
@@ -66,6 +66,17 @@
     return views;
   }
 
+  /**
+   * Counts the endpoints that limit the rate of their requests.
+   *
+   * @return how many state a limit
+   */
+  public long limitedEndpoints() {
+    return views.values().stream()
+        .filter(view -> view.limit().requestsPerSecond().isPresent())
+        .count();
+  }
+
   /**
    * Places a request.
    *
--- a/runtime/src/test/java/org/hornbeamusher/architecture/ArchitectureTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/architecture/ArchitectureTest.java
@@ -43,6 +43,7 @@
     ROOT + "answers..",
     ROOT + "placement..",
     ROOT + "holdings..",
+    ROOT + "ratelimit..",
     ROOT + "routes.."
   };
 
--- /dev/null
+++ b/runtime/src/test/java/org/hornbeamusher/ratelimit/EndpointLimitTest.java
@@ -0,0 +1,45 @@
+package org.hornbeamusher.ratelimit;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.OptionalDouble;
+import org.junit.jupiter.api.Test;
+
+class EndpointLimitTest {
+
+  private static final StatedLimit NONE = new StatedLimit.None();
+
+  private final EndpointLimit limit = new EndpointLimit();
+
+  @Test
+  void limitIsInForceUntilLaterAnswerStatesNone() {
+    assertTrue(limit.answered(new StatedLimit.PerSecond(2), true, 0, 100));
+    assertEquals(OptionalDouble.of(2), limit.requestsPerSecond());
+    assertFalse(limit.answered(new StatedLimit.PerSecond(2), true, 50, 120));
+    assertTrue(limit.answered(NONE, true, 121, 200));
+    assertEquals(OptionalDouble.empty(), limit.requestsPerSecond());
+  }
+
+  /** An answer written before the limit arrived after it and lifted it. */
+  @Test
+  void answerToEarlierRequestDoesNotLiftLimit() {
+    limit.answered(new StatedLimit.PerSecond(2), true, 0, 100);
+    assertFalse(limit.answered(NONE, true, 99, 300));
+  }
+
+  /** A refusal without the header let a limited endpoint be flooded. */
+  @Test
+  void failureDoesNotLiftLimit() {
+    limit.answered(new StatedLimit.PerSecond(2), true, 0, 100);
+    assertFalse(limit.answered(NONE, false, 200, 300));
+  }
+
+  @Test
+  void unreadableLimitChangesNothing() {
+    assertFalse(limit.answered(new StatedLimit.Unreadable(), true, 0, 50));
+    limit.answered(new StatedLimit.PerSecond(2), true, 60, 100);
+    assertFalse(limit.answered(new StatedLimit.Unreadable(), true, 200, 300));
+  }
+}
