A connection whose server closes it is not used again, however the header is written

Connection: close counted only when it was the first field's whole value; beside other options, or in a second field, the connection went back to the pool and the next request met its close, which for a request that may run once means an unknown outcome.

--- a/runtime/src/main/java/org/hornbeamusher/http/KeepAlive.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/KeepAlive.java
@@ -18,7 +18,7 @@
   private KeepAlive() {}
 
   static long usableMillis(HttpHead head) {
-    if (head.first("Connection").filter("close"::equalsIgnoreCase).isPresent()) {
+    if (closes(head)) {
       return 0;
     }
     Matcher stated = TIMEOUT.matcher(head.first("Keep-Alive").orElse(""));
@@ -27,4 +27,18 @@
     }
     return (long) (Long.parseLong(stated.group(1)) * MILLIS_PER_SECOND * USED_SHARE);
   }
+
+  /** Returns whether any option of any Connection field is "close" (RFC 9110, section 7.6.1). */
+  private static boolean closes(HttpHead head) {
+    for (HttpHeader header : head.headers()) {
+      if (header.named("connection")) {
+        for (String option : header.value().split(",")) {
+          if (option.trim().equalsIgnoreCase("close")) {
+            return true;
+          }
+        }
+      }
+    }
+    return false;
+  }
 }
