A clock that is set back gives a leaving endpoint no more time

DrainWindow closes for good when the clock is seen to have been set back; a steady clock is no choice there, since deadlines come from other processes as wall-clock times.

AgentSchedulerLeavingTest.clockThatIsSetBackGivesLeavingEndpointNoMoreTime failed before (expected false, was true) and passes now.

--- a/runtime/src/main/java/org/hornbeamusher/scheduling/AgentScheduler.java
+++ b/runtime/src/main/java/org/hornbeamusher/scheduling/AgentScheduler.java
@@ -124,8 +124,7 @@
 
   private long lastScan = Long.MIN_VALUE;
 
-  /** From then on nothing is started any more; far in the future while the endpoint stays. */
-  private long lastStartMillis = Long.MAX_VALUE;
+  private final DrainWindow drainWindow = new DrainWindow(LEAVING_START_MILLIS);
 
   /** On which nothing more starts until it is evicted. */
   private Optional<AdapterRef> draining = Optional.empty();
@@ -274,7 +273,7 @@
    * @param now milliseconds
    */
   public void leave(long now) {
-    lastStartMillis = Math.min(lastStartMillis, now + LEAVING_START_MILLIS);
+    drainWindow.leave(now);
   }
 
   /**
@@ -284,7 +283,7 @@
    * @return false soon after the endpoint was told to leave
    */
   public boolean mayStart(long now) {
-    return now < lastStartMillis;
+    return drainWindow.open(now);
   }
 
   /**
--- a/runtime/src/test/java/org/hornbeamusher/scheduling/AgentSchedulerLeavingTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/scheduling/AgentSchedulerLeavingTest.java
@@ -1,6 +1,7 @@
 package org.hornbeamusher.scheduling;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -64,4 +65,15 @@
 
     assertTrue(endpoint.results(request -> true).stream().allMatch(FakeEndpoint.Result::refused));
   }
+
+  /** A clock that was set back let a leaving endpoint start work for as long again. */
+  @Test
+  void clockThatIsSetBackGivesLeavingEndpointNoMoreTime() {
+    AgentScheduler scheduler =
+        new AgentScheduler(new SchedulerSettings(1, 1, 200, 1_000, 1_000, 500, false, Map.of()));
+    scheduler.leave(10_000);
+    assertTrue(scheduler.mayStart(10_900));
+    assertFalse(scheduler.mayStart(9_000));
+    assertFalse(scheduler.mayStart(10_900));
+  }
 }
