LoadNews becomes LoadReportThrottle; agents report to entries instead of telling them

Names of the field for what an agent sends its entries (ConnectedEntries: reportHoldings, reportLoad, reportCosts), no behaviour changed. LoadReportThrottleTest, EngineRestartTest and PlacerTest pass.

--- a/runtime/src/main/java/org/hornbeamusher/companion/CompanionDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/companion/CompanionDaemon.java
@@ -268,7 +268,7 @@
     }
   }
 
-  /** Does whatever is due: grants, an order or a question to the engine, news to the entries. */
+  /** Does whatever is due: grants, an order or a question to the engine, reports to the entries. */
   private void act() {
     actingSoon = false;
     if (stopped) {
@@ -281,12 +281,12 @@
     if (!calling) {
       callEngine();
     }
-    long toldMillis = Long.MAX_VALUE;
+    long reportDueMillis = Long.MAX_VALUE;
     if (places != null) {
-      tellHoldings();
-      toldMillis = entries.tellLoad(places, clock.millis());
+      reportHoldings();
+      reportDueMillis = entries.reportLoad(places, clock.millis());
     }
-    wakeUpAt(Math.min(nextReportMillis, toldMillis));
+    wakeUpAt(Math.min(nextReportMillis, reportDueMillis));
   }
 
   /** An engine at which nothing waits is looked at when something is due, and not before. */
@@ -381,7 +381,7 @@
     if (places != null) {
       // Before any grant: a request that hears of the grant first would be sent to this life in the
       // name of the former one, and given up when the entry hears of this one.
-      tellHoldings();
+      reportHoldings();
     }
   }
 
@@ -502,8 +502,8 @@
     }
   }
 
-  private void tellHoldings() {
+  private void reportHoldings() {
     Optional<EndpointLife> life = report == null ? Optional.empty() : identity.current();
-    entries.tellHoldings(life, places, report != null && report.leaving());
+    entries.reportHoldings(life, places, report != null && report.leaving());
   }
 }
--- a/runtime/src/main/java/org/hornbeamusher/companion/ConnectedEntries.java
+++ b/runtime/src/main/java/org/hornbeamusher/companion/ConnectedEntries.java
@@ -11,18 +11,18 @@
 import org.hornbeamusher.holdings.EngineLoad;
 import org.hornbeamusher.holdings.EngineLoads;
 import org.hornbeamusher.holdings.LoadCosts;
-import org.hornbeamusher.holdings.LoadNews;
+import org.hornbeamusher.holdings.LoadReportThrottle;
 import org.hornbeamusher.holdings.ReservationId;
 import org.hornbeamusher.ids.EndpointLife;
 import org.hornbeamusher.wire.Message;
 import org.hornbeamusher.wire.WireConnection;
 
 /**
- * The entries that are connected to an agent, and what each has been told.
+ * The entries that are connected to an agent, and what was reported to each.
  *
- * <p>Whatever an entry places by is told when it changes and not again: holdings at once, because a
- * request that is sent to an adapter that was withdrawn comes back; load and costs at a pace,
- * because they change with each request.
+ * <p>Whatever an entry places by is reported when it changes and not again: holdings at once,
+ * because a request that is sent to an adapter that was withdrawn comes back; load and costs at a
+ * pace, because they change with each request.
  *
  * <p>Confined to the agent's loop.
  */
@@ -34,7 +34,7 @@
   private final Map<WireConnection, Entry> entries = new HashMap<>();
 
   /** The holdings that every connected entry has; null when one of them has not. */
-  private Holdings told;
+  private Holdings reported;
 
   private long nextLoadMillis;
   private long numbers;
@@ -44,10 +44,10 @@
     return entries.size();
   }
 
-  /** An entry has connected; it is told everything. */
+  /** An entry has connected; everything is reported to it. */
   void opened(WireConnection connection) {
     entries.put(connection, new Entry(++numbers));
-    told = null;
+    reported = null;
   }
 
   /** A connection is lost; returns the number by which its reservations are known. */
@@ -62,7 +62,7 @@
     return entry == null ? OptionalLong.empty() : OptionalLong.of(entry.number);
   }
 
-  /** Tells the entry that made a reservation that its adapter can be used. */
+  /** Notifies the entry that made a reservation that its adapter can be used. */
   void granted(ReservationId id) {
     entries.forEach(
         (connection, entry) -> {
@@ -73,29 +73,29 @@
   }
 
   /**
-   * Tells what the engine holds, if that has changed.
+   * Reports what the engine holds, if that has changed.
    *
    * @param life the life of the engine that is seen; empty while none is
    * @param places what it holds
    * @param leaving whether it takes no new work
    */
-  void tellHoldings(Optional<EndpointLife> life, AdapterPlaces places, boolean leaving) {
+  void reportHoldings(Optional<EndpointLife> life, AdapterPlaces places, boolean leaving) {
     Holdings now = new Holdings(life, places.held(), places.coming(), entries.size(), leaving);
-    if (!now.equals(told)) {
-      told = now;
+    if (!now.equals(reported)) {
+      reported = now;
       Message message = now.message();
       entries.keySet().forEach(connection -> connection.send(message));
     }
   }
 
   /**
-   * Tells what the engine has to do and what loads cost there, if that has changed and is due.
+   * Reports what the engine has to do and what loads cost there, if that has changed and is due.
    *
    * @param places what it holds
    * @param now milliseconds
    * @return when it is due again; {@link Long#MAX_VALUE} when every entry knows everything
    */
-  long tellLoad(AdapterPlaces places, long now) {
+  long reportLoad(AdapterPlaces places, long now) {
     if (now < nextLoadMillis) {
       return nextLoadMillis;
     }
@@ -105,15 +105,15 @@
     LoadCosts costs = places.costs();
     for (Map.Entry<WireConnection, Entry> one : entries.entrySet()) {
       Entry entry = one.getValue();
-      entry.tellLoad(one.getKey(), loads.others(entry.number), entries.size(), now);
-      entry.tellCosts(one.getKey(), costs);
-      due = Math.min(due, entry.news.dueMillis(entries.size()));
+      entry.reportLoad(one.getKey(), loads.others(entry.number), entries.size(), now);
+      entry.reportCosts(one.getKey(), costs);
+      due = Math.min(due, entry.throttle.dueMillis(entries.size()));
     }
     return Math.max(due, nextLoadMillis);
   }
 
   /**
-   * What every entry is told alike.
+   * What is reported to every entry alike.
    *
    * @param life the life of the engine that is seen
    * @param held what can be used
@@ -146,23 +146,23 @@
   private static final class Entry {
 
     private final long number;
-    private final LoadNews news = new LoadNews();
-    private LoadCosts toldCosts;
+    private final LoadReportThrottle throttle = new LoadReportThrottle();
+    private LoadCosts reportedCosts;
 
     Entry(long number) {
       this.number = number;
     }
 
-    void tellLoad(WireConnection connection, EngineLoad load, int entries, long now) {
-      if (news.tell(load, entries, now)) {
+    void reportLoad(WireConnection connection, EngineLoad load, int entries, long now) {
+      if (throttle.pass(load, entries, now)) {
         connection.send(
             new Message.PeerLoad(load.requests(), load.unreadTokens(), load.sparePlaces()));
       }
     }
 
-    void tellCosts(WireConnection connection, LoadCosts costs) {
-      if (!costs.equals(toldCosts)) {
-        toldCosts = costs;
+    void reportCosts(WireConnection connection, LoadCosts costs) {
+      if (!costs.equals(reportedCosts)) {
+        reportedCosts = costs;
         connection.send(
             new Message.EngineCosts(
                 costs.storeMillis(), costs.copyMillis(), costs.placeMillis(), costs.copies()));
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/RatePermit.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/RatePermit.java
@@ -57,7 +57,7 @@
     timer = due;
   }
 
-  /** The request is not sent there; it is told nothing more. */
+  /** The request is not sent there; the listener is not called any more. */
   void cancel() {
     over = true;
     timer.cancel();
--- a/runtime/src/main/java/org/hornbeamusher/placement/Placer.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/Placer.java
@@ -254,9 +254,16 @@
       return wait == 0 ? this : new Cost(latency + wait, choice, stall, present, wait);
     }
 
+    /** An endpoint that takes a request now goes before any that has to be waited for. */
     boolean lessThan(Cost other) {
-      boolean waits = rateWait > 0;
-      return waits == other.rateWait > 0 ? total() < other.total() : !waits;
+      if (permitted() != other.permitted()) {
+        return permitted();
+      }
+      return total() < other.total();
+    }
+
+    private boolean permitted() {
+      return rateWait == 0;
     }
 
     double total() {
--- a/runtime/src/main/java/org/hornbeamusher/ratelimit/RatePermits.java
+++ b/runtime/src/main/java/org/hornbeamusher/ratelimit/RatePermits.java
@@ -15,8 +15,8 @@
  * <p><b>Algorithm.</b> All entries ask one process, which paces the requests. It takes the limit
  * from those that ask, the latest statement first. An entry whose answer states no limit any more
  * reports that, and the others are then permitted at once. Nothing here has to survive: a successor
- * starts with one second's worth of requests. Incarnations of an endpoint are not told apart, since
- * entries may know its start or not and still have to share one limit.
+ * starts with the burst of one second. Incarnations of an endpoint share one limit, since some
+ * entries may not know when it started.
  *
  * <p>Rejected: usage that entries exchange, as for quotas. Its error is one request for each entry
  * and update, which is nothing beside a quota in tokens and several times a limit of one request a
--- a/runtime/src/main/java/org/hornbeamusher/ratelimit/RequestPacer.java
+++ b/runtime/src/main/java/org/hornbeamusher/ratelimit/RequestPacer.java
@@ -4,9 +4,9 @@
  * Spaces the requests to one endpoint, as the one process that all entries ask.
  *
  * <p>A generic cell rate algorithm: each permit moves the time at which the next one conforms by
- * one interval, and a permit is granted up to one second's worth of requests ahead of it, so that
- * uneven callers get what the endpoint takes. A permit that conforms later is granted with the time
- * to wait. In any window of {@code t} seconds at most {@code rate x t + max(1, rate)} requests are
+ * one interval, and permits are granted up to one second of requests ahead of it, so that uneven
+ * callers get what the endpoint takes. A permit that conforms later is granted with the time to
+ * wait. In any window of {@code t} seconds at most {@code rate x t + max(1, rate)} requests are
  * permitted, and one more for the rounding of times.
  */
 final class RequestPacer {
--- a/runtime/src/main/java/org/hornbeamusher/scheduling/AgentScheduler.java
+++ b/runtime/src/main/java/org/hornbeamusher/scheduling/AgentScheduler.java
@@ -277,10 +277,10 @@
   }
 
   /**
-   * Tells whether requests may still be handed to the endpoint.
+   * Returns whether requests may still be handed to the endpoint.
    *
    * @param now milliseconds
-   * @return false soon after the endpoint was told to leave
+   * @return false soon after {@link #leave}
    */
   public boolean mayStart(long now) {
     return drainWindow.open(now);
--- a/runtime/src/main/java/org/hornbeamusher/scheduling/DrainWindow.java
+++ b/runtime/src/main/java/org/hornbeamusher/scheduling/DrainWindow.java
@@ -4,7 +4,7 @@
  * The time for which a leaving endpoint may still be given what it has taken in.
  *
  * <p>The clock is the machine's, since deadlines come from other processes. Once it is seen to have
- * been set back the window is closed for good: how much of it is left can't be told any more.
+ * been set back the window is closed for good, because how much of it is left is not known.
  */
 final class DrainWindow {
 
@@ -17,7 +17,7 @@
   /**
    * Creates the window of an endpoint that stays.
    *
-   * @param openMillis how long it is open after the endpoint was told to leave
+   * @param openMillis how long it is open after {@link #leave}
    */
   DrainWindow(long openMillis) {
     this.openMillis = openMillis;
@@ -32,7 +32,7 @@
     }
   }
 
-  /** Tells whether requests may be started. */
+  /** Returns whether requests may be started. */
   boolean open(long now) {
     if (leaving) {
       closed |= now < latestMillis || now >= endMillis;
--- a/runtime/src/test/java/org/hornbeamusher/agent/AgentLeavingTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/agent/AgentLeavingTest.java
@@ -26,7 +26,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
-/** What reaches an endpoint whose agent was told to leave. */
+/** What reaches an endpoint whose agent leaves. */
 class AgentLeavingTest {
 
   private static final EndpointId ID = new EndpointId("e");
@@ -45,7 +45,7 @@
           .build();
   private AgentShell shell;
 
-  /** Runs when an entry is told that its request starts. */
+  /** Runs when an entry is notified that its request starts. */
   private Runnable atStart = () -> {};
 
   @BeforeEach
--- a/runtime/src/test/java/org/hornbeamusher/holdings/LoadNewsTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/holdings/LoadReportThrottleTest.java
@@ -9,55 +9,55 @@
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 
-class LoadNewsTest {
+class LoadReportThrottleTest {
 
   private static final int FEW = 5;
   private static final int MANY = 33;
 
-  /** An agent looks at its news this often. */
+  /** An agent looks at its throttle this often. */
   private static final long STEP_MILLIS = 60;
 
-  private final LoadNews news = new LoadNews();
+  private final LoadReportThrottle throttle = new LoadReportThrottle();
 
   @Test
   void longPromptIsToldAtOnceAndWhenItHasBeenRead() {
-    assertTrue(news.tell(new EngineLoad(0, 0, 7), MANY, 0));
-    assertTrue(news.tell(new EngineLoad(1, 9_190, 7), MANY, 60));
-    assertTrue(news.tell(new EngineLoad(1, 0, 7), MANY, 120));
+    assertTrue(throttle.pass(new EngineLoad(0, 0, 7), MANY, 0));
+    assertTrue(throttle.pass(new EngineLoad(1, 9_190, 7), MANY, 60));
+    assertTrue(throttle.pass(new EngineLoad(1, 0, 7), MANY, 120));
   }
 
   @Test
   void lastFreePlaceIsToldAtOnce() {
-    news.tell(new EngineLoad(3, 0, 1), MANY, 0);
-    assertTrue(news.tell(new EngineLoad(3, 0, 0), MANY, 60));
+    throttle.pass(new EngineLoad(3, 0, 1), MANY, 0);
+    assertTrue(throttle.pass(new EngineLoad(3, 0, 0), MANY, 60));
   }
 
   /** What changes little is not lost: it is told within a bounded time, and then not again. */
   @Test
   void smallChangeIsToldLater() {
-    news.tell(new EngineLoad(0, 0, 7), MANY, 0);
+    throttle.pass(new EngineLoad(0, 0, 7), MANY, 0);
     EngineLoad load = new EngineLoad(1, 200, 7);
-    assertFalse(news.tell(load, MANY, 60));
-    long due = news.dueMillis(MANY);
-    assertFalse(news.tell(load, MANY, due - 1));
-    assertTrue(news.tell(load, MANY, due));
-    assertFalse(news.tell(load, MANY, due + 10_000));
-    assertEquals(Long.MAX_VALUE, news.dueMillis(MANY));
+    assertFalse(throttle.pass(load, MANY, 60));
+    long due = throttle.dueMillis(MANY);
+    assertFalse(throttle.pass(load, MANY, due - 1));
+    assertTrue(throttle.pass(load, MANY, due));
+    assertFalse(throttle.pass(load, MANY, due + 10_000));
+    assertEquals(Long.MAX_VALUE, throttle.dueMillis(MANY));
   }
 
-  /** A change that was taken back before it was due is no news. */
+  /** A change that was taken back before it was due is no throttle. */
   @Test
   void changeThatWasTakenBackIsNotTold() {
-    news.tell(new EngineLoad(0, 0, 7), MANY, 0);
-    news.tell(new EngineLoad(1, 200, 7), MANY, 60);
-    assertFalse(news.tell(new EngineLoad(0, 0, 7), MANY, 10_000));
+    throttle.pass(new EngineLoad(0, 0, 7), MANY, 0);
+    throttle.pass(new EngineLoad(1, 200, 7), MANY, 60);
+    assertFalse(throttle.pass(new EngineLoad(0, 0, 7), MANY, 10_000));
   }
 
   /** With few entries each places requests often, and hears of every change as before. */
   @Test
   void fewEntriesHearOfEachChange() {
     for (int i = 0; i < 10; i++) {
-      assertTrue(news.tell(new EngineLoad(i, 0, 7), FEW, i * STEP_MILLIS));
+      assertTrue(throttle.pass(new EngineLoad(i, 0, 7), FEW, i * STEP_MILLIS));
     }
   }
 
@@ -89,7 +89,7 @@
       EngineLoad load = new EngineLoad(runs.size(), unread, 7);
       changes += load.equals(before) ? 0 : 1;
       before = load;
-      if (news.tell(load, MANY, now)) {
+      if (throttle.pass(load, MANY, now)) {
         messages++;
         told = load;
       }
