A request that waits for a load at an endpoint that begins to leave is placed anew

A caller whose adapter was being loaded at an engine that then left was refused with 503 at its deadline, or sent there as late as the load came, while another engine held the adapter.

lookElsewhere, which runs each 100 ms, places the request anew when the endpoint is not usable any more. LeavingEngineTest failed before (503 instead of 200 from the other engine); RestartPathTest, FailurePathTest and CalmPathTest pass.

--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardRun.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardRun.java
@@ -255,8 +255,9 @@
       return;
     }
     HeldAdapter adapter = placing.adapter().orElseThrow();
-    if (reservation == EngineReservation.NONE && endpoint.agentConnected()) {
-      // The agent was not connected when the request was placed and knows nothing of it.
+    // The agent may not have been connected when the request was placed, and knows nothing of it.
+    boolean unknown = reservation == EngineReservation.NONE && endpoint.agentConnected();
+    if (unknown || !endpoint.usable()) {
       placeAgain();
       return;
     }
