A cut answer never looks whole: chunks also where the connection ends with the answer

What callers saw: a stream that broke off while its entry was leaving, or on a connection that the caller itself wanted closed, ended like a whole answer, with status 200 and part of its events.

Cause: an answer without a length on a connection that is not kept is written by the server without chunks, and its end is the end of the connection; the cut that is to tell it from a whole one is the same close. Class of fault: the end of an answer is told by something that also happens without it.

Change: CallerAnswer asks for chunks whenever no length is known and the caller speaks HTTP/1.1. The cut then lacks the last chunk.

Evidence: CutAnswerTest failed in all three cases before and passes now, beside FailurePathTest, ContinuedAnswerTest, ResumedStreamTest and CalmPathTest. On the product's own interface a stream ends with [DONE] or an error event, so a cut shows there; it is not changed.

--- a/runtime/src/main/java/org/hornbeamusher/forwarding/CallerAnswer.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/CallerAnswer.java
@@ -123,7 +123,13 @@
     for (HttpHeader header : headers) {
       exchange.getResponseHeaders().add(new HttpString(header.name()), header.value());
     }
-    length.ifPresent(exchange::setResponseContentLength);
+    if (length.isPresent()) {
+      exchange.setResponseContentLength(length.getAsLong());
+    } else if (exchange.isHttp11()) {
+      // The server writes no chunks by itself where the connection ends with the answer, and a cut
+      // answer would look whole.
+      exchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, "chunked");
+    }
   }
 
   /** Makes this the last answer of its connection. */
