Logs say for how long an endpoint wants no requests, and that it is leaving

ATTEMPT_ENDED now has what that answer stated, REQUEST_PLACED what was known when the request was placed, ENDPOINT_BACKOFF and ENDPOINT_LEAVING mark the beginning, two gauges count such endpoints. What is recorded decides nothing yet. It is kept for one incarnation of an endpoint and outlives its entry in the list.

--- a/runtime/src/main/java/org/hornbeamusher/events/EventType.java
+++ b/runtime/src/main/java/org/hornbeamusher/events/EventType.java
@@ -49,6 +49,8 @@
   KEYS_CONFIRMED(1312, Level.INFO, "Account keys are confirmed again; callers are served."),
   ENDPOINT_LIMITED(1313, Level.INFO, "An endpoint states how many requests a second it takes."),
   ENDPOINT_UNLIMITED(1314, Level.INFO, "An endpoint does not limit its requests any more."),
+  ENDPOINT_BACKOFF(1315, Level.INFO, "An endpoint wants no requests of this process for a while."),
+  ENDPOINT_LEAVING(1316, Level.INFO, "An endpoint's answer says that it is leaving."),
   // 1400: claims
   CLAIM_END_LOST(1401, Level.WARNING, "The end of a claim was not written; it reads as unknown."),
   // 1500: connections and membership
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/AnswerFacts.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/AnswerFacts.java
@@ -1,6 +1,7 @@
 package org.hornbeamusher.forwarding;
 
 import java.util.Optional;
+import org.hornbeamusher.availability.StatedRetryAfter;
 import org.hornbeamusher.ratelimit.StatedLimit;
 
 /**
@@ -10,6 +11,24 @@
  * @param signed whether the endpoint vouches for it
  * @param notRun whether the endpoint says that it did not run the request
  * @param limit the rate of requests that the endpoint takes
+ * @param retryAfter for how long a refusal says that the endpoint takes no requests
+ * @param leaving whether the endpoint says that it is leaving
  */
 public record AnswerFacts(
-    Optional<String> requestId, boolean signed, boolean notRun, StatedLimit limit) {}
+    Optional<String> requestId,
+    boolean signed,
+    boolean notRun,
+    StatedLimit limit,
+    StatedRetryAfter retryAfter,
+    boolean leaving) {
+
+  /** The facts of an answer that has not come. */
+  static final AnswerFacts NONE =
+      new AnswerFacts(
+          Optional.empty(),
+          false,
+          false,
+          new StatedLimit.None(),
+          new StatedRetryAfter.None(),
+          false);
+}
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/Attempt.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/Attempt.java
@@ -9,7 +9,6 @@
 import org.hornbeamusher.http.HttpStream;
 import org.hornbeamusher.http.HttpStreamListener;
 import org.hornbeamusher.placement.EndpointView;
-import org.hornbeamusher.ratelimit.StatedLimit;
 
 /**
  * One send of a request to one endpoint: tells an answer to this request from everything else that
@@ -22,7 +21,7 @@
 
   private final EndpointView endpoint;
   private final Dialect dialect;
-  private final EndpointLimits limits;
+  private final AnswerStatements statements;
   private final Clock clock;
   private final String requestId;
   private final Listener listener;
@@ -33,13 +32,13 @@
   /** What the endpoint answered this attempt with; 0 before it did. */
   private int status;
 
-  private StatedLimit limit = new StatedLimit.None();
+  private AnswerFacts facts = AnswerFacts.NONE;
   private boolean over;
 
   Attempt(EndpointView endpoint, ForwardState state, String requestId, Listener listener) {
     this.endpoint = endpoint;
     this.dialect = state.dialect();
-    this.limits = state.limits();
+    this.statements = state.statements();
     this.clock = state.clock();
     this.requestId = requestId;
     this.listener = listener;
@@ -62,9 +61,9 @@
     return status;
   }
 
-  /** Returns the request rate that the endpoint's answer states. */
-  StatedLimit limit() {
-    return limit;
+  /** Returns what the endpoint's answer says; nothing before it has come. */
+  AnswerFacts facts() {
+    return facts;
   }
 
   /** Ends the attempt; the listener hears nothing more. */
@@ -81,13 +80,13 @@
       return;
     }
     status = head.status();
-    AnswerFacts facts = dialect.answer(head);
-    if (facts.requestId().isPresent() && !facts.requestId().get().equals(requestId)) {
+    AnswerFacts said = dialect.answer(head);
+    if (said.requestId().isPresent() && !said.requestId().get().equals(requestId)) {
       breakOff(FailureType.FOREIGN_ANSWER);
       return;
     }
-    limit = facts.limit();
-    limits.answered(endpoint, limit, head.success() && facts.signed(), sentMillis);
+    facts = said;
+    statements.answered(endpoint, facts, head.success() && facts.signed(), sentMillis);
     if (facts.notRun()) {
       refused = head;
     } else if (head.success() && !facts.signed()) {
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
+import org.hornbeamusher.availability.AvailabilityRegister;
 import org.hornbeamusher.clock.Clock;
 import org.hornbeamusher.directory.Endpoint;
 import org.hornbeamusher.directory.EndpointDirectory;
@@ -58,6 +59,7 @@
   private final Clock clock;
   private final EventLoop loop;
   private final ForwardState state;
+  private final AvailabilityRegister availability = new AvailabilityRegister();
   private final ConfigurationFreshness freshness;
   private final AccountCheck accounts;
   private final QuotaMeter<InetSocketAddress> meter;
@@ -118,6 +120,7 @@
             placer,
             agents,
             limits,
+            new AnswerStatements(limits, clock),
             new RepeatAllowance(settings.repeats()),
             dialect,
             http,
@@ -157,6 +160,8 @@
     measured.gauge("running", runs::size);
     measured.gauge("endpoints", state.placer().views()::size);
     measured.gauge("limited_endpoints", state.placer()::limitedEndpoints);
+    measured.gauge("backoff_endpoints", () -> state.placer().backoffEndpoints(clock.millis()));
+    measured.gauge("leaving_endpoints", state.placer()::leavingEndpoints);
     measured.gauge("unusable_entries", state.directory()::unusableEntries);
     measured.gauge("list_age_ms", () -> state.directory().ageMillis(clock.millis()));
     measured.gauge("key_proof_age_ms", accounts::proofAgeMillis);
@@ -301,6 +306,7 @@
       state.agents().listed(endpoint);
     } else {
       known.listed(endpoint);
+      availability.of(endpoint.life());
     }
     if (news) {
       EventLog.log(
@@ -322,7 +328,7 @@
 
   private EndpointView view(Endpoint endpoint) {
     int places = engine(endpoint).map(EngineSpec::adapterPlaces).orElse(0);
-    return new EndpointView(endpoint, memory(endpoint), places);
+    return new EndpointView(endpoint, memory(endpoint), places, availability.of(endpoint.life()));
   }
 
   private long memory(Endpoint endpoint) {
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardState.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardState.java
@@ -18,6 +18,7 @@
  * @param placer decides where requests go
  * @param agents the engines' agents
  * @param limits the request rates that endpoints state
+ * @param statements takes what endpoints' answers state
  * @param allowance bounds repeats
  * @param dialect the headers
  * @param http carries attempts
@@ -33,6 +34,7 @@
     Placer placer,
     EngineAgents agents,
     EndpointLimits limits,
+    AnswerStatements statements,
     RepeatAllowance allowance,
     Dialect dialect,
     HttpClient http,
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/RequestLog.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/RequestLog.java
@@ -1,5 +1,6 @@
 package org.hornbeamusher.forwarding;
 
+import org.hornbeamusher.availability.StatedRetryAfter;
 import org.hornbeamusher.directory.HeldAdapter;
 import org.hornbeamusher.events.EventLog;
 import org.hornbeamusher.events.EventType;
@@ -50,6 +51,10 @@
         at.endpoint().running(),
         "limit_per_s",
         EndpointLimits.text(at.endpoint().limit().requestsPerSecond()),
+        "backoff_ms",
+        at.endpoint().availability().backoffMillis(now),
+        "stated_leaving",
+        at.endpoint().availability().leaving(),
         "configuration",
         state.configuration().current().map(Configuration::version).orElse(0L),
         "list_age_ms",
@@ -82,7 +87,19 @@
         "last_event",
         relay.lastEvent().orElse(-1),
         "stated_limit_per_s",
-        text(attempt.limit()));
+        text(attempt.facts().limit()),
+        "stated_retry_after_ms",
+        text(attempt.facts().retryAfter()),
+        "stated_leaving",
+        attempt.facts().leaving());
+  }
+
+  private static String text(StatedRetryAfter stated) {
+    return switch (stated) {
+      case StatedRetryAfter.Millis time -> Long.toString(time.millis());
+      case StatedRetryAfter.None none -> "";
+      case StatedRetryAfter.Unreadable unreadable -> "unreadable";
+    };
   }
 
   private static String text(StatedLimit stated) {
--- a/runtime/src/main/java/org/hornbeamusher/placement/EndpointView.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/EndpointView.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
+import org.hornbeamusher.availability.EndpointAvailability;
 import org.hornbeamusher.directory.Endpoint;
 import org.hornbeamusher.directory.HeldAdapter;
 import org.hornbeamusher.holdings.LoadCosts;
@@ -36,6 +37,7 @@
   private final PrefixCache prefixes;
   private final EndpointHealth health = new EndpointHealth();
   private final EndpointLimit limit = new EndpointLimit();
+  private final EndpointAvailability availability;
   private final long hash;
 
   /** Adapters that left the engine's places; the least recent one is forgotten first. */
@@ -71,9 +73,12 @@
    * @param endpoint the endpoint
    * @param memoryTokens an engine's memory; 0 at a plain service
    * @param places adapters that an engine holds at once; 0 at a plain service
+   * @param availability what this incarnation has stated of whether it takes requests
    */
-  public EndpointView(Endpoint endpoint, long memoryTokens, int places) {
+  public EndpointView(
+      Endpoint endpoint, long memoryTokens, int places, EndpointAvailability availability) {
     this.endpoint = endpoint;
+    this.availability = availability;
     this.costs = LoadCosts.prior(places);
     this.held = endpoint.held();
     this.hash = Rendezvous.hash(endpoint.id().value());
@@ -409,6 +414,15 @@
     return limit;
   }
 
+  /**
+   * Returns what the endpoint has stated of whether it takes requests.
+   *
+   * @return by its answers to this entry
+   */
+  public EndpointAvailability availability() {
+    return availability;
+  }
+
   EndpointHealth health() {
     return health;
   }
--- a/runtime/src/main/java/org/hornbeamusher/placement/Placer.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/Placer.java
@@ -81,6 +81,27 @@
         .count();
   }
 
+  /**
+   * Counts the endpoints that want no requests of this entry for a while.
+   *
+   * @param now milliseconds
+   * @return how many have asked for a pause that has not ended
+   */
+  public long backoffEndpoints(long now) {
+    return views.values().stream()
+        .filter(view -> view.availability().backoffMillis(now) > 0)
+        .count();
+  }
+
+  /**
+   * Counts the endpoints whose answers say that they are leaving.
+   *
+   * @return how many are known
+   */
+  public long leavingEndpoints() {
+    return views.values().stream().filter(view -> view.availability().leaving()).count();
+  }
+
   /**
    * Places a request.
    *
--- a/runtime/src/test/java/org/hornbeamusher/placement/PlacerTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/placement/PlacerTest.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.hornbeamusher.availability.EndpointAvailability;
 import org.hornbeamusher.directory.Endpoint;
 import org.hornbeamusher.directory.HeldAdapter;
 import org.hornbeamusher.holdings.LoadCosts;
@@ -398,14 +399,18 @@
   private static EndpointView add(Placer placer, String id, String zone, Set<HeldAdapter> held) {
     Set<HeldAdapter> all = new HashSet<>(held);
     all.add(BASE);
-    EndpointView view = new EndpointView(endpoint(id, "llm", zone, ENGINE_SLOTS), 100_000, PLACES);
+    EndpointView view =
+        new EndpointView(
+            endpoint(id, "llm", zone, ENGINE_SLOTS), 100_000, PLACES, new EndpointAvailability());
     view.reported(all, Set.of(), false);
     placer.views().put(view.id(), view);
     return view;
   }
 
   private EndpointView plain(String id, String zone) {
-    EndpointView view = new EndpointView(endpoint(id, "plain", zone, PLAIN_SLOTS), 0, 0);
+    EndpointView view =
+        new EndpointView(
+            endpoint(id, "plain", zone, PLAIN_SLOTS), 0, 0, new EndpointAvailability());
     placer.views().put(view.id(), view);
     return view;
   }
