An entry sends nothing to an endpoint before the Retry-After that it stated has passed

What callers saw: requests went to endpoints that refuse everything for three seconds, came back, and took the budget for repeats with them; callers were then refused although other endpoints had room.

Cause: the time that a refusal states was read nowhere. An endpoint that runs nothing looks idle, so placing preferred it.

Change: one decision for one incarnation of an endpoint (EndpointAvailability.decide), asked when a request is placed, when it has waited for a load or a permit, and right before the first byte is written, also after a connection was opened. Where all endpoints of a service want nothing, callers are refused at once with the least time that is left.

Why it works: there is no way to an endpoint of an entry that does not pass HttpStreamListener.sending. The statement belongs to the incarnation and outlives its entry in the list; a shorter time or an answer without one does not end it.

Besides: an exchange that is cancelled between the opening of its connection and the next turn of the loop is not written any more.

--- a/runtime/src/main/java/org/hornbeamusher/failure/FailureType.java
+++ b/runtime/src/main/java/org/hornbeamusher/failure/FailureType.java
@@ -48,6 +48,8 @@
   UNSIGNED_ANSWER(210, 502, Severity.WARNING, "Endpoint %s does not vouch for its answer."),
   ENDPOINT_REFUSED(211, 503, Severity.INFO, "Endpoint %s did not run the request."),
   ENDPOINT_LIMITED(212, 503, Severity.INFO, "All endpoints of %s take fewer requests now."),
+  ENDPOINT_BACKOFF(213, 503, Severity.INFO, "All endpoints of %s take no requests for a while."),
+  SEND_WITHDRAWN(214, 503, Severity.INFO, "The request was not sent to %s."),
   // 300: service documents
   DOCUMENT_INVALID(301, 422, Severity.INFO, "The document is not valid: %s."),
   DOCUMENT_CONFLICT(302, 409, Severity.INFO, "%s is at version %s, not at the base version %s."),
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/Attempt.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/Attempt.java
@@ -74,6 +74,11 @@
     }
   }
 
+  @Override
+  public boolean sending() {
+    return endpoint.takesRequests(clock.millis());
+  }
+
   @Override
   public void head(HttpHead head) {
     if (over) {
@@ -135,9 +140,11 @@
     FailureType type = HornbeamusherException.from(failure).type();
     listener.ended(
         this,
-        type == FailureType.CONNECT_FAILED
-            ? new AttemptEnd.NotSent()
-            : new AttemptEnd.Broken(FailureType.ENDPOINT_LOST));
+        switch (type) {
+          case CONNECT_FAILED -> new AttemptEnd.NotSent();
+          case SEND_WITHDRAWN -> new AttemptEnd.Withdrawn();
+          default -> new AttemptEnd.Broken(FailureType.ENDPOINT_LOST);
+        });
   }
 
   /** Hears of an attempt. */
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/AttemptEnd.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/AttemptEnd.java
@@ -10,6 +10,7 @@
     return switch (this) {
       case Answered answered -> "answered";
       case NotSent notSent -> "not-sent";
+      case Withdrawn withdrawn -> "withdrawn";
       case Refused refused -> "refused-" + refused.status();
       case Broken broken -> broken.cause().label();
     };
@@ -21,6 +22,9 @@
   /** Nothing reached the endpoint. */
   record NotSent() implements AttemptEnd {}
 
+  /** Nothing was sent, because the endpoint takes no requests any more. */
+  record Withdrawn() implements AttemptEnd {}
+
   /** The endpoint says that it did not run the request. */
   record Refused(int status) implements AttemptEnd {}
 
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/EndpointLimits.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/EndpointLimits.java
@@ -214,9 +214,9 @@
         : 0;
   }
 
-  /** An endpoint that has begun to leave meanwhile takes nothing new. */
-  private static void due(RatePermit permit) {
-    if (permit.endpoint().usable()) {
+  /** The endpoint may have stated meanwhile that it takes nothing new. */
+  private void due(RatePermit permit) {
+    if (permit.endpoint().takesRequests(clock.millis())) {
       permit.permit();
     } else {
       permit.refuse();
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardRun.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardRun.java
@@ -152,7 +152,7 @@
     long remaining = startByMillis() - now;
     Placement placement = state.placer().place(service, placing, tried, now);
     switch (placement) {
-      case Placement.Nowhere nowhere -> giveUp(notRun(FailureType.NO_ENDPOINT, service));
+      case Placement.Nowhere nowhere -> giveUp(noEndpoint(nowhere));
       case Placement.At at -> {
         if (at.rateWaitMillis() > untilAim()) {
           giveUp(notRun(FailureType.ENDPOINT_LIMITED, service).retryAfter(at.rateWaitMillis()));
@@ -165,6 +165,14 @@
     }
   }
 
+  private HornbeamusherException noEndpoint(Placement.Nowhere nowhere) {
+    return switch (nowhere.reason()) {
+      case NO_ENDPOINT, ALL_TRIED -> notRun(FailureType.NO_ENDPOINT, service);
+      case ALL_BACK_OFF ->
+          notRun(FailureType.ENDPOINT_BACKOFF, service).retryAfter(nowhere.waitMillis());
+    };
+  }
+
   private void placedAt(Placement.At at, long remaining) {
     endpoint = at.endpoint();
     placedMillis = now();
@@ -257,7 +265,7 @@
     HeldAdapter adapter = placing.adapter().orElseThrow();
     // The agent may not have been connected when the request was placed, and knows nothing of it.
     boolean unknown = reservation == EngineReservation.NONE && endpoint.agentConnected();
-    if (unknown || !endpoint.usable()) {
+    if (unknown || !endpoint.takesRequests(now())) {
       placeAgain();
       return;
     }
@@ -298,6 +306,10 @@
       giveUp(refusal.get());
       return;
     }
+    if (!endpoint.takesRequests(now())) {
+      placeAgain();
+      return;
+    }
     cancel(replacing);
     reservation.used();
     sentMillis = now();
@@ -373,6 +385,7 @@
     switch (judged) {
       case AttemptEnd.Answered answered -> answered(left, from.status());
       case AttemptEnd.NotSent notSent -> notSent(left);
+      case AttemptEnd.Withdrawn withdrawn -> withdrawn();
       case AttemptEnd.Refused refused -> refused(left, refused.status());
       case AttemptEnd.Broken broken -> broken(left, broken.cause());
     }
@@ -419,6 +432,13 @@
     }
   }
 
+  /** The endpoint stated that it takes no requests while a connection was being opened. */
+  private void withdrawn() {
+    sends--;
+    possibleRuns--;
+    place();
+  }
+
   private void refused(EndpointView left, int status) {
     possibleRuns--;
     refusals++;
--- a/runtime/src/main/java/org/hornbeamusher/http/HttpExchange.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/HttpExchange.java
@@ -121,9 +121,19 @@
       IoUtils.safeClose(opened);
       return;
     }
-    opened
-        .getIoThread()
-        .execute(() -> opened.sendRequest(request(), callback(this::sendBody, this::fail)));
+    opened.getIoThread().execute(() -> send(opened));
+  }
+
+  private void send(ClientConnection opened) {
+    if (!ended.get() && listener.sending()) {
+      opened.sendRequest(request(), callback(this::sendBody, this::fail));
+      return;
+    }
+    IoUtils.safeClose(opened);
+    if (ended.compareAndSet(false, true)) {
+      listener.failed(
+          HornbeamusherException.notRun(FailureType.SEND_WITHDRAWN, call.uri().getAuthority()));
+    }
   }
 
   private ClientRequest request() {
--- a/runtime/src/main/java/org/hornbeamusher/http/HttpStreamListener.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/HttpStreamListener.java
@@ -6,6 +6,15 @@
  */
 public interface HttpStreamListener {
 
+  /**
+   * Decides right before the first byte is written whether the request is sent.
+   *
+   * @return false to send nothing; the exchange then fails with {@code SEND_WITHDRAWN}
+   */
+  default boolean sending() {
+    return true;
+  }
+
   /**
    * The response begins.
    *
@@ -26,7 +35,8 @@
   /**
    * The exchange failed; nothing follows.
    *
-   * @param failure {@code CONNECT_FAILED} when nothing was sent, {@code CONNECTION_CLOSED} after
+   * @param failure {@code CONNECT_FAILED} or {@code SEND_WITHDRAWN} when nothing was sent, {@code
+   *     CONNECTION_CLOSED} after
    */
   void failed(Throwable failure);
 }
--- a/runtime/src/main/java/org/hornbeamusher/placement/EndpointView.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/EndpointView.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.hornbeamusher.availability.EndpointAvailability;
+import org.hornbeamusher.availability.SendDecision;
 import org.hornbeamusher.directory.Endpoint;
 import org.hornbeamusher.directory.HeldAdapter;
 import org.hornbeamusher.holdings.LoadCosts;
@@ -319,6 +320,16 @@
     return !ended && !leaving();
   }
 
+  /**
+   * Decides whether a request may be sent here.
+   *
+   * @param now milliseconds
+   * @return false also while the endpoint wants no requests of this entry
+   */
+  public boolean takesRequests(long now) {
+    return usable() && availability.decide(now) instanceof SendDecision.Now;
+  }
+
   /**
    * Tells whether the endpoint takes no new work.
    *
--- a/runtime/src/main/java/org/hornbeamusher/placement/Placement.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/Placement.java
@@ -46,14 +46,22 @@
    * Nowhere.
    *
    * @param reason what is missing
+   * @param waitMillis until the first endpoint takes requests again; 0 where that is not known
    */
-  record Nowhere(Reason reason) implements Placement {}
+  record Nowhere(Reason reason, long waitMillis) implements Placement {
+
+    Nowhere(Reason reason) {
+      this(reason, 0);
+    }
+  }
 
   /** Why no endpoint can take a request. */
   enum Reason {
     /** No endpoint of the service is in service. */
     NO_ENDPOINT,
     /** Every endpoint has been tried. */
-    ALL_TRIED
+    ALL_TRIED,
+    /** Every endpoint wants no requests of this entry for a while. */
+    ALL_BACK_OFF
   }
 }
--- a/runtime/src/main/java/org/hornbeamusher/placement/Placer.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/Placer.java
@@ -35,6 +35,9 @@
  * only when all others have, too: it asks for relief, and its queue does not show when it takes the
  * next request.
  *
+ * <p>An endpoint that wants no requests of this entry for a while is not chosen before that time
+ * has passed.
+ *
  * <p>The preference order is that of rendezvous hashing, so that entries which do not talk to each
  * other send a cold adapter to the same endpoint and it is loaded once.
  *
@@ -117,11 +120,19 @@
     EndpointView best = null;
     Cost bestCost = null;
     boolean skipped = false;
+    boolean takes = false;
+    long leastBackoff = Long.MAX_VALUE;
     Preference preference = request.adapter().map(a -> preference(service, a)).orElse(null);
     for (EndpointView view : all) {
       if (!view.endpoint().service().equals(service) || !view.usable()) {
         continue;
       }
+      long backoff = view.availability().backoffMillis(now);
+      if (backoff > 0) {
+        leastBackoff = Math.min(leastBackoff, backoff);
+        continue;
+      }
+      takes = true;
       if (tried.contains(view.life())) {
         skipped = true;
         continue;
@@ -132,6 +143,9 @@
         bestCost = cost;
       }
     }
+    if (!takes && leastBackoff < Long.MAX_VALUE) {
+      return new Placement.Nowhere(Placement.Reason.ALL_BACK_OFF, leastBackoff);
+    }
     if (best == null) {
       return new Placement.Nowhere(
           skipped ? Placement.Reason.ALL_TRIED : Placement.Reason.NO_ENDPOINT);
--- /dev/null
+++ b/runtime/src/test/java/org/hornbeamusher/availability/EndpointAvailabilityTest.java
@@ -0,0 +1,104 @@
+package org.hornbeamusher.availability;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNotSame;
+import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.hornbeamusher.ids.EndpointId;
+import org.hornbeamusher.ids.EndpointLife;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** When requests may be sent to an endpoint, by what it has stated. */
+class EndpointAvailabilityTest {
+
+  private static final EndpointId ID = new EndpointId("i-1");
+
+  private final EndpointAvailability endpoint = new EndpointAvailability();
+
+  /** Each number is either a wait in milliseconds or, when negative, a step of the clock. */
+  @Property(seed = "36")
+  void nothingIsSentBeforeTheLatestStatedTimeAndEverythingAfterIt(
+      @ForAll @Size(max = 40) List<@IntRange(min = -900, max = 900) Integer> steps) {
+    EndpointAvailability drawn = new EndpointAvailability();
+    long now = 0;
+    long end = 0;
+    for (int step : steps) {
+      if (step < 0) {
+        now -= step;
+      } else {
+        drawn.answered(new StatedRetryAfter.Millis(step), now);
+        end = Math.max(end, now + step);
+      }
+      boolean sent = drawn.decide(now) instanceof SendDecision.Now;
+      assertEquals(now >= end, sent);
+      assertEquals(Math.max(0, end - now), drawn.backoffMillis(now));
+    }
+  }
+
+  @Test
+  void shorterTimeDoesNotEndLongerOne() {
+    endpoint.answered(new StatedRetryAfter.Millis(3_000), 0);
+    endpoint.answered(new StatedRetryAfter.Millis(100), 1_000);
+    assertEquals(new SendDecision.Later(2_000), endpoint.decide(1_000));
+  }
+
+  @Test
+  void answerWithoutTimeDoesNotEndBackoff() {
+    endpoint.answered(new StatedRetryAfter.Millis(3_000), 0);
+    endpoint.answered(new StatedRetryAfter.None(), 1_000);
+    endpoint.answered(new StatedRetryAfter.Unreadable(), 1_000);
+    assertEquals(new SendDecision.Later(2_000), endpoint.decide(1_000));
+  }
+
+  @Test
+  void hugeTimeDoesNotOverflow() {
+    endpoint.answered(StatedRetryAfter.parse(List.of("1e300")), 1_000);
+    assertInstanceOf(SendDecision.Later.class, endpoint.decide(1_000_000));
+  }
+
+  @Test
+  void leavingEndpointNeverTakesRequestsAgain() {
+    endpoint.statedLeaving();
+    assertEquals(new SendDecision.Never(), endpoint.decide(Long.MAX_VALUE));
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"", "-1", "soon", "NaN", "Infinity", "Wed, 21 Oct 2026 07:28:00 GMT"})
+  void unreadableTimeChangesNothing(String text) {
+    assertInstanceOf(StatedRetryAfter.Unreadable.class, StatedRetryAfter.parse(List.of(text)));
+  }
+
+  @Test
+  void longestReadableOfSeveralTimesHolds() {
+    assertEquals(
+        new StatedRetryAfter.Millis(1_500),
+        StatedRetryAfter.parse(List.of("1", "later", " 1.5 ", "0.2")));
+  }
+
+  /** A lapsed entry of the list that came back had the endpoint used in its pause. */
+  @Test
+  void statementsOutliveTheEntryOfTheEndpoint() {
+    AvailabilityRegister register = new AvailabilityRegister();
+    EndpointAvailability first = register.of(new EndpointLife(ID, 100));
+    assertSame(first, register.of(new EndpointLife(ID, 100)));
+    assertNotSame(first, register.of(new EndpointLife(ID, 200)));
+  }
+
+  /** What an incarnation had stated before its start was known bound the next one. */
+  @Test
+  void statementsEndWithTheirIncarnation() {
+    AvailabilityRegister register = new AvailabilityRegister();
+    EndpointAvailability first = register.of(new EndpointLife(ID, EndpointLife.UNKNOWN_START));
+    assertSame(first, register.of(new EndpointLife(ID, 100)));
+    assertTrue(first != register.of(new EndpointLife(ID, 200)));
+  }
+}
--- a/runtime/src/test/java/org/hornbeamusher/http/CancelledExchangeTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/http/CancelledExchangeTest.java
@@ -1,5 +1,6 @@
 package org.hornbeamusher.http;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.io.IOException;
@@ -9,6 +10,9 @@
 import java.net.Socket;
 import java.net.SocketException;
 import java.net.URI;
+import java.util.concurrent.CompletableFuture;
+import org.hornbeamusher.failure.FailureType;
+import org.hornbeamusher.failure.HornbeamusherException;
 import org.junit.jupiter.api.Test;
 
 class CancelledExchangeTest {
@@ -40,7 +44,54 @@
     }
   }
 
-  private static final class Deaf implements HttpStreamListener {
+  /** A request was written although its endpoint had stated meanwhile that it takes none. */
+  @Test
+  void withdrawnRequestIsNotWritten() throws IOException {
+    HttpClient client = new HttpClient(1);
+    client.start();
+    try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      URI uri = URI.create("http://127.0.0.1:" + server.getLocalPort() + "/");
+      CompletableFuture<Throwable> failure = new CompletableFuture<>();
+      client.stream(HttpCall.get(uri), new Withdrawn(failure));
+      try (Socket socket = server.accept()) {
+        socket.setSoTimeout(LONG_MILLIS);
+        assertEquals(0, received(socket));
+        assertEquals(
+            FailureType.SEND_WITHDRAWN, HornbeamusherException.from(failure.join()).type());
+      }
+    } finally {
+      client.stop();
+    }
+  }
+
+  private static int received(Socket socket) throws IOException {
+    try {
+      return socket.getInputStream().readAllBytes().length;
+    } catch (SocketException e) {
+      return 0;
+    }
+  }
+
+  private static final class Withdrawn extends Deaf {
+
+    private final CompletableFuture<Throwable> failure;
+
+    Withdrawn(CompletableFuture<Throwable> failure) {
+      this.failure = failure;
+    }
+
+    @Override
+    public boolean sending() {
+      return false;
+    }
+
+    @Override
+    public void failed(Throwable thrown) {
+      failure.complete(thrown);
+    }
+  }
+
+  private static class Deaf implements HttpStreamListener {
 
     @Override
     public void head(HttpHead head) {}
--- a/runtime/src/test/java/org/hornbeamusher/placement/PlacerTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/placement/PlacerTest.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.hornbeamusher.availability.EndpointAvailability;
+import org.hornbeamusher.availability.StatedRetryAfter;
 import org.hornbeamusher.directory.Endpoint;
 import org.hornbeamusher.directory.HeldAdapter;
 import org.hornbeamusher.holdings.LoadCosts;
@@ -379,6 +380,29 @@
     return (Placement.At) placer.place("llm", request, Set.of(), 0);
   }
 
+  /** The idle endpoint that refuses everything attracted the next request. */
+  @Test
+  void endpointThatBacksOffIsNotChosenBeforeItsTime() {
+    EndpointView idle = plain("p1", "a");
+    EndpointView busy = plain("p2", "b");
+    for (int i = 0; i < 50; i++) {
+      busy.started(plainRequest(), 0);
+    }
+    idle.availability().answered(new StatedRetryAfter.Millis(500), 0);
+    assertEquals("p2", plainPlace(499));
+    assertEquals("p1", plainPlace(500));
+  }
+
+  @Test
+  void requestThatNoEndpointTakesNowIsToldTheLeastWait() {
+    EndpointView first = plain("p1", "a");
+    first.availability().answered(new StatedRetryAfter.Millis(500), 0);
+    plain("p2", "b").availability().answered(new StatedRetryAfter.Millis(300), 0);
+    assertEquals(
+        new Placement.Nowhere(Placement.Reason.ALL_BACK_OFF, 200),
+        placer.place("plain", plainRequest(), Set.of(first.life()), 100));
+  }
+
   private String plainPlace(long now) {
     Placement placed = placer.place("plain", plainRequest(), Set.of(), now);
     return ((Placement.At) placed).endpoint().id().value();
