An agent makes no call before the Retry-After that its engine stated has passed

Such a refusal now fails the call with the stated time; the agent waits for it and keeps what was reported last, because the refusal says nothing of what the engine holds.

--- a/runtime/src/main/java/org/hornbeamusher/companion/CompanionDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/companion/CompanionDaemon.java
@@ -6,6 +6,8 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.ThreadLocalRandom;
+import org.hornbeamusher.availability.EndpointAvailability;
+import org.hornbeamusher.availability.StatedRetryAfter;
 import org.hornbeamusher.clock.Clock;
 import org.hornbeamusher.directory.HeldAdapter;
 import org.hornbeamusher.events.EventLog;
@@ -75,6 +77,9 @@
 
   private final EngineIdentity identity = new EngineIdentity();
 
+  /** What the engine has stated of when it takes calls of this agent. */
+  private final EndpointAvailability availability = new EndpointAvailability();
+
   private boolean calling;
   private boolean reachable = true;
   private int failedReports;
@@ -312,6 +317,9 @@
 
   private void callEngine() {
     long now = clock.millis();
+    if (availability.backoffMillis(now) > 0) {
+      return;
+    }
     Optional<FencingNumber> number = fencing.current();
     Optional<EndpointLife> life = identity.current();
     if (places != null && number.isPresent() && report != null && life.isPresent()) {
@@ -337,6 +345,9 @@
 
   private void identified(EndpointId id, Throwable thrown) {
     calling = false;
+    if (backsOff(thrown)) {
+      return;
+    }
     if (thrown != null) {
       unreachable(thrown);
       act();
@@ -351,8 +362,40 @@
     engine.report().whenComplete((said, thrown) -> loop.execute(() -> reported(said, thrown)));
   }
 
+  /**
+   * Takes a refusal that states when the engine takes calls again. It says nothing about what the
+   * engine holds, so that what was reported last stays.
+   */
+  private boolean backsOff(Throwable thrown) {
+    if (thrown == null) {
+      return false;
+    }
+    HornbeamusherException failure = HornbeamusherException.from(thrown);
+    if (failure.type() != FailureType.ENDPOINT_BACKOFF) {
+      return false;
+    }
+    long now = clock.millis();
+    long stated = failure.retryAfterMillis().orElse(DOWN_REPORT_MILLIS);
+    if (availability.answered(new StatedRetryAfter.Millis(stated), now)) {
+      EventLog.log(
+          EventType.ENDPOINT_BACKOFF,
+          "endpoint",
+          identity.current().map(life -> life.id().value()).orElse(""),
+          "start_ms",
+          identity.current().map(EndpointLife::startMillis).orElse(EndpointLife.UNKNOWN_START),
+          "for_ms",
+          availability.backoffMillis(now));
+    }
+    nextReportMillis = now + Math.min(availability.backoffMillis(now), IDLE_REPORT_MILLIS);
+    act();
+    return true;
+  }
+
   private void reported(EngineReport said, Throwable thrown) {
     calling = false;
+    if (backsOff(thrown)) {
+      return;
+    }
     if (thrown != null) {
       unreachable(thrown);
       act();
@@ -460,8 +503,9 @@
     long sequence = report.sequence();
     engine
         .order(order, life.id(), sequence, number)
-        .exceptionally(thrown -> OrderAnswer.UNKNOWN)
-        .thenAccept(answer -> loop.execute(() -> ordered(order, life, sequence, number, answer)));
+        .whenComplete(
+            (answer, thrown) ->
+                loop.execute(() -> ordered(order, life, sequence, number, answer, thrown)));
   }
 
   private void ordered(
@@ -469,8 +513,10 @@
       EndpointLife life,
       long sequence,
       FencingNumber number,
-      OrderAnswer answer) {
+      OrderAnswer received,
+      Throwable thrown) {
     calling = false;
+    OrderAnswer answer = thrown == null ? received : OrderAnswer.UNKNOWN;
     EventLog.log(
         EventType.ENGINE_ORDERED,
         "order",
@@ -497,7 +543,7 @@
       identity.refuted();
       loseSight();
       act();
-    } else {
+    } else if (!backsOff(thrown)) {
       ask();
     }
   }
--- a/runtime/src/main/java/org/hornbeamusher/companion/EngineCalls.java
+++ b/runtime/src/main/java/org/hornbeamusher/companion/EngineCalls.java
@@ -7,7 +7,12 @@
 import org.hornbeamusher.ids.EndpointId;
 import org.hornbeamusher.ids.FencingNumber;
 
-/** The calls an agent makes to the engine beside it. */
+/**
+ * The calls an agent makes to the engine beside it.
+ *
+ * <p>A call that the engine refuses with a time to come back fails with {@code ENDPOINT_BACKOFF},
+ * which has that time.
+ */
 public interface EngineCalls {
 
   /**
@@ -32,7 +37,7 @@
    * @param sequence how many orders it had accepted when this one was decided; it refuses the order
    *     if it has accepted others since
    * @param fencing the number of this agent
-   * @return what the engine said; {@code UNKNOWN} when nothing was heard
+   * @return what the engine said; {@code UNKNOWN} when no answer was received
    */
   CompletableFuture<OrderAnswer> order(
       EngineOrder order, EndpointId engine, long sequence, FencingNumber fencing);
