A request at an engine without an agent is sent once the list says that its adapter is there

What callers saw: 503 at the deadline, although the engine at which the request waited held the adapter for seconds.

Cause: a waiting request is sent by the grant of an agent, or moves to another endpoint that has the adapter. Where no agent runs there is no grant, and its own endpoint is no other one. Found by a test of leaving engines. AgentlessEngineTest failed before (503 after 4.4 s) and passes (0.8 s).

--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardRun.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardRun.java
@@ -269,6 +269,11 @@
       placeAgain();
       return;
     }
+    if (!endpoint.agentConnected() && endpoint.holds(adapter)) {
+      // Nobody grants there; the list says that the load is done.
+      granted();
+      return;
+    }
     if (!endpoint.holdsModel(adapter.key().model())) {
       queuedMillis = now();
     }
