An endpoint whose answers say that it is leaving gets no request any more

New rule: a worker that leaves says so in all its answers.

With the same state met a decision that placing did not ask, and placing and sending called each other without end (StackOverflowError in the entry's turn, 500 to the caller): placing and sending now ask the same predicate.

Change: a statement in any answer to an entry binds that entry for the incarnation; one in any answer to the agent (report, order, health check) is reported to all entries. It is never taken back. "0" and other values do not bind.

--- a/runtime/src/main/java/org/hornbeamusher/companion/CompanionDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/companion/CompanionDaemon.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.ThreadLocalRandom;
+import org.hornbeamusher.availability.AvailabilityRegister;
 import org.hornbeamusher.availability.EndpointAvailability;
 import org.hornbeamusher.availability.StatedRetryAfter;
 import org.hornbeamusher.clock.Clock;
@@ -80,6 +81,9 @@
   /** What the engine has stated of when it takes calls of this agent. */
   private final EndpointAvailability availability = new EndpointAvailability();
 
+  /** Which incarnations of the engine have stated that they are leaving. */
+  private final AvailabilityRegister statements = new AvailabilityRegister();
+
   private boolean calling;
   private boolean reachable = true;
   private int failedReports;
@@ -202,6 +206,23 @@
     }
   }
 
+  /** An answer of the engine, to whatever call, says that the engine is leaving. */
+  public void engineLeaving() {
+    loop.execute(
+        () -> {
+          Optional<EndpointLife> life = identity.current();
+          if (life.isPresent() && statements.of(life.get()).statedLeaving()) {
+            EventLog.log(
+                EventType.ENDPOINT_LEAVING,
+                "endpoint",
+                life.get().id(),
+                "start_ms",
+                life.get().startMillis());
+            actSoon();
+          }
+        });
+  }
+
   @Override
   public void opened(WireConnection connection, Message.Hello hello) {
     loop.execute(
@@ -550,6 +571,7 @@
 
   private void reportHoldings() {
     Optional<EndpointLife> life = report == null ? Optional.empty() : identity.current();
-    entries.reportHoldings(life, places, report != null && report.leaving());
+    boolean stated = life.filter(one -> statements.of(one).leaving()).isPresent();
+    entries.reportHoldings(life, places, stated || (report != null && report.leaving()));
   }
 }
--- a/runtime/src/main/java/org/hornbeamusher/placement/EndpointView.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/EndpointView.java
@@ -314,7 +314,7 @@
   /**
    * Tells whether requests may be placed here.
    *
-   * @return false when it takes no new work, by the list's or its agent's word, or has ended
+   * @return false when it takes no new work or has ended
    */
   public boolean usable() {
     return !ended && !leaving();
@@ -333,10 +333,10 @@
   /**
    * Tells whether the endpoint takes no new work.
    *
-   * @return by the list's or its agent's word
+   * @return as the list, its agent or one of its own answers says
    */
   public boolean leaving() {
-    return leaving || endpoint.leaving();
+    return leaving || endpoint.leaving() || availability.leaving();
   }
 
   /**
