What another endpoint at an address states binds nobody else

What callers saw: an endpoint got no request any more after another one, found at the address that the list still gave for it, had said that it was leaving. The same held for a stated rate of requests since it is kept.

Cause: an answer that names another endpoint (a misdirected request) was read as the statement of the one that was meant. The test's list gave i-plain1 the address of i-stranger for a while; on with the leaving endpoints kept, EndpointLeavingPathTest.statementOfAnotherEndpointAtTheAddressDoesNotBind waits for ever (failed after 24.8 s), now it passes.

--- a/runtime/src/main/java/org/hornbeamusher/forwarding/AnswerFacts.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/AnswerFacts.java
@@ -2,12 +2,14 @@
 
 import java.util.Optional;
 import org.hornbeamusher.availability.StatedRetryAfter;
+import org.hornbeamusher.ids.EndpointId;
 import org.hornbeamusher.ratelimit.StatedLimit;
 
 /**
  * What the head of an endpoint's answer says.
  *
  * @param requestId the request it answers, where it says so
+ * @param endpoint the endpoint that gave the answer, where it says so
  * @param signed whether the endpoint vouches for it
  * @param notRun whether the endpoint says that it did not run the request
  * @param limit the rate of requests that the endpoint takes
@@ -16,6 +18,7 @@
  */
 public record AnswerFacts(
     Optional<String> requestId,
+    Optional<EndpointId> endpoint,
     boolean signed,
     boolean notRun,
     StatedLimit limit,
@@ -25,6 +28,7 @@
   /** The facts of an answer that has not come. */
   static final AnswerFacts NONE =
       new AnswerFacts(
+          Optional.empty(),
           Optional.empty(),
           false,
           false,
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/AnswerStatements.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/AnswerStatements.java
@@ -35,6 +35,10 @@
    * @param sentMillis when its request was sent
    */
   void answered(EndpointView endpoint, AnswerFacts facts, boolean succeeded, long sentMillis) {
+    if (facts.endpoint().filter(other -> !other.equals(endpoint.id())).isPresent()) {
+      // Another endpoint stands at the address; what it states is not about this one.
+      return;
+    }
     limits.answered(endpoint, facts.limit(), succeeded, sentMillis);
     EndpointAvailability availability = endpoint.availability();
     long now = clock.millis();
