Entries open no more connections than an endpoint accepts from all of them together

What callers would see: a burst opens a connection for each request, the endpoint resets what is beyond its number, and a request that may run only once ends with an unknown outcome.

Change: each entry has an equal share, less two for the endpoint's agent; connections that are idle or being opened count. A request whose entry has none free goes to another endpoint, which counts as no failure of the first, and is refused at once where there is none. Equal shares need no message between entries; the number of entries is that which agents report, as for stated rates. Leased shares were not built.

--- a/runtime/src/main/java/org/hornbeamusher/forwarding/Attempt.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/Attempt.java
@@ -44,9 +44,9 @@
     this.listener = listener;
   }
 
-  void send(HttpClient http, HttpCall call) {
+  void send(HttpClient http, HttpCall call, int mostConnections) {
     sentMillis = clock.millis();
-    stream = http.stream(call, this, CONNECT_MILLIS);
+    stream = http.stream(call, this, CONNECT_MILLIS, mostConnections);
     if (over) {
       stream.cancel();
     }
@@ -143,6 +143,7 @@
         switch (type) {
           case CONNECT_FAILED -> new AttemptEnd.NotSent();
           case SEND_WITHDRAWN -> new AttemptEnd.Withdrawn();
+          case CONNECTIONS_IN_USE -> new AttemptEnd.NoConnection();
           default -> new AttemptEnd.Broken(FailureType.ENDPOINT_LOST);
         });
   }
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/AttemptEnd.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/AttemptEnd.java
@@ -11,6 +11,7 @@
       case Answered answered -> "answered";
       case NotSent notSent -> "not-sent";
       case Withdrawn withdrawn -> "withdrawn";
+      case NoConnection none -> "no-connection";
       case Refused refused -> "refused-" + refused.status();
       case Broken broken -> broken.cause().label();
     };
@@ -25,6 +26,9 @@
   /** Nothing was sent, because the endpoint takes no requests any more. */
   record Withdrawn() implements AttemptEnd {}
 
+  /** Nothing was sent, because this entry's connections to the endpoint are in use. */
+  record NoConnection() implements AttemptEnd {}
+
   /** The endpoint says that it did not run the request. */
   record Refused(int status) implements AttemptEnd {}
 
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/EndpointLimits.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/EndpointLimits.java
@@ -170,8 +170,11 @@
         "even-share");
   }
 
-  /** The number that was known last holds while no agent is connected to say it. */
-  private int entries() {
+  /**
+   * Returns how many entries there are. The number that was known last holds while no agent is
+   * connected to say it.
+   */
+  int entries() {
     int connected = agents.entries();
     if (connected > 0) {
       knownEntries = connected;
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardRun.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardRun.java
@@ -338,7 +338,7 @@
             state.dialect().toEndpoint(request.headers(), sent),
             request.body());
     attempt = new Attempt(endpoint, state, routed.facts().id(), this);
-    attempt.send(state.http(), call);
+    attempt.send(state.http(), call, state.mostConnections(service));
   }
 
   @Override
@@ -391,6 +391,7 @@
       case AttemptEnd.Answered answered -> answered(left, from.status());
       case AttemptEnd.NotSent notSent -> notSent(left);
       case AttemptEnd.Withdrawn withdrawn -> withdrawn();
+      case AttemptEnd.NoConnection none -> noConnection(left);
       case AttemptEnd.Refused refused -> refused(left, refused.status());
       case AttemptEnd.Broken broken -> broken(left, broken.cause());
     }
@@ -437,13 +438,18 @@
     }
   }
 
-  /** The endpoint stated that it takes no requests while a connection was being opened. */
+  /** Nothing was sent, and the endpoint is not to blame. */
   private void withdrawn() {
     sends--;
     possibleRuns--;
     place();
   }
 
+  private void noConnection(EndpointView left) {
+    tried.add(left.life());
+    withdrawn();
+  }
+
   private void refused(EndpointView left, int status) {
     possibleRuns--;
     refusals++;
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardState.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardState.java
@@ -6,6 +6,7 @@
 import org.hornbeamusher.loop.EventLoop;
 import org.hornbeamusher.placement.Placer;
 import org.hornbeamusher.routes.ConfigurationInForce;
+import org.hornbeamusher.routes.ServiceSpec;
 import org.hornbeamusher.routes.VersionsInForce;
 
 /**
@@ -40,4 +41,16 @@
     HttpClient http,
     ForwardMetrics metrics,
     EventLoop loop,
-    Clock clock) {}
+    Clock clock) {
+
+  /** Returns how many connections this entry may have to each endpoint of a service. */
+  int mostConnections(String service) {
+    int accepted =
+        configuration
+            .current()
+            .flatMap(current -> current.service(service))
+            .map(ServiceSpec::maxConnections)
+            .orElse(0);
+    return ConnectionShare.of(accepted, limits.entries());
+  }
+}
--- a/runtime/src/main/java/org/hornbeamusher/http/ConnectionPool.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/ConnectionPool.java
@@ -4,9 +4,11 @@
 import io.undertow.client.ClientConnection;
 import io.undertow.client.UndertowClient;
 import io.undertow.connector.ByteBufferPool;
+import java.io.IOException;
 import java.net.URI;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedDeque;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.hornbeamusher.clock.SteadyClock;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
@@ -37,6 +39,10 @@
 
   private final ConcurrentHashMap<String, ConcurrentLinkedDeque<Idle>> idle =
       new ConcurrentHashMap<>();
+
+  /** Connections of each origin that are open or being opened, idle ones included. */
+  private final ConcurrentHashMap<String, AtomicInteger> open = new ConcurrentHashMap<>();
+
   private UndertowClient client;
   private XnioWorker worker;
   private ByteBufferPool buffers;
@@ -51,14 +57,40 @@
     idle.keySet().forEach(this::purge);
   }
 
-  /** Hands out an idle connection, or opens one. */
-  void acquire(URI uri, ClientCallback<ClientConnection> callback) {
+  /**
+   * Hands out an idle connection, or opens one. Fails with {@link ConnectionLimitException} when as
+   * many are open as may be.
+   */
+  void acquire(URI uri, int mostConnections, ClientCallback<ClientConnection> callback) {
     ClientConnection pooled = pollOpen(uri.getAuthority());
     if (pooled != null) {
       callback.completed(pooled);
       return;
     }
-    client.connect(callback, uri, worker, buffers, OPTIONS);
+    AtomicInteger count = open.computeIfAbsent(uri.getAuthority(), key -> new AtomicInteger());
+    if (count.incrementAndGet() > mostConnections) {
+      count.decrementAndGet();
+      callback.failed(new ConnectionLimitException(uri.getAuthority(), mostConnections));
+      return;
+    }
+    client.connect(counted(callback, count), uri, worker, buffers, OPTIONS);
+  }
+
+  private static ClientCallback<ClientConnection> counted(
+      ClientCallback<ClientConnection> callback, AtomicInteger count) {
+    return new ClientCallback<>() {
+      @Override
+      public void completed(ClientConnection opened) {
+        opened.addCloseListener(closed -> count.decrementAndGet());
+        callback.completed(opened);
+      }
+
+      @Override
+      public void failed(IOException e) {
+        count.decrementAndGet();
+        callback.failed(e);
+      }
+    };
   }
 
   /** Takes back a connection whose exchange ended cleanly, for use within some time. */
--- a/runtime/src/main/java/org/hornbeamusher/http/HttpClient.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/HttpClient.java
@@ -107,7 +107,7 @@
    */
   public HttpStream stream(HttpCall call, HttpStreamListener listener) {
     HttpExchange exchange = new HttpExchange(call, listener, connections);
-    exchange.begin();
+    exchange.begin(Integer.MAX_VALUE);
     return exchange;
   }
 
@@ -117,11 +117,14 @@
    * @param call the request
    * @param listener hears the response
    * @param connectMillis how long a new connection may take
+   * @param mostConnections to its origin at once, idle ones included; beyond them the exchange
+   *     fails with {@code CONNECTIONS_IN_USE}
    * @return control over the exchange
    */
-  public HttpStream stream(HttpCall call, HttpStreamListener listener, long connectMillis) {
+  public HttpStream stream(
+      HttpCall call, HttpStreamListener listener, long connectMillis, int mostConnections) {
     HttpExchange exchange = new HttpExchange(call, listener, connections);
-    exchange.begin();
+    exchange.begin(mostConnections);
     if (!exchange.hasConnection()) {
       exchange.connectTimeout(
           worker
--- a/runtime/src/main/java/org/hornbeamusher/http/HttpExchange.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/HttpExchange.java
@@ -59,8 +59,9 @@
     this.connections = connections;
   }
 
-  void begin() {
-    connections.acquire(call.uri(), callback(this::connected, this::connectFailed));
+  void begin(int mostConnections) {
+    connections.acquire(
+        call.uri(), mostConnections, callback(this::connected, this::connectFailed));
   }
 
   /**
@@ -248,9 +249,12 @@
 
   private void connectFailed(IOException e) {
     if (ended.compareAndSet(false, true)) {
+      FailureType type =
+          e instanceof ConnectionLimitException
+              ? FailureType.CONNECTIONS_IN_USE
+              : FailureType.CONNECT_FAILED;
       listener.failed(
-          HornbeamusherException.notRun(
-                  FailureType.CONNECT_FAILED, call.uri().getAuthority(), e.getMessage())
+          HornbeamusherException.notRun(type, call.uri().getAuthority(), e.getMessage())
               .causedBy(e));
     }
   }
--- a/runtime/src/main/java/org/hornbeamusher/http/HttpStreamListener.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/HttpStreamListener.java
@@ -35,8 +35,8 @@
   /**
    * The exchange failed; nothing follows.
    *
-   * @param failure {@code CONNECT_FAILED} or {@code SEND_WITHDRAWN} when nothing was sent, {@code
-   *     CONNECTION_CLOSED} after
+   * @param failure {@code CONNECT_FAILED}, {@code CONNECTIONS_IN_USE} or {@code SEND_WITHDRAWN}
+   *     when nothing was sent, {@code CONNECTION_CLOSED} after
    */
   void failed(Throwable failure);
 }
--- /dev/null
+++ b/runtime/src/test/java/org/hornbeamusher/http/ConnectionLimitTest.java
@@ -0,0 +1,119 @@
+package org.hornbeamusher.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.undertow.Undertow;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.hornbeamusher.failure.FailureType;
+import org.hornbeamusher.failure.HornbeamusherException;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** How many connections to one server are open at once. */
+class ConnectionLimitTest {
+
+  private static final long CONNECT_MILLIS = 2_000;
+  private static final int TRIES = 200;
+
+  private final HttpClient client = new HttpClient(1);
+  private final Undertow server =
+      Undertow.builder()
+          .addHttpListener(0, "127.0.0.1")
+          .setHandler(
+              exchange -> {
+                if (exchange.getRequestPath().equals("/hang")) {
+                  exchange.dispatch(() -> {});
+                } else {
+                  exchange.endExchange();
+                }
+              })
+          .build();
+
+  @BeforeEach
+  void start() {
+    server.start();
+    client.start();
+  }
+
+  @AfterEach
+  void stop() {
+    client.stop();
+    server.stop();
+  }
+
+  /** A burst opened more connections than the server accepts, and it reset the rest. */
+  @Test
+  void exchangeBeyondTheLimitFailsUnsentUntilAnotherEnds() throws Exception {
+    HttpStream hanging = client.stream(call("/hang"), new Outcome(), CONNECT_MILLIS, 1);
+    assertEquals("CONNECTIONS_IN_USE", outcome("/"));
+    hanging.cancel();
+    assertEquals("answered", eventually("answered"));
+  }
+
+  /** A connection that waits for its next use was not counted. */
+  @Test
+  void idleConnectionCountsAndIsUsedAgain() throws Exception {
+    assertEquals("answered", outcome("/"));
+    HttpStream hanging = client.stream(call("/hang"), new Outcome(), CONNECT_MILLIS, 1);
+    assertEquals("CONNECTIONS_IN_USE", outcome("/"));
+    hanging.cancel();
+  }
+
+  /** Connections that could not be opened were counted for ever. */
+  @Test
+  void failedConnectFreesItsPlace() throws Exception {
+    server.stop();
+    URI gone = URI.create("http://127.0.0.1:1/");
+    for (int i = 0; i < 2; i++) {
+      Outcome outcome = new Outcome();
+      client.stream(HttpCall.get(gone), outcome, CONNECT_MILLIS, 1);
+      assertEquals("CONNECT_FAILED", outcome.result.get(CONNECT_MILLIS, TimeUnit.MILLISECONDS));
+    }
+  }
+
+  private String eventually(String expected) throws Exception {
+    String last = "";
+    for (int i = 0; i < TRIES && !last.equals(expected); i++) {
+      TimeUnit.MILLISECONDS.sleep(10);
+      last = outcome("/");
+    }
+    return last;
+  }
+
+  private String outcome(String path) throws Exception {
+    Outcome outcome = new Outcome();
+    client.stream(call(path), outcome, CONNECT_MILLIS, 1);
+    return outcome.result.get(CONNECT_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  private HttpCall call(String path) {
+    InetSocketAddress bound = (InetSocketAddress) server.getListenerInfo().get(0).getAddress();
+    return HttpCall.get(URI.create("http://127.0.0.1:" + bound.getPort() + path));
+  }
+
+  private static final class Outcome implements HttpStreamListener {
+
+    private final CompletableFuture<String> result = new CompletableFuture<>();
+
+    @Override
+    public void head(HttpHead head) {}
+
+    @Override
+    public void data(byte[] bytes) {}
+
+    @Override
+    public void end() {
+      result.complete("answered");
+    }
+
+    @Override
+    public void failed(Throwable failure) {
+      FailureType type = HornbeamusherException.from(failure).type();
+      result.complete(type.name());
+    }
+  }
+}
