A request whose entry has no connection free waits for one until its aim

What callers saw with the shares of connections: refusals by an entry that had just started and did not know how many entries there are, while an answer that would free a connection was a millisecond away.

Such a request now looks at the other endpoints and, where none has a connection free, again every 20 ms until its aim.

--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ConnectionShare.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ConnectionShare.java
@@ -5,7 +5,8 @@
  *
  * <p>Every entry gets the same part, whether it uses it or not: the parts add up to no more than
  * the endpoint accepts without any message between entries. A request that finds its entry's part
- * in use goes to another endpoint, or is refused at once.
+ * in use goes to another endpoint; where there is none, it waits until a connection is free, no
+ * longer than its aim.
  */
 final class ConnectionShare {
 
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardRun.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardRun.java
@@ -48,6 +48,9 @@
   /** How long a request waits for a load before it looks at the other endpoints again. */
   private static final long REPLACE_MILLIS = 100;
 
+  /** How long a request waits before it looks for a free connection again. */
+  private static final long RECONNECT_MILLIS = 20;
+
   private static final int SERVER_ERROR = 500;
 
   /** The endpoint at that address is not the one that was meant, or lacks what was asked for. */
@@ -62,6 +65,9 @@
   private final Listener listener;
   private final Set<EndpointLife> tried = new HashSet<>();
 
+  /** Endpoints to which no connection was free; they are looked at again. */
+  private final Set<EndpointLife> connectionsInUse = new HashSet<>();
+
   private RequestLog log = new RequestLog("");
 
   /** What the request was admitted as; null before. */
@@ -150,8 +156,9 @@
   private void place() {
     long now = now();
     long remaining = startByMillis() - now;
-    Placement placement = state.placer().place(service, placing, tried, now);
+    Placement placement = state.placer().place(service, placing, excluded(), now);
     switch (placement) {
+      case Placement.Nowhere nowhere when !connectionsInUse.isEmpty() -> awaitConnection();
       case Placement.Nowhere nowhere -> giveUp(noEndpoint(nowhere));
       case Placement.At at -> {
         if (at.rateWaitMillis() > untilAim()) {
@@ -165,6 +172,25 @@
     }
   }
 
+  private Set<EndpointLife> excluded() {
+    if (connectionsInUse.isEmpty()) {
+      return tried;
+    }
+    Set<EndpointLife> excluded = new HashSet<>(tried);
+    excluded.addAll(connectionsInUse);
+    return excluded;
+  }
+
+  /** A connection becomes free when an answer ends; waiting beyond the aim makes others late. */
+  private void awaitConnection() {
+    connectionsInUse.clear();
+    if (pastAim()) {
+      giveUp(notRun(FailureType.CONNECTIONS_IN_USE, service, "all endpoints"));
+    } else {
+      replacing = state.loop().after(RECONNECT_MILLIS, this::place);
+    }
+  }
+
   private HornbeamusherException noEndpoint(Placement.Nowhere nowhere) {
     return switch (nowhere.reason()) {
       case NO_ENDPOINT, ALL_TRIED -> notRun(FailureType.NO_ENDPOINT, service);
@@ -278,7 +304,7 @@
       queuedMillis = now();
     }
     if (!endpoint.awaits(adapter)
-        && state.placer().place(service, placing, tried, now()) instanceof Placement.At at
+        && state.placer().place(service, placing, excluded(), now()) instanceof Placement.At at
         && at.endpoint() != endpoint
         && at.worthLeavingFor(now() - queuedMillis)) {
       placeAgain();
@@ -446,7 +472,7 @@
   }
 
   private void noConnection(EndpointView left) {
-    tried.add(left.life());
+    connectionsInUse.add(left.life());
     withdrawn();
   }
 
