An agent sends its endpoint nothing before the Retry-After that it stated, on the product's own interface

A refusal with a time was answered with the next request; an agent now gives requests back as not run, with that time, so that the entry places them elsewhere, and holds orders and questions for the state. A cancellation still goes through: it relieves the endpoint.

AgentBackoffTest: a request during the pause, and one whose start was held up while the refusal came. Both reach the endpoint without the change.

--- a/runtime/src/main/java/org/hornbeamusher/agent/AgentAttempt.java
+++ b/runtime/src/main/java/org/hornbeamusher/agent/AgentAttempt.java
@@ -1,8 +1,10 @@
 package org.hornbeamusher.agent;
 
 import java.io.ByteArrayOutputStream;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.zip.CRC32C;
+import org.hornbeamusher.availability.StatedRetryAfter;
 import org.hornbeamusher.failure.HornbeamusherException;
 import org.hornbeamusher.http.HttpHead;
 import org.hornbeamusher.http.HttpStream;
@@ -21,6 +23,12 @@
   /** How an attempt's answer ends, told to the agent's serial part. */
   interface Ending {
 
+    /** Returns whether the endpoint may be sent a request now. */
+    boolean takesRequests();
+
+    /** The endpoint's refusal states for how long it takes no requests of this agent. */
+    void backedOff(StatedRetryAfter stated);
+
     /** The endpoint's answer was whole. */
     void answered(AgentAttempt attempt);
 
@@ -111,9 +119,16 @@
     }
   }
 
+  @Override
+  public boolean sending() {
+    return ending.takesRequests();
+  }
+
   @Override
   public void head(HttpHead head) {
     int status = head.status();
+    List<String> times = head.first(StatedRetryAfter.FIELD).map(List::of).orElse(List.of());
+    ending.backedOff(StatedRetryAfter.of(status, times));
     if (isModel() && status != OK) {
       errorStatus = status;
       return;
--- a/runtime/src/main/java/org/hornbeamusher/agent/AgentShell.java
+++ b/runtime/src/main/java/org/hornbeamusher/agent/AgentShell.java
@@ -7,6 +7,9 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
+import org.hornbeamusher.availability.EndpointAvailability;
+import org.hornbeamusher.availability.SendDecision;
+import org.hornbeamusher.availability.StatedRetryAfter;
 import org.hornbeamusher.clock.Clock;
 import org.hornbeamusher.documents.ServiceDocument.Weights;
 import org.hornbeamusher.endpoint.EngineOrders;
@@ -62,6 +65,7 @@
    */
   private long nextPollMillis;
 
+  private final EndpointAvailability availability = new EndpointAvailability();
   private boolean leaving;
   private boolean endpointDown;
   private String engineIncarnation = "";
@@ -102,6 +106,7 @@
     this.setup = setup;
     this.scheduler = scheduler;
     this.orders = orders;
+    orders.onRetryAfter(this::backedOff);
     this.http = http;
     this.weightsLocation = weightsLocation;
     this.clock = clock;
@@ -117,7 +122,7 @@
       }
     }
     if (refusal.isPresent()) {
-      connection.send(refusal(dispatch, refusal.get(), setup.endpoint()));
+      connection.send(refusal(dispatch, refusal.get(), setup.endpoint(), retryAfterMillis()));
       return;
     }
     poll();
@@ -130,12 +135,42 @@
     if (endpointDown) {
       return Optional.of(FailureType.ENDPOINT_FAILED);
     }
+    if (!takesRequests()) {
+      return Optional.of(FailureType.ENDPOINT_BACKOFF);
+    }
     if (dispatch.expiresMillis() <= clock.millis()) {
       return Optional.of(FailureType.DISPATCH_EXPIRED);
     }
     return Optional.empty();
   }
 
+  @Override
+  public synchronized boolean takesRequests() {
+    return availability.decide(clock.millis()) instanceof SendDecision.Now;
+  }
+
+  private synchronized long retryAfterMillis() {
+    return Math.max(RETRY_AFTER_MILLIS, availability.backoffMillis(clock.millis()));
+  }
+
+  private HornbeamusherException backoff() {
+    return HornbeamusherException.notRun(FailureType.ENDPOINT_BACKOFF, setup.endpoint());
+  }
+
+  @Override
+  public synchronized void backedOff(StatedRetryAfter stated) {
+    if (availability.answered(stated, clock.millis())) {
+      EventLog.log(
+          EventType.ENDPOINT_BACKOFF,
+          "endpoint",
+          setup.endpoint(),
+          "start_ms",
+          engineIncarnation,
+          "for_ms",
+          availability.backoffMillis(clock.millis()));
+    }
+  }
+
   private void queue(WireConnection connection, Message.Dispatch dispatch) {
     AgentAttempt attempt = attempts.add(connection, dispatch, this);
     scheduler.submit(queued(attempt), clock.millis());
@@ -288,9 +323,11 @@
     Message.Dispatch d = attempt.dispatch();
     attempt.connection().send(new Message.Started(d.attempt(), loadStallMillis));
     if (startsTooLate()) {
-      sendFailed(
-          attempt, FailureType.ENDPOINT_LEAVING, Outcome.NOT_RUN, setup.endpoint().value(), false);
-      finish(attempt);
+      giveBack(attempt, FailureType.ENDPOINT_LEAVING);
+      return;
+    }
+    if (!takesRequests()) {
+      giveBack(attempt, FailureType.ENDPOINT_BACKOFF);
       return;
     }
     Map<String, String> headers = new HashMap<>();
@@ -305,6 +342,11 @@
     attempt.attach(http.stream(call, attempt));
   }
 
+  private void giveBack(AgentAttempt attempt, FailureType why) {
+    sendFailed(attempt, why, Outcome.NOT_RUN, setup.endpoint().value(), false);
+    finish(attempt);
+  }
+
   /** A start is carried out after it was decided, and the process may have been held up since. */
   private synchronized boolean startsTooLate() {
     return !scheduler.mayStart(clock.millis());
@@ -316,6 +358,10 @@
   }
 
   private void orderLoad(AgentAction.Load load) {
+    if (!takesRequests()) {
+      loadEnded(load.adapter(), backoff());
+      return;
+    }
     setup
         .fencing()
         .number()
@@ -419,6 +465,10 @@
   @Override
   public void failed(AgentAttempt attempt, HornbeamusherException failure) {
     if (failure.outcome() instanceof Outcome.NotRun) {
+      if (failure.type() == FailureType.SEND_WITHDRAWN) {
+        giveBack(attempt, FailureType.ENDPOINT_BACKOFF);
+        return;
+      }
       sendFailed(attempt, FailureType.ENDPOINT_FAILED, Outcome.NOT_RUN, "unreachable", false);
       finish(attempt);
       observeEngine();
@@ -441,6 +491,9 @@
           HornbeamusherException.of(
               FailureType.ENDPOINT_FAILED, Outcome.UNKNOWN, setup.endpoint(), "it has no state"));
     }
+    if (!takesRequests()) {
+      return CompletableFuture.failedFuture(backoff());
+    }
     long asked = loadsEnded();
     return orders.state().whenComplete((state, thrown) -> observed(state, thrown, asked));
   }
--- a/runtime/src/main/java/org/hornbeamusher/availability/StatedRetryAfter.java
+++ b/runtime/src/main/java/org/hornbeamusher/availability/StatedRetryAfter.java
@@ -5,6 +5,15 @@
 /** What an endpoint's refusal says of when it takes requests of this process again. */
 public sealed interface StatedRetryAfter {
 
+  /** The name of the field by which a refusal states the time. */
+  String FIELD = "retry-after";
+
+  /** The status of a refusal that concerns the endpoint. */
+  int UNAVAILABLE = 503;
+
+  /** The status of a refusal that concerns the caller. */
+  int TOO_MANY = 429;
+
   /**
    * The endpoint takes none for this long.
    *
@@ -18,6 +27,19 @@
   /** The answer states a time that cannot be read; it changes nothing. */
   record Unreadable() implements StatedRetryAfter {}
 
+  /**
+   * Reads what an answer states. Only a refusal can: elsewhere the field means something else (RFC
+   * 9110, section 10.2.3).
+   *
+   * @param status the answer's
+   * @param values of its {@code Retry-After} fields
+   * @return what they say
+   */
+  static StatedRetryAfter of(int status, List<String> values) {
+    boolean refusal = status == UNAVAILABLE || status == TOO_MANY;
+    return refusal ? parse(values) : new None();
+  }
+
   /**
    * Reads the values of a {@code Retry-After} field. Of several, the longest readable one holds.
    *
--- a/runtime/src/main/java/org/hornbeamusher/endpoint/EngineOrders.java
+++ b/runtime/src/main/java/org/hornbeamusher/endpoint/EngineOrders.java
@@ -7,8 +7,11 @@
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import org.hornbeamusher.availability.StatedRetryAfter;
 import org.hornbeamusher.failure.FailureType;
 import org.hornbeamusher.failure.HornbeamusherException;
 import org.hornbeamusher.failure.Outcome;
@@ -33,6 +36,7 @@
   private final URI uri;
   private final HttpClient http;
   private final long orderTimeoutMillis;
+  private volatile Consumer<StatedRetryAfter> retryAfter = stated -> {};
 
   /**
    * Creates a client of one engine.
@@ -49,6 +53,27 @@
     this.orderTimeoutMillis = orderTimeoutMillis;
   }
 
+  /**
+   * Sets who receives what the engine's refusals state.
+   *
+   * @param listener called on the client's threads
+   */
+  public void onRetryAfter(Consumer<StatedRetryAfter> listener) {
+    retryAfter = listener;
+  }
+
+  private CompletableFuture<HttpReply> send(HttpCall call, long timeoutMillis) {
+    return http.send(call, timeoutMillis)
+        .whenComplete(
+            (reply, thrown) -> {
+              if (thrown == null) {
+                String time = reply.headers().get(StatedRetryAfter.FIELD);
+                List<String> times = time == null ? List.of() : List.of(time);
+                retryAfter.accept(StatedRetryAfter.of(reply.status(), times));
+              }
+            });
+  }
+
   /**
    * Orders the engine to load an adapter.
    *
@@ -91,7 +116,7 @@
     ObjectNode order = JSON.createObjectNode();
     order.put("request_id", requestId);
     byte[] body = order.toString().getBytes(StandardCharsets.UTF_8);
-    return http.send(HttpCall.postJson(uri.resolve("/v1/cancel"), body), STATE_TIMEOUT_MILLIS)
+    return send(HttpCall.postJson(uri.resolve("/v1/cancel"), body), STATE_TIMEOUT_MILLIS)
         .thenAccept(reply -> {});
   }
 
@@ -101,13 +126,13 @@
    * @return its state; fails with {@code CONNECT_FAILED} when nothing listens
    */
   public CompletableFuture<EngineState> state() {
-    return http.send(HttpCall.get(uri.resolve("/state")), STATE_TIMEOUT_MILLIS)
+    return send(HttpCall.get(uri.resolve("/state")), STATE_TIMEOUT_MILLIS)
         .thenApply(this::parseState);
   }
 
   private CompletableFuture<Void> order(String path, ObjectNode order, AdapterRef adapter) {
     byte[] body = order.toString().getBytes(StandardCharsets.UTF_8);
-    return http.send(HttpCall.postJson(uri.resolve(path), body), orderTimeoutMillis)
+    return send(HttpCall.postJson(uri.resolve(path), body), orderTimeoutMillis)
         .thenAccept(reply -> check(reply, adapter));
   }
 
