Placing knows that an endpoint has just started and is slow for a while

Such an endpoint now costs 100 ms more when it is compared with others; it is still used when they are busier. The list says it, so each entry knows it alike. A time that cannot be read says nothing.

PlacerTest.endpointThatHasJustStartedIsChosenLaterThanOthersUntilItIsWarm: p1 was chosen before.

--- a/runtime/src/main/java/org/hornbeamusher/directory/Endpoint.java
+++ b/runtime/src/main/java/org/hornbeamusher/directory/Endpoint.java
@@ -14,6 +14,7 @@
  * @param zone its availability zone
  * @param slots requests it runs at once
  * @param leaving whether it asked for no new work
+ * @param coldMillis how much longer it is slow after its start; 0 when it is not
  * @param held what an engine held when it last reported; lags
  */
 public record Endpoint(
@@ -23,6 +24,7 @@
     String zone,
     int slots,
     boolean leaving,
+    long coldMillis,
     Set<HeldAdapter> held)
     implements ListedEntry {
 
@@ -59,7 +61,14 @@
     return startMillis == life.startMillis()
         ? this
         : new Endpoint(
-            new EndpointLife(id(), startMillis), service, uri, zone, slots, leaving, held);
+            new EndpointLife(id(), startMillis),
+            service,
+            uri,
+            zone,
+            slots,
+            leaving,
+            coldMillis,
+            held);
   }
 
   /**
@@ -70,7 +79,7 @@
    */
   Endpoint restartedAt(long startMillis) {
     return new Endpoint(
-        new EndpointLife(id(), startMillis), service, uri, zone, slots, false, Set.of());
+        new EndpointLife(id(), startMillis), service, uri, zone, slots, false, 0, Set.of());
   }
 
   /**
@@ -80,6 +89,6 @@
    * @return in service, and without anything that this endpoint held
    */
   Endpoint succeededBy(EndpointLife next) {
-    return new Endpoint(next, service, uri, zone, slots, false, Set.of());
+    return new Endpoint(next, service, uri, zone, slots, false, 0, Set.of());
   }
 }
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
@@ -302,10 +302,12 @@
     boolean another = known == null || !known.life().sameAs(endpoint.life());
     boolean news = another || known.endpoint().leaving() != endpoint.leaving();
     if (another) {
-      state.placer().views().put(endpoint.id(), view(endpoint));
+      EndpointView created = view(endpoint);
+      created.listed(endpoint, clock.millis());
+      state.placer().views().put(endpoint.id(), created);
       state.agents().listed(endpoint);
     } else {
-      known.listed(endpoint);
+      known.listed(endpoint, clock.millis());
       availability.of(endpoint.life());
     }
     if (news) {
--- a/runtime/src/main/java/org/hornbeamusher/placement/EndpointView.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/EndpointView.java
@@ -45,6 +45,10 @@
   private final LinkedHashMap<AdapterKey, Long> recent = new LinkedHashMap<>();
 
   private Endpoint endpoint;
+
+  /** Until when it is slow after its start. */
+  private long warmMillis = Long.MIN_VALUE;
+
   private boolean agentConnected;
   private boolean leaving;
 
@@ -90,9 +94,11 @@
    * Takes what the list says now.
    *
    * @param listed the same life of the endpoint
+   * @param now milliseconds
    */
-  public void listed(Endpoint listed) {
+  public void listed(Endpoint listed, long now) {
     endpoint = listed;
+    warmMillis = now + listed.coldMillis();
     if (!agentConnected) {
       replaceHeld(listed.held());
     }
@@ -320,6 +326,11 @@
     return !ended && !leaving();
   }
 
+  /** Tells whether the endpoint has just started and is slow for a while. */
+  boolean cold(long now) {
+    return now < warmMillis;
+  }
+
   /**
    * Decides whether a request may be sent here.
    *
--- a/runtime/src/main/java/org/hornbeamusher/placement/PlacementSettings.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/PlacementSettings.java
@@ -14,6 +14,7 @@
  * @param runningMillis what each request already at the endpoint adds to the first event
  * @param delayShare how much of the time in which a prompt is read counts for each request that
  *     runs there: its next tokens wait, and it holds its place for longer
+ * @param coldMillis added for an endpoint that has just started and is slow at first
  * @param crowdMillis added where memory is short, beyond any other difference
  */
 public record PlacementSettings(
@@ -26,9 +27,10 @@
     double preferenceMillis,
     double runningMillis,
     double delayShare,
+    double coldMillis,
     double crowdMillis) {
 
   /** For engines of the size in use. */
   public static final PlacementSettings DEFAULT =
-      new PlacementSettings(44, 150, 150, 20, 5, 1.5, 6, 4, 0.12, 1_000);
+      new PlacementSettings(44, 150, 150, 20, 5, 1.5, 6, 4, 0.12, 100, 1_000);
 }
--- a/runtime/src/main/java/org/hornbeamusher/placement/Placer.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/Placer.java
@@ -20,7 +20,8 @@
  *   prompts waiting to be read there + this prompt, less what is cached
  *   + load of the adapter, when it is not there
  *   + wait for a slot, when all are taken
- *   + a little for each request that runs there, for another zone, for lately failed requests
+ *   + a little for each request that runs there, for another zone, for lately failed requests,
+ *     for a recent start
  *   + a share of the time in which this prompt is read, for each request that it holds up
  *   + a step for each place down the adapter's preference order, when it is not there
  * </pre>
@@ -176,6 +177,7 @@
   private Cost reckon(
       EndpointView view, PlacementRequest request, Preference preference, long now) {
     double penalty = view.health().penaltyMillis(now);
+    penalty += view.cold(now) ? settings.coldMillis() : 0;
     penalty += view.endpoint().zone().equals(zone) ? 0 : crossing(request);
     if (request.adapter().isEmpty()) {
       return plainCost(view, request, penalty);
--- a/runtime/src/test/java/org/hornbeamusher/directory/EndpointDirectoryTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/directory/EndpointDirectoryTest.java
@@ -495,6 +495,7 @@
         "z",
         1,
         leaving,
+        0,
         leaving ? Set.of(HeldAdapter.parse("m/a@1")) : Set.of());
   }
 
@@ -514,6 +515,7 @@
         "z",
         1,
         leaving,
+        0,
         Set.of());
   }
 }
--- a/runtime/src/test/java/org/hornbeamusher/placement/PlacerTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/placement/PlacerTest.java
@@ -244,7 +244,7 @@
   void engineWithoutFreeSlotIsPassedForOneThatCanLoad() {
     EndpointView hot = engine("e1", "a", Set.of(HOT));
     engine("e2", "a", Set.of());
-    hot.listed(endpoint("e1", "llm", "a", 4));
+    hot.listed(endpoint("e1", "llm", "a", 4), 0);
     hot.reportedLoad(4, 0, 1);
     assertEquals("e1", place(HOT, 800).endpoint().id().value());
     hot.reportedLoad(24, 0, 1);
@@ -393,6 +393,19 @@
     assertEquals("p1", plainPlace(500));
   }
 
+  /** An endpoint that had just started, and is slow at first, got as many requests as others. */
+  @Test
+  void endpointThatHasJustStartedIsChosenLaterThanOthersUntilItIsWarm() {
+    EndpointView started = plain("p1", "a");
+    plain("p2", "b");
+    started.listed(
+        new Endpoint(
+            started.life(), "plain", URI.create("http://10.0.0.1:1"), "a", 2, false, 600, Set.of()),
+        0);
+    assertEquals("p2", plainPlace(599));
+    assertEquals("p1", plainPlace(600));
+  }
+
   @Test
   void requestThatNoEndpointTakesNowIsToldTheLeastWait() {
     EndpointView first = plain("p1", "a");
@@ -441,7 +454,7 @@
 
   private static Endpoint endpoint(String id, String service, String zone, int slots) {
     return new Endpoint(
-        life(id), service, URI.create("http://10.0.0.1:1"), zone, slots, false, Set.of());
+        life(id), service, URI.create("http://10.0.0.1:1"), zone, slots, false, 0, Set.of());
   }
 
   private static EndpointLife life(String id) {
