An account that is refused is told a time at which it is admitted

What callers saw: a 429 with a Retry-After after which the next request got a 429 again.

Cause: the quota's window holds what this entry and the others have admitted, and the time was reckoned for each of the two sums alone. QuotaBucketTest, a property over drawn usage, failed at its 34th case before (told 8,001 ms, not open then) and passes 300.

--- a/runtime/src/main/java/org/hornbeamusher/quota/QuotaBucket.java
+++ b/runtime/src/main/java/org/hornbeamusher/quota/QuotaBucket.java
@@ -128,7 +128,10 @@
   long openAfterMillis(int reachable, int entries, long now) {
     double refilled = Math.max(0, -level) / rate(reachable, entries) * MILLIS_PER_SECOND;
     double limit = windowLimit(reachable, entries);
-    long window = Math.max(here.millisUntil(limit, now), elsewhere.millisUntil(limit, now));
+    long window =
+        reachable <= 1
+            ? here.millisUntilBelow(limit, now)
+            : here.millisUntilBelow(limit, elsewhere, now);
     long confirmed = level > 0 ? settings.intervalMillis(entries) : 0;
     return 1 + Math.max(Math.round(refilled), Math.max(window, confirmed));
   }
--- a/runtime/src/main/java/org/hornbeamusher/quota/WindowSum.java
+++ b/runtime/src/main/java/org/hornbeamusher/quota/WindowSum.java
@@ -39,13 +39,20 @@
     return total;
   }
 
-  /** Returns how long it takes until no more than a number of units is left in the window. */
-  long millisUntil(double most, long now) {
+  /** Returns how long it takes until less than a number of units is left in the window. */
+  long millisUntilBelow(double limit, long now) {
+    return millisUntilBelow(limit, new WindowSum(stepMillis * STEPS), now);
+  }
+
+  /** Likewise, of the units of this window and of another one of the same length together. */
+  long millisUntilBelow(double limit, WindowSum other, long now) {
     advance(now);
-    long left = total;
+    other.advance(now);
+    long left = total + other.total;
     long at = step - STEPS + 1;
-    while (left > most && at <= step) {
-      left -= sums[index(at++)];
+    while (left >= limit && at <= step) {
+      left -= sums[index(at)] + other.sums[index(at)];
+      at++;
     }
     return Math.max(0, (at + STEPS - 1) * stepMillis - now);
   }
--- /dev/null
+++ b/runtime/src/test/java/org/hornbeamusher/quota/QuotaBucketTest.java
@@ -0,0 +1,45 @@
+package org.hornbeamusher.quota;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.hornbeamusher.accounts.Quota;
+import org.hornbeamusher.accounts.QuotaUnit;
+
+/** When an account that is refused is told to come back. */
+class QuotaBucketTest {
+
+  private static final long WINDOW_MILLIS = 8_000;
+  private static final int ENTRIES = 3;
+  private static final long STEP_MILLIS = 100;
+  private static final Quota QUOTA = new Quota(QuotaUnit.REQUESTS, 100, 50, 1);
+
+  /** Usage here and elsewhere was looked at one by one, and the time was too short. */
+  @Property(seed = "30", tries = 300)
+  void accountIsAdmittedWhenItComesBackAsTold(
+      @ForAll @Size(min = 1, max = 30) List<@IntRange(min = -300, max = 300) Integer> taken) {
+    QuotaBucket drawn =
+        new QuotaBucket(
+            QuotaSettings.DEFAULT, new QuotaTolerance(WINDOW_MILLIS, 0, 0, 0), QUOTA, 0);
+    long now = 0;
+    for (int units : taken) {
+      now += STEP_MILLIS;
+      drawn.refill(ENTRIES, ENTRIES, now);
+      if (units < 0) {
+        drawn.takenElsewhere(-units, now);
+      } else {
+        drawn.take(units, now);
+      }
+    }
+    drawn.confirmed();
+    if (!drawn.open(ENTRIES, ENTRIES, now)) {
+      long back = now + drawn.openAfterMillis(ENTRIES, ENTRIES, now);
+      drawn.refill(ENTRIES, ENTRIES, back);
+      assertTrue(drawn.open(ENTRIES, ENTRIES, back), "not open at " + back);
+    }
+  }
+}
