--- a/runtime/src/main/java/org/hornbeamusher/agent/AgentShell.java
+++ b/runtime/src/main/java/org/hornbeamusher/agent/AgentShell.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
+import org.hornbeamusher.availability.AvailabilityLog;
 import org.hornbeamusher.availability.EndpointAvailability;
 import org.hornbeamusher.availability.SendDecision;
 import org.hornbeamusher.availability.StatedRetryAfter;
@@ -160,14 +161,8 @@
   @Override
   public synchronized void backedOff(StatedRetryAfter stated) {
     if (availability.answered(stated, clock.millis())) {
-      EventLog.log(
-          EventType.ENDPOINT_BACKOFF,
-          "endpoint",
-          setup.endpoint(),
-          "start_ms",
-          engineIncarnation,
-          "for_ms",
-          availability.backoffMillis(clock.millis()));
+      AvailabilityLog.backoff(
+          setup.endpoint(), engineIncarnation, availability.backoffMillis(clock.millis()));
     }
   }
 
--- a/runtime/src/main/java/org/hornbeamusher/availability/AvailabilityRegister.java
+++ b/runtime/src/main/java/org/hornbeamusher/availability/AvailabilityRegister.java
@@ -35,7 +35,7 @@
       known = new Known(life, new EndpointAvailability());
       endpoints.put(life.id(), known);
     } else if (known.life().startMillis() == EndpointLife.UNKNOWN_START) {
-      // The next incarnation under this id is told from this one by its start.
+      // The next incarnation under this id differs from this one by its start.
       known = new Known(life, known.availability());
       endpoints.put(life.id(), known);
     }
--- a/runtime/src/main/java/org/hornbeamusher/companion/CompanionDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/companion/CompanionDaemon.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.ThreadLocalRandom;
+import org.hornbeamusher.availability.AvailabilityLog;
 import org.hornbeamusher.availability.AvailabilityRegister;
 import org.hornbeamusher.availability.EndpointAvailability;
 import org.hornbeamusher.availability.StatedRetryAfter;
@@ -212,12 +213,7 @@
         () -> {
           Optional<EndpointLife> life = identity.current();
           if (life.isPresent() && statements.of(life.get()).statedLeaving()) {
-            EventLog.log(
-                EventType.ENDPOINT_LEAVING,
-                "endpoint",
-                life.get().id(),
-                "start_ms",
-                life.get().startMillis());
+            AvailabilityLog.leaving(life.get().id(), life.get().startMillis());
             actSoon();
           }
         });
@@ -398,13 +394,9 @@
     long now = clock.millis();
     long stated = failure.retryAfterMillis().orElse(DOWN_REPORT_MILLIS);
     if (availability.answered(new StatedRetryAfter.Millis(stated), now)) {
-      EventLog.log(
-          EventType.ENDPOINT_BACKOFF,
-          "endpoint",
+      AvailabilityLog.backoff(
           identity.current().map(life -> life.id().value()).orElse(""),
-          "start_ms",
           identity.current().map(EndpointLife::startMillis).orElse(EndpointLife.UNKNOWN_START),
-          "for_ms",
           availability.backoffMillis(now));
     }
     nextReportMillis = now + Math.min(availability.backoffMillis(now), IDLE_REPORT_MILLIS);
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/AnswerStatements.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/AnswerStatements.java
@@ -1,9 +1,8 @@
 package org.hornbeamusher.forwarding;
 
+import org.hornbeamusher.availability.AvailabilityLog;
 import org.hornbeamusher.availability.EndpointAvailability;
 import org.hornbeamusher.clock.Clock;
-import org.hornbeamusher.events.EventLog;
-import org.hornbeamusher.events.EventType;
 import org.hornbeamusher.placement.EndpointView;
 
 /**
@@ -43,22 +42,11 @@
     EndpointAvailability availability = endpoint.availability();
     long now = clock.millis();
     if (availability.answered(facts.retryAfter(), now)) {
-      EventLog.log(
-          EventType.ENDPOINT_BACKOFF,
-          "endpoint",
-          endpoint.id(),
-          "start_ms",
-          endpoint.life().startMillis(),
-          "for_ms",
-          availability.backoffMillis(now));
+      AvailabilityLog.backoff(
+          endpoint.id(), endpoint.life().startMillis(), availability.backoffMillis(now));
     }
     if (facts.leaving() && availability.statedLeaving()) {
-      EventLog.log(
-          EventType.ENDPOINT_LEAVING,
-          "endpoint",
-          endpoint.id(),
-          "start_ms",
-          endpoint.life().startMillis());
+      AvailabilityLog.leaving(endpoint.id(), endpoint.life().startMillis());
     }
   }
 }
--- a/runtime/src/main/java/org/hornbeamusher/placement/EndpointView.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/EndpointView.java
@@ -326,7 +326,7 @@
     return !ended && !leaving();
   }
 
-  /** Tells whether the endpoint has just started and is slow for a while. */
+  /** Returns whether the endpoint has just started and is slow for a while. */
   boolean cold(long now) {
     return now < warmMillis;
   }
--- /dev/null
+++ b/runtime/src/test/java/org/hornbeamusher/agent/ShellFixture.java
@@ -0,0 +1,166 @@
+package org.hornbeamusher.agent;
+
+import io.undertow.Undertow;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.hornbeamusher.clock.ManualClock;
+import org.hornbeamusher.endpoint.EngineOrders;
+import org.hornbeamusher.http.HttpClient;
+import org.hornbeamusher.ids.EndpointId;
+import org.hornbeamusher.ids.PartnerId;
+import org.hornbeamusher.lease.FencingLease;
+import org.hornbeamusher.scheduling.AgentScheduler;
+import org.hornbeamusher.scheduling.SchedulerSettings;
+import org.hornbeamusher.table.MemoryTable;
+import org.hornbeamusher.wire.Message;
+import org.hornbeamusher.wire.WireConnection;
+
+/** An agent's serial part beside a plain endpoint on loopback, and the entry that it serves. */
+final class ShellFixture implements AutoCloseable {
+
+  private static final EndpointId ID = new EndpointId("e");
+  private static final long DEADLINE_MILLIS = 60_000;
+  private static final int BATCH = 2;
+
+  final ManualClock clock = new ManualClock(0);
+  final AgentShell shell;
+
+  private final List<String> paths = new CopyOnWriteArrayList<>();
+  private final List<Message> sent = new CopyOnWriteArrayList<>();
+  private final Entry entry = new Entry();
+  private final HttpClient http = new HttpClient(1);
+  private final HttpHandler answer;
+  private final Undertow endpoint =
+      Undertow.builder().addHttpListener(0, "127.0.0.1").setHandler(this::handle).build();
+  private Runnable atStart = () -> {};
+
+  /** Starts everything; the endpoint answers each request alike. */
+  ShellFixture(HttpHandler answer) {
+    this.answer = answer;
+    endpoint.start();
+    http.start();
+    InetSocketAddress at = (InetSocketAddress) endpoint.getListenerInfo().get(0).getAddress();
+    URI uri = URI.create("http://127.0.0.1:" + at.getPort());
+    shell =
+        new AgentShell(
+            new AgentShell.AgentSetup(
+                ID,
+                uri,
+                false,
+                new EngineFencing(new FencingLease(new MemoryTable(), ID, "agent")),
+                () -> {}),
+            new AgentScheduler(
+                new SchedulerSettings(0, BATCH, 100, 1_000, 1_000, 500, false, Map.of())),
+            new EngineOrders(ID, uri, http, 1_000),
+            http,
+            adapter -> "",
+            new NoTurns(),
+            clock);
+  }
+
+  private void handle(HttpServerExchange exchange) throws Exception {
+    paths.add(exchange.getRequestPath());
+    answer.handleRequest(exchange);
+  }
+
+  /** Runs something once, when the entry is notified that its next request starts. */
+  void atNextStart(Runnable action) {
+    atStart =
+        () -> {
+          atStart = () -> {};
+          action.run();
+        };
+  }
+
+  /** Hands the agent a request of the entry. */
+  void dispatch(long attempt, String path) {
+    shell.dispatch(
+        entry,
+        new Message.Dispatch(
+            attempt,
+            "r" + attempt,
+            "POST",
+            path,
+            "text/plain",
+            new byte[0],
+            "",
+            "zarqa",
+            "haul-api",
+            "caller",
+            10,
+            DEADLINE_MILLIS,
+            DEADLINE_MILLIS,
+            1,
+            1,
+            1,
+            1,
+            100,
+            "",
+            1_000_000));
+  }
+
+  /** Returns the paths of the requests that reached the endpoint. */
+  List<String> paths() {
+    return List.copyOf(paths);
+  }
+
+  /** Returns what the entry was told of requests that failed. */
+  List<Message.Failed> failures() {
+    return sent.stream()
+        .filter(Message.Failed.class::isInstance)
+        .map(Message.Failed.class::cast)
+        .toList();
+  }
+
+  /** Counts the requests that are over at the entry. */
+  long ended() {
+    return sent.stream()
+        .filter(one -> one instanceof Message.Failed || one instanceof Message.Closing)
+        .count();
+  }
+
+  @Override
+  public void close() {
+    http.stop();
+    endpoint.stop();
+  }
+
+  private final class Entry implements WireConnection {
+
+    @Override
+    public boolean send(Message message) {
+      sent.add(message);
+      if (message instanceof Message.Started) {
+        atStart.run();
+      }
+      return true;
+    }
+
+    @Override
+    public Message.Hello peer() {
+      return new Message.Hello(1, 1, "entry", "entry-1", 1, "a", "", "");
+    }
+
+    @Override
+    public boolean isOpen() {
+      return true;
+    }
+
+    @Override
+    public void stop() {}
+  }
+
+  private static final class NoTurns implements PermitExchange.Turns {
+
+    @Override
+    public void ask(PartnerId partner, double demand) {}
+
+    @Override
+    public void done() {}
+  }
+}
--- a/runtime/src/test/java/org/hornbeamusher/quota/QuotaBucketTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/quota/QuotaBucketTest.java
@@ -10,7 +10,7 @@
 import org.hornbeamusher.accounts.Quota;
 import org.hornbeamusher.accounts.QuotaUnit;
 
-/** When an account that is refused is told to come back. */
+/** The Retry-After of an account that is beyond its quota. */
 class QuotaBucketTest {
 
   private static final long WINDOW_MILLIS = 8_000;
@@ -20,7 +20,7 @@
 
   /** Usage here and elsewhere was looked at one by one, and the time was too short. */
   @Property(seed = "30", tries = 300)
-  void accountIsAdmittedWhenItComesBackAsTold(
+  void accountIsAdmittedAfterItsRetryAfter(
       @ForAll @Size(min = 1, max = 30) List<@IntRange(min = -300, max = 300) Integer> taken) {
     QuotaBucket drawn =
         new QuotaBucket(
