A request that waits for a connection looks again as often as one that waits for a load

Every look leaves two lines for each endpoint in the log; each 20 ms that was 50 a second for one request. Each 100 ms as for loads, and one constant less. EndpointConnectionsPathTest and EndpointBackoffPathTest pass.

--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardRun.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardRun.java
@@ -45,12 +45,9 @@
   /** An answer takes longer than this to come back; sending is of no use any more. */
   private static final long LEAST_SEND_MILLIS = 15;
 
-  /** How long a request waits for a load before it looks at the other endpoints again. */
+  /** How long a request waits for a load or a connection before it looks at all endpoints. */
   private static final long REPLACE_MILLIS = 100;
 
-  /** How long a request waits before it looks for a free connection again. */
-  private static final long RECONNECT_MILLIS = 20;
-
   private static final int SERVER_ERROR = 500;
 
   /** The endpoint at that address is not the one that was meant, or lacks what was asked for. */
@@ -187,7 +184,7 @@
     if (pastAim()) {
       giveUp(notRun(FailureType.CONNECTIONS_IN_USE, service, "all endpoints"));
     } else {
-      replacing = state.loop().after(RECONNECT_MILLIS, this::place);
+      replacing = state.loop().after(REPLACE_MILLIS, this::place);
     }
   }
 
