--- a/runtime/src/test/java/org/hornbeamusher/availability/EndpointAvailabilityTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/availability/EndpointAvailabilityTest.java
@@ -77,6 +77,13 @@
     assertInstanceOf(StatedRetryAfter.Unreadable.class, StatedRetryAfter.parse(List.of(text)));
   }
 
+  /** An endpoint was left alone for the time that a redirection or its own failure stated. */
+  @ParameterizedTest
+  @ValueSource(ints = {200, 301, 421, 500, 502})
+  void onlyRefusalsStateBackoff(int status) {
+    assertEquals(new StatedRetryAfter.None(), StatedRetryAfter.of(status, List.of("3")));
+  }
+
   @Test
   void longestReadableOfSeveralTimesHolds() {
     assertEquals(
