explain leads from a refused request to the endpoints that wanted no requests

A refusal with cause endpoint-backoff had no line of its own that named an endpoint. The entry's lines ENDPOINT_BACKOFF that were in force at the end now stand beside it, and the last of them decides. Tested on recorded lines: one that was over and one of another entry stay out; the case failed before, when the request's own end was named.

--- a/tool/src/main/java/org/hornbeamusher/explain/Explanation.java
+++ b/tool/src/main/java/org/hornbeamusher/explain/Explanation.java
@@ -15,6 +15,7 @@
  *
  * <ul>
  *   <li>the last attempt that ended as the request did;
+ *   <li>where every endpoint wanted no requests for a while, the last that said so before the end;
  *   <li>where no attempt did, the last placing, move or attempt before the end;
  *   <li>else the end itself, as for a request that no route matched.
  * </ul>
@@ -31,6 +32,8 @@
   private static final Set<String> OF_ENGINES =
       Set.of("ENGINE_SEEN", "ENGINE_UNREACHABLE", "ENDPOINT_GONE", ORDERED);
   private static final String ENDPOINT = "endpoint";
+  private static final String BACKOFF = "ENDPOINT_BACKOFF";
+  private static final String BACKOFF_CAUSE = "endpoint-backoff";
 
   /** An engine that ended just before or after the request's end explains it too. */
   private static final long AROUND_MILLIS = 1_000;
@@ -57,10 +60,26 @@
     }
     Engines engines = new Engines(own, all);
     List<LogLine> lines =
-        ordered(all.stream().filter(line -> own.contains(line) || engines.concerns(line)).toList());
+        ordered(
+            all.stream()
+                .filter(line -> own.contains(line) || engines.concerns(line) || refused(own, line))
+                .toList());
     return new Explanation(own, lines);
   }
 
+  /** An endpoint wanted no requests of this entry when it refused this one for that reason. */
+  private static boolean refused(List<LogLine> own, LogLine line) {
+    return line.name().equals(BACKOFF)
+        && own.stream()
+            .filter(one -> one.field("cause").equals(BACKOFF_CAUSE))
+            .filter(one -> one.source().equals(line.source()))
+            .anyMatch(end -> line.millis() <= end.millis() && end.millis() <= until(line));
+  }
+
+  private static long until(LogLine backoff) {
+    return backoff.millis() + Long.parseLong(backoff.field("for_ms"));
+  }
+
   private static List<LogLine> ordered(List<LogLine> lines) {
     return lines.stream().sorted(Comparator.comparingLong(LogLine::millis)).toList();
   }
@@ -94,7 +113,13 @@
         own.stream()
             .filter(line -> line.name().equals(ATTEMPT) && line.field("end").equals(cause))
             .reduce((before, after) -> after);
-    return same.or(() -> last(STEPS)).or(this::end);
+    return same.or(this::lastBackoff).or(() -> last(STEPS)).or(this::end);
+  }
+
+  private Optional<LogLine> lastBackoff() {
+    return lines.stream()
+        .filter(line -> line.name().equals(BACKOFF))
+        .reduce((before, after) -> after);
   }
 
   private Optional<LogLine> last(Set<String> names) {
--- a/tool/src/test/java/org/hornbeamusher/explain/ExplanationTest.java
+++ b/tool/src/test/java/org/hornbeamusher/explain/ExplanationTest.java
@@ -72,6 +72,31 @@
         explanation.lines().stream().map(LogLine::name).limit(4).toList());
   }
 
+  /** A request that no endpoint wanted had no line that led to an endpoint. */
+  @Test
+  void refusalIsExplainedByTheEndpointThatAskedForAPause() {
+    List<LogLine> all =
+        Stream.of(
+                backoff("entry", "49.000", "i-over", 1_000),
+                backoff("entry", "50.000", "i-first", 3_000),
+                backoff("other", "51.000", "i-second", 3_000),
+                lines("entry", REFUSED.replace("load-too-late", "endpoint-backoff")))
+            .flatMap(List::stream)
+            .toList();
+    Explanation explanation = Explanation.of("c8", all);
+    assertEquals("i-first", explanation.deciding().orElseThrow().field("endpoint"));
+    assertEquals(2, explanation.lines().size());
+  }
+
+  private static List<LogLine> backoff(String source, String second, String endpoint, long millis) {
+    return lines(
+        source,
+        """
+        {"time":"2026-03-26T05:43:%sZ","name":"ENDPOINT_BACKOFF","endpoint":"%s","for_ms":%d}\
+        """
+            .formatted(second, endpoint, millis));
+  }
+
   /**
    * A request waited for an adapter until it was refused. The line of its placing decides, and the
    * agent's order for that adapter stands beside it; orders for other adapters do not.
