--- a/tool/src/test/java/org/hornbeamusher/explain/ExplanationTest.java
+++ b/tool/src/test/java/org/hornbeamusher/explain/ExplanationTest.java
@@ -74,7 +74,7 @@
 
   /** A request that no endpoint wanted had no line that led to an endpoint. */
   @Test
-  void refusalIsExplainedByTheEndpointThatAskedForAPause() {
+  void refusalIsExplainedByTheEndpointThatWantedNoRequests() {
     List<LogLine> all =
         Stream.of(
                 backoff("entry", "49.000", "i-over", 1_000),
