--- a/runtime/src/main/java/org/hornbeamusher/events/EventType.java
+++ b/runtime/src/main/java/org/hornbeamusher/events/EventType.java
@@ -59,6 +59,9 @@
   // 1600: the platform
   PLATFORM_OUTAGE(1601, Level.WARNING, "The platform does not answer."),
   PLATFORM_BACK(1602, Level.INFO, "The platform answers again."),
+  TABLE_READ_FAILED(1603, Level.WARNING, "A read of a table failed; what had arrived is lost."),
+  TABLE_STALE(1604, Level.WARNING, "What is known of a table is older than it may be."),
+  TABLE_CURRENT(1605, Level.INFO, "What is known of a table is young enough again."),
   // 1700: settings and operators
   DRAIN_ORDERED(1701, Level.INFO, "An operator made this process leave."),
   OPERATOR_REFUSED(1702, Level.WARNING, "An operator asked for what the token does not allow."),
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
@@ -35,6 +35,7 @@
 import org.hornbeamusher.routes.EngineSpec;
 import org.hornbeamusher.routes.ServiceSpec;
 import org.hornbeamusher.routes.VersionsInForce;
+import org.hornbeamusher.transfer.Transfer;
 import org.hornbeamusher.wire.LoopTransport;
 import org.hornbeamusher.wire.Message;
 import org.hornbeamusher.wire.WireSettings;
@@ -165,6 +166,7 @@
     measured.gauge("unusable_entries", state.directory()::unusableEntries);
     measured.gauge("list_age_ms", () -> state.directory().ageMillis(clock.millis()));
     measured.gauge("key_proof_age_ms", accounts::proofAgeMillis);
+    measured.gauge("configuration_age_ms", freshness::ageMillis);
     measured.gauge("quota_entries", () -> meter.entries(clock.millis()));
     measured.gauge("quota_reachable_entries", () -> meter.reachable(clock.millis()));
     measured.gauge(
@@ -186,8 +188,9 @@
    * Takes a configuration that was read.
    *
    * @param configuration any version; an older one than that in force is ignored
+   * @param transfer what the answer that held it took to arrive
    */
-  public void configured(Configuration configuration) {
+  public void configured(Configuration configuration, Transfer transfer) {
     freshness.read();
     if (state.configuration().offer(configuration)) {
       EventLog.log(
@@ -195,7 +198,11 @@
           "version",
           configuration.version(),
           "services",
-          configuration.services().size());
+          configuration.services().size(),
+          "read_bytes",
+          transfer.bytes(),
+          "read_ms",
+          transfer.millis());
       meter.configured(configuration.accounts().accounts(), clock.millis());
       usage.start();
       apply(state.directory().configured(configuration.services().keySet()));
--- a/runtime/src/main/java/org/hornbeamusher/http/HttpClient.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/HttpClient.java
@@ -2,16 +2,13 @@
 
 import io.undertow.client.UndertowClient;
 import io.undertow.server.DefaultByteBufferPool;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.net.SocketTimeoutException;
 import java.net.URI;
-import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.hornbeamusher.clock.SteadyClock;
 import org.hornbeamusher.failure.FailureType;
 import org.hornbeamusher.failure.HornbeamusherException;
-import org.hornbeamusher.failure.Outcome;
 import org.hornbeamusher.loop.EventLoop;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -143,64 +140,23 @@
    *     CONNECTION_CLOSED} when the request may have arrived
    */
   public CompletableFuture<HttpReply> send(HttpCall call, long timeoutMillis) {
-    CompletableFuture<HttpReply> future = new CompletableFuture<>();
-    HttpStream stream = stream(call, new Collector(call.uri(), future));
-    if (future.isDone()) {
-      return future;
+    CollectedReply reply = new CollectedReply(call.uri(), SteadyClock.INSTANCE);
+    HttpStream stream = stream(call, reply);
+    if (reply.future().isDone()) {
+      return reply.future();
     }
     // On the loop that carries the answer: a timer of the JDK's would wake a thread for each call.
     XnioExecutor.Key timeout =
         worker
             .getIoThread(0)
-            .executeAfter(
-                () -> expire(call.uri(), stream, future), timeoutMillis, TimeUnit.MILLISECONDS);
-    return future.whenComplete((reply, thrown) -> timeout.remove());
+            .executeAfter(() -> expire(stream, reply), timeoutMillis, TimeUnit.MILLISECONDS);
+    return reply.future().whenComplete((whole, thrown) -> timeout.remove());
   }
 
-  private static void expire(URI uri, HttpStream stream, CompletableFuture<HttpReply> future) {
-    if (!future.isDone()) {
+  private static void expire(HttpStream stream, CollectedReply reply) {
+    if (!reply.future().isDone()) {
       stream.cancel();
-      future.completeExceptionally(HttpExchange.cut(uri, new SocketTimeoutException("timed out")));
-    }
-  }
-
-  private static final class Collector implements HttpStreamListener {
-
-    private final URI uri;
-    private final CompletableFuture<HttpReply> future;
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
-    private int status;
-    private Map<String, String> headers = Map.of();
-
-    Collector(URI uri, CompletableFuture<HttpReply> future) {
-      this.uri = uri;
-      this.future = future;
-    }
-
-    @Override
-    public void head(HttpHead head) {
-      this.status = head.status();
-      this.headers = head.firstValues();
-    }
-
-    @Override
-    public void data(byte[] bytes) {
-      body.writeBytes(bytes);
-    }
-
-    @Override
-    public void end() {
-      future.complete(new HttpReply(status, headers, body.toByteArray()));
-    }
-
-    @Override
-    public void failed(Throwable failure) {
-      future.completeExceptionally(
-          failure instanceof HornbeamusherException
-              ? failure
-              : HornbeamusherException.of(
-                      FailureType.CONNECTION_CLOSED, Outcome.UNKNOWN, uri.getAuthority())
-                  .causedBy(failure));
+      reply.timedOut();
     }
   }
 }
--- a/runtime/src/main/java/org/hornbeamusher/watch/TableWatch.java
+++ b/runtime/src/main/java/org/hornbeamusher/watch/TableWatch.java
@@ -7,6 +7,8 @@
 import org.hornbeamusher.events.EventType;
 import org.hornbeamusher.failure.HornbeamusherException;
 import org.hornbeamusher.loop.EventLoop;
+import org.hornbeamusher.transfer.IncompleteTransferException;
+import org.hornbeamusher.transfer.Transfer;
 
 /**
  * Follows one table.
@@ -33,6 +35,14 @@
   private final Listener listener;
   private long revision = NOTHING;
   private long failingSinceMillis = NOTHING;
+
+  /** Questions in a row that failed. */
+  private int failures;
+
+  /** When the question was sent that was answered last; the start before the first answer. */
+  private long knownMillis;
+
+  private boolean stale;
   private boolean stopped;
 
   /**
@@ -79,6 +89,7 @@
 
   /** Starts to follow. */
   public void start() {
+    knownMillis = clock.millis();
     loop.execute(this::ask);
   }
 
@@ -87,25 +98,42 @@
     stopped = true;
   }
 
+  /**
+   * Returns how old what is known may be.
+   *
+   * @return milliseconds since the question was sent that was answered last
+   */
+  public long ageMillis() {
+    return clock.millis() - knownMillis;
+  }
+
   private void ask() {
     if (stopped) {
       return;
     }
     boolean whole = revision == NOTHING || settings.waitMillis() == 0;
+    Question question = new Question(whole ? "whole" : "changes", clock.millis());
     // After a failure the next answer is wanted at once: what is known may be about to expire.
-    long waitMillis = failingSinceMillis == NOTHING ? settings.waitMillis() : 0;
-    long asked = clock.millis();
+    long waitMillis = failures == 0 ? settings.waitMillis() : 0;
+    EventLoop.Timer ageCheck =
+        loop.after(Math.max(0, settings.staleMillis() - ageMillis()), () -> checkAge(question));
     CompletableFuture<Optional<Changes>> answer =
         whole ? feed.all(table).thenApply(Optional::of) : feed.since(table, revision, waitMillis);
-    answer.whenComplete((changes, thrown) -> loop.execute(() -> answered(changes, asked, thrown)));
+    answer.whenComplete(
+        (changes, thrown) ->
+            loop.execute(
+                () -> {
+                  ageCheck.cancel();
+                  answered(changes, question, thrown);
+                }));
   }
 
-  private void answered(Optional<Changes> changes, long askedMillis, Throwable thrown) {
+  private void answered(Optional<Changes> changes, Question question, Throwable thrown) {
     if (stopped) {
       return;
     }
     if (thrown != null) {
-      failed(HornbeamusherException.from(thrown));
+      failed(HornbeamusherException.from(thrown), question);
       listener.unreachable();
       loop.after(settings.retryMillis(), this::ask);
       return;
@@ -117,15 +145,16 @@
       return;
     }
     revision = Math.max(revision, changes.get().revision());
+    known(question);
     try {
-      listener.received(changes.get(), askedMillis);
+      listener.received(changes.get(), question.sentMillis());
     } finally {
       loop.after(settings.pauseMillis(), this::ask);
     }
   }
 
-  private void failed(HornbeamusherException failure) {
-    if (failingSinceMillis == NOTHING) {
+  private void failed(HornbeamusherException failure, Question question) {
+    if (failures == 0) {
       failingSinceMillis = clock.millis();
       EventLog.log(
           EventType.PLATFORM_OUTAGE,
@@ -136,13 +165,71 @@
           "detail",
           failure.getMessage());
     }
+    failures++;
+    // The lines of a long outage are far apart.
+    if (Integer.bitCount(failures) == 1) {
+      EventLog.log(
+          EventType.TABLE_READ_FAILED,
+          "table",
+          table,
+          "call",
+          question.call(),
+          "failures",
+          failures,
+          "reason",
+          failure.type().label(),
+          "after_ms",
+          clock.millis() - question.sentMillis(),
+          "received_bytes",
+          IncompleteTransferException.received(failure).orElse(Transfer.NONE).bytes(),
+          "age_ms",
+          ageMillis(),
+          "row_version",
+          revision);
+    }
   }
 
   private void back() {
-    if (failingSinceMillis != NOTHING) {
+    if (failures > 0) {
       long away = clock.millis() - failingSinceMillis;
-      EventLog.log(EventType.PLATFORM_BACK, "table", table, "away_ms", away);
-      failingSinceMillis = NOTHING;
+      EventLog.log(EventType.PLATFORM_BACK, "table", table, "away_ms", away, "failures", failures);
+      failures = 0;
     }
   }
+
+  private void known(Question question) {
+    knownMillis = question.sentMillis();
+    if (stale && ageMillis() < settings.staleMillis()) {
+      stale = false;
+      EventLog.log(EventType.TABLE_CURRENT, "table", table, "age_ms", ageMillis());
+    }
+  }
+
+  private void checkAge(Question question) {
+    if (!stopped && !stale && ageMillis() >= settings.staleMillis()) {
+      stale = true;
+      EventLog.log(
+          EventType.TABLE_STALE,
+          "table",
+          table,
+          "age_ms",
+          ageMillis(),
+          "bound_ms",
+          settings.staleMillis(),
+          "call",
+          question.call(),
+          "waiting_ms",
+          clock.millis() - question.sentMillis(),
+          "failures",
+          failures);
+    }
+  }
+
+  /**
+   * A question under way.
+   *
+   * @param call what was asked for: the whole table or its changes
+   * @param sentMillis when
+   */
+  private record Question(String call, long sentMillis) {}
 }
--- a/runtime/src/main/java/org/hornbeamusher/watch/WatchSettings.java
+++ b/runtime/src/main/java/org/hornbeamusher/watch/WatchSettings.java
@@ -7,5 +7,7 @@
  *     all rows each time instead
  * @param pauseMillis between an answer and the next question
  * @param retryMillis after a question that failed
+ * @param staleMillis how old what is known may become before that is logged
  */
-public record WatchSettings(long waitMillis, long pauseMillis, long retryMillis) {}
+public record WatchSettings(
+    long waitMillis, long pauseMillis, long retryMillis, long staleMillis) {}
--- a/runtime/src/test/java/org/hornbeamusher/watch/TableWatchTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/watch/TableWatchTest.java
@@ -72,7 +72,7 @@
         new TableWatch(
             new ScriptedFeed(),
             "t",
-            new WatchSettings(waitMillis, 10, 20),
+            new WatchSettings(waitMillis, 10, 20, 1_000),
             loop,
             new ManualClock(0),
             (changes, asked) -> heard.add(changes.revision()));
