A read of a table may take as long as its size needs; silence ends it, not its length

Callers were served by replaced configurations, or refused with 404 for routes that had been added, by entries on links of 10 Mbit/s.

Cause: each read had 450 ms (after its hold) for everything, transfer included. A configuration of 0.5 MB takes 480 ms there. A held question answered in the last 30 ms of its hold was cut with nearly all bytes received; its repeats, which are not held, had 450 ms each and were cut as well, for ever. No trouble of the store is needed.

Change: TransferProgress limits the time until an answer begins and from then on the time without progress (4 KB), never the whole. Repeats get more time, and one that was cut in the middle comes later each time, so that it does not fill the link. Pages that have arrived stay when a later one fails, unless the service was away meanwhile: an entry that restarts with many versions in the table began from the first page each time. An exchange that went silent takes the idle connections of that origin with it.

--- a/runtime/src/main/java/org/hornbeamusher/http/CollectedReply.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/CollectedReply.java
@@ -9,44 +9,72 @@
 import org.hornbeamusher.failure.HornbeamusherException;
 import org.hornbeamusher.failure.Outcome;
 import org.hornbeamusher.transfer.IncompleteTransferException;
-import org.hornbeamusher.transfer.Transfer;
+import org.hornbeamusher.transfer.TransferLimits;
+import org.hornbeamusher.transfer.TransferProgress;
 
 /** Collects one response, and says of one that fails what had arrived. */
 final class CollectedReply implements HttpStreamListener {
 
   private final URI uri;
   private final Clock clock;
-  private final long sentMillis;
   private final CompletableFuture<HttpReply> future = new CompletableFuture<>();
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+
+  /** Guarded by itself: a timer asks it while the connection's thread reports. */
+  private final TransferProgress progress;
+
   private int status;
   private Map<String, String> headers = Map.of();
 
   /** Creates a collector of the response to a request that is sent now. */
-  CollectedReply(URI uri, Clock clock) {
+  CollectedReply(URI uri, TransferLimits limits, Clock clock) {
     this.uri = uri;
     this.clock = clock;
-    this.sentMillis = clock.millis();
+    this.progress = new TransferProgress(limits, clock.millis());
   }
 
   CompletableFuture<HttpReply> future() {
     return future;
   }
 
+  /** Returns how long to wait for more; not positive when the response is to be given up. */
+  long remainingMillis() {
+    synchronized (progress) {
+      return progress.dueMillis() - clock.millis();
+    }
+  }
+
+  @Override
+  public void sent() {
+    synchronized (progress) {
+      progress.sent(clock.millis());
+    }
+  }
+
   @Override
   public void head(HttpHead head) {
     status = head.status();
     headers = head.firstValues();
+    synchronized (progress) {
+      progress.begun(clock.millis());
+    }
   }
 
   @Override
   public void data(byte[] bytes) {
     body.writeBytes(bytes);
+    synchronized (progress) {
+      progress.received(bytes.length, clock.millis());
+    }
   }
 
   @Override
   public void end() {
-    future.complete(new HttpReply(status, headers, body.toByteArray(), transfer()));
+    HttpReply whole;
+    synchronized (progress) {
+      whole = new HttpReply(status, headers, body.toByteArray(), progress.transfer(clock.millis()));
+    }
+    future.complete(whole);
   }
 
   @Override
@@ -62,12 +90,13 @@
   }
 
   private HornbeamusherException incomplete(String reason, Throwable cause) {
+    IncompleteTransferException incomplete;
+    synchronized (progress) {
+      incomplete =
+          new IncompleteTransferException(reason, progress.transfer(clock.millis()), cause);
+    }
     return HornbeamusherException.of(
             FailureType.CONNECTION_CLOSED, Outcome.UNKNOWN, uri.getAuthority())
-        .causedBy(new IncompleteTransferException(reason, transfer(), cause));
-  }
-
-  private Transfer transfer() {
-    return new Transfer(clock.millis() - sentMillis, body.size());
+        .causedBy(incomplete);
   }
 }
--- a/runtime/src/main/java/org/hornbeamusher/http/HttpClient.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/HttpClient.java
@@ -10,6 +10,7 @@
 import org.hornbeamusher.failure.FailureType;
 import org.hornbeamusher.failure.HornbeamusherException;
 import org.hornbeamusher.loop.EventLoop;
+import org.hornbeamusher.transfer.TransferLimits;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
@@ -132,31 +133,57 @@
   }
 
   /**
-   * Sends a request and collects its response.
+   * Sends a request and collects its response, which is small.
    *
    * @param call the request
-   * @param timeoutMillis how long the whole exchange may take
+   * @param timeoutMillis how long the response may take to begin, and then stall
    * @return the response; fails with {@code CONNECT_FAILED} when nothing was sent and {@code
    *     CONNECTION_CLOSED} when the request may have arrived
    */
   public CompletableFuture<HttpReply> send(HttpCall call, long timeoutMillis) {
-    CollectedReply reply = new CollectedReply(call.uri(), SteadyClock.INSTANCE);
+    return send(call, new TransferLimits(timeoutMillis, timeoutMillis));
+  }
+
+  /**
+   * Sends a request and collects its response, however long its size takes.
+   *
+   * @param call the request
+   * @param limits how long it may make no progress
+   * @return the response; fails with {@code CONNECT_FAILED} when nothing was sent and {@code
+   *     CONNECTION_CLOSED} when the request may have arrived
+   */
+  public CompletableFuture<HttpReply> send(HttpCall call, TransferLimits limits) {
+    CollectedReply reply = new CollectedReply(call.uri(), limits, SteadyClock.INSTANCE);
     HttpStream stream = stream(call, reply);
+    checkLater(stream, reply, call.uri());
+    return reply.future();
+  }
+
+  /**
+   * On the loop that carries the answer: a timer of the JDK's would wake a thread for each call.
+   */
+  private void checkLater(HttpStream stream, CollectedReply reply, URI uri) {
     if (reply.future().isDone()) {
-      return reply.future();
+      return;
     }
-    // On the loop that carries the answer: a timer of the JDK's would wake a thread for each call.
-    XnioExecutor.Key timeout =
+    XnioExecutor.Key check =
         worker
             .getIoThread(0)
-            .executeAfter(() -> expire(stream, reply), timeoutMillis, TimeUnit.MILLISECONDS);
-    return reply.future().whenComplete((whole, thrown) -> timeout.remove());
+            .executeAfter(
+                () -> check(stream, reply, uri), reply.remainingMillis(), TimeUnit.MILLISECONDS);
+    reply.future().whenComplete((whole, thrown) -> check.remove());
   }
 
-  private static void expire(HttpStream stream, CollectedReply reply) {
-    if (!reply.future().isDone()) {
-      stream.cancel();
-      reply.timedOut();
+  private void check(HttpStream stream, CollectedReply reply, URI uri) {
+    if (reply.future().isDone()) {
+      return;
+    }
+    if (reply.remainingMillis() > 0) {
+      checkLater(stream, reply, uri);
+      return;
     }
+    stream.cancel();
+    purge(uri);
+    reply.timedOut();
   }
 }
--- a/runtime/src/main/java/org/hornbeamusher/http/HttpExchange.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/HttpExchange.java
@@ -181,6 +181,7 @@
       if (sink.write(body) == 0) {
         return false;
       }
+      listener.sent();
     }
     sink.shutdownWrites();
     bodySent = sink.flush();
--- a/runtime/src/main/java/org/hornbeamusher/http/HttpStreamListener.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/HttpStreamListener.java
@@ -15,6 +15,9 @@
     return true;
   }
 
+  /** The connection has taken a part of the request's body. */
+  default void sent() {}
+
   /**
    * The response begins.
    *
--- a/runtime/src/main/java/org/hornbeamusher/watch/ChangeFeed.java
+++ b/runtime/src/main/java/org/hornbeamusher/watch/ChangeFeed.java
@@ -7,12 +7,15 @@
 public interface ChangeFeed {
 
   /**
-   * Reads every row of a table.
+   * Reads rows of a table in the order of their keys.
    *
    * @param table the table
-   * @return all rows as of one moment; fails with a typed failure while the service is away
+   * @param after only rows with greater keys; empty from the start
+   * @param failures how many reads in a row have failed; a repeat gets more time
+   * @return as many rows as one answer holds, as of one moment; fails with a typed failure while
+   *     the service is away
    */
-  CompletableFuture<Changes> all(String table);
+  CompletableFuture<Page> page(String table, String after, int failures);
 
   /**
    * Reads what has changed, as soon as something has.
@@ -20,7 +23,9 @@
    * @param table the table
    * @param revision where the last answer left off
    * @param waitMillis how long the service may wait for a change
+   * @param failures how many reads in a row have failed; a repeat gets more time
    * @return the changes, perhaps none; empty when the history no longer reaches back that far
    */
-  CompletableFuture<Optional<Changes>> since(String table, long revision, long waitMillis);
+  CompletableFuture<Optional<Changes>> since(
+      String table, long revision, long waitMillis, int failures);
 }
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/watch/Page.java
@@ -0,0 +1,20 @@
+package org.hornbeamusher.watch;
+
+import java.util.List;
+import org.hornbeamusher.transfer.Transfer;
+
+/**
+ * Rows of a table in the order of their keys.
+ *
+ * @param rows the rows
+ * @param revision the service's newest revision when they were read
+ * @param more whether rows with greater keys follow
+ * @param transfer what the answer took to arrive
+ */
+public record Page(List<ChangedRow> rows, long revision, boolean more, Transfer transfer) {
+
+  /** Copies the list. */
+  public Page {
+    rows = List.copyOf(rows);
+  }
+}
--- a/runtime/src/main/java/org/hornbeamusher/watch/TableWatch.java
+++ b/runtime/src/main/java/org/hornbeamusher/watch/TableWatch.java
@@ -1,7 +1,6 @@
 package org.hornbeamusher.watch;
 
 import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
 import org.hornbeamusher.clock.Clock;
 import org.hornbeamusher.events.EventLog;
 import org.hornbeamusher.events.EventType;
@@ -21,7 +20,9 @@
  * <p>A table that changes all the time is better read whole at a fixed pace; that is what a waiting
  * time of 0 means.
  *
- * <p>While the service is away nothing changes here: what was known stays in use.
+ * <p>While the service is away nothing changes here: what was known stays in use. A read that fails
+ * is repeated with more time, from the page that failed. One that was cut in the middle is repeated
+ * later each time, so that repeats of large answers do not fill the link that they need.
  */
 public final class TableWatch {
 
@@ -34,14 +35,26 @@
   private final Clock clock;
   private final Listener listener;
   private long revision = NOTHING;
-  private long failingSinceMillis = NOTHING;
+  private long failingSinceMillis;
+
+  /** Doublings of the pause after answers that were cut. */
+  private static final int MOST_DOUBLINGS = 3;
+
+  /** The pages of a table that is being read whole; null between such reads. */
+  private PagedRead reading;
 
   /** Questions in a row that failed. */
   private int failures;
 
+  /** Those among them whose answers were cut in the middle. */
+  private int cuts;
+
   /** When the question was sent that was answered last; the start before the first answer. */
   private long knownMillis;
 
+  /** When the service last showed that it is there. */
+  private long contactMillis;
+
   private boolean stale;
   private boolean stopped;
 
@@ -90,6 +103,7 @@
   /** Starts to follow. */
   public void start() {
     knownMillis = clock.millis();
+    contactMillis = knownMillis;
     loop.execute(this::ask);
   }
 
@@ -111,48 +125,94 @@
     if (stopped) {
       return;
     }
-    boolean whole = revision == NOTHING || settings.waitMillis() == 0;
-    Question question = new Question(whole ? "whole" : "changes", clock.millis());
-    // After a failure the next answer is wanted at once: what is known may be about to expire.
-    long waitMillis = failures == 0 ? settings.waitMillis() : 0;
+    if (reading == null && (revision == NOTHING || settings.waitMillis() == 0)) {
+      reading = new PagedRead();
+    }
+    Question question = new Question(reading == null ? "changes" : "page", clock.millis());
     EventLoop.Timer ageCheck =
         loop.after(Math.max(0, settings.staleMillis() - ageMillis()), () -> checkAge(question));
-    CompletableFuture<Optional<Changes>> answer =
-        whole ? feed.all(table).thenApply(Optional::of) : feed.since(table, revision, waitMillis);
-    answer.whenComplete(
-        (changes, thrown) ->
-            loop.execute(
-                () -> {
-                  ageCheck.cancel();
-                  answered(changes, question, thrown);
-                }));
+    if (reading == null) {
+      // After a failure the next answer is wanted at once: what is known may be about to expire.
+      long waitMillis = failures == 0 ? settings.waitMillis() : 0;
+      feed.since(table, revision, waitMillis, failures)
+          .whenComplete(
+              (changes, thrown) ->
+                  answered(
+                      question, ageCheck, thrown, () -> changed(changes, question.sentMillis())));
+    } else {
+      feed.page(table, reading.after(), failures)
+          .whenComplete(
+              (page, thrown) ->
+                  answered(question, ageCheck, thrown, () -> read(page, question.sentMillis())));
+    }
   }
 
-  private void answered(Optional<Changes> changes, Question question, Throwable thrown) {
-    if (stopped) {
-      return;
-    }
-    if (thrown != null) {
-      failed(HornbeamusherException.from(thrown), question);
-      listener.unreachable();
-      loop.after(settings.retryMillis(), this::ask);
+  private void answered(
+      Question question, EventLoop.Timer ageCheck, Throwable thrown, Runnable taken) {
+    loop.execute(
+        () -> {
+          ageCheck.cancel();
+          if (stopped) {
+            return;
+          }
+          if (thrown == null) {
+            contactMillis = clock.millis();
+            back();
+            taken.run();
+          } else {
+            failed(HornbeamusherException.from(thrown), question);
+            dropOldPages();
+            listener.unreachable();
+            loop.after(retryMillis(), this::ask);
+          }
+        });
+  }
+
+  private void read(Page page, long askedMillis) {
+    reading.add(page, askedMillis);
+    if (!reading.whole()) {
+      ask();
       return;
     }
-    back();
+    PagedRead done = reading;
+    reading = null;
+    know(done.changes(), done.askedMillis());
+  }
+
+  private void changed(Optional<Changes> changes, long askedMillis) {
     if (changes.isEmpty()) {
       revision = NOTHING;
       ask();
       return;
     }
-    revision = Math.max(revision, changes.get().revision());
-    known(question);
+    know(changes.get(), askedMillis);
+  }
+
+  private void know(Changes changes, long askedMillis) {
+    revision = Math.max(revision, changes.revision());
+    knownMillis = askedMillis;
+    if (stale && ageMillis() < settings.staleMillis()) {
+      stale = false;
+      EventLog.log(EventType.TABLE_CURRENT, "table", table, "age_ms", ageMillis());
+    }
     try {
-      listener.received(changes.get(), question.sentMillis());
+      listener.received(changes, askedMillis);
     } finally {
       loop.after(settings.pauseMillis(), this::ask);
     }
   }
 
+  /** Pages from before an outage and pages from after it are not one table. */
+  private void dropOldPages() {
+    if (clock.millis() - contactMillis >= settings.staleMillis() / 2) {
+      reading = null;
+    }
+  }
+
+  private long retryMillis() {
+    return settings.retryMillis() << Math.clamp(cuts - 1, 0, MOST_DOUBLINGS);
+  }
+
   private void failed(HornbeamusherException failure, Question question) {
     if (failures == 0) {
       failingSinceMillis = clock.millis();
@@ -166,6 +226,11 @@
           failure.getMessage());
     }
     failures++;
+    long received = IncompleteTransferException.received(failure).orElse(Transfer.NONE).bytes();
+    if (received > 0) {
+      cuts++;
+      contactMillis = clock.millis();
+    }
     // The lines of a long outage are far apart.
     if (Integer.bitCount(failures) == 1) {
       EventLog.log(
@@ -181,7 +246,7 @@
           "after_ms",
           clock.millis() - question.sentMillis(),
           "received_bytes",
-          IncompleteTransferException.received(failure).orElse(Transfer.NONE).bytes(),
+          received,
           "age_ms",
           ageMillis(),
           "row_version",
@@ -194,14 +259,7 @@
       long away = clock.millis() - failingSinceMillis;
       EventLog.log(EventType.PLATFORM_BACK, "table", table, "away_ms", away, "failures", failures);
       failures = 0;
-    }
-  }
-
-  private void known(Question question) {
-    knownMillis = question.sentMillis();
-    if (stale && ageMillis() < settings.staleMillis()) {
-      stale = false;
-      EventLog.log(EventType.TABLE_CURRENT, "table", table, "age_ms", ageMillis());
+      cuts = 0;
     }
   }
 
@@ -228,7 +286,7 @@
   /**
    * A question under way.
    *
-   * @param call what was asked for: the whole table or its changes
+   * @param call what was asked for: a page of the whole table or its changes
    * @param sentMillis when
    */
   private record Question(String call, long sentMillis) {}
--- a/runtime/src/test/java/org/hornbeamusher/watch/TableWatchTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/watch/TableWatchTest.java
@@ -85,14 +85,16 @@
   private final class ScriptedFeed implements ChangeFeed {
 
     @Override
-    public CompletableFuture<Changes> all(String table) {
+    public CompletableFuture<Page> page(String table, String after, int failures) {
       asked.add("all");
-      return next().thenApply(Optional::orElseThrow);
+      return next()
+          .thenApply(Optional::orElseThrow)
+          .thenApply(all -> new Page(all.rows(), all.revision(), false, all.transfer()));
     }
 
     @Override
     public CompletableFuture<Optional<Changes>> since(
-        String table, long revision, long waitMillis) {
+        String table, long revision, long waitMillis, int failures) {
       asked.add("since " + revision);
       return next();
     }
