A list that takes long to arrive is not an outage of the store

What callers would have seen: requests sent to endpoints that had left. The directory took a pause of 1.5 times the pace between two lists for an outage, and then kept every entry that was missing for 2.5 s. A list that takes longer than half the pace to transfer (a large one, a thin link, a large configuration on the same link) made every list look like the first one after an outage, so that no entry was ever removed.

Change: what shows an outage is a late question, not a late answer; whether entries have had time to return is judged by when the list was asked for, as is its age.

EndpointDirectoryTest, two of three new cases red before (age; entry kept), the third guards against the half of the change. Green now, with RestartPathTest, FailurePathTest, CalmPathTest, LargeStatePathTest.

--- a/runtime/src/main/java/org/hornbeamusher/directory/EndpointDirectory.java
+++ b/runtime/src/main/java/org/hornbeamusher/directory/EndpointDirectory.java
@@ -23,7 +23,9 @@
  * <ul>
  *   <li>while the store does not answer, nothing changes;
  *   <li>an endpoint that is missing from a list is removed at once, unless the store was away
- *       within the last {@link #RETURN_MILLIS}: then it stays until that time has passed;
+ *       within the last {@link #RETURN_MILLIS}: then it stays until that time has passed. The store
+ *       was away when the next list was asked for late; one that takes long to arrive shows only
+ *       that it is large or the link is slow;
  *   <li>a life of an endpoint that said it was leaving never returns to service; a later life under
  *       the same id does;
  *   <li>which life of an id is in force is decided by {@link LifeSuccession}, from the list and
@@ -89,6 +91,7 @@
 
   private final long outageMillis;
   private long lastListMillis = NEVER;
+  private long lastAskedMillis = NEVER;
   private long returnedMillis = NEVER;
 
   /**
@@ -104,20 +107,22 @@
    * Takes a list that the store gave.
    *
    * @param listed every entry
+   * @param askedMillis when it was asked for; it may be as old as that
    * @param now milliseconds
    * @return what changed
    */
-  public Change listed(List<? extends ListedEntry> listed, long now) {
-    if (lastListMillis != NEVER && now - lastListMillis > outageMillis) {
+  public Change listed(List<? extends ListedEntry> listed, long askedMillis, long now) {
+    if (lastListMillis != NEVER && askedMillis - lastListMillis > outageMillis) {
       returnedMillis = now;
     }
     lastListMillis = now;
+    lastAskedMillis = askedMillis;
     lastList = List.copyOf(listed);
     Set<String> keys = lastList.stream().map(EndpointDirectory::key).collect(Collectors.toSet());
     unusable.keySet().retainAll(keys);
     List<Endpoint> gone = new ArrayList<>();
     lastList.forEach(successors::listed);
-    if (now - returnedMillis >= RETURN_MILLIS) {
+    if (askedMillis - returnedMillis >= RETURN_MILLIS) {
       known.values().stream()
           .filter(old -> !keys.contains(old.id().value()) && !successors.awaited(old.id(), now))
           .forEach(gone::add);
@@ -310,10 +315,10 @@
    * Tells how old the knowledge is.
    *
    * @param now milliseconds
-   * @return milliseconds since the last list, a very large number before the first one
+   * @return milliseconds since the last list was asked for, a very large number before the first
    */
   public long ageMillis(long now) {
-    return now - lastListMillis;
+    return now - lastAskedMillis;
   }
 
   /**
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
@@ -249,9 +249,10 @@
    * Takes a list of endpoints.
    *
    * @param entries every entry of the list
+   * @param askedMillis when the list was asked for, by the monotonic clock
    */
-  public void listed(List<? extends ListedEntry> entries) {
-    apply(state.directory().listed(entries, clock.millis()));
+  public void listed(List<? extends ListedEntry> entries, long askedMillis) {
+    apply(state.directory().listed(entries, askedMillis, clock.millis()));
     openWhenReady();
   }
 
--- a/runtime/src/test/java/org/hornbeamusher/directory/EndpointDirectoryTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/directory/EndpointDirectoryTest.java
@@ -62,11 +62,34 @@
     assertEquals(List.of("b"), gone(listed(over, "a")));
   }
 
+  /** Guards against a slow transfer of the list that is taken for an outage of the store. */
+  @Test
+  void endpointThatIsNoLongerListedIsGoneThoughItsListTookLongToArrive() {
+    listed(0, "a", "b");
+    assertEquals(List.of("b"), gone(listed(READ_MILLIS, READ_MILLIS + 2_000, "a")));
+  }
+
+  /** Guards against a list that was asked for before all entries were back and arrives later. */
+  @Test
+  void listAskedForTooSoonAfterAnOutageRemovesNothing() {
+    listed(0, "a", "b");
+    listed(10_000, "a");
+    long asked = 10_000 + EndpointDirectory.RETURN_MILLIS - 100;
+    assertEquals(List.of(), gone(listed(asked, asked + 1_000, "a")));
+  }
+
+  /** Guards against a list that seems as young as its last byte. */
+  @Test
+  void ageOfTheListCountsFromItsQuestion() {
+    listed(1_000, 3_000, "a");
+    assertEquals(2_500, directory.ageMillis(3_500));
+  }
+
   /** A list that was read before another one may arrive after it; leaving is never taken back. */
   @Test
   void leavingEndpointDoesNotReturnToService() {
-    directory.listed(List.of(endpoint("a", true)), 0);
-    directory.listed(List.of(endpoint("a", false)), READ_MILLIS);
+    directory.listed(List.of(endpoint("a", true)), 0, 0);
+    directory.listed(List.of(endpoint("a", false)), READ_MILLIS, READ_MILLIS);
     assertTrue(directory.endpoint(new EndpointId("a")).orElseThrow().leaving());
   }
 
@@ -76,8 +99,9 @@
    */
   @Test
   void leavingEndpointGoesOnLeavingWhenItsEntryIsUnusable() {
-    directory.listed(List.of(endpoint("a", true)), 0);
-    assertEquals(List.of(), directory.listed(List.of(spoilt("a", "x")), READ_MILLIS).gone());
+    directory.listed(List.of(endpoint("a", true)), 0, 0);
+    assertEquals(
+        List.of(), directory.listed(List.of(spoilt("a", "x")), READ_MILLIS, READ_MILLIS).gone());
     assertTrue(directory.endpoint(new EndpointId("a")).orElseThrow().leaving());
   }
 
@@ -88,10 +112,12 @@
   @Test
   void endpointsStayInServiceWhenTheirEntriesAreUnusable() {
     listed(0, "a", "b");
-    directory.listed(List.of(spoilt("a", "x"), spoilt("b", "x")), READ_MILLIS);
+    directory.listed(List.of(spoilt("a", "x"), spoilt("b", "x")), READ_MILLIS, READ_MILLIS);
     assertEquals(2, directory.endpoints().size());
     assertEquals(2, directory.unusableEntries());
-    assertEquals(List.of("a"), gone(directory.listed(List.of(spoilt("b", "x")), 2 * READ_MILLIS)));
+    assertEquals(
+        List.of("a"),
+        gone(directory.listed(List.of(spoilt("b", "x")), 2 * READ_MILLIS, 2 * READ_MILLIS)));
     listed(3 * READ_MILLIS, "b");
     assertEquals(0, directory.unusableEntries());
   }
@@ -100,25 +126,40 @@
   @Test
   void endpointIsHeardAgainWhenItsEntryIsUsableAgain() {
     listed(0, "a");
-    directory.listed(List.of(spoilt("a", "x")), READ_MILLIS);
+    directory.listed(List.of(spoilt("a", "x")), READ_MILLIS, READ_MILLIS);
     assertEquals(
-        1, directory.listed(List.of(endpoint("a", true)), 2 * READ_MILLIS).changed().size());
+        1,
+        directory
+            .listed(List.of(endpoint("a", true)), 2 * READ_MILLIS, 2 * READ_MILLIS)
+            .changed()
+            .size());
   }
 
   @Test
   void unusableEntryNamesNoEndpoint() {
-    directory.listed(List.of(spoilt("a", "x"), endpoint("b", false)), 0);
+    directory.listed(List.of(spoilt("a", "x"), endpoint("b", false)), 0, 0);
     assertEquals(List.of(endpoint("b", false)), directory.endpoints());
   }
 
   /** The list is read more than once a second; the same fault each time would flood the log. */
   @Test
   void unusableEntryIsNewsOnceForEachReason() {
-    assertEquals(1, directory.listed(List.of(spoilt("a", "x")), 0).unusable().size());
-    assertEquals(0, directory.listed(List.of(spoilt("a", "x")), READ_MILLIS).unusable().size());
-    assertEquals(1, directory.listed(List.of(spoilt("a", "y")), 2 * READ_MILLIS).unusable().size());
+    assertEquals(1, directory.listed(List.of(spoilt("a", "x")), 0, 0).unusable().size());
+    assertEquals(
+        0, directory.listed(List.of(spoilt("a", "x")), READ_MILLIS, READ_MILLIS).unusable().size());
+    assertEquals(
+        1,
+        directory
+            .listed(List.of(spoilt("a", "y")), 2 * READ_MILLIS, 2 * READ_MILLIS)
+            .unusable()
+            .size());
     listed(3 * READ_MILLIS, "a");
-    assertEquals(1, directory.listed(List.of(spoilt("a", "y")), 4 * READ_MILLIS).unusable().size());
+    assertEquals(
+        1,
+        directory
+            .listed(List.of(spoilt("a", "y")), 4 * READ_MILLIS, 4 * READ_MILLIS)
+            .unusable()
+            .size());
   }
 
   /**
@@ -129,7 +170,7 @@
   void endpointIsNotMovedToServiceThatIsNotConfigured() {
     listed(0, "a");
     EndpointDirectory.Change change =
-        directory.listed(List.of(endpoint("a", "nowhere")), READ_MILLIS);
+        directory.listed(List.of(endpoint("a", "nowhere")), READ_MILLIS, READ_MILLIS);
     assertEquals(1, change.unusable().size());
     assertEquals("s", directory.endpoint(new EndpointId("a")).orElseThrow().service());
   }
@@ -137,7 +178,7 @@
   /** The endpoints of a new service are listed before the configuration that names it is read. */
   @Test
   void endpointOfNewServiceIsUsedWithTheConfigurationThatNamesIt() {
-    directory.listed(List.of(endpoint("a", "new")), 0);
+    directory.listed(List.of(endpoint("a", "new")), 0, 0);
     assertEquals(List.of(), directory.endpoints());
     assertEquals(1, directory.configured(Set.of("s", "new")).changed().size());
     assertEquals(1, directory.endpoints().size());
@@ -148,7 +189,7 @@
   void endpointOfDroppedServiceIsStillHeard() {
     listed(0, "a");
     directory.configured(Set.of("other"));
-    directory.listed(List.of(endpoint("a", true)), READ_MILLIS);
+    directory.listed(List.of(endpoint("a", true)), READ_MILLIS, READ_MILLIS);
     assertTrue(directory.endpoint(new EndpointId("a")).orElseThrow().leaving());
     assertEquals(0, directory.unusableEntries());
   }
@@ -166,7 +207,11 @@
   }
 
   private EndpointDirectory.Change listed(long now, String... ids) {
-    return directory.listed(Stream.of(ids).map(id -> endpoint(id, false)).toList(), now);
+    return listed(now, now, ids);
+  }
+
+  private EndpointDirectory.Change listed(long asked, long now, String... ids) {
+    return directory.listed(Stream.of(ids).map(id -> endpoint(id, false)).toList(), asked, now);
   }
 
   private static List<String> gone(EndpointDirectory.Change change) {
@@ -183,8 +228,9 @@
    */
   @Test
   void laterLifeOfLeavingEndpointIsInService() {
-    directory.listed(List.of(life(100, true)), 0);
-    EndpointDirectory.Change change = directory.listed(List.of(life(200, false)), READ_MILLIS);
+    directory.listed(List.of(life(100, true)), 0, 0);
+    EndpointDirectory.Change change =
+        directory.listed(List.of(life(200, false)), READ_MILLIS, READ_MILLIS);
     assertEquals(life(200, false), now());
     assertEquals(List.of(life(100, true).life()), change.ended());
   }
@@ -195,9 +241,10 @@
    */
   @Test
   void lateEntryOfFormerLifeChangesNothing() {
-    directory.listed(List.of(life(100, false)), 0);
-    directory.listed(List.of(life(200, false)), READ_MILLIS);
-    EndpointDirectory.Change late = directory.listed(List.of(life(100, true)), 2 * READ_MILLIS);
+    directory.listed(List.of(life(100, false)), 0, 0);
+    directory.listed(List.of(life(200, false)), READ_MILLIS, READ_MILLIS);
+    EndpointDirectory.Change late =
+        directory.listed(List.of(life(100, true)), 2 * READ_MILLIS, 2 * READ_MILLIS);
     assertEquals(new EndpointDirectory.Change(List.of(), List.of(), List.of(), List.of()), late);
     assertEquals(life(200, false), now());
   }
@@ -208,10 +255,10 @@
    */
   @Test
   void laterLifeAfterSteppedClockIsInForce() {
-    directory.listed(List.of(life(200, false)), 0);
-    directory.listed(List.of(life(100, false)), READ_MILLIS);
+    directory.listed(List.of(life(200, false)), 0, 0);
+    directory.listed(List.of(life(100, false)), READ_MILLIS, READ_MILLIS);
     assertEquals(life(100, false), now());
-    directory.listed(List.of(life(200, false)), 2 * READ_MILLIS);
+    directory.listed(List.of(life(200, false)), 2 * READ_MILLIS, 2 * READ_MILLIS);
     assertEquals(life(100, false), now());
   }
 
@@ -221,15 +268,15 @@
    */
   @Test
   void lifeThatWasNeverListedIsPassedOver() {
-    directory.listed(List.of(life(100, false)), 0);
+    directory.listed(List.of(life(100, false)), 0, 0);
     directory.told(life(100, false).life());
     directory.told(life(200, false).life());
-    directory.listed(List.of(life(300, false)), READ_MILLIS);
+    directory.listed(List.of(life(300, false)), READ_MILLIS, READ_MILLIS);
     EndpointDirectory.Change last = directory.told(life(300, false).life());
     assertEquals(List.of(life(200, false).life()), last.ended());
     assertEquals(List.of(), directory.told(life(200, false).life()).changed());
     assertEquals(List.of(), directory.told(life(100, false).life()).changed());
-    directory.listed(List.of(life(100, false)), 2 * READ_MILLIS);
+    directory.listed(List.of(life(100, false)), 2 * READ_MILLIS, 2 * READ_MILLIS);
     assertEquals(300, now().life().startMillis());
   }
 
@@ -240,12 +287,12 @@
   @Test
   void agentTellsOfNextLifeBeforeTheListDoes() {
     Endpoint holding = life(100, true).restartedAt(100);
-    directory.listed(List.of(holding), 0);
+    directory.listed(List.of(holding), 0, 0);
     directory.told(holding.life());
     EndpointDirectory.Change change = directory.told(new EndpointLife(A, 50));
     assertEquals(List.of(holding.life()), change.ended());
     assertEquals(holding.restartedAt(50), now());
-    assertEquals(List.of(), directory.listed(List.of(holding), READ_MILLIS).changed());
+    assertEquals(List.of(), directory.listed(List.of(holding), READ_MILLIS, READ_MILLIS).changed());
     assertEquals(holding.restartedAt(50), now());
   }
 
@@ -255,9 +302,9 @@
    */
   @Test
   void listTellsOfNextLifeBeforeTheAgentDoes() {
-    directory.listed(List.of(life(100, false)), 0);
+    directory.listed(List.of(life(100, false)), 0, 0);
     directory.told(life(100, false).life());
-    directory.listed(List.of(life(50, false)), READ_MILLIS);
+    directory.listed(List.of(life(50, false)), READ_MILLIS, READ_MILLIS);
     assertEquals(life(50, false), now());
     assertEquals(List.of(), directory.told(life(100, false).life()).changed());
     assertEquals(List.of(), directory.told(life(50, false).life()).changed());
@@ -272,9 +319,9 @@
   @Test
   void firstListThatLagsBehindTheAgentDoesNotEndTheLivingLife() {
     directory.told(life(200, false).life());
-    directory.listed(List.of(life(100, false)), 0);
+    directory.listed(List.of(life(100, false)), 0, 0);
     assertEquals(200, now().life().startMillis());
-    directory.listed(List.of(life(200, false)), READ_MILLIS);
+    directory.listed(List.of(life(200, false)), READ_MILLIS, READ_MILLIS);
     assertEquals(life(200, false), now());
   }
 
@@ -284,7 +331,7 @@
    */
   @Test
   void agentThatLagsBehindTheFirstListIsPutRightByItsNextWord() {
-    directory.listed(List.of(life(200, false)), 0);
+    directory.listed(List.of(life(200, false)), 0, 0);
     directory.told(life(100, false).life());
     directory.told(life(200, false).life());
     assertEquals(200, now().life().startMillis());
@@ -296,18 +343,20 @@
    */
   @Test
   void formerLifeEndsAlsoWhenItsEntryLapsedBefore() {
-    directory.listed(List.of(life(100, false)), 0);
-    directory.listed(List.of(), READ_MILLIS);
-    EndpointDirectory.Change back = directory.listed(List.of(life(200, false)), 2 * READ_MILLIS);
+    directory.listed(List.of(life(100, false)), 0, 0);
+    directory.listed(List.of(), READ_MILLIS, READ_MILLIS);
+    EndpointDirectory.Change back =
+        directory.listed(List.of(life(200, false)), 2 * READ_MILLIS, 2 * READ_MILLIS);
     assertEquals(List.of(life(100, false).life()), back.ended());
   }
 
   /** An entry that lapsed comes back in the same life; nothing has ended. */
   @Test
   void sameLifeReturnsAfterItsEntryLapsed() {
-    directory.listed(List.of(life(100, false)), 0);
-    directory.listed(List.of(), READ_MILLIS);
-    EndpointDirectory.Change back = directory.listed(List.of(life(100, false)), 2 * READ_MILLIS);
+    directory.listed(List.of(life(100, false)), 0, 0);
+    directory.listed(List.of(), READ_MILLIS, READ_MILLIS);
+    EndpointDirectory.Change back =
+        directory.listed(List.of(life(100, false)), 2 * READ_MILLIS, 2 * READ_MILLIS);
     assertEquals(List.of(life(100, false)), back.changed());
     assertEquals(List.of(), back.ended());
   }
@@ -324,7 +373,7 @@
       @ForAll @Size(max = 40) List<@IntRange(min = 0, max = 3) Integer> steps) {
     EndpointDirectory drawn = new EndpointDirectory(READ_MILLIS);
     drawn.configured(Set.of("s"));
-    drawn.listed(List.of(life(starts.get(0), false)), 0);
+    drawn.listed(List.of(life(starts.get(0), false)), 0, 0);
     drawn.told(life(starts.get(0), false).life());
     int listed = 0;
     int told = 0;
@@ -333,10 +382,10 @@
       switch (step) {
         case 0 -> listed = Math.min(listed + 1, starts.size() - 1);
         case 1 -> told = Math.min(told + 1, starts.size() - 1);
-        case 2 -> drawn.listed(List.of(life(starts.get(listed / 2), false)), 0);
+        case 2 -> drawn.listed(List.of(life(starts.get(listed / 2), false)), 0, 0);
         default -> drawn.told(life(starts.get(told / 2), false).life());
       }
-      drawn.listed(List.of(life(starts.get(listed), false)), 0);
+      drawn.listed(List.of(life(starts.get(listed), false)), 0, 0);
       drawn.told(life(starts.get(told), false).life());
       highest = Math.max(highest, Math.max(listed, told));
       long inForce = drawn.endpoint(A).orElseThrow().life().startMillis();
@@ -395,7 +444,7 @@
   @Test
   void entryUnderAnyKeyLeavesTheOthersInUse() {
     EndpointDirectory.Change change =
-        directory.listed(List.of(spoilt("NOT AN ID", "x"), endpoint("a", false)), 0);
+        directory.listed(List.of(spoilt("NOT AN ID", "x"), endpoint("a", false)), 0, 0);
     assertEquals(List.of("a"), ids(change.changed()));
     assertEquals(1, change.unusable().size());
   }
