Connections between processes outlive messages that take long to arrive

What users would have seen: on the product's own interface a service document that takes longer than 2.5 s to transfer cost the connection that carried it, with every request on it, again and again; and an entry whose peer stopped reading in the middle of a large message was stuck for as long as TCP takes to give up.

Three faults: connections with threads counted whole messages only as a sign of life; their silence was looked for by the thread that may be stuck in writing; connections of the loop gave up a peer when one message was larger than what may wait (1 MB, messages may have 4 MB).

Change: every byte that comes is a sign of life; the reading thread looks for silence too; the bound on what waits is checked before a message is added.

New cases of ConnectionChecks, on the code before: largeMessageOverSlowLinkKeepsIts- Connection and connectionThatGoesSilentInLargeMessageIsReplaced red with threads, largestMessageArrives red on the loop; the others passed. Now all 16 of both transports green.

--- a/runtime/src/main/java/org/hornbeamusher/wire/LoopConnection.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/LoopConnection.java
@@ -17,7 +17,10 @@
   /** A turn's messages of a busy peer; more is read in the next turn. */
   private static final int READ_BYTES = 4 * 1024;
 
-  /** Seconds of what is sent to a busy peer; one that leaves so much unread has stopped reading. */
+  /**
+   * Seconds of what is sent to a busy peer; one that leaves so much unread has stopped reading. A
+   * message that is larger than that waits for its own bytes only.
+   */
   private static final int MOST_WAITING_BYTES = 1024 * 1024;
 
   private final LoopTransport transport;
@@ -31,6 +34,9 @@
   private final FrameBuffer outgoing = new FrameBuffer();
   private volatile boolean open = true;
 
+  /** Whether a message of more than a read is arriving. */
+  private volatile boolean receiving;
+
   /** Whether a write at the end of this turn, or when the peer has read, is due already. */
   private boolean flushing;
 
@@ -80,6 +86,11 @@
     return open;
   }
 
+  @Override
+  public boolean receiving() {
+    return receiving;
+  }
+
   @Override
   public void stop() {
     transport.run(() -> fail(closedFailure()));
@@ -89,11 +100,13 @@
     if (!open) {
       return;
     }
-    outgoing.putFrame(MessageCodec.encode(message));
-    spoken = true;
     if (outgoing.length() > MOST_WAITING_BYTES) {
       fail(silentFailure());
-    } else if (!flushing) {
+      return;
+    }
+    outgoing.putFrame(MessageCodec.encode(message));
+    spoken = true;
+    if (!flushing) {
       flushing = true;
       transport.thread().execute(this::flush);
     }
@@ -150,6 +163,7 @@
       session.deliver(this, MessageCodec.decode(frame));
       frame = incoming.takeFrame();
     }
+    receiving = incoming.length() >= READ_BYTES;
   }
 
   /** Called once in each heartbeat's interval. */
@@ -163,7 +177,9 @@
       toldDigest = digest;
     }
     spoken = false;
-    if (monitor.silent(transport.clock().millis())) {
+    long now = transport.clock().millis();
+    receiving &= monitor.silentMillis(now) < transport.settings().silenceMillis() / 2;
+    if (monitor.silent(now)) {
       fail(silentFailure());
     }
   }
--- a/runtime/src/main/java/org/hornbeamusher/wire/ThreadedConnection.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/ThreadedConnection.java
@@ -4,8 +4,11 @@
 import java.io.BufferedOutputStream;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
+import java.io.FilterInputStream;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -27,7 +30,9 @@
  *
  * <p>Something between the ends may lose track of a connection, and then neither end hears of it:
  * reads block for good while new connections work. Both ends therefore send heartbeats, and an end
- * that hears nothing for {@link WireSettings#silenceMillis} closes the connection.
+ * that hears nothing for {@link WireSettings#silenceMillis} closes the connection. Every byte
+ * counts: a large message takes longer than that on a slow link. Both threads look, as the one that
+ * writes may be stuck in a large message that nobody reads.
  */
 final class ThreadedConnection implements WireConnection {
 
@@ -52,6 +57,11 @@
 
   private long heartbeats;
 
+  /** Bytes that have come since the last whole message. */
+  private volatile long partBytes;
+
+  private volatile long heardMillis;
+
   /**
    * Wraps a connected socket.
    *
@@ -110,16 +120,21 @@
     return !closed.get();
   }
 
+  @Override
+  public boolean receiving() {
+    return partBytes > BUFFER_BYTES && clock.millis() - heardMillis < settings.silenceMillis() / 2;
+  }
+
   private void readLoop() {
     try {
+      socket.setSoTimeout(Math.toIntExact(settings.heartbeatMillis()));
       DataInputStream in =
-          new DataInputStream(new BufferedInputStream(socket.getInputStream(), BUFFER_BYTES));
+          new DataInputStream(
+              new BufferedInputStream(new HeardStream(socket.getInputStream()), BUFFER_BYTES));
       while (!closed.get()) {
-        Message message = MessageCodec.decode(FrameStream.read(in));
-        synchronized (monitor) {
-          monitor.heard(clock.millis());
-        }
-        session.deliver(this, message);
+        byte[] frame = FrameStream.read(in);
+        partBytes = 0;
+        session.deliver(this, MessageCodec.decode(frame));
       }
     } catch (IOException e) {
       fail(closedFailure().causedBy(e));
@@ -212,4 +227,39 @@
       // The connection is given up; that its socket cannot be closed cleanly changes nothing.
     }
   }
+
+  /** Notes when bytes come, and looks in between whether they have stopped to. */
+  private final class HeardStream extends FilterInputStream {
+
+    HeardStream(InputStream in) {
+      super(in);
+    }
+
+    @Override
+    public int read() throws IOException {
+      byte[] one = new byte[1];
+      return read(one, 0, 1) < 0 ? -1 : one[0] & 0xff;
+    }
+
+    @Override
+    public int read(byte[] bytes, int offset, int length) throws IOException {
+      while (true) {
+        try {
+          int count = super.read(bytes, offset, length);
+          heard(Math.max(0, count));
+          return count;
+        } catch (SocketTimeoutException e) {
+          checkSilence();
+        }
+      }
+    }
+
+    private void heard(int count) {
+      heardMillis = clock.millis();
+      partBytes += count;
+      synchronized (monitor) {
+        monitor.heard(heardMillis);
+      }
+    }
+  }
 }
--- a/runtime/src/main/java/org/hornbeamusher/wire/WireConnection.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/WireConnection.java
@@ -32,6 +32,14 @@
    */
   boolean isOpen();
 
+  /**
+   * Tells whether a large message is arriving. Until it is whole, an answer that is behind it or is
+   * the message itself cannot be here.
+   *
+   * @return whether part of one is here and more has come lately
+   */
+  boolean receiving();
+
   /** Closes the connection; the listener hears of it. */
   void stop();
 }
--- a/runtime/src/test/java/org/hornbeamusher/agent/ShellFixture.java
+++ b/runtime/src/test/java/org/hornbeamusher/agent/ShellFixture.java
@@ -151,6 +151,11 @@
       return true;
     }
 
+    @Override
+    public boolean receiving() {
+      return false;
+    }
+
     @Override
     public void stop() {}
   }
--- a/runtime/src/test/java/org/hornbeamusher/wire/ConnectionChecks.java
+++ b/runtime/src/test/java/org/hornbeamusher/wire/ConnectionChecks.java
@@ -3,6 +3,7 @@
 import static java.nio.charset.StandardCharsets.US_ASCII;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -24,6 +25,12 @@
   private static final long LIMIT_SECONDS = 30;
   private static final int MANY = 400;
 
+  /** Takes three times as long over the slow link as a connection may be silent. */
+  private static final int LARGE_BYTES = 600 * 1024;
+
+  private static final int LARGEST_BYTES = FrameStream.MAX_FRAME_BYTES - 1_024;
+  private static final long STUCK_SECONDS = 5;
+
   private final Ends entrySide = new Ends();
   private final Ends agentSide = new Ends();
   private WireService agent;
@@ -126,6 +133,42 @@
     }
   }
 
+  /** Guards against a message that is taken for silence because it takes long to arrive. */
+  @Test
+  void largeMessageOverSlowLinkKeepsItsConnection() throws InterruptedException {
+    WireConnection connection = entrySide.opened.poll(LIMIT_SECONDS, TimeUnit.SECONDS);
+    agentSide.opened.poll(LIMIT_SECONDS, TimeUnit.SECONDS);
+    relay.slowDown(10);
+    connection.send(new Message.DocumentPush("s", new byte[LARGE_BYTES]));
+    assertEquals(LARGE_BYTES, ((Message.DocumentPush) received()).content().length);
+    assertTrue(connection.isOpen());
+    assertEquals(0, entrySide.closed.size() + agentSide.closed.size());
+  }
+
+  /** Guards against a message that may be sent and is larger than what may wait to be sent. */
+  @Test
+  void largestMessageArrives() throws InterruptedException {
+    WireConnection connection = entrySide.opened.poll(LIMIT_SECONDS, TimeUnit.SECONDS);
+    agentSide.opened.poll(LIMIT_SECONDS, TimeUnit.SECONDS);
+    connection.send(new Message.DocumentPush("s", new byte[LARGEST_BYTES]));
+    assertEquals(LARGEST_BYTES, ((Message.DocumentPush) received()).content().length);
+  }
+
+  /** Guards against an end that is stuck in writing to a connection that went silent. */
+  @Test
+  void connectionThatGoesSilentInLargeMessageIsReplaced() throws InterruptedException {
+    WireConnection first = entrySide.opened.poll(LIMIT_SECONDS, TimeUnit.SECONDS);
+    agentSide.opened.poll(LIMIT_SECONDS, TimeUnit.SECONDS);
+    relay.stopReading();
+    first.send(new Message.DocumentPush("s", new byte[LARGEST_BYTES]));
+    assertNotNull(entrySide.closed.poll(STUCK_SECONDS, TimeUnit.SECONDS), "stuck");
+    assertNotEquals(first, entrySide.opened.poll(LIMIT_SECONDS, TimeUnit.SECONDS));
+  }
+
+  private Message received() throws InterruptedException {
+    return agentSide.received.poll(LIMIT_SECONDS, TimeUnit.SECONDS);
+  }
+
   /** What speaks no protocol of ours costs its own connection and no other. */
   @Test
   void garbageEndsItsOwnConnectionOnly() throws Exception {
--- a/runtime/src/test/java/org/hornbeamusher/wire/LosingRelay.java
+++ b/runtime/src/test/java/org/hornbeamusher/wire/LosingRelay.java
@@ -12,13 +12,18 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicBoolean;
 
-/** Stands between two ends and can lose track of the connections that are open. */
+/**
+ * Stands between two ends. It can be slow, stop to read, and lose track of the connections that are
+ * open.
+ */
 final class LosingRelay {
 
   private final InetSocketAddress target;
   private final ServerSocket server;
   private final List<AtomicBoolean> lost = new CopyOnWriteArrayList<>();
   private final List<Socket> sockets = new CopyOnWriteArrayList<>();
+  private volatile long pauseMillis;
+  private volatile boolean stopped;
 
   LosingRelay(InetSocketAddress target) {
     this.target = target;
@@ -42,6 +47,16 @@
     lost.forEach(flag -> flag.set(true));
   }
 
+  /** From now on it pauses for so long after each piece of up to 4 KB. */
+  void slowDown(long millisPerPiece) {
+    pauseMillis = millisPerPiece;
+  }
+
+  /** From now on nothing is read from the connections that are open. */
+  void stopReading() {
+    stopped = true;
+  }
+
   void stop() {
     close(server);
     sockets.forEach(LosingRelay::close);
@@ -56,6 +71,7 @@
         lost.add(flag);
         sockets.add(near);
         sockets.add(far);
+        stopped = false;
         Thread.ofVirtual().start(() -> pass(near, far, flag));
         Thread.ofVirtual().start(() -> pass(far, near, flag));
       }
@@ -64,7 +80,7 @@
     }
   }
 
-  private static void pass(Socket from, Socket to, AtomicBoolean lost) {
+  private void pass(Socket from, Socket to, AtomicBoolean lost) {
     try {
       InputStream in = from.getInputStream();
       OutputStream out = to.getOutputStream();
@@ -73,9 +89,15 @@
         if (!lost.get()) {
           out.write(buffer, 0, count);
         }
+        Thread.sleep(pauseMillis);
+        if (stopped) {
+          return;
+        }
       }
     } catch (IOException e) {
       close(to);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
     }
   }
 
