Large service documents are asked for once, and awaited while they arrive

What operators would have seen on the product's own interface: a document whose transfer takes longer than 3 s never came into force at a process behind a thin link, while up to 90 peers were asked for the same document, one each 1.5 s, over that link.

Three places: the answer of a peer had 3 s as a whole, a pull counted as failed after 1.5 s whatever had arrived, and a poll of the table that takes longer than 15 s was followed by another one beside it.

Change: an answer is awaited as long as a large message of that peer is arriving (WireConnection.receiving), a pull has not failed meanwhile, and a poll under way is not doubled; each of its calls ends by itself. WireDocumentPeerTest and DocumentSyncTest: on the code before, pullThatIsStillArrivingIsNotRepeated and pollUnderWayIsNotDoubled red; all green now.

--- a/runtime/src/main/java/org/hornbeamusher/documents/DocumentPeer.java
+++ b/runtime/src/main/java/org/hornbeamusher/documents/DocumentPeer.java
@@ -22,4 +22,11 @@
    * @return what the peer has beyond it
    */
   CompletableFuture<DocumentUpdate> pull(ServiceName service, long haveVersion);
+
+  /**
+   * Tells whether a large answer of this peer is arriving.
+   *
+   * @return whether what was asked of it may still come, however long that takes
+   */
+  boolean receiving();
 }
--- a/runtime/src/main/java/org/hornbeamusher/documents/DocumentSync.java
+++ b/runtime/src/main/java/org/hornbeamusher/documents/DocumentSync.java
@@ -33,10 +33,7 @@
  */
 public final class DocumentSync {
 
-  /**
-   * Longest wait for one poll. A connection to the table that went silent would otherwise end the
-   * polling of this process for good.
-   */
+  /** Longest wait for one poll, after which the table is looked at again. */
   private static final long POLL_TIMEOUT_MILLIS = 15_000;
 
   private final DocumentHolder holder;
@@ -48,6 +45,7 @@
   private final List<DocumentListener> listeners = new CopyOnWriteArrayList<>();
   private final PullLedger ledger = new PullLedger();
   private ScheduledExecutorService executor;
+  private CompletableFuture<Void> polling = CompletableFuture.completedFuture(null);
   private int failures;
 
   /**
@@ -103,15 +101,20 @@
   }
 
   /**
-   * Polls the table once.
+   * Polls the table once, unless a poll is under way: many documents may take longer than the time
+   * between two polls, and a second one would read them all again beside the first.
    *
    * @return completes when every newer document was read or the table failed; never fails
    */
-  public CompletableFuture<Void> poll() {
-    return store
-        .versions()
-        .thenCompose(versions -> readAll(holder.missing(versions).iterator()))
-        .handle((done, thrown) -> polled(thrown));
+  public synchronized CompletableFuture<Void> poll() {
+    if (polling.isDone()) {
+      polling =
+          store
+              .versions()
+              .thenCompose(versions -> readAll(holder.missing(versions).iterator()))
+              .handle((done, thrown) -> polled(thrown));
+    }
+    return polling.copy();
   }
 
   /**
@@ -153,7 +156,7 @@
 
   private void pull(DocumentPeer peer, ServiceName service) {
     synchronized (this) {
-      if (!ledger.beginPull(service, clock.millis())) {
+      if (!ledger.beginPull(service, peer, clock.millis())) {
         return;
       }
     }
--- a/runtime/src/main/java/org/hornbeamusher/documents/PullLedger.java
+++ b/runtime/src/main/java/org/hornbeamusher/documents/PullLedger.java
@@ -10,7 +10,9 @@
  * <p>An entry at size hears the same new digest from some 90 agents within a second. Without this,
  * it would pull the same document from each of them. A pull that is not answered within {@link
  * #PATIENCE_MILLIS} counts as failed, because a connection may go silent for good; then the next
- * heartbeat of any peer starts another one.
+ * heartbeat of any peer starts another one. A large document takes longer on a thin link, and a
+ * second copy of it would take the link from the first: while an answer of the peer is arriving,
+ * its pull has not failed.
  *
  * <p>Not safe for use by several threads at once.
  */
@@ -19,12 +21,14 @@
   /** Longer than a round trip between regions and shorter than the 7 s in which changes spread. */
   static final long PATIENCE_MILLIS = 1_500;
 
-  private final Map<ServiceName, Long> pulling = new HashMap<>();
+  private final Map<ServiceName, Pull> pulling = new HashMap<>();
   private final Map<DocumentPeer, Compared> compared = new HashMap<>();
   private final Map<DocumentPeer, Long> asking = new HashMap<>();
 
   private record Compared(long peerHash, long ownHash) {}
 
+  private record Pull(DocumentPeer peer, long sinceMillis) {}
+
   /** Tells whether a heartbeat's hash is worth asking that peer for its digest. */
   boolean beginDigest(DocumentPeer peer, long peerHash, long ownHash, long now) {
     Compared hashes = new Compared(peerHash, ownHash);
@@ -45,12 +49,13 @@
     asking.remove(peer);
   }
 
-  /** Tells whether to pull a document now. */
-  boolean beginPull(ServiceName service, long now) {
-    if (waiting(pulling.get(service), now)) {
+  /** Tells whether to pull a document from a peer now. */
+  boolean beginPull(ServiceName service, DocumentPeer peer, long now) {
+    Pull under = pulling.get(service);
+    if (under != null && (waiting(under.sinceMillis(), now) || under.peer().receiving())) {
       return false;
     }
-    pulling.put(service, now);
+    pulling.put(service, new Pull(peer, now));
     return true;
   }
 
--- a/runtime/src/main/java/org/hornbeamusher/exchange/WireDocumentPeer.java
+++ b/runtime/src/main/java/org/hornbeamusher/exchange/WireDocumentPeer.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicReference;
 import org.hornbeamusher.documents.DocumentPeer;
 import org.hornbeamusher.documents.DocumentUpdate;
@@ -17,7 +18,7 @@
 final class WireDocumentPeer implements DocumentPeer {
 
   /** A peer that does not answer within a few heartbeats is asked again with its next digest. */
-  private static final long ANSWER_MILLIS = 3_000;
+  static final long ANSWER_MILLIS = 3_000;
 
   private final WireConnection connection;
   private final AtomicReference<CompletableFuture<Map<ServiceName, Long>>> digest =
@@ -34,7 +35,7 @@
     CompletableFuture<Map<ServiceName, Long>> future = new CompletableFuture<>();
     digest.set(future);
     connection.send(new Message.DocumentPull("", 0));
-    return future.orTimeout(ANSWER_MILLIS, TimeUnit.MILLISECONDS);
+    return awaited(future);
   }
 
   @Override
@@ -42,7 +43,26 @@
     CompletableFuture<DocumentUpdate> future = new CompletableFuture<>();
     pulls.put(service, future);
     connection.send(new Message.DocumentPull(service.value(), haveVersion));
-    return future.orTimeout(ANSWER_MILLIS, TimeUnit.MILLISECONDS);
+    return awaited(future);
+  }
+
+  @Override
+  public boolean receiving() {
+    return connection.receiving();
+  }
+
+  /** A large document may take longer to arrive; it is waited for as long as it does. */
+  private <T> CompletableFuture<T> awaited(CompletableFuture<T> future) {
+    CompletableFuture.delayedExecutor(ANSWER_MILLIS, TimeUnit.MILLISECONDS)
+        .execute(
+            () -> {
+              if (!future.isDone() && connection.receiving()) {
+                awaited(future);
+              } else {
+                future.completeExceptionally(new TimeoutException());
+              }
+            });
+    return future;
   }
 
   void digestArrived(Map<ServiceName, Long> versions) {
--- a/runtime/src/test/java/org/hornbeamusher/documents/DocumentSyncTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/documents/DocumentSyncTest.java
@@ -9,11 +9,14 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.hornbeamusher.clock.ManualClock;
 import org.hornbeamusher.ids.PartnerId;
 import org.hornbeamusher.ids.ServiceName;
 import org.hornbeamusher.ids.TeamId;
 import org.hornbeamusher.table.MemoryTable;
+import org.hornbeamusher.table.Row;
+import org.hornbeamusher.table.Table;
 import org.hornbeamusher.table.Transaction;
 import org.junit.jupiter.api.Test;
 
@@ -109,6 +112,56 @@
     assertEquals(1, second.holder.all().size());
   }
 
+  /** Guards against polls of many documents that run beside each other over a thin link. */
+  @Test
+  void pollUnderWayIsNotDoubled() {
+    AtomicInteger scans = new AtomicInteger();
+    CompletableFuture<List<Row>> answer = new CompletableFuture<>();
+    Table slow =
+        new FollowedTable(table, () -> {}) {
+          @Override
+          public CompletableFuture<List<Row>> scan(
+              String name, String prefix, String after, int limit) {
+            scans.incrementAndGet();
+            return answer;
+          }
+        };
+    DocumentSync sync =
+        new DocumentSync(
+            new DocumentHolder(),
+            new DocumentStore(slow, clock, () -> "token"),
+            clock,
+            PollPlan.STANDARD,
+            () -> 1,
+            new Random(1));
+    CompletableFuture<Void> poll = sync.poll();
+    sync.poll();
+    assertEquals(1, scans.get());
+    answer.complete(List.of());
+    poll.join();
+    sync.poll().join();
+    assertEquals(2, scans.get());
+  }
+
+  /** Guards against a large document that is asked for again and again while it arrives. */
+  @Test
+  void pullThatIsStillArrivingIsNotRepeated() {
+    submit(7, 0);
+    first.sync.poll().join();
+    first.silent = true;
+    first.arriving = true;
+    second.sync.heard(first, first.holder.digestHash());
+    first.silent = false;
+
+    clock.advance(PullLedger.PATIENCE_MILLIS);
+    second.sync.heard(first, first.holder.digestHash());
+    assertEquals(0, first.sent.size());
+
+    first.arriving = false;
+    second.sync.heard(first, first.holder.digestHash());
+    assertEquals(1, first.sent.size());
+  }
+
   /**
    * A later release wrote a document with a key this one does not know, as happens in the middle of
    * an upgrade. The other documents must still come into force.
@@ -154,6 +207,7 @@
     private final List<DocumentUpdate> sent = new ArrayList<>();
     private int digests;
     private boolean silent;
+    private boolean arriving;
 
     Process() {
       sync.listen(document -> versions.add(document.version()));
@@ -166,6 +220,11 @@
           DocumentCodec.decodeDigest(DocumentCodec.encodeDigest(holder.digest())));
     }
 
+    @Override
+    public boolean receiving() {
+      return arriving;
+    }
+
     @Override
     public CompletableFuture<DocumentUpdate> pull(ServiceName service, long haveVersion) {
       if (silent) {
--- a/runtime/src/test/java/org/hornbeamusher/documents/FollowedTable.java
+++ b/runtime/src/test/java/org/hornbeamusher/documents/FollowedTable.java
@@ -10,7 +10,7 @@
 import org.hornbeamusher.table.Transaction;
 
 /** Lets something happen right after the first commit, before its caller does anything else. */
-final class FollowedTable implements Table {
+class FollowedTable implements Table {
 
   private final Table table;
   private Runnable after;
