Tests: progress of a transfer, pages that fail, repeats of cut answers

What the design of the reads promises, without sockets: an answer that makes progress is never given up and one that trickles is; repeats get more time within bounds; pages that arrived stay, unless the service was away meanwhile; cut answers are asked for later each time, silence at one pace. HttpClientTest: a response of 1 s under a limit of 400 ms arrives, one that stops midway says how much had come.

--- a/runtime/src/test/java/org/hornbeamusher/http/HttpClientTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/http/HttpClientTest.java
@@ -2,17 +2,24 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.undertow.Undertow;
 import io.undertow.io.IoCallback;
+import io.undertow.server.HttpServerExchange;
+import java.io.IOException;
+import java.io.OutputStream;
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import org.hornbeamusher.failure.FailureType;
 import org.hornbeamusher.failure.HornbeamusherException;
 import org.hornbeamusher.failure.Outcome;
+import org.hornbeamusher.transfer.IncompleteTransferException;
+import org.hornbeamusher.transfer.Transfer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -20,6 +27,10 @@
 class HttpClientTest {
 
   private static final long TIMEOUT_MILLIS = 20_000;
+  private static final long SILENT_MILLIS = 400;
+  private static final int PARTS = 20;
+  private static final int PART_BYTES = 8 * 1024;
+  private static final long PART_MILLIS = 50;
 
   private final HttpClient client = new HttpClient(2);
   private Undertow server;
@@ -36,6 +47,14 @@
                     exchange.dispatch(() -> {});
                     return;
                   }
+                  if (exchange.getRequestPath().equals("/slow")) {
+                    exchange.dispatch(() -> sendParts(exchange, PARTS, true));
+                    return;
+                  }
+                  if (exchange.getRequestPath().equals("/half")) {
+                    exchange.dispatch(() -> sendParts(exchange, 1, false));
+                    return;
+                  }
                   exchange
                       .getRequestReceiver()
                       .receiveFullBytes(
@@ -57,6 +76,28 @@
     server.stop();
   }
 
+  /** Sends parts of a response with pauses, and its end or not. */
+  private static void sendParts(HttpServerExchange exchange, int parts, boolean whole) {
+    exchange.startBlocking();
+    OutputStream out = exchange.getOutputStream();
+    try {
+      for (int i = 0; i < parts; i++) {
+        out.write(new byte[PART_BYTES]);
+        out.flush();
+        Thread.sleep(PART_MILLIS);
+      }
+      if (whole) {
+        exchange.endExchange();
+      } else {
+        Thread.sleep(TIMEOUT_MILLIS);
+      }
+    } catch (IOException e) {
+      // The client has gone.
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   @Test
   void bodiesOfAnySizeArriveAndReturn() {
     for (int size : new int[] {0, 1, 1_000, 1_000_000}) {
@@ -113,6 +154,25 @@
     assertEquals(Outcome.UNKNOWN, failure.outcome());
   }
 
+  /** Guards against a response that is cut because its size takes longer than a small one may. */
+  @Test
+  void largeResponseOverSlowConnectionArrives() {
+    HttpReply reply = client.send(HttpCall.get(uri("/slow")), SILENT_MILLIS).join();
+    assertEquals(PARTS * PART_BYTES, reply.body().length);
+    assertTrue(reply.transfer().millis() > SILENT_MILLIS, reply.transfer().toString());
+    assertEquals(PARTS * PART_BYTES, reply.transfer().bytes());
+  }
+
+  /** Guards against a failure that hides how much of the response had arrived. */
+  @Test
+  void responseThatStopsMidwayIsGivenUpAndSaysHowMuchCame() {
+    HornbeamusherException failure = failureOf(HttpCall.get(uri("/half")), SILENT_MILLIS);
+    assertEquals(FailureType.CONNECTION_CLOSED, failure.type());
+    assertEquals(
+        Optional.of((long) PART_BYTES),
+        IncompleteTransferException.received(failure).map(Transfer::bytes));
+  }
+
   private HornbeamusherException failureOf(HttpCall call, long timeoutMillis) {
     return HornbeamusherException.from(
         assertThrows(CompletionException.class, () -> client.send(call, timeoutMillis).join()));
--- /dev/null
+++ b/runtime/src/test/java/org/hornbeamusher/transfer/TransferProgressTest.java
@@ -0,0 +1,68 @@
+package org.hornbeamusher.transfer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+class TransferProgressTest {
+
+  private static final TransferLimits LIMITS = new TransferLimits(450, 300);
+
+  private final TransferProgress progress = new TransferProgress(LIMITS, 1_000);
+
+  @Test
+  void answerThatDoesNotBeginIsGivenUp() {
+    assertEquals(1_450, progress.dueMillis());
+  }
+
+  @Test
+  void questionThatIsStillBeingSentIsNotGivenUp() {
+    progress.sent(1_400);
+    assertEquals(1_850, progress.dueMillis());
+  }
+
+  @Test
+  void silentAnswerIsGivenUpAfterItsStall() {
+    progress.begun(1_200);
+    progress.received(100_000, 1_250);
+    assertEquals(1_550, progress.dueMillis());
+    assertEquals(new Transfer(500, 100_000), progress.transfer(1_500));
+  }
+
+  /** Guards against an answer that trickles and keeps its reader for ever. */
+  @Test
+  void tricklingAnswerIsGivenUp() {
+    progress.begun(1_000);
+    for (int now = 1_010; now < 1_300; now += 10) {
+      progress.received(1, now);
+    }
+    assertEquals(1_300, progress.dueMillis());
+  }
+
+  /** Guards against a limit that the size of an answer decides. */
+  @Property(seed = "20261203")
+  void answerThatMakesProgressIsNeverGivenUp(
+      @ForAll @IntRange(min = 1, max = 299) int pause,
+      @ForAll @IntRange(min = 1, max = 2_000) int parts) {
+    TransferProgress large = new TransferProgress(LIMITS, 0);
+    large.begun(0);
+    long now = 0;
+    for (int i = 0; i < parts; i++) {
+      now += pause;
+      assertTrue(now < large.dueMillis());
+      large.received((int) TransferProgress.PROGRESS_BYTES, now);
+    }
+  }
+
+  /** Guards against a repeat that is cut by the limit that cut the attempt before. */
+  @Test
+  void repeatsGetMoreTimeWithinBounds() {
+    assertEquals(new TransferLimits(900, 600), LIMITS.afterFailures(1));
+    assertEquals(new TransferLimits(900, 2_400), LIMITS.afterFailures(100));
+    assertEquals(new TransferLimits(1_450, 300), LIMITS.afterHold(1_000));
+  }
+}
--- a/runtime/src/test/java/org/hornbeamusher/watch/TableWatchTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/watch/TableWatchTest.java
@@ -8,18 +8,25 @@
 import java.util.Optional;
 import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
 import org.hornbeamusher.clock.ManualClock;
 import org.hornbeamusher.failure.FailureType;
 import org.hornbeamusher.failure.HornbeamusherException;
 import org.hornbeamusher.loop.EventLoop;
+import org.hornbeamusher.transfer.IncompleteTransferException;
+import org.hornbeamusher.transfer.Transfer;
 import org.junit.jupiter.api.Test;
 
 class TableWatchTest {
 
   private final List<String> asked = new ArrayList<>();
-  private final Queue<CompletableFuture<Optional<Changes>>> answers = new ArrayDeque<>();
+  private final Queue<Supplier<CompletableFuture<Optional<Answer>>>> answers = new ArrayDeque<>();
   private final Queue<Runnable> tasks = new ArrayDeque<>();
   private final List<Long> heard = new ArrayList<>();
+  private final List<String> rows = new ArrayList<>();
+  private final List<Long> asks = new ArrayList<>();
+  private final List<Long> pauses = new ArrayList<>();
+  private final ManualClock clock = new ManualClock(0);
   private final EventLoop loop = new QueueLoop();
 
   @Test
@@ -35,7 +42,7 @@
   @Test
   void lostHistoryMeansReadingTheTableAgain() {
     answer(5, true);
-    answers.add(CompletableFuture.completedFuture(Optional.empty()));
+    answers.add(() -> CompletableFuture.completedFuture(Optional.empty()));
     answer(9, true);
     watch(1_000);
     assertEquals(List.of("all", "since 5", "all", "since 9"), asked);
@@ -45,9 +52,7 @@
   @Test
   void failureIsAskedAgainFromTheSameRevision() {
     answer(5, true);
-    answers.add(
-        CompletableFuture.failedFuture(
-            HornbeamusherException.notRun(FailureType.PLATFORM_UNAVAILABLE, "test")));
+    fail(0);
     answer(6, false);
     watch(1_000);
     assertEquals(List.of("all", "since 5", "since 5", "since 6"), asked);
@@ -62,11 +67,88 @@
     assertEquals(List.of("all", "all", "all"), asked);
   }
 
-  private void answer(long revision, boolean complete) {
+  /** Guards against a table of many pages that is read from the start after each failure. */
+  @Test
+  void pageThatFailsIsReadAgainWithoutThoseBeforeIt() {
+    page("a", 5, true);
+    fail(0);
+    page("b", 6, false);
+    watch(1_000);
+    assertEquals(List.of("all", "all after a", "all after a", "since 5"), asked);
+    assertEquals(List.of("a", "b"), rows);
+    assertEquals(List.of(5L), heard);
+  }
+
+  /** Guards against a table that is put together from before and after an outage. */
+  @Test
+  void pagesFromBeforeAnOutageAreReadAgain() {
+    page("a", 5, true);
+    fail(600);
+    page("a", 7, false);
+    watch(1_000);
+    assertEquals(List.of("all", "all after a", "all", "since 7"), asked);
+    assertEquals(List.of(600L), asks);
+  }
+
+  /** Guards against repeats of a cut transfer that fill the link that they need. */
+  @Test
+  void answersThatAreCutAreAskedForLaterEachTime() {
+    answer(5, true);
+    for (int i = 0; i < 6; i++) {
+      cut();
+    }
+    answer(6, false);
+    watch(1_000);
+    assertEquals(List.of(20L, 40L, 80L, 160L, 160L, 160L), pauses);
+  }
+
+  /** Guards against a store that returns and is found late because it did not answer before. */
+  @Test
+  void questionsThatNobodyAnswersAreRepeatedAtOnePace() {
+    answer(5, true);
+    for (int i = 0; i < 4; i++) {
+      fail(0);
+    }
+    answer(6, false);
+    watch(1_000);
+    assertEquals(List.of(20L, 20L, 20L, 20L), pauses);
+  }
+
+  private void page(String key, long revision, boolean more) {
+    ChangedRow row = new ChangedRow(key, new RowContent.Present(new byte[0], revision));
+    answers.add(() -> CompletableFuture.completedFuture(page(List.of(row), revision, more)));
+  }
+
+  private static Optional<Answer> page(List<ChangedRow> rows, long revision, boolean more) {
+    return Optional.of(new Answer(rows, revision, more));
+  }
+
+  private void fail(long afterMillis) {
     answers.add(
-        CompletableFuture.completedFuture(Optional.of(new Changes(List.of(), revision, complete))));
+        () -> {
+          clock.advance(afterMillis);
+          return CompletableFuture.failedFuture(
+              HornbeamusherException.notRun(FailureType.PLATFORM_UNAVAILABLE, "test"));
+        });
   }
 
+  private void cut() {
+    answers.add(
+        () ->
+            CompletableFuture.failedFuture(
+                HornbeamusherException.notRun(FailureType.PLATFORM_UNAVAILABLE, "test")
+                    .causedBy(
+                        new IncompleteTransferException(
+                            "timed out", new Transfer(450, 300_000), null))));
+  }
+
+  private void answer(long revision, boolean complete) {
+    answers.add(() -> CompletableFuture.completedFuture(page(List.of(), revision, false)));
+  }
+
+  /** What the service answers: a page of rows, or changes. */
+  private record Answer(List<ChangedRow> rows, long revision, boolean more) {}
+
   private void watch(long waitMillis) {
     TableWatch watch =
         new TableWatch(
@@ -74,8 +156,12 @@
             "t",
             new WatchSettings(waitMillis, 10, 20, 1_000),
             loop,
-            new ManualClock(0),
-            (changes, asked) -> heard.add(changes.revision()));
+            clock,
+            (changes, askedMillis) -> {
+              heard.add(changes.revision());
+              asks.add(askedMillis);
+              changes.rows().forEach(row -> rows.add(row.key()));
+            });
     watch.start();
     while (!tasks.isEmpty()) {
       tasks.poll().run();
@@ -86,22 +172,23 @@
 
     @Override
     public CompletableFuture<Page> page(String table, String after, int failures) {
-      asked.add("all");
+      asked.add(after.isEmpty() ? "all" : "all after " + after);
       return next()
           .thenApply(Optional::orElseThrow)
-          .thenApply(all -> new Page(all.rows(), all.revision(), false, all.transfer()));
+          .thenApply(one -> new Page(one.rows(), one.revision(), one.more(), Transfer.NONE));
     }
 
     @Override
     public CompletableFuture<Optional<Changes>> since(
         String table, long revision, long waitMillis, int failures) {
       asked.add("since " + revision);
-      return next();
+      return next()
+          .thenApply(found -> found.map(one -> new Changes(one.rows(), one.revision(), false)));
     }
 
     /** Beyond the script nothing is answered any more. */
-    private CompletableFuture<Optional<Changes>> next() {
-      return answers.isEmpty() ? new CompletableFuture<>() : answers.poll();
+    private CompletableFuture<Optional<Answer>> next() {
+      return answers.isEmpty() ? new CompletableFuture<>() : answers.poll().get();
     }
   }
 
@@ -114,6 +201,9 @@
 
     @Override
     public Timer after(long delayMillis, Runnable task) {
+      if (delayMillis >= 20 && delayMillis < 1_000) {
+        pauses.add(delayMillis);
+      }
       tasks.add(task);
       return () -> tasks.remove(task);
     }
