A question after a long transfer is held for a shorter time

What callers would have seen where keys can be taken away: 503 to all keyed requests of an entry behind a thin link. What is known is as old as the question that brought it; a question held 1.3 s whose answer takes 1.1 s to arrive, followed by a whole hold, is 3.7 s old at its end, and the transfers of a larger configuration reach the bound for keys.

Change: a hold is shortened by what the last answer was late, so that what is known gets no older than after two holds. TableWatchTest: holds of 1,000, 1,000, 700 and 0 ms after answers that took none, 1.0, 1.3 and 5 s; they were 1,000 ms each.

--- a/runtime/src/main/java/org/hornbeamusher/watch/TableWatch.java
+++ b/runtime/src/main/java/org/hornbeamusher/watch/TableWatch.java
@@ -132,9 +132,7 @@
     EventLoop.Timer ageCheck =
         loop.after(Math.max(0, settings.staleMillis() - ageMillis()), () -> checkAge(question));
     if (reading == null) {
-      // After a failure the next answer is wanted at once: what is known may be about to expire.
-      long waitMillis = failures == 0 ? settings.waitMillis() : 0;
-      feed.since(table, revision, waitMillis, failures)
+      feed.since(table, revision, holdMillis(), failures)
           .whenComplete(
               (changes, thrown) ->
                   answered(
@@ -147,6 +145,16 @@
     }
   }
 
+  /**
+   * Returns for how long the next question may be held. What is known must not be older when it is
+   * answered than after two holds: an answer that took long to arrive is old already, and after a
+   * failure the next one is wanted at once.
+   */
+  private long holdMillis() {
+    long late = Math.max(0, ageMillis() - settings.waitMillis());
+    return failures > 0 ? 0 : Math.max(0, settings.waitMillis() - late);
+  }
+
   private void answered(
       Question question, EventLoop.Timer ageCheck, Throwable thrown, Runnable taken) {
     loop.execute(
--- a/runtime/src/test/java/org/hornbeamusher/watch/TableWatchTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/watch/TableWatchTest.java
@@ -26,6 +26,7 @@
   private final List<String> rows = new ArrayList<>();
   private final List<Long> asks = new ArrayList<>();
   private final List<Long> pauses = new ArrayList<>();
+  private final List<Long> holds = new ArrayList<>();
   private final ManualClock clock = new ManualClock(0);
   private final EventLoop loop = new QueueLoop();
 
@@ -114,6 +115,25 @@
     assertEquals(List.of(20L, 20L, 20L, 20L), pauses);
   }
 
+  /** Guards against proof that expires because a long transfer is followed by a whole hold. */
+  @Test
+  void answerThatTookLongIsFollowedByShorterHold() {
+    answer(5, true);
+    slow(1_000, 6);
+    slow(1_300, 7);
+    slow(5_000, 8);
+    watch(1_000);
+    assertEquals(List.of(1_000L, 1_000L, 700L, 0L), holds);
+  }
+
+  private void slow(long millis, long revision) {
+    answers.add(
+        () -> {
+          clock.advance(millis);
+          return CompletableFuture.completedFuture(page(List.of(), revision, false));
+        });
+  }
+
   private void page(String key, long revision, boolean more) {
     ChangedRow row = new ChangedRow(key, new RowContent.Present(new byte[0], revision));
     answers.add(() -> CompletableFuture.completedFuture(page(List.of(row), revision, more)));
@@ -182,6 +202,7 @@
     public CompletableFuture<Optional<Changes>> since(
         String table, long revision, long waitMillis, int failures) {
       asked.add("since " + revision);
+      holds.add(waitMillis);
       return next()
           .thenApply(found -> found.map(one -> new Changes(one.rows(), one.revision(), false)));
     }
