--- a/runtime/src/test/java/org/hornbeamusher/http/HttpClientTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/http/HttpClientTest.java
@@ -89,7 +89,7 @@
       if (whole) {
         exchange.endExchange();
       } else {
-        Thread.sleep(TIMEOUT_MILLIS);
+        Thread.sleep(2 * SILENT_MILLIS);
       }
     } catch (IOException e) {
       // The client has gone.
