An answer that comes after its limit is not used, whichever is noticed first

What callers could have seen: requests refused because living endpoints were taken out of service. An entry that freezes while it reads the list of endpoints may find the answer and the end of its limit at the same moment; if the answer is taken, it is from before the freeze, and since the change of what shows an outage (a late question) the outage that happened meanwhile goes unnoticed: entries that lapsed in it would be removed.

Change: TransferProgress knows when a part came later than the answer should have been given up, and such an answer fails as it would have if the timer had run first. The next question is then late and the outage is seen. TransferProgressTest has the case.

--- a/runtime/src/main/java/org/hornbeamusher/http/CollectedReply.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/CollectedReply.java
@@ -72,6 +72,10 @@
   public void end() {
     HttpReply whole;
     synchronized (progress) {
+      if (progress.overdue()) {
+        timedOut();
+        return;
+      }
       whole = new HttpReply(status, headers, body.toByteArray(), progress.transfer(clock.millis()));
     }
     future.complete(whole);
--- a/runtime/src/main/java/org/hornbeamusher/transfer/TransferProgress.java
+++ b/runtime/src/main/java/org/hornbeamusher/transfer/TransferProgress.java
@@ -9,6 +9,9 @@
  * answer may take as long as its size needs, and a connection that went silent is found as soon as
  * by a limit on the whole.
  *
+ * <p>An answer that comes when it should have been given up is {@link #overdue}: the process itself
+ * was stopped for a while, and what it reads then may be from before.
+ *
  * <p>Not safe for use by several threads at once.
  */
 public final class TransferProgress {
@@ -22,6 +25,7 @@
   private long bytes;
   private long bytesAtProgress;
   private boolean begun;
+  private boolean overdue;
 
   /**
    * Creates the state of a question that is sent now.
@@ -52,6 +56,7 @@
    * @param now milliseconds
    */
   public void begun(long now) {
+    overdue |= now > dueMillis();
     begun = true;
     progressMillis = now;
   }
@@ -63,6 +68,7 @@
    * @param now milliseconds
    */
   public void received(int count, long now) {
+    overdue |= now > dueMillis();
     bytes += count;
     if (bytes - bytesAtProgress >= PROGRESS_BYTES) {
       bytesAtProgress = bytes;
@@ -79,6 +85,15 @@
     return progressMillis + (begun ? limits.stallMillis() : limits.beginMillis());
   }
 
+  /**
+   * Tells whether a part came later than the answer should have been given up.
+   *
+   * @return whether the answer is of no use, though it may be whole
+   */
+  public boolean overdue() {
+    return overdue;
+  }
+
   /**
    * Returns what has arrived.
    *
--- a/runtime/src/test/java/org/hornbeamusher/transfer/TransferProgressTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/transfer/TransferProgressTest.java
@@ -1,6 +1,7 @@
 package org.hornbeamusher.transfer;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import net.jqwik.api.ForAll;
@@ -33,6 +34,17 @@
     assertEquals(new Transfer(500, 100_000), progress.transfer(1_500));
   }
 
+  /** Guards against a list from before a freeze that passes for one of after it. */
+  @Test
+  void answerThatComesAfterItsLimitIsOfNoUse() {
+    progress.begun(1_400);
+    assertFalse(progress.overdue());
+    progress.received(100, 1_699);
+    assertFalse(progress.overdue());
+    progress.received(100, 7_000);
+    assertTrue(progress.overdue());
+  }
+
   /** Guards against an answer that trickles and keeps its reader for ever. */
   @Test
   void tricklingAnswerIsGivenUp() {
