--- a/tool/src/main/java/org/hornbeamusher/bench/faults/DocumentHistory.java
+++ b/tool/src/main/java/org/hornbeamusher/bench/faults/DocumentHistory.java
@@ -286,6 +286,12 @@
         return answer;
       }
 
+      /** Messages arrive whole here. */
+      @Override
+      public boolean receiving() {
+        return false;
+      }
+
       private void arrived(DocumentUpdate update, CompletableFuture<DocumentUpdate> answer) {
         if (breakage == Breakage.LAST_DOCUMENT_WINS) {
           switch (update) {
