--- a/runtime/src/main/java/org/hornbeamusher/documents/DocumentPeer.java
+++ b/runtime/src/main/java/org/hornbeamusher/documents/DocumentPeer.java
@@ -24,7 +24,7 @@
   CompletableFuture<DocumentUpdate> pull(ServiceName service, long haveVersion);
 
   /**
-   * Tells whether a large answer of this peer is arriving.
+   * Returns whether a large answer of this peer is arriving.
    *
    * @return whether what was asked of it may still come, however long that takes
    */
--- a/runtime/src/main/java/org/hornbeamusher/documents/PullLedger.java
+++ b/runtime/src/main/java/org/hornbeamusher/documents/PullLedger.java
@@ -49,7 +49,7 @@
     asking.remove(peer);
   }
 
-  /** Tells whether to pull a document from a peer now. */
+  /** Decides whether to pull a document from a peer now. */
   boolean beginPull(ServiceName service, DocumentPeer peer, long now) {
     Pull under = pulling.get(service);
     if (under != null && (waiting(under.sinceMillis(), now) || under.peer().receiving())) {
--- a/runtime/src/main/java/org/hornbeamusher/transfer/TransferProgress.java
+++ b/runtime/src/main/java/org/hornbeamusher/transfer/TransferProgress.java
@@ -86,7 +86,7 @@
   }
 
   /**
-   * Tells whether a part came later than the answer should have been given up.
+   * Returns whether a part came later than the answer should have been given up.
    *
    * @return whether the answer is of no use, though it may be whole
    */
--- a/runtime/src/main/java/org/hornbeamusher/wire/ThreadedConnection.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/ThreadedConnection.java
@@ -30,7 +30,7 @@
  *
  * <p>Something between the ends may lose track of a connection, and then neither end hears of it:
  * reads block for good while new connections work. Both ends therefore send heartbeats, and an end
- * that hears nothing for {@link WireSettings#silenceMillis} closes the connection. Every byte
+ * that receives nothing for {@link WireSettings#silenceMillis} closes the connection. Every byte
  * counts: a large message takes longer than that on a slow link. Both threads look, as the one that
  * writes may be stuck in a large message that nobody reads.
  */
@@ -60,7 +60,7 @@
   /** Bytes that have come since the last whole message. */
   private volatile long partBytes;
 
-  private volatile long heardMillis;
+  private volatile long receivedMillis;
 
   /**
    * Wraps a connected socket.
@@ -122,7 +122,8 @@
 
   @Override
   public boolean receiving() {
-    return partBytes > BUFFER_BYTES && clock.millis() - heardMillis < settings.silenceMillis() / 2;
+    return partBytes > BUFFER_BYTES
+        && clock.millis() - receivedMillis < settings.silenceMillis() / 2;
   }
 
   private void readLoop() {
@@ -130,7 +131,7 @@
       socket.setSoTimeout(Math.toIntExact(settings.heartbeatMillis()));
       DataInputStream in =
           new DataInputStream(
-              new BufferedInputStream(new HeardStream(socket.getInputStream()), BUFFER_BYTES));
+              new BufferedInputStream(new MonitoredStream(socket.getInputStream()), BUFFER_BYTES));
       while (!closed.get()) {
         byte[] frame = FrameStream.read(in);
         partBytes = 0;
@@ -229,9 +230,9 @@
   }
 
   /** Notes when bytes come, and looks in between whether they have stopped to. */
-  private final class HeardStream extends FilterInputStream {
+  private final class MonitoredStream extends FilterInputStream {
 
-    HeardStream(InputStream in) {
+    MonitoredStream(InputStream in) {
       super(in);
     }
 
@@ -246,7 +247,7 @@
       while (true) {
         try {
           int count = super.read(bytes, offset, length);
-          heard(Math.max(0, count));
+          recordReceived(Math.max(0, count));
           return count;
         } catch (SocketTimeoutException e) {
           checkSilence();
@@ -254,11 +255,11 @@
       }
     }
 
-    private void heard(int count) {
-      heardMillis = clock.millis();
+    private void recordReceived(int count) {
+      receivedMillis = clock.millis();
       partBytes += count;
       synchronized (monitor) {
-        monitor.heard(heardMillis);
+        monitor.heard(receivedMillis);
       }
     }
   }
--- a/runtime/src/main/java/org/hornbeamusher/wire/WireConnection.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/WireConnection.java
@@ -33,8 +33,8 @@
   boolean isOpen();
 
   /**
-   * Tells whether a large message is arriving. Until it is whole, an answer that is behind it or is
-   * the message itself cannot be here.
+   * Returns whether a large message is arriving. Until it is whole, an answer that is behind it or
+   * is the message itself cannot be here.
    *
    * @return whether part of one is here and more has come lately
    */
