Logs say which endpoints a list lacks that are kept, after what gap and for how long

An entry that keeps endpoints which its list lacks logged nothing: neither that they are absent, nor the gap that was taken for an outage of the store, nor until when they stay in use. ENDPOINTS_MISSING says so, one line a list with the first ids; ENDPOINT_GONE says how old the list was that decided, and REQUEST_PLACED whether the endpoint was listed. That tells an entry which takes its own absence for an outage (line present, gap as long as the partition) from times that add up (line early, ENDPOINT_GONE late) and from a request placed before (listed at the time). No decision changes. The lines of endpoints move from ForwardDaemon to EndpointLog.

--- a/runtime/src/main/java/org/hornbeamusher/directory/EndpointDirectory.java
+++ b/runtime/src/main/java/org/hornbeamusher/directory/EndpointDirectory.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -73,6 +74,9 @@
   /** The entries that cannot be used now, by key. */
   private final Map<String, UnusableEntry> unusable = new HashMap<>();
 
+  /** The endpoints that the last list lacked and that are kept. */
+  private final Set<EndpointId> missing = new HashSet<>();
+
   private List<ListedEntry> lastList = List.of();
   private Optional<Set<String>> services = Optional.empty();
 
@@ -112,7 +116,8 @@
    * @return what changed
    */
   public Change listed(List<? extends ListedEntry> listed, long askedMillis, long now) {
-    if (lastListMillis != NEVER && askedMillis - lastListMillis > outageMillis) {
+    long gap = lastListMillis == NEVER ? 0 : askedMillis - lastListMillis;
+    if (gap > outageMillis) {
       returnedMillis = now;
     }
     lastListMillis = now;
@@ -128,7 +133,26 @@
           .forEach(gone::add);
       gone.forEach(old -> known.remove(old.id()));
     }
-    return judged(gone);
+    List<EndpointId> kept = newlyMissing(keys);
+    long keptMillis = Math.max(0, returnedMillis + RETURN_MILLIS - now);
+    return judged(gone).with(new Absence(kept, gap, keptMillis));
+  }
+
+  private List<EndpointId> newlyMissing(Set<String> keys) {
+    Set<EndpointId> before = Set.copyOf(missing);
+    missing.clear();
+    known.keySet().stream().filter(id -> !keys.contains(id.value())).forEach(missing::add);
+    return missing.stream().filter(id -> !before.contains(id)).toList();
+  }
+
+  /**
+   * Tells whether an endpoint is kept although the last list lacked it.
+   *
+   * @param id the endpoint
+   * @return false for one that is listed, and for one that is not known
+   */
+  public boolean missing(EndpointId id) {
+    return missing.contains(id) && known.containsKey(id);
   }
 
   /**
@@ -356,12 +380,22 @@
    * @param gone endpoints that are no more
    * @param ended lives that another life under the same id has followed
    * @param unusable entries that cannot be used and could be before, or for another reason
+   * @param absence endpoints that a list lacks, the one before it did not, and that are kept
    */
   public record Change(
       List<Endpoint> changed,
       List<Endpoint> gone,
       List<EndpointLife> ended,
-      List<UnusableEntry> unusable) {
+      List<UnusableEntry> unusable,
+      Absence absence) {
+
+    Change(
+        List<Endpoint> changed,
+        List<Endpoint> gone,
+        List<EndpointLife> ended,
+        List<UnusableEntry> unusable) {
+      this(changed, gone, ended, unusable, Absence.NONE);
+    }
 
     /** Copies the lists. */
     public Change {
@@ -370,6 +404,27 @@
       ended = List.copyOf(ended);
       unusable = List.copyOf(unusable);
     }
+
+    private Change with(Absence found) {
+      return new Change(changed, gone, ended, unusable, found);
+    }
+  }
+
+  /**
+   * Endpoints that a list lacks and that are kept.
+   *
+   * @param endpoints their ids
+   * @param gapMillis from the arrival of the list before until this one was asked for
+   * @param keptMillis for how long from now
+   */
+  public record Absence(List<EndpointId> endpoints, long gapMillis, long keptMillis) {
+
+    static final Absence NONE = new Absence(List.of(), 0, 0);
+
+    /** Copies the list. */
+    public Absence {
+      endpoints = List.copyOf(endpoints);
+    }
   }
 
   /** What a change consists of, while it is found. */
--- a/runtime/src/main/java/org/hornbeamusher/events/EventType.java
+++ b/runtime/src/main/java/org/hornbeamusher/events/EventType.java
@@ -51,6 +51,7 @@
   ENDPOINT_UNLIMITED(1314, Level.INFO, "An endpoint does not limit its requests any more."),
   ENDPOINT_BACKOFF(1315, Level.INFO, "An endpoint wants no requests of this process for a while."),
   ENDPOINT_LEAVING(1316, Level.INFO, "An endpoint's answer says that it is leaving."),
+  ENDPOINTS_MISSING(1317, Level.INFO, "A list lacks endpoints, which are kept for a while."),
   // 1400: claims
   CLAIM_END_LOST(1401, Level.WARNING, "The end of a claim was not written; it reads as unknown."),
   // 1500: connections and membership
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
@@ -267,7 +267,7 @@
     for (Endpoint gone : change.gone()) {
       state.placer().views().remove(gone.id());
       if (!change.ended().contains(gone.life())) {
-        logEnd(gone.life(), "not-listed");
+        EndpointLog.ended(gone.life(), "not-listed", state.directory().ageMillis(clock.millis()));
       }
     }
     if (!change.gone().isEmpty() || !change.changed().isEmpty()) {
@@ -275,36 +275,19 @@
     }
     change.ended().forEach(this::lifeEnded);
     change.unusable().forEach(this::unusable);
+    EndpointLog.missing(change.absence());
   }
 
   private void unusable(UnusableEntry entry) {
     state.metrics().entryUnusable();
-    EventLog.log(
-        EventType.ENDPOINT_UNUSABLE,
-        "endpoint",
-        entry.key(),
-        "reason",
-        entry.reason(),
-        "row_version",
-        entry.revision().isPresent() ? entry.revision().getAsLong() : "");
+    EndpointLog.unusable(entry);
   }
 
   private void lifeEnded(EndpointLife life) {
-    logEnd(life, "restarted");
+    EndpointLog.ended(life, "restarted", state.directory().ageMillis(clock.millis()));
     List.copyOf(runs).forEach(run -> run.lifeEnded(life));
   }
 
-  private static void logEnd(EndpointLife life, String cause) {
-    EventLog.log(
-        EventType.ENDPOINT_GONE,
-        "endpoint",
-        life.id(),
-        "start_ms",
-        life.startMillis(),
-        "cause",
-        cause);
-  }
-
   private void changed(Endpoint endpoint) {
     EndpointView known = state.placer().views().get(endpoint.id());
     boolean another = known == null || !known.life().sameAs(endpoint.life());
@@ -319,20 +302,7 @@
       availability.of(endpoint.life());
     }
     if (news) {
-      EventLog.log(
-          EventType.ENDPOINT_CHANGED,
-          "endpoint",
-          endpoint.id(),
-          "start_ms",
-          endpoint.life().startMillis(),
-          "service",
-          endpoint.service(),
-          "at",
-          endpoint.uri(),
-          "zone",
-          endpoint.zone(),
-          "leaving",
-          endpoint.leaving());
+      EndpointLog.changed(endpoint);
     }
   }
 
@@ -473,7 +443,7 @@
         view.endedByAgent();
       }
       state.directory().agentLost(life.id());
-      logEnd(life, "not-seen");
+      EndpointLog.ended(life, "not-seen", state.directory().ageMillis(clock.millis()));
       List.copyOf(runs).forEach(run -> run.endpointLost(life));
     }
 
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/RequestLog.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/RequestLog.java
@@ -55,6 +55,8 @@
         at.endpoint().availability().backoffMillis(now),
         "stated_leaving",
         at.endpoint().availability().leaving(),
+        "listed",
+        !state.directory().missing(at.endpoint().id()),
         "configuration",
         state.configuration().current().map(Configuration::version).orElse(0L),
         "list_age_ms",
