A request that waits at an endpoint is not sent there once the endpoint is gone

An endpoint that is gone was no longer offered to new requests, but a request that had been placed there before and waited for a load, a permit or a connection still saw an endpoint that takes requests: the view that it holds was dropped from the map and otherwise unchanged. The question that is asked right before the bytes leave is now answered with no.

--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
@@ -265,7 +265,8 @@
   private void apply(EndpointDirectory.Change change) {
     change.changed().forEach(this::changed);
     for (Endpoint gone : change.gone()) {
-      state.placer().views().remove(gone.id());
+      Optional.ofNullable(state.placer().views().remove(gone.id()))
+          .ifPresent(EndpointView::removed);
       if (!change.ended().contains(gone.life())) {
         EndpointLog.ended(gone.life(), "not-listed", state.directory().ageMillis(clock.millis()));
       }
--- a/runtime/src/main/java/org/hornbeamusher/placement/EndpointView.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/EndpointView.java
@@ -55,6 +55,9 @@
   /** The agent beside the engine says that this life of it is over, which the list does not yet. */
   private boolean ended;
 
+  /** The endpoint is not in use any more; what was placed here before must not be sent. */
+  private boolean removed;
+
   /** The agent's word; until then, and where no agent is, what is believed of any engine. */
   private LoadCosts costs;
 
@@ -317,13 +320,18 @@
     return adapter.key().isBase() ? holdsModel(adapter.key().model()) : held.contains(adapter);
   }
 
+  /** The endpoint is gone. */
+  public void removed() {
+    removed = true;
+  }
+
   /**
    * Tells whether requests may be placed here.
    *
    * @return false when it takes no new work or has ended
    */
   public boolean usable() {
-    return !ended && !leaving();
+    return !removed && !ended && !leaving();
   }
 
   /** Returns whether the endpoint has just started and is slow for a while. */
