Endpoints that left while an entry was cut off are removed within the contact time

Cause: the entry took its own absence for an outage of the store, in which entries lapse although their endpoints live, and kept what its list lacked for 2.5 s after the first answer. The times on the way were added to that: up to 0.9 s for a question that was lost in the partition, 0.25 s until the next one, 2.5 s, and up to 0.75 s until a list was asked for after that. Ruled out: a request placed before the endpoint left (it was placed 12.2 s later); an outage of the store (three other entries read all the time); what endpoints state (its answers stated nothing).

Change: the grace period is bounded as a whole. It begins at the last question that was not answered, because the way to the store was closed then and can have been open from then on; it lasts 92 in 100 of the contact time that the platform states, and ends by the clock instead of with the first list after it. A list is asked for shortly before its end, so that entries which have returned count. A gap in which no entry can lapse (less than one and a half renewals) starts none. A question that nobody answered is repeated at once: it has taken its time.

Left: entries that return 1.7 to 2.0 s after an outage can be dropped until the next list, at the most 0.7 s, when the last question before it was sent 0.9 s earlier.

--- a/runtime/src/main/java/org/hornbeamusher/directory/EndpointDirectory.java
+++ b/runtime/src/main/java/org/hornbeamusher/directory/EndpointDirectory.java
@@ -23,10 +23,8 @@
  *
  * <ul>
  *   <li>while the store does not answer, nothing changes;
- *   <li>an endpoint that is missing from a list is removed at once, unless the store was away
- *       within the last {@link #RETURN_MILLIS}: then it stays until that time has passed. The store
- *       was away when the next list was asked for late; one that takes long to arrive shows only
- *       that it is large or the link is slow;
+ *   <li>an endpoint that is missing from a list is removed at once, unless a {@link GracePeriod}
+ *       has begun with that list: then it is removed when the period ends;
  *   <li>a life of an endpoint that said it was leaving never returns to service; a later life under
  *       the same id does;
  *   <li>which life of an id is in force is decided by {@link LifeSuccession}, from the list and
@@ -48,19 +46,11 @@
  * at once.
  *
  * <p>Example: the store is away from 10.0 s to 15.0 s and at 15.1 s the list holds one of nine
- * endpoints. All nine stay. At 16.8 s the list holds eight: the ninth is removed at 17.6 s.
+ * endpoints. All nine stay. At 16.8 s the list holds eight: the ninth is removed when the grace
+ * period ends, at 17.7 s.
  */
 public final class EndpointDirectory {
 
-  /** Endpoints renew their entries within about 2 s of the store's return; 0.5 s for the read. */
-  static final long RETURN_MILLIS = 2_500;
-
-  /** So many times the pause between two lists without one: the store is away. */
-  private static final double OUTAGE_READS = 1.5;
-
-  /** A list's own way, and a loop that is busy for a while. */
-  private static final long READ_MILLIS = 50;
-
   private static final long NEVER = Long.MIN_VALUE / 2;
 
   /**
@@ -93,18 +83,26 @@
 
   private final Successors successors = new Successors();
 
-  private final long outageMillis;
+  private final GracePeriod grace;
   private long lastListMillis = NEVER;
   private long lastAskedMillis = NEVER;
-  private long returnedMillis = NEVER;
 
   /**
    * Creates an empty directory.
    *
-   * @param pauseMillis between two lists
+   * @param settings how the list is read
+   */
+  public EndpointDirectory(ListSettings settings) {
+    grace = new GracePeriod(settings);
+  }
+
+  /**
+   * Takes note that a question for the list was not answered.
+   *
+   * @param sentMillis when it was sent
    */
-  public EndpointDirectory(long pauseMillis) {
-    outageMillis = Math.round(OUTAGE_READS * pauseMillis) + READ_MILLIS;
+  public void unanswered(long sentMillis) {
+    grace.unanswered(sentMillis);
   }
 
   /**
@@ -116,29 +114,45 @@
    * @return what changed
    */
   public Change listed(List<? extends ListedEntry> listed, long askedMillis, long now) {
-    long gap = lastListMillis == NEVER ? 0 : askedMillis - lastListMillis;
-    if (gap > outageMillis) {
-      returnedMillis = now;
-    }
+    final long gap = grace.received(askedMillis, now);
     lastListMillis = now;
     lastAskedMillis = askedMillis;
     lastList = List.copyOf(listed);
     Set<String> keys = lastList.stream().map(EndpointDirectory::key).collect(Collectors.toSet());
     unusable.keySet().retainAll(keys);
-    List<Endpoint> gone = new ArrayList<>();
     lastList.forEach(successors::listed);
-    if (askedMillis - returnedMillis >= RETURN_MILLIS) {
-      known.values().stream()
-          .filter(old -> !keys.contains(old.id().value()) && !successors.awaited(old.id(), now))
-          .forEach(gone::add);
-      gone.forEach(old -> known.remove(old.id()));
+    List<EndpointId> newlyMissing = findMissing(keys);
+    if (grace.over(askedMillis)) {
+      return judged(removeMissing(now));
     }
-    List<EndpointId> kept = newlyMissing(keys);
-    long keptMillis = Math.max(0, returnedMillis + RETURN_MILLIS - now);
-    return judged(gone).with(new Absence(kept, gap, keptMillis));
+    long kept = missing.isEmpty() ? 0 : grace.remainingMillis(now);
+    return judged(List.of()).with(new Absence(newlyMissing, gap, kept));
+  }
+
+  /**
+   * Removes what the last list lacked once the grace period is over. If lists have ceased to arrive
+   * meanwhile, the next one decides.
+   *
+   * @param now milliseconds
+   * @return what is gone
+   */
+  public Change expire(long now) {
+    boolean decided = grace.remainingMillis(now) == 0 && grace.current(now);
+    return new Change(List.of(), decided ? removeMissing(now) : List.of(), List.of(), List.of());
+  }
+
+  private List<Endpoint> removeMissing(long now) {
+    List<Endpoint> gone =
+        known.values().stream()
+            .filter(old -> missing.contains(old.id()) && !successors.awaited(old.id(), now))
+            .toList();
+    gone.forEach(old -> known.remove(old.id()));
+    gone.forEach(old -> missing.remove(old.id()));
+    return gone;
   }
 
-  private List<EndpointId> newlyMissing(Set<String> keys) {
+  /** Returns those that the list before did not lack. */
+  private List<EndpointId> findMissing(Set<String> keys) {
     Set<EndpointId> before = Set.copyOf(missing);
     missing.clear();
     known.keySet().stream().filter(id -> !keys.contains(id.value())).forEach(missing::add);
@@ -380,7 +394,7 @@
    * @param gone endpoints that are no more
    * @param ended lives that another life under the same id has followed
    * @param unusable entries that cannot be used and could be before, or for another reason
-   * @param absence endpoints that a list lacks, the one before it did not, and that are kept
+   * @param absence endpoints that a list lacks and that are kept
    */
   public record Change(
       List<Endpoint> changed,
@@ -413,9 +427,9 @@
   /**
    * Endpoints that a list lacks and that are kept.
    *
-   * @param endpoints their ids
+   * @param endpoints the ids of those that the list before did not lack
    * @param gapMillis from the arrival of the list before until this one was asked for
-   * @param keptMillis for how long from now
+   * @param keptMillis for how long from now; 0 when none is kept
    */
   public record Absence(List<EndpointId> endpoints, long gapMillis, long keptMillis) {
 
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
@@ -56,6 +56,9 @@
 
   private static final long DRAIN_CHECK_MILLIS = 50;
 
+  /** A list that is asked for so long before missing endpoints are removed arrives in time. */
+  private static final long REFRESH_MILLIS = 200;
+
   private final ForwardSettings settings;
   private final Clock clock;
   private final EventLoop loop;
@@ -70,6 +73,7 @@
   private final Optional<MetricsListener> metrics;
   private final Set<ForwardRun> runs = new HashSet<>();
   private final CompletableFuture<Void> drained = new CompletableFuture<>();
+  private Runnable listRefresh = () -> {};
   private boolean leaving;
   private long leaveMillis;
 
@@ -117,7 +121,7 @@
             configuration,
             new RequestIntake(configuration, versions, accounts, meter, usage, clock),
             versions,
-            new EndpointDirectory(settings.listMillis()),
+            new EndpointDirectory(settings.list()),
             placer,
             agents,
             limits,
@@ -252,10 +256,39 @@
    * @param askedMillis when the list was asked for, by the monotonic clock
    */
   public void listed(List<? extends ListedEntry> entries, long askedMillis) {
-    apply(state.directory().listed(entries, askedMillis, clock.millis()));
+    EndpointDirectory.Change change =
+        state.directory().listed(entries, askedMillis, clock.millis());
+    apply(change);
+    long keptMillis = change.absence().keptMillis();
+    if (keptMillis > 0) {
+      loop.after(Math.max(0, keptMillis - REFRESH_MILLIS), listRefresh);
+      loop.after(keptMillis, this::expireMissing);
+    }
     openWhenReady();
   }
 
+  /**
+   * Sets how a list is asked for before its time.
+   *
+   * @param refresh asks for one at once
+   */
+  public void listRefresh(Runnable refresh) {
+    listRefresh = refresh;
+  }
+
+  /**
+   * Takes note that a question for the list of endpoints was not answered.
+   *
+   * @param askedMillis when it was sent, by the monotonic clock
+   */
+  public void listUnanswered(long askedMillis) {
+    state.directory().unanswered(askedMillis);
+  }
+
+  private void expireMissing() {
+    apply(state.directory().expire(clock.millis()));
+  }
+
   private void openWhenReady() {
     if (ready()) {
       server.open();
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardSettings.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardSettings.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.Optional;
+import org.hornbeamusher.directory.ListSettings;
 import org.hornbeamusher.quota.QuotaTolerance;
 import org.hornbeamusher.routes.RevocationBounds;
 
@@ -15,7 +16,7 @@
  * @param metrics where it serves its metrics
  * @param agentPort the port of every agent
  * @param drainMillis how long a leaving instance may take
- * @param listMillis the pause between two reads of the list of endpoints
+ * @param list how the list of endpoints is read
  * @param holdMillis how long callers of an entry that starts wait for its configuration at the most
  * @param repeats how often requests may be sent again
  * @param revocation how soon a key that was taken away is of no use
@@ -29,7 +30,7 @@
     Optional<InetSocketAddress> metrics,
     int agentPort,
     long drainMillis,
-    long listMillis,
+    ListSettings list,
     long holdMillis,
     RepeatSettings repeats,
     RevocationBounds revocation,
--- a/runtime/src/main/java/org/hornbeamusher/watch/TableWatch.java
+++ b/runtime/src/main/java/org/hornbeamusher/watch/TableWatch.java
@@ -21,8 +21,9 @@
  * time of 0 means.
  *
  * <p>While the service is away nothing changes here: what was known stays in use. A read that fails
- * is repeated with more time, from the page that failed. One that was cut in the middle is repeated
- * later each time, so that repeats of large answers do not fill the link that they need.
+ * is repeated with more time, from the page that failed; one that nobody answered at once, one that
+ * was refused after a pause. One that was cut in the middle is repeated later each time, so that
+ * repeats of large answers do not fill the link that they need.
  */
 public final class TableWatch {
 
@@ -55,6 +56,9 @@
   /** When the service last showed that it is there. */
   private long contactMillis;
 
+  /** The pause between an answer and the next question; null while there is none. */
+  private EventLoop.Timer pause;
+
   private boolean stale;
   private boolean stopped;
 
@@ -96,8 +100,12 @@
      */
     void received(Changes changes, long askedMillis);
 
-    /** The service has not answered; it is asked again. */
-    default void unreachable() {}
+    /**
+     * The service has not answered; it is asked again.
+     *
+     * @param askedMillis when the question was sent, by the watch's clock
+     */
+    default void unanswered(long askedMillis) {}
   }
 
   /** Starts to follow. */
@@ -107,6 +115,14 @@
     loop.execute(this::ask);
   }
 
+  /** Asks now if nothing is being asked; called on the loop. */
+  public void refresh() {
+    if (pause != null) {
+      pause.cancel();
+      ask();
+    }
+  }
+
   /** Ends it; an answer under way is dropped. */
   public void stop() {
     stopped = true;
@@ -122,6 +138,7 @@
   }
 
   private void ask() {
+    pause = null;
     if (stopped) {
       return;
     }
@@ -170,8 +187,8 @@
           } else {
             failed(HornbeamusherException.from(thrown), question);
             dropOldPages();
-            listener.unreachable();
-            loop.after(retryMillis(), this::ask);
+            listener.unanswered(question.sentMillis());
+            loop.after(retryMillis(question), this::ask);
           }
         });
   }
@@ -206,7 +223,7 @@
     try {
       listener.received(changes, askedMillis);
     } finally {
-      loop.after(settings.pauseMillis(), this::ask);
+      pause = loop.after(settings.pauseMillis(), this::ask);
     }
   }
 
@@ -217,8 +234,11 @@
     }
   }
 
-  private long retryMillis() {
-    return settings.retryMillis() << Math.clamp(cuts - 1, 0, MOST_DOUBLINGS);
+  /** A question that nobody answered has taken its time; one that was refused has not. */
+  private long retryMillis(Question question) {
+    long pause = settings.retryMillis() << Math.clamp(cuts - 1, 0, MOST_DOUBLINGS);
+    long taken = cuts > 0 ? 0 : clock.millis() - question.sentMillis();
+    return Math.max(0, pause - taken);
   }
 
   private void failed(HornbeamusherException failure, Question question) {
--- a/runtime/src/test/java/org/hornbeamusher/directory/EndpointDirectoryTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/directory/EndpointDirectoryTest.java
@@ -24,7 +24,15 @@
   private static final long READ_MILLIS = 700;
   private static final EndpointId A = new EndpointId("a");
 
-  private final EndpointDirectory directory = new EndpointDirectory(READ_MILLIS);
+  private static final long RENEWAL_MILLIS = 1_200;
+  private static final long CONTACT_MILLIS = 3_000;
+  private static final ListSettings SETTINGS =
+      new ListSettings(READ_MILLIS, RENEWAL_MILLIS, CONTACT_MILLIS);
+
+  /** How long endpoints are kept that a list lacks. */
+  private static final long GRACE_MILLIS = SETTINGS.graceMillis();
+
+  private final EndpointDirectory directory = new EndpointDirectory(SETTINGS);
 
   @BeforeEach
   void configure() {
@@ -55,13 +63,65 @@
   void entryThatDoesNotReturnAfterAnOutageIsGone() {
     listed(0, "a", "b");
     listed(10_000, "a");
-    long over = 10_000 + EndpointDirectory.RETURN_MILLIS;
+    long over = 10_000 + GRACE_MILLIS;
     for (long now = 10_000 + READ_MILLIS; now < over; now += READ_MILLIS) {
       assertEquals(List.of(), gone(listed(now, "a")));
     }
     assertEquals(List.of("b"), gone(listed(over, "a")));
   }
 
+  /** Guards against times that add up: those of the first answer, the grace period and a list. */
+  @Test
+  void graceBeginsAtTheLastQuestionThatWasNotAnsweredAndEndsByTheClock() {
+    listed(0, "a", "b");
+    directory.unanswered(9_100);
+    EndpointDirectory.Change back = listed(10_000, "a");
+    assertEquals(9_100 + GRACE_MILLIS - 10_000, back.absence().keptMillis());
+    listed(10_000 + 2 * READ_MILLIS, "a");
+    assertEquals(List.of(), gone(directory.expire(9_099 + GRACE_MILLIS)));
+    assertEquals(List.of("b"), gone(directory.expire(9_100 + GRACE_MILLIS)));
+  }
+
+  /** Guards against endpoints that are dropped because the process was suspended, not the store. */
+  @Test
+  void graceBeginsAtTheQuestionAfterThePauseOfProcess() {
+    listed(0, "a", "b");
+    directory.unanswered(100);
+    assertEquals(GRACE_MILLIS - 1_000, listed(10_000, "a").absence().keptMillis());
+    listed(20_000, "a", "b");
+    assertEquals(GRACE_MILLIS, listed(30_000, "a").absence().keptMillis());
+  }
+
+  /** Guards against a lost answer that is taken for an outage in which entries lapse. */
+  @Test
+  void endpointIsGoneAtOnceAfterGapInWhichNoEntryCanLapse() {
+    listed(0, "a", "b");
+    directory.unanswered(READ_MILLIS);
+    assertEquals(List.of("b"), gone(listed(SETTINGS.lapseMillis(), "a")));
+  }
+
+  /** Guards against endpoints that are removed by a list from before another outage. */
+  @Test
+  void endpointIsKeptWhenListsCeaseBeforeTheGraceIsOver() {
+    listed(0, "a", "b");
+    listed(10_000, "a");
+    assertEquals(List.of(), gone(directory.expire(10_000 + GRACE_MILLIS)));
+    directory.unanswered(14_000);
+    listed(14_500, "a");
+    listed(14_500 + 2 * READ_MILLIS, "a");
+    assertEquals(List.of("b"), gone(directory.expire(14_000 + GRACE_MILLIS)));
+  }
+
+  /** Guards against an endpoint that is removed though it has returned to the list. */
+  @Test
+  void endpointThatReturnedToTheListIsKept() {
+    listed(0, "a", "b");
+    listed(10_000, "a");
+    assertTrue(directory.missing(new EndpointId("b")));
+    listed(10_000 + 2 * READ_MILLIS, "a", "b");
+    assertEquals(List.of(), gone(directory.expire(10_000 + GRACE_MILLIS)));
+  }
+
   /** Guards against a slow transfer of the list that is taken for an outage of the store. */
   @Test
   void endpointThatIsNoLongerListedIsGoneThoughItsListTookLongToArrive() {
@@ -74,7 +134,7 @@
   void listAskedForTooSoonAfterAnOutageRemovesNothing() {
     listed(0, "a", "b");
     listed(10_000, "a");
-    long asked = 10_000 + EndpointDirectory.RETURN_MILLIS - 100;
+    long asked = 10_000 + GRACE_MILLIS - 100;
     assertEquals(List.of(), gone(listed(asked, asked + 1_000, "a")));
   }
 
@@ -371,7 +431,7 @@
       @ForAll @UniqueElements @Size(min = 2, max = 8)
           List<@LongRange(min = 1, max = 1_000) Long> starts,
       @ForAll @Size(max = 40) List<@IntRange(min = 0, max = 3) Integer> steps) {
-    EndpointDirectory drawn = new EndpointDirectory(READ_MILLIS);
+    EndpointDirectory drawn = new EndpointDirectory(SETTINGS);
     drawn.configured(Set.of("s"));
     drawn.listed(List.of(life(starts.get(0), false)), 0, 0);
     drawn.told(life(starts.get(0), false).life());
--- a/runtime/src/test/java/org/hornbeamusher/watch/TableWatchTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/watch/TableWatchTest.java
@@ -27,6 +27,7 @@
   private final List<Long> asks = new ArrayList<>();
   private final List<Long> pauses = new ArrayList<>();
   private final List<Long> holds = new ArrayList<>();
+  private final List<Long> retries = new ArrayList<>();
   private final ManualClock clock = new ManualClock(0);
   private final EventLoop loop = new QueueLoop();
 
@@ -115,6 +116,18 @@
     assertEquals(List.of(20L, 20L, 20L, 20L), pauses);
   }
 
+  /** Guards against a pause on top of the time in which a question was not answered. */
+  @Test
+  void questionThatTookItsTimeIsRepeatedAtOnce() {
+    answer(5, true);
+    fail(15);
+    fail(0);
+    fail(600);
+    answer(6, false);
+    watch(1_000);
+    assertEquals(List.of(5L, 20L, 0L), retries);
+  }
+
   /** Guards against proof that expires because a long transfer is followed by a whole hold. */
   @Test
   void answerThatTookLongIsFollowedByShorterHold() {
@@ -225,6 +238,9 @@
       if (delayMillis >= 20 && delayMillis < 1_000) {
         pauses.add(delayMillis);
       }
+      if (delayMillis <= 20 && delayMillis != 10) {
+        retries.add(delayMillis);
+      }
       tasks.add(task);
       return () -> tasks.remove(task);
     }
