Connections to agents are kept from the moment at which their engines are not listed any more

An entry is to keep the connection to the agent beside an engine for 10 s after the engine's entry has lapsed, because the agent announces the next incarnation of the engine before the list does. The time was counted from the last change of any endpoint, not from the absence: after 10 s without a change the first list that lacked the engine closed the connection at once, and the entry learnt of the restarted engine by the list only. Found by reading.

--- a/runtime/src/main/java/org/hornbeamusher/forwarding/EngineAgents.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/EngineAgents.java
@@ -40,6 +40,8 @@
    */
   private static final long KEPT_UNLISTED_MILLIS = 10_000;
 
+  private static final long WANTED = Long.MAX_VALUE;
+
   private final Map<InetSocketAddress, Link> links = new HashMap<>();
   private final Map<EndpointId, EndpointView> views;
   private final Message.Hello own;
@@ -105,9 +107,9 @@
   void connect(Collection<InetSocketAddress> addresses) {
     long now = clock.millis();
     addresses.stream().filter(address -> !links.containsKey(address)).forEach(this::open);
-    addresses.forEach(address -> links.get(address).wantedMillis = now);
+    links.forEach((address, link) -> link.wanted(addresses.contains(address), now));
     for (Link link : List.copyOf(links.values())) {
-      if (now - link.wantedMillis >= KEPT_UNLISTED_MILLIS) {
+      if (now - link.unwantedMillis >= KEPT_UNLISTED_MILLIS) {
         links.remove(link.address).connector.stop();
       }
     }
@@ -250,13 +252,17 @@
     /** The address of the engine beside the agent, by the agent's word. */
     private String engine = "";
 
-    /** When the list named an engine at this address last. */
-    private long wantedMillis;
+    /** Since when the list names no engine at this address. */
+    private long unwantedMillis = WANTED;
 
     Link(InetSocketAddress address) {
       this.address = address;
     }
 
+    void wanted(boolean wanted, long now) {
+      unwantedMillis = wanted ? WANTED : Math.min(unwantedMillis, now);
+    }
+
     long weight(long key) {
       return Rendezvous.weight(key, Rendezvous.hash(address.toString()));
     }
