Counts of entries survive lists and relays that miss some of them

Two shares were divided by a number that a process took from what it happened to see: - An entry of the product's own interface counted the entries of the last instance list. A list that lacks some, as one right after an outage does, made its share of the admission limit and of the table's polling grow at once. - An entry that no relay reaches forgot after 30 s how many entries share the quotas and assumed 20. At 400 entries its share would be twenty times too large. PeerCount keeps the most of the last 30 s of counts, and the last count while there are none. PeerCountTest could not exist before; lastCountHoldsWhileNobodyCounts states what QuotaMeter.entries did not do.

--- a/runtime/src/main/java/org/hornbeamusher/entry/EntryDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/entry/EntryDaemon.java
@@ -30,6 +30,7 @@
 import org.hornbeamusher.ids.EndpointId;
 import org.hornbeamusher.ids.PoolName;
 import org.hornbeamusher.ids.ServiceName;
+import org.hornbeamusher.membership.PeerCount;
 import org.hornbeamusher.metrics.MetricsReport;
 import org.hornbeamusher.metrics.ProcessMetric;
 import org.hornbeamusher.operator.OperatorApi;
@@ -52,6 +53,10 @@
   public static final int PROTOCOL = 1;
 
   private static final long INSTANCES_MILLIS = 1_000;
+
+  /** How long the list may lack entries that are there, after an outage of its own. */
+  private static final long COUNTED_MILLIS = 30_000;
+
   private static final long STOP_POLL_MILLIS = 20;
 
   private final EntrySettings settings;
@@ -70,6 +75,9 @@
   /** Entries in the newest list, at least this one; they share the polling of the table. */
   private final AtomicInteger entries = new AtomicInteger(1);
 
+  private final PeerCount allEntries = new PeerCount(COUNTED_MILLIS);
+  private final PeerCount sharingEntries = new PeerCount(COUNTED_MILLIS);
+
   private volatile boolean leaving;
   private final QuarantineLog quarantined = new QuarantineLog();
   private final CountDownLatch leaveOrdered = new CountDownLatch(1);
@@ -254,10 +262,13 @@
             });
   }
 
-  private void listed(List<Instance> instances) {
-    long count = instances.stream().filter(i -> i.role() == Instance.Role.ENTRY).count();
-    entries.set((int) Math.max(1, count));
-    decisions.entryCount(sharing(instances));
+  private synchronized void listed(List<Instance> instances) {
+    long now = clock.millis();
+    long listed = instances.stream().filter(i -> i.role() == Instance.Role.ENTRY).count();
+    allEntries.counted((int) Math.max(1, listed), now);
+    sharingEntries.counted(sharing(instances), now);
+    entries.set(allEntries.most().orElse(1));
+    decisions.entryCount(sharingEntries.most().orElse(1));
     links.follow(instances.stream().filter(i -> i.role() == Instance.Role.AGENT).toList());
   }
 
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
@@ -171,7 +171,7 @@
     measured.gauge("list_age_ms", () -> state.directory().ageMillis(clock.millis()));
     measured.gauge("key_proof_age_ms", accounts::proofAgeMillis);
     measured.gauge("configuration_age_ms", freshness::ageMillis);
-    measured.gauge("quota_entries", () -> meter.entries(clock.millis()));
+    measured.gauge("quota_entries", () -> meter.entries());
     measured.gauge("quota_reachable_entries", () -> meter.reachable(clock.millis()));
     measured.gauge(
         "configuration",
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/UsageExchange.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/UsageExchange.java
@@ -91,7 +91,7 @@
 
   private void reportRegularly() {
     report();
-    loop.after(settings.intervalMillis(meter.entries(clock.millis())), this::reportRegularly);
+    loop.after(settings.intervalMillis(meter.entries()), this::reportRegularly);
   }
 
   private void report() {
--- a/runtime/src/main/java/org/hornbeamusher/quota/QuotaMeter.java
+++ b/runtime/src/main/java/org/hornbeamusher/quota/QuotaMeter.java
@@ -1,6 +1,5 @@
 package org.hornbeamusher.quota;
 
-import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -8,6 +7,7 @@
 import java.util.Set;
 import org.hornbeamusher.accounts.AccountName;
 import org.hornbeamusher.accounts.ClientAccount;
+import org.hornbeamusher.membership.PeerCount;
 
 /**
  * Decides at one entry whether a request is within the quota of its client account, which all
@@ -60,7 +60,7 @@
   private final Map<AccountName, Long> elsewhere = new HashMap<>();
 
   private final Map<R, Relay> relays = new HashMap<>();
-  private final ArrayDeque<EntryCount> counts = new ArrayDeque<>();
+  private final PeerCount counts = new PeerCount(ENTRIES_MILLIS);
 
   /**
    * Creates a meter without accounts.
@@ -132,7 +132,7 @@
       return new QuotaDecision.Admitted(new QuotaCharge(account, 0, now));
     }
     refill(bucket, now);
-    int entries = entries(now);
+    int entries = entries();
     int reachable = reachable(now);
     if (!bucket.open(reachable, entries, now)) {
       return new QuotaDecision.Exceeded(
@@ -169,7 +169,7 @@
    */
   public boolean urgent(AccountName account, long now) {
     QuotaBucket bucket = buckets.get(account);
-    return bucket != null && bucket.urgent(entries(now));
+    return bucket != null && bucket.urgent(entries());
   }
 
   /**
@@ -226,7 +226,7 @@
     }
     from.reachable = reachable;
     from.reportedMillis = now;
-    count(entries, now);
+    counts.counted(entries, now);
     Set<AccountName> changed = new HashSet<>();
     increments.forEach(
         (account, units) -> {
@@ -257,33 +257,16 @@
   }
 
   private void refill(QuotaBucket bucket, long now) {
-    bucket.refill(reachable(now), entries(now), now);
+    bucket.refill(reachable(now), entries(), now);
   }
 
   /**
    * Returns how many entries share the quotas.
    *
-   * @param now milliseconds
    * @return at least 1
    */
-  public int entries(long now) {
-    int most = 0;
-    for (EntryCount count : counts) {
-      if (now - count.millis <= ENTRIES_MILLIS) {
-        most = Math.max(most, count.entries);
-      }
-    }
-    return most > 0 ? most : settings.assumedEntries();
-  }
-
-  private void count(int entries, long now) {
-    while (!counts.isEmpty() && counts.peekLast().entries <= entries) {
-      counts.removeLast();
-    }
-    counts.addLast(new EntryCount(entries, now));
-    while (now - counts.peekFirst().millis > ENTRIES_MILLIS) {
-      counts.removeFirst();
-    }
+  public int entries() {
+    return counts.most().orElse(settings.assumedEntries());
   }
 
   /**
@@ -293,7 +276,7 @@
    * @return this entry included, so at least 1
    */
   public int reachable(long now) {
-    long silent = settings.silentMillis(entries(now));
+    long silent = settings.silentMillis(entries());
     int most = 1;
     for (Relay relay : relays.values()) {
       if (now - relay.reportedMillis <= silent) {
@@ -330,7 +313,4 @@
       return base.getOrDefault(account, 0L) + received.getOrDefault(account, 0L);
     }
   }
-
-  /** How many entries a relay counted, and when. */
-  private record EntryCount(int entries, long millis) {}
 }
--- /dev/null
+++ b/runtime/src/test/java/org/hornbeamusher/membership/PeerCountTest.java
@@ -0,0 +1,42 @@
+package org.hornbeamusher.membership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.OptionalInt;
+import org.junit.jupiter.api.Test;
+
+class PeerCountTest {
+
+  private static final long WINDOW_MILLIS = 30_000;
+
+  private final PeerCount count = new PeerCount(WINDOW_MILLIS);
+
+  @Test
+  void nothingIsKnownBeforeTheFirstCount() {
+    assertEquals(OptionalInt.empty(), count.most());
+  }
+
+  /**
+   * Guards against a list that lacks peers for a moment and makes the shares of the others grow.
+   */
+  @Test
+  void largerCountHoldsForSomeTime() {
+    count.counted(5, 0);
+    count.counted(1, 1_000);
+    count.counted(2, 2_000);
+    assertEquals(OptionalInt.of(5), count.most());
+    count.counted(2, WINDOW_MILLIS);
+    assertEquals(OptionalInt.of(5), count.most());
+    count.counted(1, WINDOW_MILLIS + 1);
+    assertEquals(OptionalInt.of(2), count.most());
+  }
+
+  /** Guards against a process that is cut off and takes the silence for the end of its peers. */
+  @Test
+  void lastCountHoldsWhileNobodyCounts() {
+    count.counted(400, 0);
+    count.counted(399, 1_000);
+    count.counted(1, 100 * WINDOW_MILLIS);
+    assertEquals(OptionalInt.of(1), count.most());
+  }
+}
--- a/runtime/src/test/java/org/hornbeamusher/quota/QuotaSimulation.java
+++ b/runtime/src/test/java/org/hornbeamusher/quota/QuotaSimulation.java
@@ -109,6 +109,22 @@
     entries.get(entry).cut = off;
   }
 
+  /** Both ends of an entry's connections notice that it is cut off, or that it is not any more. */
+  void abandon(int entry, boolean off) {
+    Entry changed = entries.get(entry);
+    changed.generation++;
+    changed.abandoned = off;
+    for (int relay = 0; relay < RELAYS; relay++) {
+      if (off) {
+        relays.get(relay).closed(entry);
+        changed.meter.closed(relay);
+      } else {
+        relays.get(relay).opened(entry);
+        changed.meter.opened(relay);
+      }
+    }
+  }
+
   /**
    * Lets time pass while callers ask.
    *
@@ -169,10 +185,10 @@
 
   private void report(int number) {
     Entry entry = entries.get(number);
-    if (!exchanging || now < entry.dueMillis) {
+    if (!exchanging || entry.abandoned || now < entry.dueMillis) {
       return;
     }
-    entry.dueMillis = now + settings.intervalMillis(entry.meter.entries(now));
+    entry.dueMillis = now + settings.intervalMillis(entry.meter.entries());
     int generation = entry.generation;
     for (int i = 0; i < RELAYS; i++) {
       UsageRelay<Integer> to = relays.get(i);
@@ -290,6 +306,7 @@
     private int generation;
     private long dueMillis;
     private boolean cut;
+    private boolean abandoned;
   }
 
   private record Delivery(long atMillis, int entry, Runnable arrival) {}
