Entries behind a long partition keep their share of the quotas

What callers would see: a client account gets more than its quota while entries cannot reach each other for longer than 30 s. A relay counted the entries that are connected to it, and entries took the most of 30 s of these counts.

A relay now goes on counting an entry whose connection is lost for an hour, by its name, so that one which starts again takes its place. An entry that ends in order says that it leaves (the message Leaving, so far from agents only) and is not counted. Cost: an entry that is lost for good and replaced under another name keeps its share back for an hour, one of n of each quota; that is how much an account at its limit gets less. A relay that starts again knows only who is connected.

--- a/runtime/src/main/java/org/hornbeamusher/companion/EntryServices.java
+++ b/runtime/src/main/java/org/hornbeamusher/companion/EntryServices.java
@@ -42,6 +42,7 @@
   boolean received(WireConnection entry, Message message) {
     switch (message) {
       case Message.UsageReport report -> usage.received(entry, report);
+      case Message.Leaving leaving -> usage.left(entry);
       case Message.RatePermitRequest request -> decide(entry, request);
       case Message.RateLimitLifted lifted -> {
         long now = clock.millis();
--- a/runtime/src/main/java/org/hornbeamusher/companion/UsageRelayService.java
+++ b/runtime/src/main/java/org/hornbeamusher/companion/UsageRelayService.java
@@ -28,11 +28,15 @@
   }
 
   void opened(WireConnection entry) {
-    relay.opened(entry);
+    relay.opened(entry, entry.peer().instance());
+  }
+
+  void left(WireConnection entry) {
+    relay.left(entry);
   }
 
   void closed(WireConnection entry) {
-    relay.closed(entry);
+    relay.closed(entry, clock.millis());
   }
 
   void received(WireConnection entry, Message.UsageReport report) {
@@ -57,16 +61,16 @@
     regular = relay.used(clock.millis());
     if (regular) {
       pass();
-      loop.after(settings.intervalMillis(relay.size()), this::passRegularly);
+      loop.after(settings.intervalMillis(relay.size(clock.millis())), this::passRegularly);
     }
   }
 
   private void pass() {
     long now = clock.millis();
     int reachable = relay.reachable(now);
+    int entries = relay.size(now);
     relay.pass(
         now,
-        (entry, increments) ->
-            entry.send(new Message.UsageUpdate(increments, reachable, relay.size())));
+        (entry, increments) -> entry.send(new Message.UsageUpdate(increments, reachable, entries)));
   }
 }
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/EngineAgents.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/EngineAgents.java
@@ -103,6 +103,11 @@
     }
   }
 
+  /** Tells all agents that this entry takes no more callers. */
+  void leaving() {
+    links.values().forEach(link -> link.send(new Message.Leaving()));
+  }
+
   /** Connects to the agents of these addresses, and in time to no others. */
   void connect(Collection<InetSocketAddress> addresses) {
     long now = clock.millis();
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
@@ -448,6 +448,7 @@
     }
     if (late || (runs.isEmpty() && since >= LEAST_DRAIN_MILLIS)) {
       EventLog.log(EventType.PROCESS_STOPPED, "role", "entry", "after_ms", since);
+      state.agents().leaving();
       drained.complete(null);
       return;
     }
--- a/runtime/src/main/java/org/hornbeamusher/quota/UsageRelay.java
+++ b/runtime/src/main/java/org/hornbeamusher/quota/UsageRelay.java
@@ -1,6 +1,7 @@
 package org.hornbeamusher.quota;
 
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.function.BiConsumer;
 
@@ -11,11 +12,25 @@
  * <p>It keeps sums only, never a limit: a relay that is lost takes nothing with it but the reports
  * that were on their way, and the other relay has those too.
  *
+ * <p>An entry whose connection is lost may be serving callers behind a partition, so it goes on
+ * being counted, unless it has said that it leaves. One that starts again takes its place by its
+ * name.
+ *
  * @param <E> identifies an entry's connection
  */
 public final class UsageRelay<E> {
 
+  /** The longest partition between regions that is reckoned with. */
+  private static final long LOST_MILLIS = 3_600_000;
+
+  /** More entries than are lost in that time. */
+  private static final int MOST_LOST = 4_096;
+
   private final QuotaSettings settings;
+
+  /** When the connection of each entry was lost that has not connected again. */
+  private final LinkedHashMap<String, Long> lost = new LinkedHashMap<>();
+
   private final Map<String, Long> totals = new HashMap<>();
   private final Map<E, Entry> entries = new HashMap<>();
   private boolean changed;
@@ -33,27 +48,57 @@
    * An entry has connected; it receives what is used from now on.
    *
    * @param entry its connection
+   * @param name the entry's, also after it has started again
+   */
+  public void opened(E entry, String name) {
+    lost.remove(name);
+    entries.put(entry, new Entry(name, new HashMap<>(totals)));
+  }
+
+  /**
+   * An entry says that it will not take callers any more.
+   *
+   * @param entry its connection
    */
-  public void opened(E entry) {
-    entries.put(entry, new Entry(new HashMap<>(totals)));
+  public void left(E entry) {
+    Entry leaving = entries.get(entry);
+    if (leaving != null) {
+      leaving.left = true;
+    }
   }
 
   /**
    * An entry's connection was lost. What it has used stays in the sums.
    *
    * @param entry its connection
+   * @param now milliseconds
    */
-  public void closed(E entry) {
-    entries.remove(entry);
+  public void closed(E entry, long now) {
+    Entry closed = entries.remove(entry);
+    if (closed == null || closed.left || connected(closed.name)) {
+      return;
+    }
+    lost.remove(closed.name);
+    lost.put(closed.name, now);
+    if (lost.size() > MOST_LOST) {
+      lost.remove(lost.firstEntry().getKey());
+    }
+  }
+
+  private boolean connected(String name) {
+    return entries.values().stream().anyMatch(entry -> entry.name.equals(name));
   }
 
   /**
-   * Counts the entries that are connected.
+   * Counts the entries that share the quotas.
    *
-   * @return how many
+   * @param now milliseconds
+   * @return those that are connected, and those that may serve callers out of reach
    */
-  public int size() {
-    return entries.size();
+  public int size(long now) {
+    lost.values().removeIf(since -> now - since >= LOST_MILLIS);
+    long connected = entries.values().stream().map(entry -> entry.name).distinct().count();
+    return (int) connected + lost.size();
   }
 
   /**
@@ -129,12 +174,17 @@
 
   private final class Entry {
 
+    private final String name;
+
     /** By account, the sum of all entries as far as this one knows it. */
     private final Map<String, Long> known;
 
+    private boolean left;
+
     private long reportedMillis = Long.MIN_VALUE / 2;
 
-    Entry(Map<String, Long> known) {
+    Entry(String name, Map<String, Long> known) {
+      this.name = name;
       this.known = known;
     }
 
--- a/runtime/src/main/java/org/hornbeamusher/wire/Message.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/Message.java
@@ -181,7 +181,9 @@
       List<String> resident)
       implements Message {}
 
-  /** The agent takes no new work (agent to entry). */
+  /**
+   * The agent takes no new work (agent to entry), or the entry no more callers (entry to agent).
+   */
   record Leaving() implements Message {}
 
   /**
--- a/runtime/src/test/java/org/hornbeamusher/quota/QuotaMeterTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/quota/QuotaMeterTest.java
@@ -84,6 +84,31 @@
     assertWithin(all, rate, 0);
   }
 
+  /** Guards against a partition so long that each side takes the other one for gone. */
+  @Property(tries = 10, seed = "20261203")
+  void entriesThatLongCannotReachEachOtherStayWithinTheQuota(
+      @ForAll @LongRange(min = 29_000, max = 300_000) long rate,
+      @ForAll @IntRange(min = 1, max = ENTRIES) int cut,
+      @ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
+    QuotaSimulation all =
+        new QuotaSimulation(ENTRIES, QuotaSimulation.tokens(rate, rate), true, 2, seed, TOLERANCE);
+    all.run(6_000, 2.0 * rate, LONG_PROMPT, 1);
+    for (int i = 0; i < cut; i++) {
+      all.cut(i, true);
+    }
+    all.run(3_000, 2.0 * rate, LONG_PROMPT, 1);
+    for (int i = 0; i < cut; i++) {
+      all.abandon(i, true);
+    }
+    all.run(40_000, 2.0 * rate, LONG_PROMPT, 1);
+    for (int i = 0; i < cut; i++) {
+      all.cut(i, false);
+      all.abandon(i, false);
+    }
+    all.run(9_000, 2.0 * rate, LONG_PROMPT, 1);
+    assertWithin(all, rate, 0);
+  }
+
   /** Entries that all start again granted every account its burst a second time. */
   @Property(tries = 20, seed = "20261203")
   void restartOfAllGrantsNoBurstTwice(
--- a/runtime/src/test/java/org/hornbeamusher/quota/QuotaSimulation.java
+++ b/runtime/src/test/java/org/hornbeamusher/quota/QuotaSimulation.java
@@ -88,8 +88,8 @@
     restarted.dueMillis = now;
     configure(restarted);
     for (int relay = 0; exchanging && relay < RELAYS; relay++) {
-      relays.get(relay).closed(entry);
-      relays.get(relay).opened(entry);
+      relays.get(relay).closed(entry, now);
+      relays.get(relay).opened(entry, "e" + entry);
       restarted.meter.opened(relay);
     }
   }
@@ -116,10 +116,10 @@
     changed.abandoned = off;
     for (int relay = 0; relay < RELAYS; relay++) {
       if (off) {
-        relays.get(relay).closed(entry);
+        relays.get(relay).closed(entry, now);
         changed.meter.closed(relay);
       } else {
-        relays.get(relay).opened(entry);
+        relays.get(relay).opened(entry, "e" + entry);
         changed.meter.opened(relay);
       }
     }
@@ -227,7 +227,7 @@
                       entries
                           .get(number)
                           .meter
-                          .relayed(relay, increments, reachable, from.size(), now);
+                          .relayed(relay, increments, reachable, from.size(now), now);
                     }
                   });
             });
