--- a/runtime/src/main/java/org/hornbeamusher/directory/EndpointDirectory.java
+++ b/runtime/src/main/java/org/hornbeamusher/directory/EndpointDirectory.java
@@ -378,6 +378,15 @@
     return List.copyOf(known.values());
   }
 
+  /**
+   * Counts the endpoints that are kept although the last list lacked them.
+   *
+   * @return how many
+   */
+  public int missingEndpoints() {
+    return missing.size();
+  }
+
   /**
    * Counts the entries that cannot be used.
    *
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
@@ -167,6 +167,7 @@
     measured.gauge("limited_endpoints", state.placer()::limitedEndpoints);
     measured.gauge("backoff_endpoints", () -> state.placer().backoffEndpoints(clock.millis()));
     measured.gauge("leaving_endpoints", state.placer()::leavingEndpoints);
+    measured.gauge("missing_endpoints", state.directory()::missingEndpoints);
     measured.gauge("unusable_entries", state.directory()::unusableEntries);
     measured.gauge("list_age_ms", () -> state.directory().ageMillis(clock.millis()));
     measured.gauge("key_proof_age_ms", accounts::proofAgeMillis);
