An entry that loses its agents goes on sharing with the entries that it knew

What callers would see: when agents are lost, each entry repeats requests as if it were the only one. Endpoints that refuse or crash at the same time would be kept from recovering. Connections and rates of endpoints are divided by the same number and followed it down when the only agent in reach saw few entries.

The number is now the most that agents have said in the last 30 s in which they said anything, and agents count entries that are out of reach too.

--- a/runtime/src/main/java/org/hornbeamusher/companion/CompanionDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/companion/CompanionDaemon.java
@@ -564,6 +564,7 @@
   private void reportHoldings() {
     Optional<EndpointLife> life = report == null ? Optional.empty() : identity.current();
     boolean stated = life.filter(one -> statements.of(one).leaving()).isPresent();
-    entries.reportHoldings(life, places, stated || (report != null && report.leaving()));
+    boolean leaving = stated || (report != null && report.leaving());
+    entries.reportHoldings(life, places, services.entries(), leaving);
   }
 }
--- a/runtime/src/main/java/org/hornbeamusher/companion/ConnectedEntries.java
+++ b/runtime/src/main/java/org/hornbeamusher/companion/ConnectedEntries.java
@@ -77,10 +77,12 @@
    *
    * @param life the life of the engine that is seen; empty while none is
    * @param places what it holds
+   * @param sharing how many entries share what all entries may do together
    * @param leaving whether it takes no new work
    */
-  void reportHoldings(Optional<EndpointLife> life, AdapterPlaces places, boolean leaving) {
-    Holdings now = new Holdings(life, places.held(), places.coming(), entries.size(), leaving);
+  void reportHoldings(
+      Optional<EndpointLife> life, AdapterPlaces places, int sharing, boolean leaving) {
+    Holdings now = new Holdings(life, places.held(), places.coming(), sharing, leaving);
     if (!now.equals(reported)) {
       reported = now;
       Message message = now.message();
@@ -118,7 +120,7 @@
    * @param life the life of the engine that is seen
    * @param held what can be used
    * @param coming what is on its way
-   * @param entries how many entries are connected
+   * @param entries how many entries there are
    * @param leaving whether it takes no new work
    */
   private record Holdings(
--- a/runtime/src/main/java/org/hornbeamusher/companion/EntryServices.java
+++ b/runtime/src/main/java/org/hornbeamusher/companion/EntryServices.java
@@ -38,6 +38,11 @@
     usage.closed(entry);
   }
 
+  /** Counts the entries, also those that are out of reach for now. */
+  int entries() {
+    return usage.entries();
+  }
+
   /** Takes a message of an entry, or returns false when it is for somebody else. */
   boolean received(WireConnection entry, Message message) {
     switch (message) {
--- a/runtime/src/main/java/org/hornbeamusher/companion/UsageRelayService.java
+++ b/runtime/src/main/java/org/hornbeamusher/companion/UsageRelayService.java
@@ -39,6 +39,10 @@
     relay.closed(entry, clock.millis());
   }
 
+  int entries() {
+    return relay.size(clock.millis());
+  }
+
   void received(WireConnection entry, Message.UsageReport report) {
     relay.reported(entry, report.increments(), clock.millis());
     if (relay.changed() && !passingSoon) {
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/EndpointLimits.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/EndpointLimits.java
@@ -37,10 +37,8 @@
   private final ForwardMetrics metrics;
   private final EventLoop loop;
   private final Clock clock;
-  private final int assumedEntries;
   private final Map<Long, RatePermit> asked = new HashMap<>();
   private final Map<EndpointView, EvenShare> shares = new WeakHashMap<>();
-  private int knownEntries;
   private long numbers;
 
   /**
@@ -48,19 +46,12 @@
    *
    * @param agents who pace endpoints
    * @param metrics counts decisions
-   * @param assumedEntries how many entries share a rate as long as no agent has said it
    * @param loop the loop
    * @param clock monotonic
    */
-  EndpointLimits(
-      EngineAgents agents,
-      ForwardMetrics metrics,
-      int assumedEntries,
-      EventLoop loop,
-      Clock clock) {
+  EndpointLimits(EngineAgents agents, ForwardMetrics metrics, EventLoop loop, Clock clock) {
     this.agents = agents;
     this.metrics = metrics;
-    this.assumedEntries = assumedEntries;
     this.loop = loop;
     this.clock = clock;
   }
@@ -166,22 +157,11 @@
             permit.endpoint(), unused -> new EvenShare(ThreadLocalRandom.current().nextDouble()));
     decided(
         permit,
-        share.permit(limit.getAsDouble(), entries(), permit.mostWaitMillis(), clock.millis()),
+        share.permit(
+            limit.getAsDouble(), agents.entries(), permit.mostWaitMillis(), clock.millis()),
         "even-share");
   }
 
-  /**
-   * Returns how many entries there are. The number that was known last holds while no agent is
-   * connected to say it.
-   */
-  int entries() {
-    int connected = agents.entries();
-    if (connected > 0) {
-      knownEntries = connected;
-    }
-    return knownEntries > 0 ? knownEntries : assumedEntries;
-  }
-
   private void decided(RatePermit permit, PermitDecision decision, String by) {
     if (permit.over()) {
       return;
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/EngineAgents.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/EngineAgents.java
@@ -19,7 +19,9 @@
 import org.hornbeamusher.ids.EndpointId;
 import org.hornbeamusher.ids.EndpointLife;
 import org.hornbeamusher.loop.EventLoop;
+import org.hornbeamusher.membership.PeerCount;
 import org.hornbeamusher.placement.EndpointView;
+import org.hornbeamusher.quota.QuotaSettings;
 import org.hornbeamusher.routing.Rendezvous;
 import org.hornbeamusher.wire.Message;
 import org.hornbeamusher.wire.WireConnection;
@@ -42,7 +44,11 @@
 
   private static final long WANTED = Long.MAX_VALUE;
 
+  /** Agents that start, or that are cut off as well, see few entries for a while. */
+  private static final long COUNTED_MILLIS = 30_000;
+
   private final Map<InetSocketAddress, Link> links = new HashMap<>();
+  private final PeerCount peers = new PeerCount(COUNTED_MILLIS);
   private final Map<EndpointId, EndpointView> views;
   private final Message.Hello own;
   private final WireTransport transport;
@@ -141,13 +147,12 @@
     }
   }
 
-  /** Returns how many entries there are, by what the agents see; at least this one. */
+  /**
+   * Returns how many entries there are, by what agents have said. Losing them says nothing about
+   * the other entries.
+   */
   int entries() {
-    int most = 0;
-    for (Link link : links.values()) {
-      most = Math.max(most, link.holdings == null ? 0 : link.holdings.entries());
-    }
-    return most;
+    return peers.most().orElse(QuotaSettings.DEFAULT.assumedEntries());
   }
 
   /** Makes a reservation at an endpoint's agent; only where one is connected and sees this life. */
@@ -317,6 +322,7 @@
     private void handle(Message message) {
       switch (message) {
         case Message.Holdings said -> {
+          peers.counted(said.entries(), clock.millis());
           Optional<EndpointLife> before = life;
           holdings = said;
           life = lifeOf(said);
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
@@ -111,8 +111,7 @@
     this.usage = new UsageExchange(meter, QuotaSettings.DEFAULT, agents::send, loop, clock);
     agents.usage(usage);
     ForwardMetrics counts = new ForwardMetrics(registry);
-    EndpointLimits limits =
-        new EndpointLimits(agents, counts, QuotaSettings.DEFAULT.assumedEntries(), loop, clock);
+    EndpointLimits limits = new EndpointLimits(agents, counts, loop, clock);
     agents.permits(limits);
     ConfigurationInForce configuration = new ConfigurationInForce();
     VersionsInForce versions = new VersionsInForce();
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardState.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardState.java
@@ -51,6 +51,6 @@
             .flatMap(current -> current.service(service))
             .map(ServiceSpec::maxConnections)
             .orElse(0);
-    return ConnectionShare.of(accepted, limits.entries());
+    return ConnectionShare.of(accepted, agents.entries());
   }
 }
--- a/runtime/src/main/java/org/hornbeamusher/wire/Message.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/Message.java
@@ -295,7 +295,7 @@
    * @param endpoint the endpoint's id; empty while it is down
    * @param held what can be used, {@code model/adapter@version}
    * @param coming what is on its way
-   * @param entries how many entries are connected to the agent
+   * @param entries how many entries there are, by what the agent knows
    * @param leaving whether the endpoint takes no new work
    * @param startMillis when this life of the endpoint started; 0 when that is not known
    */
--- a/runtime/src/test/java/org/hornbeamusher/forwarding/EngineAgentsTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/forwarding/EngineAgentsTest.java
@@ -6,8 +6,12 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
+import org.hornbeamusher.failure.FailureType;
+import org.hornbeamusher.failure.HornbeamusherException;
 import org.hornbeamusher.loop.SimulatedLoop;
+import org.hornbeamusher.quota.QuotaSettings;
 import org.hornbeamusher.wire.Message;
+import org.hornbeamusher.wire.WireConnection;
 import org.hornbeamusher.wire.WireListener;
 import org.hornbeamusher.wire.WireService;
 import org.hornbeamusher.wire.WireTransport;
@@ -21,6 +25,8 @@
 
   private final SimulatedLoop loop = new SimulatedLoop();
   private final List<InetSocketAddress> stopped = new ArrayList<>();
+  private final WireConnection connection = new SilentConnection();
+  private WireListener opened;
   private final EngineAgents agents =
       new EngineAgents(
           new HashMap<>(),
@@ -56,6 +62,19 @@
     assertEquals(List.of(), stopped);
   }
 
+  /** Guards against an entry that takes all that entries share when it loses its agents. */
+  @Test
+  void otherEntriesCountAlsoWhenAllAgentsAreLost() {
+    assertEquals(QuotaSettings.DEFAULT.assumedEntries(), agents.entries());
+    agents.connect(List.of(ENGINE));
+    opened.received(connection, new Message.Holdings("", List.of(), List.of(), 5, false, 0));
+    loop.runUntil(1);
+    assertEquals(5, agents.entries());
+    opened.closed(connection, HornbeamusherException.notRun(FailureType.CONNECTION_CLOSED, "test"));
+    loop.runUntil(10 * KEPT_MILLIS);
+    assertEquals(5, agents.entries());
+  }
+
   private final class Connections implements WireTransport {
 
     @Override
@@ -65,6 +84,7 @@
 
     @Override
     public WireService connect(InetSocketAddress at, Message.Hello own, WireListener listener) {
+      opened = listener;
       return new WireService() {
         @Override
         public void start() {}
@@ -76,4 +96,31 @@
       };
     }
   }
+
+  /** Takes everything and says nothing. */
+  private static final class SilentConnection implements WireConnection {
+
+    @Override
+    public boolean send(Message message) {
+      return true;
+    }
+
+    @Override
+    public Message.Hello peer() {
+      return new Message.Hello(1, 1, "agent", "a", 0, "z", "", "");
+    }
+
+    @Override
+    public boolean isOpen() {
+      return true;
+    }
+
+    @Override
+    public boolean receiving() {
+      return false;
+    }
+
+    @Override
+    public void stop() {}
+  }
 }
