Names of reports and silence as the field has them in the directory and the heartbeat monitor

told becomes agentReported, heard becomes received, patience becomes silence; comments likewise. No change of behaviour.

--- a/runtime/src/main/java/org/hornbeamusher/directory/EndpointDirectory.java
+++ b/runtime/src/main/java/org/hornbeamusher/directory/EndpointDirectory.java
@@ -34,7 +34,7 @@
  * </ul>
  *
  * <p>Others than the endpoints can write into the list. An entry that cannot be used, or that moves
- * an endpoint to a service that is not configured, is not the endpoint's word. So the last usable
+ * an endpoint to a service that is not configured, is not the endpoint's own. So the last usable
  * one holds as if the entry had not changed, until the entry itself is gone: one that was leaving
  * goes on leaving, and one in service stays there. Taking it out of service would let a single
  * faulty writer take every endpoint from its callers; if it has gone nevertheless, its requests
@@ -229,11 +229,11 @@
    * @param life the life it sees
    * @return what changed; nothing for an endpoint that is not listed yet
    */
-  public Change told(EndpointLife life) {
+  public Change agentReported(EndpointLife life) {
     Found found = new Found();
     LifeSuccession lives = lives(life.id());
     EndpointLife before = new EndpointLife(life.id(), lives.inForce());
-    lives.told(life.startMillis());
+    lives.agentReported(life.startMillis());
     noteEnd(before, lives, found);
     Endpoint old = known.get(life.id());
     if (old != null) {
@@ -251,7 +251,7 @@
    * @param now milliseconds
    * @return what changed
    */
-  public Change told(EndpointLife life, String address, long now) {
+  public Change agentReported(EndpointLife life, String address, long now) {
     Optional<Endpoint> former =
         known.containsKey(life.id())
             ? Optional.empty()
@@ -265,7 +265,7 @@
    * goes on for seconds, and says that it holds all that it held.
    */
   private Change stands(EndpointLife life, String address, long now) {
-    Change change = told(life);
+    Change change = agentReported(life);
     List<Endpoint> others =
         known.values().stream()
             .filter(one -> one.address().equals(address) && !one.id().equals(life.id()))
@@ -285,7 +285,7 @@
 
   private Change succeeded(Endpoint former, EndpointLife life, long now) {
     successors.announced(life.id(), former.id(), now);
-    lives(life.id()).told(life.startMillis());
+    lives(life.id()).agentReported(life.startMillis());
     Found found = new Found();
     found.ended.add(former.life());
     replace(null, former.succeededBy(life), found);
--- a/runtime/src/main/java/org/hornbeamusher/directory/LifeSuccession.java
+++ b/runtime/src/main/java/org/hornbeamusher/directory/LifeSuccession.java
@@ -10,7 +10,7 @@
  *
  * <p>Two sources speak of the lives of an engine: the list, which lags by seconds, and the agent
  * beside it, which lags by less than half a second but may be frozen or cut off. Neither the size
- * of a start (clocks are set back) nor the moment at which it is heard (either source may be the
+ * of a start (clocks are set back) nor the moment at which it is received (either source may be the
  * late one) says which life is newer. What does is the order in which <em>one</em> source names
  * them, because each source only moves forward:
  *
@@ -22,7 +22,7 @@
  *   <li>where the list contradicts a connected agent and neither has moved away from the other's
  *       life, the agent is believed. This is so at an entry that has just started and reads a list
  *       that still names the life before. None of the two is former then, so that a wrong guess is
- *       put right by the next word of the source that lagged. It is the same for an endpoint that
+ *       put right by the next report of the source that lagged. It is the same for an endpoint that
  *       starts twice so fast that one of the sources misses the life in between.
  * </ul>
  *
@@ -31,16 +31,16 @@
  * which changes nothing.
  *
  * <p>Rejected: the greater start wins (a stepped clock keeps the dead life in force for good); the
- * last word heard wins (list and agent then undo each other's word for as long as the list lags).
+ * last report wins (list and agent then undo each other's report for as long as the list lags).
  */
 final class LifeSuccession {
 
-  /** Late words lag by seconds; an endpoint does not start as often as this meanwhile. */
+  /** Late reports lag by seconds; an endpoint does not start as often as this meanwhile. */
   private static final int MOST_FORMER = 16;
 
   private final Set<Long> former = new LinkedHashSet<>();
   private long listed = EndpointLife.UNKNOWN_START;
-  private long told = EndpointLife.UNKNOWN_START;
+  private long reported = EndpointLife.UNKNOWN_START;
   private long inForce = EndpointLife.UNKNOWN_START;
   private boolean agentConnected;
 
@@ -51,21 +51,21 @@
     }
     supersede(listed);
     listed = start;
-    boolean undecided = agentConnected && told == inForce && !former.contains(inForce);
+    boolean undecided = agentConnected && reported == inForce && !former.contains(inForce);
     if (inForce == EndpointLife.UNKNOWN_START || !undecided) {
       inForce = start;
     }
   }
 
   /** Takes the life that the agent beside the endpoint names. */
-  void told(long start) {
+  void agentReported(long start) {
     if (start == EndpointLife.UNKNOWN_START || former.contains(start)) {
       return;
     }
     agentConnected = true;
-    if (start != told) {
-      supersede(told);
-      told = start;
+    if (start != reported) {
+      supersede(reported);
+      reported = start;
     }
     inForce = start;
   }
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
@@ -467,7 +467,7 @@
 
     @Override
     public void seen(EndpointLife life, String address) {
-      apply(state.directory().told(life, address, clock.millis()));
+      apply(state.directory().agentReported(life, address, clock.millis()));
     }
 
     /** What ran there is lost, as far as anyone can tell; the life itself may be seen again. */
--- a/runtime/src/main/java/org/hornbeamusher/membership/HeartbeatMonitor.java
+++ b/runtime/src/main/java/org/hornbeamusher/membership/HeartbeatMonitor.java
@@ -19,8 +19,8 @@
 public final class HeartbeatMonitor {
 
   private final long intervalMillis;
-  private final long patienceMillis;
-  private long heardMillis;
+  private final long silenceMillis;
+  private long receivedMillis;
   private long checkedMillis;
 
   /**
@@ -32,8 +32,8 @@
    */
   public HeartbeatMonitor(long intervalMillis, int missedLimit, long now) {
     this.intervalMillis = intervalMillis;
-    this.patienceMillis = intervalMillis * missedLimit;
-    this.heardMillis = now;
+    this.silenceMillis = intervalMillis * missedLimit;
+    this.receivedMillis = now;
     this.checkedMillis = now;
   }
 
@@ -42,24 +42,25 @@
    *
    * @param now milliseconds
    */
-  public void heard(long now) {
-    heardMillis = now;
+  public void received(long now) {
+    receivedMillis = now;
   }
 
   /**
    * Decides whether the connection is to be abandoned; called every interval.
    *
    * @param now milliseconds
-   * @return whether nothing came for longer than the patience
+   * @return whether nothing came for as many intervals as the limit allows
    */
   public boolean silent(long now) {
-    boolean paused = now - checkedMillis >= patienceMillis;
-    boolean steppedBack = now < heardMillis;
+    boolean paused = now - checkedMillis >= silenceMillis;
+    boolean steppedBack = now < receivedMillis;
     checkedMillis = now;
     if (paused || steppedBack) {
-      heardMillis = Math.max(now - patienceMillis + intervalMillis, Math.min(heardMillis, now));
+      receivedMillis =
+          Math.max(now - silenceMillis + intervalMillis, Math.min(receivedMillis, now));
     }
-    return now - heardMillis >= patienceMillis;
+    return now - receivedMillis >= silenceMillis;
   }
 
   /**
@@ -69,6 +70,6 @@
    * @return milliseconds
    */
   public long silentMillis(long now) {
-    return Math.max(0, now - heardMillis);
+    return Math.max(0, now - receivedMillis);
   }
 }
--- a/runtime/src/main/java/org/hornbeamusher/wire/LoopConnection.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/LoopConnection.java
@@ -141,7 +141,7 @@
       if (count < 0) {
         fail(closedFailure());
       } else if (count > 0) {
-        monitor.heard(transport.clock().millis());
+        monitor.received(transport.clock().millis());
         takeFrames();
       }
     } catch (IOException e) {
--- a/runtime/src/main/java/org/hornbeamusher/wire/ThreadedConnection.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/ThreadedConnection.java
@@ -259,7 +259,7 @@
       receivedMillis = clock.millis();
       partBytes += count;
       synchronized (monitor) {
-        monitor.heard(receivedMillis);
+        monitor.received(receivedMillis);
       }
     }
   }
--- a/runtime/src/test/java/org/hornbeamusher/directory/EndpointDirectoryTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/directory/EndpointDirectoryTest.java
@@ -329,13 +329,13 @@
   @Test
   void lifeThatWasNeverListedIsPassedOver() {
     directory.listed(List.of(life(100, false)), 0, 0);
-    directory.told(life(100, false).life());
-    directory.told(life(200, false).life());
+    directory.agentReported(life(100, false).life());
+    directory.agentReported(life(200, false).life());
     directory.listed(List.of(life(300, false)), READ_MILLIS, READ_MILLIS);
-    EndpointDirectory.Change last = directory.told(life(300, false).life());
+    EndpointDirectory.Change last = directory.agentReported(life(300, false).life());
     assertEquals(List.of(life(200, false).life()), last.ended());
-    assertEquals(List.of(), directory.told(life(200, false).life()).changed());
-    assertEquals(List.of(), directory.told(life(100, false).life()).changed());
+    assertEquals(List.of(), directory.agentReported(life(200, false).life()).changed());
+    assertEquals(List.of(), directory.agentReported(life(100, false).life()).changed());
     directory.listed(List.of(life(100, false)), 2 * READ_MILLIS, 2 * READ_MILLIS);
     assertEquals(300, now().life().startMillis());
   }
@@ -348,8 +348,8 @@
   void agentTellsOfNextLifeBeforeTheListDoes() {
     Endpoint holding = life(100, true).restartedAt(100);
     directory.listed(List.of(holding), 0, 0);
-    directory.told(holding.life());
-    EndpointDirectory.Change change = directory.told(new EndpointLife(A, 50));
+    directory.agentReported(holding.life());
+    EndpointDirectory.Change change = directory.agentReported(new EndpointLife(A, 50));
     assertEquals(List.of(holding.life()), change.ended());
     assertEquals(holding.restartedAt(50), now());
     assertEquals(List.of(), directory.listed(List.of(holding), READ_MILLIS, READ_MILLIS).changed());
@@ -363,11 +363,11 @@
   @Test
   void listTellsOfNextLifeBeforeTheAgentDoes() {
     directory.listed(List.of(life(100, false)), 0, 0);
-    directory.told(life(100, false).life());
+    directory.agentReported(life(100, false).life());
     directory.listed(List.of(life(50, false)), READ_MILLIS, READ_MILLIS);
     assertEquals(life(50, false), now());
-    assertEquals(List.of(), directory.told(life(100, false).life()).changed());
-    assertEquals(List.of(), directory.told(life(50, false).life()).changed());
+    assertEquals(List.of(), directory.agentReported(life(100, false).life()).changed());
+    assertEquals(List.of(), directory.agentReported(life(50, false).life()).changed());
     assertEquals(life(50, false), now());
   }
 
@@ -378,7 +378,7 @@
    */
   @Test
   void firstListThatLagsBehindTheAgentDoesNotEndTheLivingLife() {
-    directory.told(life(200, false).life());
+    directory.agentReported(life(200, false).life());
     directory.listed(List.of(life(100, false)), 0, 0);
     assertEquals(200, now().life().startMillis());
     directory.listed(List.of(life(200, false)), READ_MILLIS, READ_MILLIS);
@@ -392,8 +392,8 @@
   @Test
   void agentThatLagsBehindTheFirstListIsPutRightByItsNextWord() {
     directory.listed(List.of(life(200, false)), 0, 0);
-    directory.told(life(100, false).life());
-    directory.told(life(200, false).life());
+    directory.agentReported(life(100, false).life());
+    directory.agentReported(life(200, false).life());
     assertEquals(200, now().life().startMillis());
   }
 
@@ -434,7 +434,7 @@
     EndpointDirectory drawn = new EndpointDirectory(SETTINGS);
     drawn.configured(Set.of("s"));
     drawn.listed(List.of(life(starts.get(0), false)), 0, 0);
-    drawn.told(life(starts.get(0), false).life());
+    drawn.agentReported(life(starts.get(0), false).life());
     int listed = 0;
     int told = 0;
     int highest = 0;
@@ -443,10 +443,10 @@
         case 0 -> listed = Math.min(listed + 1, starts.size() - 1);
         case 1 -> told = Math.min(told + 1, starts.size() - 1);
         case 2 -> drawn.listed(List.of(life(starts.get(listed / 2), false)), 0, 0);
-        default -> drawn.told(life(starts.get(told / 2), false).life());
+        default -> drawn.agentReported(life(starts.get(told / 2), false).life());
       }
       drawn.listed(List.of(life(starts.get(listed), false)), 0, 0);
-      drawn.told(life(starts.get(told), false).life());
+      drawn.agentReported(life(starts.get(told), false).life());
       highest = Math.max(highest, Math.max(listed, told));
       long inForce = drawn.endpoint(A).orElseThrow().life().startMillis();
       assertEquals(starts.get(highest), inForce);
@@ -462,7 +462,7 @@
   void engineThatItsAgentSeesUnderNewIdStandsInThePlaceOfTheFormer() {
     listed(0, "a");
 
-    EndpointDirectory.Change change = told("b", 100);
+    EndpointDirectory.Change change = agentReported("b", 100);
 
     assertEquals(List.of("a"), gone(change));
     assertEquals(List.of(endpoint("a", false).life()), change.ended());
@@ -480,7 +480,7 @@
     listed(0, "a");
     listed(READ_MILLIS);
 
-    assertEquals(List.of("b"), ids(told("b", 1_000).changed()));
+    assertEquals(List.of("b"), ids(agentReported("b", 1_000).changed()));
   }
 
   /**
@@ -493,7 +493,7 @@
     listed(READ_MILLIS, "a", "b");
     listed(2 * READ_MILLIS, "a");
 
-    assertEquals(List.of(), told("b", 3 * READ_MILLIS).changed());
+    assertEquals(List.of(), agentReported("b", 3 * READ_MILLIS).changed());
     assertEquals(List.of("a"), ids(directory.endpoints()));
   }
 
@@ -513,7 +513,7 @@
   @Test
   void engineThatIsNeverListedIsDropped() {
     listed(0, "a");
-    told("b", 100);
+    agentReported("b", 100);
     long over = 100 + Successors.ANNOUNCED_MILLIS;
     for (long now = READ_MILLIS; now < over; now += READ_MILLIS) {
       assertEquals(List.of(), gone(listed(now)));
@@ -526,7 +526,7 @@
   void engineAtAnUnknownAddressWaitsForTheList() {
     listed(0, "a");
     EndpointLife other = endpoint("b", false).life();
-    assertEquals(List.of(), directory.told(other, "10.0.0.2-1", 100).changed());
+    assertEquals(List.of(), directory.agentReported(other, "10.0.0.2-1", 100).changed());
   }
 
   /**
@@ -538,7 +538,7 @@
   @Test
   void ofTwoEnginesListedAtOneAddressTheOneThatItsAgentSeesIsUsed() {
     listed(0, "a", "b");
-    EndpointDirectory.Change change = told("b", 100);
+    EndpointDirectory.Change change = agentReported("b", 100);
     assertEquals(List.of("a"), gone(change));
     assertEquals(List.of(new EndpointLife(A, 0)), change.ended());
     assertEquals(List.of("b"), ids(directory.endpoints()));
@@ -550,8 +550,8 @@
   @Test
   void engineThatHadToMakeWayIsBackAtItsAgentsWord() {
     listed(0, "a", "b");
-    told("a", 100);
-    EndpointDirectory.Change change = told("b", 400);
+    agentReported("a", 100);
+    EndpointDirectory.Change change = agentReported("b", 400);
     assertEquals(List.of("b"), ids(change.changed()));
     assertEquals(List.of("b"), ids(directory.endpoints()));
   }
@@ -560,7 +560,7 @@
   @Test
   void engineThatHadToMakeWayIsBackWhenItIsListedForLonger() {
     listed(0, "a", "b");
-    told("a", 100);
+    agentReported("a", 100);
     directory.agentLost(A);
     long back = 100 + Successors.ANNOUNCED_MILLIS;
     for (long now = READ_MILLIS; now < back; now += READ_MILLIS) {
@@ -575,17 +575,17 @@
   @Test
   void repeatedWordOfTheAgentIsNoNews() {
     listed(0, "a");
-    told("a", 100);
+    agentReported("a", 100);
     listed(READ_MILLIS, "a", "b");
-    told("a", READ_MILLIS + 10);
+    agentReported("a", READ_MILLIS + 10);
     assertEquals(List.of("a", "b"), ids(directory.endpoints()).stream().sorted().toList());
-    told("b", READ_MILLIS + 100);
+    agentReported("b", READ_MILLIS + 100);
     assertEquals(List.of("b"), ids(directory.endpoints()));
   }
 
-  private EndpointDirectory.Change told(String id, long now) {
+  private EndpointDirectory.Change agentReported(String id, long now) {
     Endpoint told = endpoint(id, false);
-    return directory.told(told.life(), told.address(), now);
+    return directory.agentReported(told.life(), told.address(), now);
   }
 
   private static List<String> ids(List<Endpoint> endpoints) {
--- a/runtime/src/test/java/org/hornbeamusher/membership/HeartbeatMonitorTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/membership/HeartbeatMonitorTest.java
@@ -13,7 +13,7 @@
   @Test
   void heartbeatsKeepTheConnection() {
     for (long now = 1_000; now < 60_000; now += 1_000) {
-      monitor.heard(now);
+      monitor.received(now);
       assertFalse(monitor.silent(now + 500));
     }
   }
@@ -44,14 +44,14 @@
   @Test
   void heartbeatAfterOwnPauseKeepsTheConnection() {
     assertFalse(monitor.silent(31_000));
-    monitor.heard(31_100);
+    monitor.received(31_100);
     assertFalse(monitor.silent(32_000));
   }
 
   /** The wall clock is set back; a dead connection must still be found. */
   @Test
   void clockThatStepsBackDelaysByThePatienceAtMost() {
-    monitor.heard(100_000);
+    monitor.received(100_000);
     assertFalse(monitor.silent(50_000));
     assertFalse(monitor.silent(51_000));
     assertFalse(monitor.silent(52_000));
--- a/tool/src/main/java/org/hornbeamusher/bench/faults/DispatchAgent.java
+++ b/tool/src/main/java/org/hornbeamusher/bench/faults/DispatchAgent.java
@@ -121,7 +121,7 @@
   void heard(Link link) {
     HeartbeatMonitor monitor = links.get(link);
     if (monitor != null) {
-      monitor.heard(timeline.now());
+      monitor.received(timeline.now());
     }
   }
 
--- a/tool/src/main/java/org/hornbeamusher/bench/faults/DispatchEntry.java
+++ b/tool/src/main/java/org/hornbeamusher/bench/faults/DispatchEntry.java
@@ -76,7 +76,7 @@
   void heard(Link link) {
     HeartbeatMonitor monitor = monitors.get(link);
     if (monitor != null) {
-      monitor.heard(timeline.now());
+      monitor.received(timeline.now());
     }
   }
 
