--- a/runtime/src/main/java/org/hornbeamusher/directory/EndpointDirectory.java
+++ b/runtime/src/main/java/org/hornbeamusher/directory/EndpointDirectory.java
@@ -160,7 +160,7 @@
   }
 
   /**
-   * Tells whether an endpoint is kept although the last list lacked it.
+   * Returns whether an endpoint is kept although the last list lacked it.
    *
    * @param id the endpoint
    * @return false for one that is listed, and for one that is not known
--- a/runtime/src/main/java/org/hornbeamusher/directory/ListSettings.java
+++ b/runtime/src/main/java/org/hornbeamusher/directory/ListSettings.java
@@ -9,7 +9,10 @@
  */
 public record ListSettings(long pauseMillis, long renewalMillis, long contactMillis) {
 
-  /** Half a renewal for endpoints that renew unevenly and for the answer's way. */
+  /**
+   * The last renewal is at most one renewal old when a gap begins, so two are left. Half of one is
+   * for endpoints that renew unevenly and for the answer's way.
+   */
   private static final double LAPSE_RENEWALS = 1.5;
 
   private static final double LATE_READS = 1.5;
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/EndpointLog.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/EndpointLog.java
@@ -10,7 +10,7 @@
 import org.hornbeamusher.ids.EndpointId;
 import org.hornbeamusher.ids.EndpointLife;
 
-/** The lines that tell which endpoints an entry knows. */
+/** The log lines about the endpoints that an entry knows. */
 final class EndpointLog {
 
   /** Ids in one line; an outage of the store may concern every endpoint. */
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/EngineAgents.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/EngineAgents.java
@@ -109,7 +109,7 @@
     }
   }
 
-  /** Tells all agents that this entry takes no more callers. */
+  /** Notifies all agents that this entry takes no more callers. */
   void leaving() {
     links.values().forEach(link -> link.send(new Message.Leaving()));
   }
--- a/runtime/src/main/java/org/hornbeamusher/membership/PeerCount.java
+++ b/runtime/src/main/java/org/hornbeamusher/membership/PeerCount.java
@@ -8,7 +8,7 @@
  *
  * <p>A list lacks peers whose entries lapsed, and who is cut off counts only those it reaches. A
  * share of what is left would be too large then. So the most of the last counts is used, and while
- * there are no counts at all, the last one holds: not being told says nothing about the others.
+ * there are no counts at all, the last one holds: a process that receives none is cut off itself.
  *
  * <p>Not safe for use by several threads at once.
  */
