An entry that no agent has reported to yet uses the retry budget as before

It is one again until the first report, for the retry budget; an entry that loses its agents goes on with the number that it knew, which was the fault to mend.

--- a/runtime/src/main/java/org/hornbeamusher/forwarding/EngineAgents.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/EngineAgents.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.hornbeamusher.clock.Clock;
@@ -150,9 +151,16 @@
   /**
    * Returns how many entries there are, by what agents have said. Losing them says nothing about
    * the other entries.
+   *
+   * @return empty until the first agent has said it
    */
+  OptionalInt knownEntries() {
+    return peers.most();
+  }
+
+  /** Returns how many entries there are; an assumption until the first agent has said it. */
   int entries() {
-    return peers.most().orElse(QuotaSettings.DEFAULT.assumedEntries());
+    return knownEntries().orElse(QuotaSettings.DEFAULT.assumedEntries());
   }
 
   /** Makes a reservation at an endpoint's agent; only where one is connected and sees this life. */
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardRun.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardRun.java
@@ -503,7 +503,8 @@
   }
 
   private boolean takeRepeat() {
-    return state.allowance().tryTake(service, state.agents().entries(), now());
+    int entries = state.agents().knownEntries().orElse(1);
+    return state.allowance().tryTake(service, entries, now());
   }
 
   /** Ends a request that no endpoint can take; what may have run is not said to be not run. */
--- a/runtime/src/test/java/org/hornbeamusher/forwarding/EngineAgentsTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/forwarding/EngineAgentsTest.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
+import java.util.OptionalInt;
 import org.hornbeamusher.failure.FailureType;
 import org.hornbeamusher.failure.HornbeamusherException;
 import org.hornbeamusher.loop.SimulatedLoop;
@@ -65,6 +66,7 @@
   /** Guards against an entry that takes all that entries share when it loses its agents. */
   @Test
   void otherEntriesCountAlsoWhenAllAgentsAreLost() {
+    assertEquals(OptionalInt.empty(), agents.knownEntries());
     assertEquals(QuotaSettings.DEFAULT.assumedEntries(), agents.entries());
     agents.connect(List.of(ENGINE));
     opened.received(connection, new Message.Holdings("", List.of(), List.of(), 5, false, 0));
@@ -72,6 +74,7 @@
     assertEquals(5, agents.entries());
     opened.closed(connection, HornbeamusherException.notRun(FailureType.CONNECTION_CLOSED, "test"));
     loop.runUntil(10 * KEPT_MILLIS);
+    assertEquals(OptionalInt.of(5), agents.knownEntries());
     assertEquals(5, agents.entries());
   }
 
