--- a/runtime/src/main/java/org/hornbeamusher/events/EventType.java
+++ b/runtime/src/main/java/org/hornbeamusher/events/EventType.java
@@ -27,6 +27,7 @@
   ACCOUNT_REFUSED(1108, Level.INFO, "A request was refused due to its key or account quota."),
   RATE_PERMIT_DECIDED(
       1109, Level.INFO, "A request to a rate-limited endpoint was permitted or not."),
+  RETRY_DECIDED(1110, Level.INFO, "A retry was granted or denied by the retry budget."),
   // 1200: endpoints and loads
   ADAPTER_LOADED(1201, Level.FINE, "An adapter became resident."),
   ADAPTER_LOAD_FAILED(1202, Level.WARNING, "An adapter could not be loaded."),
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
@@ -125,7 +125,7 @@
             agents,
             limits,
             new EndpointStateUpdater(limits, clock),
-            new RetryAllowance(settings.retries()),
+            new RetryAllowance(settings.retries(), clock.millis()),
             dialect,
             http,
             counts,
@@ -169,6 +169,7 @@
     measured.gauge("leaving_endpoints", context.placer()::leavingEndpoints);
     measured.gauge("missing_endpoints", context.directory()::missingEndpoints);
     measured.gauge("unusable_entries", context.directory()::unusableEntries);
+    measured.gauge("retry_entries", context.agents()::entries);
     measured.gauge("list_age_ms", () -> context.directory().ageMillis(clock.millis()));
     measured.gauge("key_proof_age_ms", accounts::proofAgeMillis);
     measured.gauge("configuration_age_ms", freshness::ageMillis);
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardMetrics.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardMetrics.java
@@ -79,6 +79,11 @@
     registry.counter(PREFIX + "rate_permits." + (granted ? "granted" : "refused")).inc();
   }
 
+  /** Records the decision of the retry budget about a retry. */
+  void retryDecided(boolean granted) {
+    registry.counter(PREFIX + "retries." + (granted ? "granted" : "denied")).inc();
+  }
+
   /** Records that an entry of the endpoint list is unusable, also when its reason has changed. */
   void entryUnusable() {
     registry.counter(PREFIX + "list.unusable").inc();
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
@@ -509,7 +509,11 @@
 
   private boolean takeRetry() {
     int entries = context.agents().knownEntries().orElse(1);
-    return context.retryAllowance().tryTake(service, entries, now());
+    RetryAllowance allowance = context.retryAllowance();
+    boolean granted = allowance.tryTake(service, entries, now());
+    context.metrics().retryDecided(granted);
+    log.retryDecided(service, granted, allowance.usage(service, now()), context.agents());
+    return granted;
   }
 
   /** Ends a request that no endpoint can take, as "not run" only if no send may have run. */
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/RequestLog.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/RequestLog.java
@@ -96,6 +96,29 @@
         attempt.metadata().leaving());
   }
 
+  /** Logs the decision of the retry budget about a further send, with what it was based on. */
+  void retryDecided(
+      String service, boolean granted, RetryAllowance.Usage usage, AgentConnections agents) {
+    EventLog.log(
+        EventType.RETRY_DECIDED,
+        "id",
+        id,
+        "service",
+        service,
+        "granted",
+        granted,
+        "requests",
+        usage.requests(),
+        "retries",
+        usage.retries(),
+        "entries",
+        agents.entries(),
+        "entries_reported",
+        agents.knownEntries().isPresent(),
+        "age_ms",
+        usage.ageMillis());
+  }
+
   private static String text(RetryAfter stated) {
     return switch (stated) {
       case RetryAfter.Millis time -> Long.toString(time.millis());
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/RetryAllowance.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/RetryAllowance.java
@@ -21,10 +21,28 @@
   private final ServiceRetrySettings settings;
   private final Map<String, ServiceWindow> services = new HashMap<>();
 
-  RetryAllowance(ServiceRetrySettings settings) {
+  private final long startMillis;
+
+  RetryAllowance(ServiceRetrySettings settings, long now) {
     this.settings = settings;
+    this.startMillis = now;
   }
 
+  /** Returns what a decision about a service is based on. */
+  Usage usage(String service, long now) {
+    ServiceWindow window = window(service);
+    return new Usage(window.requests.total(now), window.retries.total(now), now - startMillis);
+  }
+
+  /**
+   * What a decision about a service is based on.
+   *
+   * @param requests requests for the service in the window
+   * @param retries retries granted in the window
+   * @param ageMillis time since this entry started
+   */
+  record Usage(long requests, long retries, long ageMillis) {}
+
   void recordRequest(String service, long now) {
     window(service).requests.add(now);
   }
--- a/runtime/src/test/java/org/hornbeamusher/forwarding/ForwardingDecisionsTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/forwarding/ForwardingDecisionsTest.java
@@ -54,7 +54,7 @@
     int entries = 5;
     int granted = 0;
     for (int entry = 0; entry < entries; entry++) {
-      RetryAllowance allowance = new RetryAllowance(REPEATS);
+      RetryAllowance allowance = new RetryAllowance(REPEATS, 0);
       for (int i = 0; i < 100; i++) {
         allowance.recordRequest("s", i);
       }
@@ -68,7 +68,7 @@
 
   @Test
   void allowanceIsRestoredAfterTheWindow() {
-    RetryAllowance allowance = new RetryAllowance(new ServiceRetrySettings(0, 2, 10_000));
+    RetryAllowance allowance = new RetryAllowance(new ServiceRetrySettings(0, 2, 10_000), 0);
     assertTrue(allowance.tryTake("s", 1, 0));
     assertEquals(false, allowance.tryTake("s", 1, 9_900));
     assertTrue(allowance.tryTake("s", 1, 10_100));
@@ -76,7 +76,7 @@
 
   @Test
   void retriesOfOneServiceDoNotUseUpThoseOfAnother() {
-    RetryAllowance allowance = new RetryAllowance(new ServiceRetrySettings(0, 2, 10_000));
+    RetryAllowance allowance = new RetryAllowance(new ServiceRetrySettings(0, 2, 10_000), 0);
     assertTrue(allowance.tryTake("s", 1, 0));
     assertTrue(allowance.tryTake("t", 1, 0));
   }
