A process earns its share of the retry budget instead of having it at its start

Cause: each entry counted the retries of its own process in a sliding window. A process that starts has made none, so it used a whole share again whatever its predecessor had used. RETRY_DECIDED shows it: 145 of 217 retries of the busiest window were granted within two seconds of a start. The same sum goes wrong when callers move to another entry, and, with real processes, while a process that no agent has reported to counts itself as the only entry.

Now each entry has a token bucket for each service, which starts empty, earns 0.75 of its share (of the ratio with each request, of the fixed number with time) and saves at most what it earned in a quarter of a window. Whatever arrives in a window was earned in it or in the quarter before it, by whichever processes, so 0.75 x 1.25 of the budget bounds the sum. A retry that was granted and waits for a load still counts as saved and is returned if it is not sent: two windows' retries no longer arrive together. Before the first report the number of entries is assumed to be 20, as for connections.

The new property for waiting retries fails without the count of unsent ones.

What it costs: a burst of failures gets a quarter of what it got, and an entry denies retries in the first tenths of a second after its start.

Tests that need a retry right after the start of their entry wait until it has earned one; what they check is unchanged. Three tests in ForwardingDecisionsTest asserted that a process has its share at once, which was the fault; SharedRetryBudgetTest asserts the same bound for every window and that at least 0.6 of the budget is used in each.

--- a/runtime/src/main/java/org/hornbeamusher/forwarding/Attempt.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/Attempt.java
@@ -76,7 +76,11 @@
 
   @Override
   public boolean shouldSend() {
-    return endpoint.takesRequests(clock.millis());
+    boolean accepted = endpoint.takesRequests(clock.millis());
+    if (accepted) {
+      listener.sending(this);
+    }
+    return accepted;
   }
 
   @Override
@@ -155,6 +159,9 @@
   /** Receives the progress of an attempt. */
   interface Listener {
 
+    /** Called right before the first byte is sent; not called if nothing is sent. */
+    void sending(Attempt attempt);
+
     /** Called when the head of a valid response has arrived. */
     void head(Attempt attempt, HttpHead head);
 
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardContext.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardContext.java
@@ -20,7 +20,7 @@
  * @param agents connections to the engines' agents
  * @param rateLimiter applies the rate limits of endpoints
  * @param stateUpdater updates endpoints from their responses
- * @param retryAllowance bounds retries
+ * @param retryBudget bounds retries
  * @param headerCodec reads and writes headers
  * @param http sends attempts
  * @param metrics the metrics
@@ -36,7 +36,7 @@
     AgentConnections agents,
     EndpointRateLimiter rateLimiter,
     EndpointStateUpdater stateUpdater,
-    RetryAllowance retryAllowance,
+    SharedRetryBudget retryBudget,
     HeaderCodec headerCodec,
     HttpClient http,
     ForwardMetrics metrics,
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
@@ -125,7 +125,7 @@
             agents,
             limits,
             new EndpointStateUpdater(limits, clock),
-            new RetryAllowance(settings.retries(), clock.millis()),
+            new SharedRetryBudget(settings.retries(), clock.millis()),
             dialect,
             http,
             counts,
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
@@ -35,9 +35,9 @@
  *   <li>it may have run and is not repeatable: the caller is told that its outcome is unknown.
  * </ul>
  *
- * <p>Every further send to a service uses the retry allowance, unless the first one did not reach
- * the endpoint. A status that guarantees "not run" is returned only if every send was refused or
- * did not reach an endpoint.
+ * <p>Every further send to a service uses the retry budget, unless the one before did not reach the
+ * endpoint. A status that guarantees "not run" is returned only if every send was refused or did
+ * not reach an endpoint.
  */
 final class ForwardedRequest
     implements Attempt.Listener, EngineReservation.Listener, PendingRatePermit.Listener {
@@ -99,6 +99,9 @@
   /** Sends that may have run; if there is any, the account is charged for the request once. */
   private int possibleRuns;
 
+  /** Whether a retry was granted that has not been sent. */
+  private boolean retryUnsent;
+
   private int refusals;
   private int unsent;
   private boolean mayHaveRun;
@@ -141,7 +144,7 @@
         route.kind() == RequestKind.STREAMING
             ? new EventStreamRelay(caller, metadata.lastEvent())
             : new BufferedRelay(caller);
-    context.retryAllowance().recordRequest(service, now());
+    context.retryBudget().recordRequest(service, now());
   }
 
   /** The latest useful time for the first event; a caller of a stream waits no longer for it. */
@@ -369,6 +372,14 @@
     attempt.send(context.http(), call, context.maxConnections(service));
   }
 
+  @Override
+  public void sending(Attempt from) {
+    if (retryUnsent) {
+      retryUnsent = false;
+      context.retryBudget().retrySent(service);
+    }
+  }
+
   @Override
   public void head(Attempt from, HttpHead head) {
     failureBuffered = false;
@@ -508,12 +519,14 @@
   }
 
   private boolean takeRetry() {
-    int entries = context.agents().knownEntries().orElse(1);
-    RetryAllowance allowance = context.retryAllowance();
-    boolean granted = allowance.tryTake(service, entries, now());
-    context.metrics().retryDecided(granted);
-    log.retryDecided(service, granted, allowance.usage(service, now()), context.agents());
-    return granted;
+    if (retryUnsent) {
+      return true;
+    }
+    SharedRetryBudget budget = context.retryBudget();
+    retryUnsent = budget.tryTake(service, context.agents().entries(), now());
+    context.metrics().retryDecided(retryUnsent);
+    log.retryDecided(service, retryUnsent, budget.state(service, now()), context.agents());
+    return retryUnsent;
   }
 
   /** Ends a request that no endpoint can take, as "not run" only if no send may have run. */
@@ -646,6 +659,9 @@
       return;
     }
     finished = true;
+    if (retryUnsent) {
+      context.retryBudget().retryUnused(service);
+    }
     if (routed != null && possibleRuns == 0) {
       context.admission().refund(routed);
     }
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/RequestLog.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/RequestLog.java
@@ -98,7 +98,7 @@
 
   /** Logs the decision of the retry budget about a further send, with what it was based on. */
   void retryDecided(
-      String service, boolean granted, RetryAllowance.Usage usage, AgentConnections agents) {
+      String service, boolean granted, SharedRetryBudget.State state, AgentConnections agents) {
     EventLog.log(
         EventType.RETRY_DECIDED,
         "id",
@@ -107,16 +107,18 @@
         service,
         "granted",
         granted,
-        "requests",
-        usage.requests(),
-        "retries",
-        usage.retries(),
+        "recent_requests",
+        state.recentRequests(),
+        "saved",
+        state.saved(),
+        "unsent",
+        state.unsent(),
         "entries",
         agents.entries(),
         "entries_reported",
         agents.knownEntries().isPresent(),
         "age_ms",
-        usage.ageMillis());
+        state.ageMillis());
   }
 
   private static String text(RetryAfter stated) {
