--- a/runtime/src/main/java/org/hornbeamusher/forwarding/RequestLog.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/RequestLog.java
@@ -110,7 +110,7 @@
         "recent_requests",
         state.recentRequests(),
         "saved",
-        state.saved(),
+        Math.round(state.saved() * 100) / 100.0,
         "unsent",
         state.unsent(),
         "entries",
