An agent that starts grants no second's burst of rate permits

Callers would see a limited endpoint overloaded while its pacing agent restarts.

What remains: permits that the agent before promised to requests that wait longer are still sent, so waits beyond some 200 ms add up.

--- a/runtime/src/main/java/org/hornbeamusher/ratelimit/RatePermits.java
+++ b/runtime/src/main/java/org/hornbeamusher/ratelimit/RatePermits.java
@@ -15,8 +15,8 @@
  * <p><b>Algorithm.</b> All entries request permits from one process, which paces the requests. It
  * takes the limit from the entries; the most recently advertised one applies. An entry that
  * receives a response without a limit reports it, and all entries are then permitted at once. The
- * state need not be persisted: a successor starts with a burst of one second. The incarnations of
- * an endpoint share one limit, because some entries may not know its start time.
+ * state need not be persisted: a successor starts without saved permits. The incarnations of an
+ * endpoint share one limit, because some entries may not know its start time.
  *
  * <p>Rejected: exchanging usage between entries, as for quotas. Its error is one request per entry
  * and update, which is negligible for a quota in tokens but several times a limit of one request a
--- a/runtime/src/test/java/org/hornbeamusher/ratelimit/RatePermitsTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/ratelimit/RatePermitsTest.java
@@ -78,6 +78,31 @@
         maxInWindow(sent) <= allowed(perSecond), maxInWindow(sent) + " of " + allowed(perSecond));
   }
 
+  /** Guards against an agent that grants a second's burst after each of its starts. */
+  @Property(tries = 300, seed = "33")
+  void agentThatRestartsInSeriesStaysWithinTheTolerance(
+      @ForAll @DoubleRange(min = 0.3, max = 60) double perSecond,
+      @ForAll @IntRange(min = 1_000, max = 5_000) int restartMillis,
+      @ForAll @LongRange(min = 0, max = 200) long mostWait,
+      @ForAll long seed) {
+    Random random = new Random(seed);
+    List<Long> sent = new ArrayList<>();
+    RatePermits current = permits;
+    long restart = restartMillis;
+    for (long now = 0; now < DURATION_MILLIS; now += 1 + random.nextInt(8)) {
+      if (now >= restart) {
+        current = new RatePermits();
+        restart += restartMillis;
+      }
+      if (current.tryAcquire(ENDPOINT, perSecond, 0, mostWait, now)
+          instanceof RatePermitDecision.Granted granted) {
+        sent.add(now + granted.waitMillis());
+      }
+    }
+    assertTrue(
+        maxInWindow(sent) <= allowed(perSecond), maxInWindow(sent) + " of " + allowed(perSecond));
+  }
+
   private List<Long> simulate(
       Random random, int entries, long mostWait, double perSecond, boolean paced) {
     List<EvenShareLimiter> shares =
