Refuse a request under which three endpoints have crashed, at all entries

What callers saw: while somebody repeated a request that crashes each endpoint that runs it, two to four of six engines were starting at any time; other callers of the service got truncated streams, failures and late responses.

Cause: nothing on the users' platform remembered which request ran at an endpoint that crashed. Each client attempt has a new id, so every entry took the same content for a new request; the quarantine existed for the product's own interface only. Class of fault: a promise that the product's own interface keeps and the platform's path does not.

CrashHistory counts crashes by the content of the requests that ran there, each incarnation once, and quarantines a content after three. A completed request of the same content clears its count, which is what tells the cause from the requests beside it. RequestCrashes finds out whether a lost connection was a crash (the agent, the list, another id at the address, a closed port) or not (the endpoint responds); until that is known the loss counts at this entry only. The decision is asked when a request arrives, before each send and right before its first byte. CrashReports shares the records in two independent ways: two agents relay them within milliseconds, without the store; a row for each content in the table `crashes` keeps them through restarts of all processes and works without agents. The refusal is 503 with the time that is left: the client attempt has not run. Deleting the row lifts it.

Requests that did nothing wrong: contents are hashed only while a record with the same body length exists.

Not covered: a request whose caller leaves, or whose deadline passes, shortly before the endpoint crashes under it.

--- a/runtime/src/main/java/org/hornbeamusher/events/EventType.java
+++ b/runtime/src/main/java/org/hornbeamusher/events/EventType.java
@@ -28,6 +28,10 @@
   RATE_PERMIT_DECIDED(
       1109, Level.INFO, "A request to a rate-limited endpoint was permitted or not."),
   RETRY_DECIDED(1110, Level.INFO, "A retry was granted or denied by the retry budget."),
+  REQUEST_QUARANTINED(
+      1111, Level.WARNING, "Requests of a content are refused: endpoints crashed under them."),
+  QUARANTINE_LIFTED(1112, Level.INFO, "The crashes recorded for a content are cleared."),
+  QUARANTINED_REQUEST_REFUSED(1113, Level.INFO, "A request was refused because of its content."),
   // 1200: endpoints and loads
   ADAPTER_LOADED(1201, Level.FINE, "An adapter became resident."),
   ADAPTER_LOAD_FAILED(1202, Level.WARNING, "An adapter could not be loaded."),
@@ -58,6 +62,10 @@
   ENDPOINT_LEAVING(1316, Level.INFO, "A response of an endpoint says that it is leaving."),
   ENDPOINTS_MISSING(
       1317, Level.INFO, "Endpoints are missing from a list; they are kept for a while."),
+  ENDPOINT_CRASHED(1318, Level.WARNING, "An endpoint ended while it ran requests of this entry."),
+  ENDPOINT_ALIVE(1319, Level.INFO, "An endpoint that lost connections has not ended."),
+  CRASH_RECORD_UNREADABLE(1320, Level.WARNING, "A record of crashes cannot be read."),
+  CRASH_RECORDS_UNWRITTEN(1321, Level.WARNING, "Records of crashes could not be written yet."),
   // 1400: claims
   CLAIM_END_LOST(
       1401, Level.WARNING, "The outcome of a claim was not written; it reads as unknown."),
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/AgentConnections.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/AgentConnections.java
@@ -58,6 +58,7 @@
   private IncarnationListener incarnationListener = IncarnationListener.NONE;
   private UsageListener usageListener = UsageListener.NONE;
   private PermitListener permitListener = PermitListener.NONE;
+  private CrashListener crashListener = CrashListener.NONE;
   private long lastReservation;
 
   AgentConnections(
@@ -88,6 +89,11 @@
     permitListener = listener;
   }
 
+  /** Sets the listener for records of crashes. */
+  void setCrashListener(CrashListener listener) {
+    crashListener = listener;
+  }
+
   /**
    * Returns the agent that paces the requests to an endpoint: that of the endpoint if it is
    * connected, otherwise one chosen by rendezvous hashing, so that all entries that are connected
@@ -259,6 +265,32 @@
     void closed(InetSocketAddress agent);
   }
 
+  /** Receives the records of crashes that agents relay. */
+  interface CrashListener {
+
+    /** Ignores everything. */
+    CrashListener NONE =
+        new CrashListener() {
+          @Override
+          public void opened(InetSocketAddress agent) {}
+
+          @Override
+          public void received(InetSocketAddress agent, Message.CrashReport report) {}
+
+          @Override
+          public void closed(InetSocketAddress agent) {}
+        };
+
+    /** A connection to an agent was opened. */
+    void opened(InetSocketAddress agent);
+
+    /** An agent has relayed a record of another entry. */
+    void received(InetSocketAddress agent, Message.CrashReport report);
+
+    /** The connection to an agent was lost. */
+    void closed(InetSocketAddress agent);
+  }
+
   /** The connection to one agent. */
   final class AgentConnection implements WireListener {
 
@@ -324,6 +356,7 @@
             EventLog.log(EventType.PEER_CONNECTED, "peer", peer.instance(), "at", address);
             activeReservations.values().forEach(EngineReservation::announce);
             usageListener.opened(address);
+            crashListener.opened(address);
           });
     }
 
@@ -365,6 +398,7 @@
         }
         case Message.UsageUpdate update -> usageListener.received(address, update);
         case Message.RatePermitResponse response -> permitListener.received(response);
+        case Message.CrashReport report -> crashListener.received(address, report);
         case Message.ReservationGranted report -> {
           EngineReservation granted = activeReservations.get(report.reservation());
           if (granted != null) {
@@ -416,6 +450,7 @@
       connection = null;
       usageListener.closed(address);
       permitListener.closed(address);
+      crashListener.closed(address);
       EventLog.log(EventType.PEER_LOST, "peer", address, "reason", reason.type().label());
       EndpointView view = view();
       if (view != null) {
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/Attempt.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/Attempt.java
@@ -76,7 +76,7 @@
 
   @Override
   public boolean shouldSend() {
-    boolean accepted = endpoint.takesRequests(clock.millis());
+    boolean accepted = endpoint.takesRequests(clock.millis()) && listener.maySend();
     if (accepted) {
       listener.sending(this);
     }
@@ -159,6 +159,9 @@
   /** Receives the progress of an attempt. */
   interface Listener {
 
+    /** Returns whether the request may still be sent; called right before the first byte. */
+    boolean maySend();
+
     /** Called right before the first byte is sent; not called if nothing is sent. */
     void sending(Attempt attempt);
 
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/CrashReports.java
@@ -0,0 +1,261 @@
+package org.hornbeamusher.forwarding;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.hornbeamusher.clock.Clock;
+import org.hornbeamusher.events.EventLog;
+import org.hornbeamusher.events.EventType;
+import org.hornbeamusher.failure.HornbeamusherException;
+import org.hornbeamusher.loop.EventLoop;
+import org.hornbeamusher.quarantine.CrashHistory;
+import org.hornbeamusher.quarantine.CrashRecord;
+import org.hornbeamusher.quarantine.RequestContent;
+import org.hornbeamusher.suspects.CrashRecordCodec;
+import org.hornbeamusher.suspects.CrashRecordTable;
+import org.hornbeamusher.table.CommitResult;
+import org.hornbeamusher.watch.TableChanges;
+import org.hornbeamusher.wire.Message;
+
+/**
+ * Shares crash records with all other entries, in two ways that do not depend on each other.
+ *
+ * <ul>
+ *   <li>Two agents relay each change within milliseconds and report all records to an entry that
+ *       connects. They work while the table is not available.
+ *   <li>A table contains the records, which every entry follows. It works without agents, and keeps
+ *       the records when all processes restart.
+ * </ul>
+ *
+ * <p>Records are merged, so it does not matter in which order and how often they arrive. A change
+ * is written to the table by the entry that made it, and a little later by every other entry that
+ * does not find it there: the first may have been killed, and a table that was restored from a copy
+ * has lost it. Most records are cleared within a second or two, when the requests that ran beside
+ * the cause are completed elsewhere; the delay of the first write saves most of their writes.
+ */
+final class CrashReports implements AgentConnections.CrashListener {
+
+  private static final long OWN_WRITE_DELAY_MILLIS = 500;
+  private static final long OTHERS_WRITE_DELAY_MILLIS = 3_000;
+  private static final long RETRY_MILLIS = 1_000;
+
+  /** A transaction may contain 100 conditions and writes. */
+  private static final int MAX_ROWS = 40;
+
+  private final CrashHistory history;
+  private final CrashRecordTable table;
+  private final UsageExchange.Transport transport;
+  private final EventLoop loop;
+  private final Clock clock;
+  private final RelaySelection selection = new RelaySelection();
+
+  /** The relays that have received all records. */
+  private final Set<InetSocketAddress> informed = new HashSet<>();
+
+  /** The contents whose rows may differ from their records, and when to write them. */
+  private final Map<RequestContent, Long> unwritten = new LinkedHashMap<>();
+
+  private boolean writing;
+  private int failedWrites;
+
+  /** When {@link #write} runs next; {@link Long#MAX_VALUE} if it is not scheduled. */
+  private long nextWriteMillis = Long.MAX_VALUE;
+
+  CrashReports(
+      CrashHistory history,
+      CrashRecordTable table,
+      UsageExchange.Transport transport,
+      EventLoop loop,
+      Clock clock) {
+    this.history = history;
+    this.table = table;
+    this.transport = transport;
+    this.loop = loop;
+    this.clock = clock;
+  }
+
+  /** Reports a record that this entry has changed. */
+  void changed(CrashRecord record) {
+    selection.relays().forEach(relay -> send(relay, record));
+    boolean quarantined = history.isQuarantined(record.content(), 0);
+    writeLater(record.content(), quarantined ? 0 : OWN_WRITE_DELAY_MILLIS);
+  }
+
+  @Override
+  public void opened(InetSocketAddress agent) {
+    selection.opened(agent);
+    informRelays();
+  }
+
+  @Override
+  public void closed(InetSocketAddress agent) {
+    selection.closed(agent);
+    informed.remove(agent);
+    informRelays();
+  }
+
+  private void informRelays() {
+    for (InetSocketAddress relay : selection.relays()) {
+      if (informed.add(relay)) {
+        history.openRecords().forEach(record -> send(relay, record));
+      }
+    }
+  }
+
+  private void send(InetSocketAddress relay, CrashRecord record) {
+    transport.send(relay, new Message.CrashReport(CrashRecordCodec.encode(record)));
+  }
+
+  @Override
+  public void received(InetSocketAddress agent, Message.CrashReport report) {
+    Optional<CrashRecord> record = CrashRecordCodec.decode(report.record());
+    if (record.isEmpty()) {
+      EventLog.log(EventType.CRASH_RECORD_UNREADABLE, "source", agent);
+      return;
+    }
+    if (merge(record.get(), "agent")) {
+      writeLater(record.get().content(), OTHERS_WRITE_DELAY_MILLIS);
+    }
+  }
+
+  /** Applies rows of the table that were read. */
+  void tableRead(TableChanges rows) {
+    CrashRecordTable.Changes changes = table.received(rows);
+    changes.unreadable().forEach(CrashReports::logUnreadable);
+    for (CrashRecord record : changes.records()) {
+      merge(record, "table");
+      writeLater(record.content(), OTHERS_WRITE_DELAY_MILLIS);
+    }
+    changes.deleted().forEach(this::deleted);
+    if (rows.complete()) {
+      history
+          .openRecords()
+          .forEach(record -> writeLater(record.content(), OTHERS_WRITE_DELAY_MILLIS));
+    }
+  }
+
+  private static void logUnreadable(String key) {
+    EventLog.log(EventType.CRASH_RECORD_UNREADABLE, "source", "table", "key", key);
+  }
+
+  /** A row is deleted when its crashes are cleared, or by an operator to lift a quarantine. */
+  private void deleted(RequestContent content) {
+    boolean quarantined = history.isQuarantined(content, 0);
+    history
+        .clear(content, clock.millis())
+        .ifPresent(
+            cleared -> {
+              logChange(cleared, quarantined, "table");
+              selection.relays().forEach(relay -> send(relay, cleared));
+            });
+  }
+
+  private boolean merge(CrashRecord record, String source) {
+    boolean before = history.isQuarantined(record.content(), 0);
+    Optional<CrashRecord> merged = history.merge(record, clock.millis());
+    merged.ifPresent(changed -> logChange(changed, before, source));
+    return merged.isPresent();
+  }
+
+  /** Logs that a content is quarantined now, or is not any more. */
+  void logChange(CrashRecord record, boolean quarantinedBefore, String source) {
+    boolean quarantined = history.isQuarantined(record.content(), 0);
+    if (quarantined != quarantinedBefore) {
+      EventLog.log(
+          quarantined ? EventType.REQUEST_QUARANTINED : EventType.QUARANTINE_LIFTED,
+          "content",
+          record.content(),
+          "crashes",
+          record.openCrashes(),
+          "endpoints",
+          String.join(
+              ",", record.crashes().stream().map(crash -> crash.endpoint().id().value()).toList()),
+          "source",
+          source);
+    }
+  }
+
+  private void writeLater(RequestContent content, long delayMillis) {
+    if (upToDate(content)) {
+      unwritten.remove(content);
+      return;
+    }
+    long at = clock.millis() + delayMillis;
+    unwritten.merge(content, at, Math::min);
+    scheduleWrite(at);
+  }
+
+  private void scheduleWrite(long atMillis) {
+    if (atMillis < nextWriteMillis) {
+      nextWriteMillis = atMillis;
+      loop.after(Math.max(0, atMillis - clock.millis()), this::write);
+    }
+  }
+
+  /** Returns whether the row of a content is what the known crashes make of it. */
+  private boolean upToDate(RequestContent content) {
+    Optional<CrashRecord> wanted = history.find(content).filter(r -> r.openCrashes() > 0);
+    return table.stored(content).equals(wanted);
+  }
+
+  private void write() {
+    if (writing) {
+      return;
+    }
+    nextWriteMillis = Long.MAX_VALUE;
+    long now = clock.millis();
+    history.removeExpired(now).forEach(content -> unwritten.putIfAbsent(content, now));
+    unwritten.keySet().removeIf(this::upToDate);
+    List<RequestContent> due =
+        unwritten.entrySet().stream()
+            .filter(entry -> entry.getValue() <= now)
+            .map(Map.Entry::getKey)
+            .limit(MAX_ROWS)
+            .toList();
+    if (due.isEmpty()) {
+      unwritten.values().stream().min(Long::compare).ifPresent(this::scheduleWrite);
+      return;
+    }
+    writing = true;
+    List<CrashRecord> records = new ArrayList<>();
+    List<RequestContent> deletions = new ArrayList<>();
+    for (RequestContent content : due) {
+      history
+          .find(content)
+          .filter(record -> record.openCrashes() > 0)
+          .ifPresentOrElse(records::add, () -> deletions.add(content));
+    }
+    table
+        .replace(records, deletions)
+        .whenComplete((result, thrown) -> loop.execute(() -> written(due, result, thrown)));
+  }
+
+  /**
+   * Handles the result of a write. The rows are read again in any case, which shows whether they
+   * are up to date; until then a repeated write is in vain.
+   */
+  private void written(List<RequestContent> due, CommitResult result, Throwable thrown) {
+    writing = false;
+    boolean committed = result instanceof CommitResult.Committed;
+    failedWrites = committed ? 0 : failedWrites + 1;
+    // Logs only at powers of two, so that a long outage does not flood the log.
+    if (!committed && Integer.bitCount(failedWrites) == 1) {
+      EventLog.log(
+          EventType.CRASH_RECORDS_UNWRITTEN,
+          "records",
+          unwritten.size(),
+          "failures",
+          failedWrites,
+          "reason",
+          thrown == null ? "conflict" : HornbeamusherException.from(thrown).type().label());
+    }
+    long retryAt = clock.millis() + RETRY_MILLIS;
+    due.forEach(content -> unwritten.computeIfPresent(content, (key, at) -> retryAt));
+    unwritten.values().stream().min(Long::compare).ifPresent(this::scheduleWrite);
+  }
+}
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/EndpointStateUpdater.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/EndpointStateUpdater.java
@@ -12,16 +12,19 @@
 final class EndpointStateUpdater {
 
   private final EndpointRateLimiter limits;
+  private final RequestCrashes crashes;
   private final Clock clock;
 
   /**
    * Creates an updater.
    *
    * @param limits applies rate limits
+   * @param crashes learns from responses which endpoints have not ended
    * @param clock monotonic
    */
-  EndpointStateUpdater(EndpointRateLimiter limits, Clock clock) {
+  EndpointStateUpdater(EndpointRateLimiter limits, RequestCrashes crashes, Clock clock) {
     this.limits = limits;
+    this.crashes = crashes;
     this.clock = clock;
   }
 
@@ -37,8 +40,10 @@
       EndpointView endpoint, ResponseMetadata metadata, boolean succeeded, long sentMillis) {
     if (metadata.endpoint().filter(other -> !other.equals(endpoint.id())).isPresent()) {
       // Another endpoint uses this address now; its state is not that of the expected endpoint.
+      crashes.incarnationEnded(endpoint.incarnation(), "replaced");
       return;
     }
+    crashes.responded(endpoint.incarnation(), sentMillis);
     limits.recordResponse(endpoint, metadata.rateLimit(), succeeded, sentMillis);
     EndpointAvailability availability = endpoint.availability();
     long now = clock.millis();
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardContext.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardContext.java
@@ -21,6 +21,7 @@
  * @param rateLimiter applies the rate limits of endpoints
  * @param stateUpdater updates endpoints from their responses
  * @param retryBudget bounds retries
+ * @param crashes refuses requests under which endpoints crashed
  * @param headerCodec reads and writes headers
  * @param http sends attempts
  * @param metrics the metrics
@@ -37,6 +38,7 @@
     EndpointRateLimiter rateLimiter,
     EndpointStateUpdater stateUpdater,
     SharedRetryBudget retryBudget,
+    RequestCrashes crashes,
     HeaderCodec headerCodec,
     HttpClient http,
     ForwardMetrics metrics,
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Supplier;
 import org.hornbeamusher.availability.AvailabilityRegistry;
 import org.hornbeamusher.clock.Clock;
 import org.hornbeamusher.directory.Endpoint;
@@ -26,6 +27,8 @@
 import org.hornbeamusher.placement.PlacementSettings;
 import org.hornbeamusher.placement.Placer;
 import org.hornbeamusher.process.MetricsListener;
+import org.hornbeamusher.quarantine.CrashHistory;
+import org.hornbeamusher.quarantine.QuarantineSettings;
 import org.hornbeamusher.quota.QuotaMeter;
 import org.hornbeamusher.quota.QuotaSettings;
 import org.hornbeamusher.routes.AdapterKey;
@@ -35,7 +38,10 @@
 import org.hornbeamusher.routes.EngineSpec;
 import org.hornbeamusher.routes.LatestAdapterVersions;
 import org.hornbeamusher.routes.ServiceSpec;
+import org.hornbeamusher.suspects.CrashRecordTable;
+import org.hornbeamusher.table.Table;
 import org.hornbeamusher.transfer.TransferStats;
+import org.hornbeamusher.watch.TableChanges;
 import org.hornbeamusher.wire.LoopTransport;
 import org.hornbeamusher.wire.Message;
 import org.hornbeamusher.wire.WireSettings;
@@ -68,6 +74,8 @@
   private final AccountCheck accounts;
   private final QuotaMeter<InetSocketAddress> meter;
   private final UsageExchange usage;
+  private final CrashHistory crashHistory;
+  private final CrashReports crashReports;
   private final ForwardServer server;
   private final MetricRegistry registry = new MetricRegistry();
   private final Optional<MetricsListener> metrics;
@@ -89,11 +97,17 @@
    * @param settings the settings
    * @param dialect reads and writes the headers of callers and endpoints
    * @param http a started client with a single I/O thread
+   * @param table the platform's table service
    * @param clock monotonic
    * @param elapsed monotonic, including time for which the instance was suspended
    */
   public ForwardDaemon(
-      ForwardSettings settings, HeaderCodec dialect, HttpClient http, Clock clock, Clock elapsed) {
+      ForwardSettings settings,
+      HeaderCodec dialect,
+      HttpClient http,
+      Table table,
+      Clock clock,
+      Clock elapsed) {
     this.settings = settings;
     this.clock = clock;
     this.loop = http.loop();
@@ -113,7 +127,19 @@
     ForwardMetrics counts = new ForwardMetrics(registry);
     EndpointRateLimiter limits = new EndpointRateLimiter(agents, counts, loop, clock);
     agents.setPermitListener(limits);
+    this.crashHistory = new CrashHistory(QuarantineSettings.WITHOUT_ISOLATION);
+    this.crashReports =
+        new CrashReports(crashHistory, new CrashRecordTable(table), agents::send, loop, clock);
+    agents.setCrashListener(crashReports);
     CurrentConfiguration configuration = new CurrentConfiguration();
+    RequestCrashes crashes =
+        new RequestCrashes(
+            crashHistory,
+            crashReports,
+            new EndpointHealthCheck(configuration, dialect, http),
+            counts,
+            loop,
+            clock);
     LatestAdapterVersions versions = new LatestAdapterVersions();
     this.context =
         new ForwardContext(
@@ -124,8 +150,9 @@
             placer,
             agents,
             limits,
-            new EndpointStateUpdater(limits, clock),
+            new EndpointStateUpdater(limits, crashes, clock),
             new SharedRetryBudget(settings.retries(), clock.millis()),
+            crashes,
             dialect,
             http,
             counts,
@@ -169,6 +196,7 @@
     measured.gauge("leaving_endpoints", context.placer()::leavingEndpoints);
     measured.gauge("missing_endpoints", context.directory()::missingEndpoints);
     measured.gauge("unusable_entries", context.directory()::unusableEntries);
+    measured.gauge("quarantined_contents", crashHistory::quarantined);
     measured.gauge("retry_entries", context.agents()::entries);
     measured.gauge("list_age_ms", () -> context.directory().ageMillis(clock.millis()));
     measured.gauge("key_proof_age_ms", accounts::proofAgeMillis);
@@ -286,6 +314,24 @@
     context.directory().listReadFailed(askedMillis);
   }
 
+  /**
+   * Sets the source of the metric for the age of the table of crash records.
+   *
+   * @param ageMillis returns milliseconds
+   */
+  public void setCrashRecordAge(Supplier<Number> ageMillis) {
+    context.metrics().gauge("crash_records_age_ms", ageMillis);
+  }
+
+  /**
+   * Applies rows of the table of crash records.
+   *
+   * @param rows all rows or the changed ones
+   */
+  public void onCrashRecords(TableChanges rows) {
+    crashReports.tableRead(rows);
+  }
+
   private void expireMissing() {
     apply(context.directory().expire(clock.millis()));
   }
@@ -304,6 +350,7 @@
       if (!change.ended().contains(gone.incarnation())) {
         EndpointLog.ended(
             gone.incarnation(), "not-listed", context.directory().ageMillis(clock.millis()));
+        context.crashes().incarnationEnded(gone.incarnation(), "not-listed");
       }
     }
     if (!change.removed().isEmpty() || !change.changed().isEmpty()) {
@@ -321,6 +368,7 @@
 
   private void incarnationEnded(EndpointIncarnation incarnation) {
     EndpointLog.ended(incarnation, "restarted", context.directory().ageMillis(clock.millis()));
+    context.crashes().incarnationEnded(incarnation, "restarted");
     List.copyOf(runs).forEach(run -> run.incarnationEnded(incarnation));
   }
 
@@ -487,6 +535,7 @@
       }
       context.directory().agentLost(incarnation.id());
       EndpointLog.ended(incarnation, "not-seen", context.directory().ageMillis(clock.millis()));
+      context.crashes().incarnationEnded(incarnation, "not-seen");
       List.copyOf(runs).forEach(run -> run.endpointLost(incarnation));
     }
 
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardMetrics.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardMetrics.java
@@ -84,6 +84,16 @@
     registry.counter(PREFIX + "retries." + (granted ? "granted" : "denied")).inc();
   }
 
+  /** Records that an endpoint crashed while it ran a request. */
+  void crashRecorded() {
+    registry.counter(PREFIX + "crashes.recorded").inc();
+  }
+
+  /** Records that a request was refused because of its content. */
+  void crashingRequestRefused() {
+    registry.counter(PREFIX + "crashes.refused").inc();
+  }
+
   /** Records that an entry of the endpoint list is unusable, also when its reason has changed. */
   void entryUnusable() {
     registry.counter(PREFIX + "list.unusable").inc();
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
@@ -133,7 +133,11 @@
     }
     caller.onDisconnect(this::callerDisconnected);
     deadlineTimer = context.loop().after(deadlineMillis - now(), this::deadlinePassed);
-    place();
+    crashRefusal().ifPresentOrElse(this::giveUp, this::place);
+  }
+
+  private Optional<HornbeamusherException> crashRefusal() {
+    return context.crashes().refusal(routed.metadata().id(), request.body().length, this::content);
   }
 
   private void admit() {
@@ -340,7 +344,8 @@
   }
 
   private void send() {
-    Optional<HornbeamusherException> refusal = context.admission().refusal(routed);
+    Optional<HornbeamusherException> refusal =
+        context.admission().refusal(routed).or(this::crashRefusal);
     if (refusal.isPresent()) {
       releaseEndpoint();
       giveUp(refusal.get());
@@ -376,6 +381,11 @@
     attempt.send(context.http(), call, context.maxConnections(service));
   }
 
+  @Override
+  public boolean maySend() {
+    return !context.crashes().isRefused(request.body().length, this::content);
+  }
+
   @Override
   public void sending(Attempt from) {
     if (retryUnsent) {
@@ -430,6 +440,11 @@
     log.attemptEnded(from, outcome.label(), content, relay, now() - sentMillis);
     context.metrics().attemptEnded(outcome.label(), now() - sentMillis);
     EndpointView left = endpoint;
+    if (outcome.connectionLost()) {
+      context.crashes().connectionLost(left, content());
+    } else if (outcome instanceof AttemptOutcome.Completed) {
+      context.crashes().completed(request.body().length, this::content);
+    }
     releaseEndpoint();
     switch (outcome) {
       case AttemptOutcome.Completed completed -> completed(left, from.status());
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/RequestCrashes.java
@@ -0,0 +1,295 @@
+package org.hornbeamusher.forwarding;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Supplier;
+import org.hornbeamusher.clock.Clock;
+import org.hornbeamusher.events.EventLog;
+import org.hornbeamusher.events.EventType;
+import org.hornbeamusher.failure.FailureType;
+import org.hornbeamusher.failure.HornbeamusherException;
+import org.hornbeamusher.ids.EndpointIncarnation;
+import org.hornbeamusher.loop.EventLoop;
+import org.hornbeamusher.placement.EndpointView;
+import org.hornbeamusher.quarantine.CrashHistory;
+import org.hornbeamusher.quarantine.CrashRecord;
+import org.hornbeamusher.quarantine.RequestContent;
+
+/**
+ * Finds out which requests ran at endpoints that crashed, and refuses those of a quarantined
+ * content.
+ *
+ * <p>A lost connection does not show that the endpoint crashed: endpoints reset connections and
+ * break off responses while they serve other requests. So the requests whose connections to an
+ * incarnation were lost wait for a verdict:
+ *
+ * <ul>
+ *   <li>the incarnation has ended, if its agent or the list says so, if another endpoint responds
+ *       at its address, or if a health check finds the port closed. Its crash is recorded for each
+ *       of them;
+ *   <li>it has not, if it responds to a request that was sent after the loss, or to the health
+ *       check. Nothing is recorded;
+ *   <li>without either within a time limit nothing is recorded.
+ * </ul>
+ *
+ * <p>Until the verdict the loss counts at this entry as if the endpoint had crashed, so that a
+ * retry of the same request does not reach another endpoint in the meantime.
+ *
+ * <p>An endpoint that has stated that it is leaving may end connections for that reason, so nothing
+ * is recorded for it.
+ */
+final class RequestCrashes {
+
+  private static final long VERDICT_TIMEOUT_MILLIS = 10_000;
+  private static final long EXPECTED_VERDICT_MILLIS = 1_000;
+
+  /** Responses to other requests usually arrive within this time and make the check needless. */
+  private static final long FIRST_CHECK_MILLIS = 100;
+
+  /** A process that crashes may close its port after its connections. */
+  private static final long CHECK_INTERVAL_MILLIS = 300;
+
+  private static final int MAX_CHECKS = 4;
+
+  /** Agents and the list may report an end before this entry notices the lost connections. */
+  private static final int MAX_ENDED = 256;
+
+  private final CrashHistory history;
+  private final CrashReports reports;
+  private final EndpointCheck check;
+  private final ForwardMetrics metrics;
+  private final EventLoop loop;
+  private final Clock clock;
+  private final Map<EndpointIncarnation, Losses> losses = new HashMap<>();
+
+  /** Incarnations that have ended, and when. */
+  private final Map<EndpointIncarnation, Long> ended =
+      new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<EndpointIncarnation, Long> eldest) {
+          return size() > MAX_ENDED;
+        }
+      };
+
+  RequestCrashes(
+      CrashHistory history,
+      CrashReports reports,
+      EndpointCheck check,
+      ForwardMetrics metrics,
+      EventLoop loop,
+      Clock clock) {
+    this.history = history;
+    this.reports = reports;
+    this.check = check;
+    this.metrics = metrics;
+    this.loop = loop;
+    this.clock = clock;
+  }
+
+  /**
+   * Decides whether a request is refused because of its content.
+   *
+   * @param id the id of the request
+   * @param bodyBytes length of its body
+   * @param content its content, computed only if needed
+   * @return empty if it may be sent
+   */
+  Optional<HornbeamusherException> refusal(
+      String id, int bodyBytes, Supplier<RequestContent> content) {
+    if (!isRefused(bodyBytes, content)) {
+      return Optional.empty();
+    }
+    int unconfirmed = unconfirmed(bodyBytes, content);
+    metrics.crashingRequestRefused();
+    EventLog.log(
+        EventType.QUARANTINED_REQUEST_REFUSED,
+        "id",
+        id,
+        "content",
+        content.get(),
+        "crashes",
+        history.find(content.get()).map(CrashRecord::openCrashes).orElse(0),
+        "unconfirmed",
+        unconfirmed);
+    return Optional.of(
+        HornbeamusherException.notRun(FailureType.CRASHES_ENDPOINTS)
+            .retryAfter(
+                unconfirmed > 0
+                    ? EXPECTED_VERDICT_MILLIS
+                    : history.remainingMillis(content.get(), clock.millis())));
+  }
+
+  /** Returns whether a request is refused because of its content. */
+  boolean isRefused(int bodyBytes, Supplier<RequestContent> content) {
+    int unconfirmed = unconfirmed(bodyBytes, content);
+    return (unconfirmed > 0 || history.mayContain(bodyBytes))
+        && history.isQuarantined(content.get(), unconfirmed);
+  }
+
+  private int unconfirmed(int bodyBytes, Supplier<RequestContent> content) {
+    int count = 0;
+    for (Losses each : losses.values()) {
+      if (each.mayContain(bodyBytes) && each.contents.contains(content.get())) {
+        count++;
+      }
+    }
+    return count;
+  }
+
+  /** Called when a request lost its connection to an endpoint. */
+  void connectionLost(EndpointView endpoint, RequestContent content) {
+    EndpointIncarnation incarnation = endpoint.incarnation();
+    if (endpoint.leaving()) {
+      return;
+    }
+    if (hasEnded(incarnation)) {
+      record(incarnation, Set.of(content));
+      return;
+    }
+    Losses known = losses.get(incarnation);
+    if (known == null) {
+      known = new Losses(endpoint, clock.millis());
+      losses.put(incarnation, known);
+      checkLater(known, FIRST_CHECK_MILLIS);
+    }
+    known.contents.add(content);
+    known.lastMillis = clock.millis();
+  }
+
+  private boolean hasEnded(EndpointIncarnation incarnation) {
+    long now = clock.millis();
+    ended.values().removeIf(at -> now - at >= VERDICT_TIMEOUT_MILLIS);
+    return ended.keySet().stream().anyMatch(incarnation::maybeSameAs);
+  }
+
+  /** Called when an endpoint has completed a request. */
+  void completed(int bodyBytes, Supplier<RequestContent> content) {
+    if (!history.mayContain(bodyBytes)) {
+      return;
+    }
+    boolean quarantined = history.isQuarantined(content.get(), 0);
+    history
+        .clear(content.get(), clock.millis())
+        .ifPresent(
+            cleared -> {
+              reports.logChange(cleared, quarantined, "completed");
+              reports.changed(cleared);
+            });
+  }
+
+  /** Called when an endpoint has responded to a request. */
+  void responded(EndpointIncarnation incarnation, long sentMillis) {
+    Losses known = losses.get(incarnation);
+    if (known != null && sentMillis > known.lastMillis) {
+      alive(known, "responded");
+    }
+  }
+
+  /** Called when an incarnation of an endpoint has ended. */
+  void incarnationEnded(EndpointIncarnation incarnation, String evidence) {
+    ended.put(incarnation, clock.millis());
+    List<Losses> affected =
+        losses.values().stream().filter(each -> each.incarnation.maybeSameAs(incarnation)).toList();
+    for (Losses each : affected) {
+      losses.remove(each.incarnation);
+      EventLog.log(
+          EventType.ENDPOINT_CRASHED,
+          "endpoint",
+          each.incarnation.id(),
+          "start_ms",
+          each.incarnation.startMillis(),
+          "evidence",
+          evidence,
+          "requests",
+          each.contents.size(),
+          "after_ms",
+          clock.millis() - each.firstMillis);
+      record(each.incarnation, each.contents);
+    }
+  }
+
+  private void record(EndpointIncarnation incarnation, Set<RequestContent> contents) {
+    for (RequestContent content : contents) {
+      boolean quarantined = history.isQuarantined(content, 0);
+      history
+          .recordCrash(content, incarnation, clock.millis())
+          .ifPresent(
+              changed -> {
+                metrics.crashRecorded();
+                reports.logChange(changed, quarantined, "own");
+                reports.changed(changed);
+              });
+    }
+  }
+
+  private void alive(Losses known, String evidence) {
+    losses.remove(known.incarnation);
+    EventLog.log(
+        EventType.ENDPOINT_ALIVE,
+        "endpoint",
+        known.incarnation.id(),
+        "evidence",
+        evidence,
+        "requests",
+        known.contents.size(),
+        "after_ms",
+        clock.millis() - known.firstMillis);
+  }
+
+  private void checkLater(Losses known, long delayMillis) {
+    loop.after(delayMillis, () -> check(known));
+  }
+
+  private void check(Losses known) {
+    if (losses.get(known.incarnation) != known) {
+      return;
+    }
+    long age = clock.millis() - known.firstMillis;
+    if (known.checks >= MAX_CHECKS) {
+      loop.after(
+          Math.max(0, VERDICT_TIMEOUT_MILLIS - age), () -> losses.remove(known.incarnation, known));
+      return;
+    }
+    known.checks++;
+    check.check(known.endpoint).thenAccept(result -> loop.execute(() -> checked(known, result)));
+  }
+
+  private void checked(Losses known, EndpointCheck.Result result) {
+    if (losses.get(known.incarnation) != known) {
+      return;
+    }
+    switch (result) {
+      case ALIVE -> alive(known, "health-check");
+      case ENDED -> incarnationEnded(known.incarnation, "health-check");
+      default -> checkLater(known, CHECK_INTERVAL_MILLIS);
+    }
+  }
+
+  /** The requests whose connections to one incarnation of an endpoint were lost. */
+  private static final class Losses {
+
+    private final EndpointView endpoint;
+    private final EndpointIncarnation incarnation;
+    private final long firstMillis;
+    private final Set<RequestContent> contents = new HashSet<>();
+    private long lastMillis;
+    private int checks;
+
+    Losses(EndpointView endpoint, long now) {
+      this.endpoint = endpoint;
+      this.incarnation = endpoint.incarnation();
+      this.firstMillis = now;
+    }
+
+    boolean mayContain(int bodyBytes) {
+      return contents.stream().anyMatch(content -> content.bodyBytes() == bodyBytes);
+    }
+  }
+}
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/UsageExchange.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/UsageExchange.java
@@ -1,16 +1,11 @@
 package org.hornbeamusher.forwarding;
 
 import java.net.InetSocketAddress;
-import java.util.Comparator;
-import java.util.HashSet;
-import java.util.List;
-import java.util.Set;
 import org.hornbeamusher.accounts.AccountName;
 import org.hornbeamusher.clock.Clock;
 import org.hornbeamusher.loop.EventLoop;
 import org.hornbeamusher.quota.QuotaMeter;
 import org.hornbeamusher.quota.QuotaSettings;
-import org.hornbeamusher.routing.RendezvousHash;
 import org.hornbeamusher.wire.Message;
 
 /**
@@ -20,14 +15,12 @@
  */
 final class UsageExchange implements AgentConnections.UsageListener {
 
-  private static final int RELAY_COUNT = 2;
-
   private final QuotaMeter<InetSocketAddress> meter;
   private final QuotaSettings settings;
   private final Transport transport;
   private final EventLoop loop;
   private final Clock clock;
-  private final Set<InetSocketAddress> connected = new HashSet<>();
+  private final RelaySelection selection = new RelaySelection();
   private boolean started;
   private boolean reportingSoon;
 
@@ -61,13 +54,13 @@
 
   @Override
   public void opened(InetSocketAddress agent) {
-    connected.add(agent);
+    selection.opened(agent);
     meter.relayConnected(agent);
   }
 
   @Override
   public void closed(InetSocketAddress agent) {
-    connected.remove(agent);
+    selection.closed(agent);
     meter.relayDisconnected(agent);
   }
 
@@ -100,15 +93,8 @@
   }
 
   private void report() {
-    for (InetSocketAddress relay : relays()) {
+    for (InetSocketAddress relay : selection.relays()) {
       transport.send(relay, new Message.UsageReport(meter.takeIncrements(relay)));
     }
   }
-
-  private List<InetSocketAddress> relays() {
-    return connected.stream()
-        .sorted(Comparator.comparingLong(agent -> RendezvousHash.hash(agent.toString())))
-        .limit(RELAY_COUNT)
-        .toList();
-  }
 }
--- a/runtime/src/main/java/org/hornbeamusher/quarantine/QuarantineSettings.java
+++ b/runtime/src/main/java/org/hornbeamusher/quarantine/QuarantineSettings.java
@@ -21,4 +21,12 @@
    */
   public static final QuarantineSettings DEFAULT =
       new QuarantineSettings(2, DAY_MILLIS, 90 * DAY_MILLIS, 10_000);
+
+  /**
+   * Limits for {@link CrashHistory}: three crashes, because requests that ran beside the cause may
+   * meet a second crash; the same times and number of contents as by default.
+   */
+  public static final QuarantineSettings WITHOUT_ISOLATION =
+      new QuarantineSettings(
+          3, DEFAULT.suspectMillis(), DEFAULT.quarantineMillis(), DEFAULT.capacity());
 }
--- a/runtime/src/main/java/org/hornbeamusher/sidecar/EntryServices.java
+++ b/runtime/src/main/java/org/hornbeamusher/sidecar/EntryServices.java
@@ -13,11 +13,13 @@
 
 /**
  * Services of an agent for all entries that do not concern its own engine: it relays quota usage
- * and grants permits for requests to rate-limited endpoints. Confined to the event loop.
+ * and crash records, and grants permits for requests to rate-limited endpoints. Confined to the
+ * event loop.
  */
 final class EntryServices {
 
   private final UsageRelayService usage;
+  private final CrashRelay crashes;
   private final RatePermits permits = new RatePermits();
   private final Clock clock;
   private final Counter granted;
@@ -25,6 +27,7 @@
 
   EntryServices(EventLoop loop, Clock clock, MetricRegistry registry) {
     this.usage = new UsageRelayService(QuotaSettings.DEFAULT, loop, clock);
+    this.crashes = new CrashRelay(clock);
     this.clock = clock;
     this.granted = registry.counter("agent.rate_permits.granted");
     this.refused = registry.counter("agent.rate_permits.refused");
@@ -32,10 +35,12 @@
 
   void entryConnected(WireConnection entry) {
     usage.entryConnected(entry);
+    crashes.entryConnected(entry);
   }
 
   void entryDisconnected(WireConnection entry) {
     usage.entryDisconnected(entry);
+    crashes.entryDisconnected(entry);
   }
 
   /** Returns the number of entries, including those that are currently unreachable. */
@@ -47,6 +52,7 @@
   boolean received(WireConnection entry, Message message) {
     switch (message) {
       case Message.UsageReport report -> usage.received(entry, report);
+      case Message.CrashReport report -> crashes.received(entry, report);
       case Message.Leaving leaving -> usage.entryLeaving(entry);
       case Message.RatePermitRequest request -> decidePermit(entry, request);
       case Message.RateLimitLifted lifted -> {
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/suspects/CrashRecordCodec.java
@@ -0,0 +1,69 @@
+package org.hornbeamusher.suspects;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.hornbeamusher.ids.EndpointId;
+import org.hornbeamusher.ids.EndpointIncarnation;
+import org.hornbeamusher.quarantine.CrashRecord;
+import org.hornbeamusher.quarantine.RequestContent;
+
+/** Encodes crash records as JSON, for rows of the table and for messages between processes. */
+public final class CrashRecordCodec {
+
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  private CrashRecordCodec() {}
+
+  /**
+   * Encodes a record.
+   *
+   * @param record the record
+   * @return JSON in UTF-8
+   */
+  public static byte[] encode(CrashRecord record) {
+    ObjectNode json = JSON.createObjectNode().put("content", record.content().toString());
+    ArrayNode crashes = json.putArray("crashes");
+    for (CrashRecord.Crash crash : record.crashes()) {
+      crashes
+          .addObject()
+          .put("endpoint", crash.endpoint().id().value())
+          .put("start_ms", crash.endpoint().startMillis())
+          .put("cleared", crash.cleared());
+    }
+    return json.toString().getBytes(StandardCharsets.UTF_8);
+  }
+
+  /**
+   * Decodes a record.
+   *
+   * @param bytes JSON in UTF-8
+   * @return empty if it is not a record
+   */
+  public static Optional<CrashRecord> decode(byte[] bytes) {
+    try {
+      JsonNode json = JSON.readTree(bytes);
+      Optional<RequestContent> content = RequestContent.parse(json.path("content").asText());
+      List<CrashRecord.Crash> crashes = new ArrayList<>();
+      for (JsonNode crash : json.path("crashes")) {
+        crashes.add(
+            new CrashRecord.Crash(
+                new EndpointIncarnation(
+                    new EndpointId(crash.path("endpoint").asText()),
+                    crash.path("start_ms").asLong(EndpointIncarnation.UNKNOWN_START)),
+                crash.path("cleared").asBoolean()));
+      }
+      return content
+          .filter(unused -> !crashes.isEmpty())
+          .map(known -> new CrashRecord(known, crashes));
+    } catch (IOException | IllegalArgumentException e) {
+      return Optional.empty();
+    }
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/suspects/CrashRecordTable.java
@@ -0,0 +1,139 @@
+package org.hornbeamusher.suspects;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.hornbeamusher.quarantine.CrashRecord;
+import org.hornbeamusher.quarantine.RequestContent;
+import org.hornbeamusher.table.CommitResult;
+import org.hornbeamusher.table.RowKey;
+import org.hornbeamusher.table.Table;
+import org.hornbeamusher.table.Transaction;
+import org.hornbeamusher.watch.ChangedRow;
+import org.hornbeamusher.watch.RowContent;
+import org.hornbeamusher.watch.TableChanges;
+
+/**
+ * The platform's table of crash records, one row for each content. Knows the rows as they were last
+ * read and replaces them by compare-and-set. Not thread-safe.
+ */
+public final class CrashRecordTable {
+
+  /** The name of the table. */
+  public static final String NAME = "crashes";
+
+  private final Table table;
+  private final Map<RequestContent, StoredRecord> rows = new HashMap<>();
+
+  /**
+   * Creates a table of which nothing has been read.
+   *
+   * @param table the platform's table service
+   */
+  public CrashRecordTable(Table table) {
+    this.table = table;
+  }
+
+  /**
+   * Applies rows that were read.
+   *
+   * @param changes all rows or the changed ones
+   * @return what they contain
+   */
+  public Changes received(TableChanges changes) {
+    if (changes.complete()) {
+      rows.clear();
+    }
+    List<CrashRecord> records = new ArrayList<>();
+    List<RequestContent> deleted = new ArrayList<>();
+    List<String> unreadable = new ArrayList<>();
+    for (ChangedRow row : changes.rows()) {
+      switch (row.content()) {
+        case RowContent.Present present -> {
+          Optional<CrashRecord> record =
+              CrashRecordCodec.decode(present.value())
+                  .filter(found -> found.content().toString().equals(row.key()));
+          record.ifPresentOrElse(records::add, () -> unreadable.add(row.key()));
+          // The revision of an unreadable row is needed to replace it.
+          RequestContent.parse(row.key())
+              .map(content -> record.orElse(new CrashRecord(content, List.of())))
+              .ifPresent(
+                  found -> rows.put(found.content(), new StoredRecord(found, present.revision())));
+        }
+        case RowContent.Unreadable broken -> unreadable.add(row.key());
+        case RowContent.Deleted gone -> {
+          Optional<RequestContent> content = RequestContent.parse(row.key());
+          content.ifPresent(rows::remove);
+          content.ifPresent(deleted::add);
+        }
+      }
+    }
+    return new Changes(records, deleted, unreadable);
+  }
+
+  /**
+   * Returns the row of a content as it was last read.
+   *
+   * @param content the content
+   * @return empty if there was none
+   */
+  public Optional<CrashRecord> stored(RequestContent content) {
+    return Optional.ofNullable(rows.get(content)).map(StoredRecord::record);
+  }
+
+  /**
+   * Replaces rows in one transaction, if none of them has changed since it was last read.
+   *
+   * @param records the rows to write
+   * @param deletions the rows to delete, which must exist
+   * @return whether the transaction took effect; fails if the table is not available
+   */
+  public CompletableFuture<CommitResult> replace(
+      List<CrashRecord> records, List<RequestContent> deletions) {
+    List<Transaction.Condition> conditions = new ArrayList<>();
+    List<Transaction.Write> writes = new ArrayList<>();
+    for (CrashRecord record : records) {
+      conditions.add(unchanged(record.content()));
+      writes.add(new Transaction.Write.Put(key(record.content()), CrashRecordCodec.encode(record)));
+    }
+    for (RequestContent content : deletions) {
+      conditions.add(unchanged(content));
+      writes.add(new Transaction.Write.Delete(key(content)));
+    }
+    return table.commit(new Transaction(conditions, writes));
+  }
+
+  private Transaction.Condition unchanged(RequestContent content) {
+    StoredRecord row = rows.get(content);
+    return row == null
+        ? new Transaction.Condition.Absent(key(content))
+        : new Transaction.Condition.AtRevision(key(content), row.revision());
+  }
+
+  private static RowKey key(RequestContent content) {
+    return new RowKey(NAME, content.toString());
+  }
+
+  /**
+   * What was read from the table.
+   *
+   * @param records the records of the rows
+   * @param deleted the contents of deleted rows
+   * @param unreadable the keys of rows that contain no record
+   */
+  public record Changes(
+      List<CrashRecord> records, List<RequestContent> deleted, List<String> unreadable) {
+
+    /** Copies the lists. */
+    public Changes {
+      records = List.copyOf(records);
+      deleted = List.copyOf(deleted);
+      unreadable = List.copyOf(unreadable);
+    }
+  }
+
+  private record StoredRecord(CrashRecord record, long revision) {}
+}
--- a/runtime/src/main/java/org/hornbeamusher/watch/TableWatch.java
+++ b/runtime/src/main/java/org/hornbeamusher/watch/TableWatch.java
@@ -57,6 +57,9 @@
   /** When data was last received from the service. */
   private long lastReceivedMillis;
 
+  /** The request whose response is awaited; null if there is none. */
+  private PendingRequest pending;
+
   /** The pause between a response and the next request; null if there is none. */
   private EventLoop.Timer pause;
 
@@ -124,6 +127,16 @@
     }
   }
 
+  /**
+   * Repeats a pending request, whose connection may be dead; must be called on the loop. A response
+   * to the first request is discarded.
+   */
+  public void restart() {
+    if (pending != null) {
+      sendRequest();
+    }
+  }
+
   /** Stops the watch; a pending response is discarded. */
   public void stop() {
     stopped = true;
@@ -148,6 +161,7 @@
     }
     PendingRequest request =
         new PendingRequest(pagedRead == null ? "changes" : "page", clock.millis());
+    pending = request;
     EventLoop.Timer ageCheck =
         loop.after(Math.max(0, settings.staleMillis() - ageMillis()), () -> checkAge(request));
     if (pagedRead == null) {
@@ -183,9 +197,10 @@
     loop.execute(
         () -> {
           ageCheck.cancel();
-          if (stopped) {
+          if (stopped || request != pending) {
             return;
           }
+          pending = null;
           if (thrown == null) {
             lastReceivedMillis = clock.millis();
             logRecovery();
--- a/runtime/src/main/java/org/hornbeamusher/wire/Message.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/Message.java
@@ -248,6 +248,13 @@
    */
   record CrashNotice(long fingerprint, int crashes) implements Message {}
 
+  /**
+   * Reports the crashes of endpoints that ran requests of one content (both directions).
+   *
+   * @param record the record as encoded by {@code CrashRecordCodec}
+   */
+  record CrashReport(byte[] record) implements Message {}
+
   /**
    * Reports a request that is sent to the agent's endpoint, or that needs an adapter to be loaded
    * there first (entry to agent).
--- a/runtime/src/main/java/org/hornbeamusher/wire/MessageCodec.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/MessageCodec.java
@@ -45,6 +45,7 @@
   private static final int RATE_PERMIT_REQUEST = 29;
   private static final int RATE_PERMIT_RESPONSE = 30;
   private static final int RATE_LIMIT_LIFTED = 31;
+  private static final int CRASH_REPORT = 32;
 
   /**
    * Most messages carry at most one token. The default buffer of 8 KiB for each message was a fifth
@@ -207,6 +208,7 @@
               .packLong(m.waitMillis());
       case Message.RateLimitLifted m ->
           packHeader(p, RATE_LIMIT_LIFTED, 2).packString(m.endpoint()).packLong(m.sentAgoMillis());
+      case Message.CrashReport m -> packBytes(packHeader(p, CRASH_REPORT, 1), m.record());
       case Message.Unknown m -> packHeader(p, m.type(), 0);
     }
   }
@@ -349,6 +351,7 @@
       case RATE_PERMIT_RESPONSE ->
           new Message.RatePermitResponse(r.readLong(), r.readBoolean(), r.readLong());
       case RATE_LIMIT_LIFTED -> new Message.RateLimitLifted(r.readString(), r.readLong());
+      case CRASH_REPORT -> new Message.CrashReport(r.readBytes());
       default -> new Message.Unknown(type);
     };
   }
