Count a request that was cancelled shortly before its endpoint crashed

A caller that leaves, or a deadline that passes, between the start of the run and the crash it causes left no lost connection, so the crash counted for nothing, and the request of such a caller was never quarantined. With the callers of CrashingRequestSimulation leaving 10 ms before each crash no crash was recorded; now the bound holds as for the others (test first along, crashingRequestIsRefusedWhenItsCallerLeavesEarly).

Change: an entry remembers what it cancelled at which incarnation for a second, 1,000 requests at most, and counts it when that incarnation is known to have ended. Endpoints stop cancelled requests within half a second.

--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
@@ -610,9 +610,7 @@
       return;
     }
     boolean atEndpoint = attempt != null;
-    if (atEndpoint) {
-      attempt.cancel();
-    }
+    cancelAttempt();
     HornbeamusherException late =
         permit == PendingRatePermit.NONE
             ? notRun(
@@ -631,19 +629,22 @@
     if (finished) {
       return;
     }
+    cancelAttempt();
+    releaseEndpoint();
+    finish("caller-gone", 0);
+  }
+
+  private void cancelAttempt() {
     if (attempt != null) {
       attempt.cancel();
+      context.crashes().cancelled(endpoint, content());
     }
-    releaseEndpoint();
-    finish("caller-gone", 0);
   }
 
   /** Ends the request because the drain time is over. */
   void abort() {
     if (!finished) {
-      if (attempt != null) {
-        attempt.cancel();
-      }
+      cancelAttempt();
       releaseEndpoint();
       fail(HornbeamusherException.of(FailureType.SHUTTING_DOWN, Outcome.UNKNOWN));
     }
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/RequestCrashes.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/RequestCrashes.java
@@ -1,5 +1,7 @@
 package org.hornbeamusher.forwarding;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -40,6 +42,9 @@
  * <p>Until the verdict the loss counts at this entry as if the endpoint had crashed, so that a
  * retry of the same request does not reach another endpoint in the meantime.
  *
+ * <p>A request whose caller left or whose deadline passed shortly before the end of its endpoint
+ * may have run there, so it counts as well.
+ *
  * <p>An endpoint that has stated that it is leaving may end connections for that reason, so nothing
  * is recorded for it.
  */
@@ -56,6 +61,11 @@
 
   private static final int MAX_CHECKS = 4;
 
+  /** An endpoint stops a cancelled request within half a second; its end is noticed a bit later. */
+  private static final long CANCELLED_MILLIS = 1_000;
+
+  private static final int MAX_CANCELLED = 1_000;
+
   /** Agents and the list may report an end before this entry notices the lost connections. */
   private static final int MAX_ENDED = 256;
 
@@ -67,6 +77,9 @@
   private final Clock clock;
   private final Map<EndpointIncarnation, Losses> losses = new HashMap<>();
 
+  /** The requests that were cancelled recently, the oldest first. */
+  private final Deque<Cancelled> cancelled = new ArrayDeque<>();
+
   /** Incarnations that have ended, and when. */
   private final Map<EndpointIncarnation, Long> ended =
       new LinkedHashMap<>() {
@@ -163,6 +176,22 @@
     known.lastMillis = clock.millis();
   }
 
+  /** Called when a request at an endpoint is cancelled; the endpoint may still run it. */
+  void cancelled(EndpointView endpoint, RequestContent content) {
+    if (!endpoint.leaving()) {
+      removeOldCancelled();
+      cancelled.add(new Cancelled(endpoint.incarnation(), content, clock.millis()));
+    }
+  }
+
+  private void removeOldCancelled() {
+    long oldest = clock.millis() - CANCELLED_MILLIS;
+    while (!cancelled.isEmpty()
+        && (cancelled.peek().atMillis() < oldest || cancelled.size() >= MAX_CANCELLED)) {
+      cancelled.remove();
+    }
+  }
+
   private boolean hasEnded(EndpointIncarnation incarnation) {
     long now = clock.millis();
     ended.values().removeIf(at -> now - at >= VERDICT_TIMEOUT_MILLIS);
@@ -195,6 +224,10 @@
   /** Called when an incarnation of an endpoint has ended. */
   void incarnationEnded(EndpointIncarnation incarnation, String evidence) {
     ended.put(incarnation, clock.millis());
+    removeOldCancelled();
+    cancelled.stream()
+        .filter(each -> each.endpoint().maybeSameAs(incarnation))
+        .forEach(each -> record(incarnation, Set.of(each.content())));
     List<Losses> affected =
         losses.values().stream().filter(each -> each.incarnation.maybeSameAs(incarnation)).toList();
     for (Losses each : affected) {
@@ -272,6 +305,9 @@
     }
   }
 
+  /** A request that was cancelled while it was at an endpoint. */
+  private record Cancelled(EndpointIncarnation endpoint, RequestContent content, long atMillis) {}
+
   /** The requests whose connections to one incarnation of an endpoint were lost. */
   private static final class Losses {
 
--- a/runtime/src/test/java/org/hornbeamusher/forwarding/CrashingRequestSimulation.java
+++ b/runtime/src/test/java/org/hornbeamusher/forwarding/CrashingRequestSimulation.java
@@ -49,6 +49,9 @@
   private final List<EndpointView> endpoints = new ArrayList<>();
   private final List<Run> runs = new ArrayList<>();
 
+  /** Whether the caller of the crashing request leaves just before the endpoint crashes. */
+  private boolean callersLeave;
+
   /** What the relaying agent remembers; a new one after its restart. */
   private CrashHistory relay = new CrashHistory(QuarantineSettings.WITHOUT_ISOLATION);
 
@@ -100,6 +103,10 @@
     entries.forEach(entry -> entry.reports.closed(RELAY));
   }
 
+  void leaveBeforeCrashes() {
+    callersLeave = true;
+  }
+
   void setTableDown(boolean down) {
     table.down(down);
   }
@@ -140,6 +147,10 @@
     if (crashing) {
       sends.add(loop.clock().millis());
     }
+    if (crashing && callersLeave) {
+      loop.after(
+          CRASH_AFTER_MILLIS - STEP_MILLIS, () -> entry.crashes.cancelled(endpoint, content));
+    }
     runs.add(new Run(entry, content, endpoint, loop.clock().millis(), triesLeft));
   }
 
@@ -168,11 +179,13 @@
     EndpointView gone = endpoints.get(index);
     endpoints.remove(index);
     loop.after(RESTART_MILLIS, () -> endpoints.add(newIncarnation()));
-    List<Run> lost = runs.stream().filter(run -> run.endpoint == gone).toList();
-    runs.removeAll(lost);
-    for (Run run : lost) {
-      run.entry.crashes.connectionLost(gone, run.content);
+    List<Run> atEndpoint = runs.stream().filter(run -> run.endpoint == gone).toList();
+    runs.removeAll(atEndpoint);
+    List<Run> lost = new ArrayList<>(atEndpoint);
+    if (callersLeave) {
+      lost.removeIf(run -> run.content.equals(CRASHING));
     }
+    lost.forEach(run -> run.entry.crashes.connectionLost(gone, run.content));
     for (Run run : lost) {
       if (run.triesLeft > 1 && !endpoints.isEmpty()) {
         send(run.entry, run.content, run.triesLeft - 1);
--- a/runtime/src/test/java/org/hornbeamusher/forwarding/CrashingRequestTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/forwarding/CrashingRequestTest.java
@@ -28,6 +28,17 @@
     assertTrue(simulation.crashes() >= 3, "the request crashed too few endpoints for a test");
   }
 
+  /** Guards against a request that escapes because its caller leaves before the crash. */
+  @Property(tries = 8, seed = "6")
+  void crashingRequestIsRefusedWhenItsCallerLeavesEarly(
+      @ForAll @IntRange(max = 10_000) int seed,
+      @ForAll @IntRange(min = 40, max = 1_000) int interval) {
+    CrashingRequestSimulation simulation = simulation(seed);
+    simulation.leaveBeforeCrashes();
+    simulation.runUntil(END_MILLIS, interval);
+    check(simulation);
+  }
+
   /** Guards against entries that learn of crashes only from others that still run. */
   @Property(tries = 8, seed = "2")
   void crashingRequestIsRefusedWhileEntriesRestart(
