Log software versions of endpoints and the tries that requests resume

A stream that mixes two software versions could not be found in the logs: neither the version of an endpoint nor the try that a caller takes up was written. `version` of an endpoint's row and the caller's `Resumes` are decoded now, and logged in ENDPOINT_CHANGED, ATTEMPT_ENDED and REQUEST_PLACED.

Hypothesis 1 shows as attempts of one id with different versions; hypothesis 2 as `unknown`, or as a version that changes under one id; hypothesis 3 as a resumed request at another version than the try it names.

--- a/runtime/src/main/java/org/hornbeamusher/directory/Endpoint.java
+++ b/runtime/src/main/java/org/hornbeamusher/directory/Endpoint.java
@@ -1,9 +1,11 @@
 package org.hornbeamusher.directory;
 
 import java.net.URI;
+import java.util.Optional;
 import java.util.Set;
 import org.hornbeamusher.ids.EndpointId;
 import org.hornbeamusher.ids.EndpointIncarnation;
+import org.hornbeamusher.ids.SoftwareVersion;
 
 /**
  * One incarnation of an endpoint, as described by its entry in the list of endpoints.
@@ -17,6 +19,7 @@
  * @param coldMillis remaining time of the slow phase after its start; 0 when that is over
  * @param residentAdapters the adapters in an engine's memory at its last report, which may be
  *     seconds old
+ * @param software the version of its software; empty until the list contains this incarnation
  */
 public record Endpoint(
     EndpointIncarnation incarnation,
@@ -26,7 +29,8 @@
     int slots,
     boolean leaving,
     long coldMillis,
-    Set<AdapterVersion> residentAdapters)
+    Set<AdapterVersion> residentAdapters,
+    Optional<SoftwareVersion> software)
     implements ListedEntry {
 
   /** Copies the set. */
@@ -34,6 +38,39 @@
     residentAdapters = Set.copyOf(residentAdapters);
   }
 
+  /**
+   * Creates an endpoint of unknown software.
+   *
+   * @param incarnation its id and start time
+   * @param service the service it belongs to
+   * @param uri its address
+   * @param zone its availability zone
+   * @param slots the number of requests it runs at once
+   * @param leaving whether it has asked for no new work
+   * @param coldMillis remaining time of the slow phase after its start
+   * @param residentAdapters the adapters in an engine's memory
+   */
+  public Endpoint(
+      EndpointIncarnation incarnation,
+      String service,
+      URI uri,
+      String zone,
+      int slots,
+      boolean leaving,
+      long coldMillis,
+      Set<AdapterVersion> residentAdapters) {
+    this(
+        incarnation,
+        service,
+        uri,
+        zone,
+        slots,
+        leaving,
+        coldMillis,
+        residentAdapters,
+        Optional.empty());
+  }
+
   /**
    * Returns the endpoint's id.
    *
@@ -69,14 +106,15 @@
             slots,
             leaving,
             coldMillis,
-            residentAdapters);
+            residentAdapters,
+            software);
   }
 
   /**
    * Returns another incarnation of which only the start time is known.
    *
    * @param startMillis start of the other incarnation
-   * @return an endpoint that is in service and has no adapters in memory
+   * @return an endpoint that is in service and has no adapters in memory, of unknown software
    */
   Endpoint restartedAt(long startMillis) {
     return new Endpoint(
@@ -87,7 +125,7 @@
    * Returns the endpoint that has replaced this one at its address under another id.
    *
    * @param next the incarnation that runs there now
-   * @return an endpoint that is in service and has no adapters in memory
+   * @return an endpoint that is in service and has no adapters in memory, of unknown software
    */
   Endpoint succeededBy(EndpointIncarnation next) {
     return new Endpoint(next, service, uri, zone, slots, false, 0, Set.of());
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/EndpointLog.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/EndpointLog.java
@@ -9,6 +9,7 @@
 import org.hornbeamusher.events.EventType;
 import org.hornbeamusher.ids.EndpointId;
 import org.hornbeamusher.ids.EndpointIncarnation;
+import org.hornbeamusher.ids.SoftwareVersion;
 
 /** Logs events of the endpoints that an entry knows. */
 final class EndpointLog {
@@ -32,6 +33,8 @@
         endpoint.uri(),
         "zone",
         endpoint.zone(),
+        "software",
+        endpoint.software().map(SoftwareVersion::value).orElse("unknown"),
         "leaving",
         endpoint.leaving());
   }
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
@@ -214,7 +214,14 @@
     loadPossibleMillis = placedMillis;
     pendingPromptTokens = endpoint.uncachedTokens(placementRequest);
     promptPending = true;
-    log.placed(service, placementRequest, at, remaining, context, placedMillis);
+    log.placed(
+        service,
+        routed.metadata().resumes(),
+        placementRequest,
+        at,
+        remaining,
+        context,
+        placedMillis);
     endpoint.requestStarted(placementRequest, placedMillis);
     if (endpoint.limit().requestsPerSecond().isEmpty()) {
       permitGranted();
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/RequestLog.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/RequestLog.java
@@ -1,10 +1,12 @@
 package org.hornbeamusher.forwarding;
 
+import java.util.Optional;
 import org.hornbeamusher.availability.RetryAfter;
 import org.hornbeamusher.directory.AdapterVersion;
 import org.hornbeamusher.events.EventLog;
 import org.hornbeamusher.events.EventType;
 import org.hornbeamusher.ids.EndpointId;
+import org.hornbeamusher.ids.SoftwareVersion;
 import org.hornbeamusher.placement.Placement;
 import org.hornbeamusher.placement.PlacementRequest;
 import org.hornbeamusher.ratelimit.AdvertisedRateLimit;
@@ -20,6 +22,7 @@
   /** Logs that the request was placed at an endpoint, to be sent at once or after a load. */
   void placed(
       String service,
+      Optional<String> resumes,
       PlacementRequest request,
       Placement.Assigned at,
       long remainingMillis,
@@ -31,6 +34,8 @@
         id,
         "service",
         service,
+        "resumes",
+        resumes.orElse(""),
         "adapter",
         request.adapter().map(AdapterVersion::toString).orElse(""),
         "endpoint",
@@ -84,6 +89,8 @@
         attempt.endpoint().id(),
         "start_ms",
         attempt.endpoint().incarnation().startMillis(),
+        "software",
+        attempt.endpoint().endpoint().software().map(SoftwareVersion::value).orElse("unknown"),
         "end",
         end,
         "content",
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/RequestMetadata.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/RequestMetadata.java
@@ -18,6 +18,8 @@
  * @param tokensStated whether both lengths are stated
  * @param parts the parts of the prompt in order
  * @param lastEvent the last event that the caller received; empty for a stream from the start
+ * @param resumes the id of the try that brought the first event of the stream that is resumed;
+ *     empty if not stated
  * @param keys the account keys in order; a valid request has at most one
  * @param emptyKey whether there is a key header without a value
  */
@@ -30,6 +32,7 @@
     boolean tokensStated,
     List<PromptPart> parts,
     OptionalLong lastEvent,
+    Optional<String> resumes,
     List<AccountKey> keys,
     boolean emptyKey) {
 
