A stream goes on only at the software version that began it

What callers saw: a stream whose first events one software version had written and whose last events another, in one response or after the caller took it up. Nothing shows it to the caller, and the two halves do not fit together.

With the first event of a stream its origin is fixed, and placing as well as each send keep to endpoints of that version; without one the stream ends and its caller may take it up. For a stream that a caller takes up, StreamOrigins asks in this order: this entry; the list, if every endpoint of the service had one version for as long as a stream of the route lives; two agents, chosen by the id of the try, to which the entry reported the origin with the first event; the table, which has the versions that served within the last minute, for the case that all processes have restarted. If none of them knows, the request is refused at once with 503, as it has not run.

What others pay: nothing where no stream is resumable; else two messages of some 60 bytes for each stream. A resumed stream needs no message while one version serves. The table gets a row for each service when a version comes or goes.

--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/directory/SoftwareHistory.java
@@ -0,0 +1,153 @@
+package org.hornbeamusher.directory;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.TreeSet;
+import org.hornbeamusher.ids.EndpointId;
+import org.hornbeamusher.ids.SoftwareVersion;
+
+/**
+ * The software versions of the endpoints that the list has contained, including those that are
+ * gone. Endpoints of several versions may serve side by side. Not thread-safe.
+ *
+ * <p>A stream may continue only at the version that began it. While every endpoint that served in
+ * the lifetime of a stream had the same version, that version is known without any record of the
+ * stream.
+ */
+public final class SoftwareHistory {
+
+  /** Longer than any stream lives. */
+  public static final long RETENTION_MILLIS = 60_000;
+
+  private static final int MAX_ENDPOINTS = 4_096;
+
+  /** The versions of endpoints by id; the oldest are evicted first. */
+  private final Map<EndpointId, SoftwareVersion> versions =
+      new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<EndpointId, SoftwareVersion> eldest) {
+          return size() > MAX_ENDPOINTS;
+        }
+      };
+
+  /** For each service, the versions of endpoints that are gone and when the last of them went. */
+  private final Map<String, Map<SoftwareVersion, Long>> gone = new HashMap<>();
+
+  private OptionalLong firstListMillis = OptionalLong.empty();
+
+  /**
+   * Records that a list was received.
+   *
+   * @param now milliseconds
+   */
+  public void listReceived(long now) {
+    if (firstListMillis.isEmpty()) {
+      firstListMillis = OptionalLong.of(now);
+    }
+  }
+
+  /**
+   * Records an endpoint that is new or has changed. A later incarnation under the same id may have
+   * another version.
+   *
+   * @param endpoint the endpoint
+   * @param now milliseconds
+   */
+  public void changed(Endpoint endpoint, long now) {
+    endpoint
+        .software()
+        .map(version -> versions.put(endpoint.id(), version))
+        .filter(before -> !before.equals(endpoint.software().get()))
+        .ifPresent(before -> gone(endpoint.service(), before, now));
+  }
+
+  /**
+   * Records that an endpoint is gone.
+   *
+   * @param endpoint the endpoint
+   * @param now milliseconds
+   */
+  public void removed(Endpoint endpoint, long now) {
+    versionOf(endpoint.id()).ifPresent(version -> gone(endpoint.service(), version, now));
+  }
+
+  private void gone(String service, SoftwareVersion version, long now) {
+    gone.computeIfAbsent(service, unused -> new HashMap<>()).put(version, now);
+  }
+
+  /**
+   * Finds the version of an endpoint, which may be gone.
+   *
+   * @param endpoint its id
+   * @return empty if the list has not contained it, or long ago
+   */
+  public Optional<SoftwareVersion> versionOf(EndpointId endpoint) {
+    return Optional.ofNullable(versions.get(endpoint));
+  }
+
+  /**
+   * Returns the versions of a service that are known to have served.
+   *
+   * @param service the service
+   * @param current all current endpoints
+   * @param ageMillis how long ago an endpoint may have gone
+   * @param now milliseconds
+   * @return the versions in alphabetical order
+   */
+  public Set<String> versions(
+      String service, Collection<Endpoint> current, long ageMillis, long now) {
+    Set<String> found = new TreeSet<>();
+    gone.getOrDefault(service, Map.of())
+        .forEach(
+            (version, at) -> {
+              if (now - at < ageMillis) {
+                found.add(version.value());
+              }
+            });
+    current.stream()
+        .filter(endpoint -> endpoint.service().equals(service))
+        .forEach(endpoint -> endpoint.software().ifPresent(one -> found.add(one.value())));
+    return found;
+  }
+
+  /**
+   * Returns whether this history reaches back far enough, and all current endpoints of a service
+   * have a known version.
+   *
+   * @param service the service
+   * @param current all current endpoints
+   * @param ageMillis how far
+   * @param now milliseconds
+   * @return whether {@link #versions} is complete for this time
+   */
+  public boolean isComplete(
+      String service, Collection<Endpoint> current, long ageMillis, long now) {
+    return firstListMillis.isPresent()
+        && now - firstListMillis.getAsLong() >= ageMillis
+        && allKnown(service, current);
+  }
+
+  /**
+   * Returns whether the version of every current endpoint of a service is known.
+   *
+   * @param service the service
+   * @param current all current endpoints
+   * @return false also if there is none
+   */
+  public boolean allKnown(String service, Collection<Endpoint> current) {
+    long unknown =
+        current.stream()
+            .filter(endpoint -> endpoint.service().equals(service))
+            .filter(endpoint -> endpoint.software().isEmpty())
+            .count();
+    boolean any = current.stream().anyMatch(endpoint -> endpoint.service().equals(service));
+    return any && unknown == 0;
+  }
+}
--- a/runtime/src/main/java/org/hornbeamusher/events/EventType.java
+++ b/runtime/src/main/java/org/hornbeamusher/events/EventType.java
@@ -32,6 +32,8 @@
       1111, Level.WARNING, "Requests of a content are refused: endpoints crashed under them."),
   QUARANTINE_LIFTED(1112, Level.INFO, "The crashes recorded for a content are cleared."),
   QUARANTINED_REQUEST_REFUSED(1113, Level.INFO, "A request was refused because of its content."),
+  STREAM_RESUMED(
+      1114, Level.INFO, "A caller resumes a stream; gives the software version that began it."),
   // 1200: endpoints and loads
   ADAPTER_LOADED(1201, Level.FINE, "An adapter became resident."),
   ADAPTER_LOAD_FAILED(1202, Level.WARNING, "An adapter could not be loaded."),
@@ -65,6 +67,8 @@
   ENDPOINT_CRASHED(1318, Level.WARNING, "An endpoint ended while it ran requests of this entry."),
   ENDPOINT_ALIVE(1319, Level.INFO, "An endpoint that lost connections has not ended."),
   CRASH_RECORD_UNREADABLE(1320, Level.WARNING, "A record of crashes cannot be read."),
+  SOFTWARE_VERSIONS_UNWRITTEN(
+      1322, Level.WARNING, "The software versions that serve could not be written yet."),
   CRASH_RECORDS_UNWRITTEN(1321, Level.WARNING, "Records of crashes could not be written yet."),
   // 1400: claims
   CLAIM_END_LOST(
--- a/runtime/src/main/java/org/hornbeamusher/failure/FailureType.java
+++ b/runtime/src/main/java/org/hornbeamusher/failure/FailureType.java
@@ -36,6 +36,8 @@
   KEY_UNCONFIRMED(125, 503, Severity.WARNING, "Whether the key is still held is not confirmed."),
   QUOTA_EXCEEDED(126, 429, Severity.INFO, "The client account %s is beyond its quota."),
   CRASHES_ENDPOINTS(127, 503, Severity.WARNING, "Endpoints crashed while they ran this request."),
+  STREAM_VERSION_UNKNOWN(
+      128, 503, Severity.WARNING, "The software version that began the stream is not known."),
   // 200: endpoints and agents
   ENDPOINT_FAILED(201, 502, Severity.WARNING, "The endpoint %s failed: %s."),
   ENDPOINT_LOST(202, 502, Severity.WARNING, "The connection to endpoint %s was lost."),
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/AgentConnections.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/AgentConnections.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.hornbeamusher.clock.Clock;
 import org.hornbeamusher.directory.AdapterVersion;
@@ -59,6 +60,7 @@
   private UsageListener usageListener = UsageListener.NONE;
   private PermitListener permitListener = PermitListener.NONE;
   private CrashListener crashListener = CrashListener.NONE;
+  private Consumer<Message.StreamOriginResponse> originListener = response -> {};
   private long lastReservation;
 
   AgentConnections(
@@ -89,6 +91,11 @@
     permitListener = listener;
   }
 
+  /** Sets the listener for the origins of streams. */
+  void setOriginListener(Consumer<Message.StreamOriginResponse> listener) {
+    originListener = listener;
+  }
+
   /** Sets the listener for records of crashes. */
   void setCrashListener(CrashListener listener) {
     crashListener = listener;
@@ -109,6 +116,23 @@
         .map(link -> link.address);
   }
 
+  /**
+   * Chooses connected agents by rendezvous hashing, so that all entries that are connected to the
+   * same agents choose the same ones.
+   */
+  List<InetSocketAddress> choose(String key, int count) {
+    long hash = RendezvousHash.hash(key);
+    return connections.values().stream()
+        .filter(link -> link.connection != null)
+        .sorted(
+            Comparator.<AgentConnection, Long>comparing(
+                    link -> link.weight(hash), Long::compareUnsigned)
+                .reversed())
+        .limit(count)
+        .map(link -> link.address)
+        .toList();
+  }
+
   /** Sends a message to the agent at an address; dropped if it is not connected. */
   void send(InetSocketAddress agent, Message message) {
     AgentConnection link = connections.get(agent);
@@ -398,6 +422,7 @@
         }
         case Message.UsageUpdate update -> usageListener.received(address, update);
         case Message.RatePermitResponse response -> permitListener.received(response);
+        case Message.StreamOriginResponse response -> originListener.accept(response);
         case Message.CrashReport report -> crashListener.received(address, report);
         case Message.ReservationGranted report -> {
           EngineReservation granted = activeReservations.get(report.reservation());
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardContext.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardContext.java
@@ -22,6 +22,7 @@
  * @param stateUpdater updates endpoints from their responses
  * @param retryBudget bounds retries
  * @param crashes refuses requests under which endpoints crashed
+ * @param streams finds the software versions that began streams
  * @param headerCodec reads and writes headers
  * @param http sends attempts
  * @param metrics the metrics
@@ -39,6 +40,7 @@
     EndpointStateUpdater stateUpdater,
     SharedRetryBudget retryBudget,
     RequestCrashes crashes,
+    StreamOrigins streams,
     HeaderCodec headerCodec,
     HttpClient http,
     ForwardMetrics metrics,
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
@@ -9,11 +9,13 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Supplier;
+import java.util.stream.Stream;
 import org.hornbeamusher.availability.AvailabilityRegistry;
 import org.hornbeamusher.clock.Clock;
 import org.hornbeamusher.directory.Endpoint;
 import org.hornbeamusher.directory.EndpointDirectory;
 import org.hornbeamusher.directory.ListedEntry;
+import org.hornbeamusher.directory.SoftwareHistory;
 import org.hornbeamusher.directory.UnusableEntry;
 import org.hornbeamusher.events.EventLog;
 import org.hornbeamusher.events.EventType;
@@ -74,6 +76,7 @@
   private final AccountCheck accounts;
   private final QuotaMeter<InetSocketAddress> meter;
   private final UsageExchange usage;
+  private final SoftwareHistory software = new SoftwareHistory();
   private final CrashHistory crashHistory;
   private final CrashReports crashReports;
   private final ForwardServer server;
@@ -141,18 +144,30 @@
             loop,
             clock);
     LatestAdapterVersions versions = new LatestAdapterVersions();
+    EndpointDirectory directory = new EndpointDirectory(settings.list());
+    StreamOrigins streams =
+        new StreamOrigins(
+            agents,
+            software,
+            directory::endpoints,
+            new SoftwareVersionTable(table),
+            counts,
+            loop,
+            clock);
+    agents.setOriginListener(streams::received);
     this.context =
         new ForwardContext(
             configuration,
             new RequestAdmission(configuration, versions, accounts, meter, usage, clock),
             versions,
-            new EndpointDirectory(settings.list()),
+            directory,
             placer,
             agents,
             limits,
             new EndpointStateUpdater(limits, crashes, clock),
             new SharedRetryBudget(settings.retries(), clock.millis()),
             crashes,
+            streams,
             dialect,
             http,
             counts,
@@ -285,6 +300,7 @@
    * @param askedMillis when the list was requested, by the monotonic clock
    */
   public void onEndpointList(List<? extends ListedEntry> entries, long askedMillis) {
+    software.listReceived(clock.millis());
     EndpointDirectory.Change change =
         context.directory().listReceived(entries, askedMillis, clock.millis());
     apply(change);
@@ -343,6 +359,7 @@
   }
 
   private void apply(EndpointDirectory.Change change) {
+    recordSoftware(change);
     change.changed().forEach(this::changed);
     for (Endpoint gone : change.removed()) {
       Optional.ofNullable(context.placer().views().remove(gone.id()))
@@ -361,6 +378,16 @@
     EndpointLog.missing(change.missing());
   }
 
+  private void recordSoftware(EndpointDirectory.Change change) {
+    long now = clock.millis();
+    change.removed().forEach(endpoint -> software.removed(endpoint, now));
+    change.changed().forEach(endpoint -> software.changed(endpoint, now));
+    Stream.concat(change.removed().stream(), change.changed().stream())
+        .map(Endpoint::service)
+        .distinct()
+        .forEach(context.streams()::endpointsChanged);
+  }
+
   private void unusable(UnusableEntry entry) {
     context.metrics().entryUnusable();
     EndpointLog.unusable(entry);
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardMetrics.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardMetrics.java
@@ -84,6 +84,11 @@
     registry.counter(PREFIX + "retries." + (granted ? "granted" : "denied")).inc();
   }
 
+  /** Records that a caller resumes a stream. */
+  void streamResumed(boolean known) {
+    registry.counter(PREFIX + "streams.resumed." + (known ? "known" : "unknown")).inc();
+  }
+
   /** Records that an endpoint crashed while it ran a request. */
   void crashRecorded() {
     registry.counter(PREFIX + "crashes.recorded").inc();
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import org.hornbeamusher.accounts.AccountName;
 import org.hornbeamusher.directory.AdapterVersion;
+import org.hornbeamusher.directory.Endpoint;
 import org.hornbeamusher.failure.FailureType;
 import org.hornbeamusher.failure.HornbeamusherException;
 import org.hornbeamusher.failure.Outcome;
@@ -113,6 +114,10 @@
   /** Whether the relay holds a complete failure response that no later response has replaced. */
   private boolean failureBuffered;
 
+  /** Where the stream that the caller has events of began; null before the first event. */
+  private StreamOrigin origin;
+
+  private boolean originReported;
   private long firstMillis = -1;
   private boolean finished;
 
@@ -133,7 +138,29 @@
     }
     caller.onDisconnect(this::callerDisconnected);
     deadlineTimer = context.loop().after(deadlineMillis - now(), this::deadlinePassed);
-    crashRefusal().ifPresentOrElse(this::giveUp, this::place);
+    crashRefusal().ifPresentOrElse(this::giveUp, this::placeFirst);
+  }
+
+  /** A stream that the caller takes up may go on only at the software version that began it. */
+  private void placeFirst() {
+    RequestMetadata metadata = routed.metadata();
+    if (route.kind() == RequestKind.STREAMING && metadata.lastEvent().isPresent()) {
+      context.streams().find(metadata, service, route.timeoutMillis(), this::originFound);
+    } else {
+      place();
+    }
+  }
+
+  private void originFound(Optional<StreamOrigin> found) {
+    if (finished) {
+      return;
+    }
+    if (found.isEmpty()) {
+      giveUp(notRun(FailureType.STREAM_VERSION_UNKNOWN));
+      return;
+    }
+    origin = found.get();
+    place();
   }
 
   private Optional<HornbeamusherException> crashRefusal() {
@@ -182,14 +209,23 @@
   }
 
   private Set<EndpointIncarnation> excluded() {
-    if (connectionsInUse.isEmpty()) {
+    if (connectionsInUse.isEmpty() && origin == null) {
       return tried;
     }
     Set<EndpointIncarnation> excluded = new HashSet<>(tried);
     excluded.addAll(connectionsInUse);
+    if (origin != null) {
+      context.placer().views().values().stream()
+          .filter(view -> !mayContinue(view))
+          .forEach(view -> excluded.add(view.incarnation()));
+    }
     return excluded;
   }
 
+  private boolean mayContinue(EndpointView view) {
+    return origin == null || context.streams().mayContinue(origin, view.endpoint());
+  }
+
   /** Waits for a free connection, up to the target latency; beyond it, others would be late too. */
   private void awaitConnection() {
     connectionsInUse.clear();
@@ -358,7 +394,7 @@
       giveUp(refusal.get());
       return;
     }
-    if (!endpoint.takesRequests(now())) {
+    if (!endpoint.takesRequests(now()) || !mayContinue(endpoint)) {
       placeAgain();
       return;
     }
@@ -418,6 +454,7 @@
   @Override
   public void data(Attempt from, byte[] bytes) {
     relay.data(bytes);
+    recordOrigin(from);
     if (firstMillis < 0) {
       firstMillis = elapsedMillis();
     }
@@ -429,6 +466,22 @@
     }
   }
 
+  /** Records where the stream began once an event of it was relayed. */
+  private void recordOrigin(Attempt from) {
+    if (originReported || !relay.started() || relay.lastEvent().isEmpty()) {
+      return;
+    }
+    originReported = true;
+    if (origin == null) {
+      Endpoint began = from.endpoint().endpoint();
+      origin = new StreamOrigin(Optional.of(began.id()), began.software());
+    }
+    if (route.resumable()) {
+      context.streams().begun(routed.metadata().id(), origin);
+      routed.metadata().resumes().ifPresent(first -> context.streams().begun(first, origin));
+    }
+  }
+
   private void promptProcessed() {
     if (promptPending) {
       promptPending = false;
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/StreamOrigins.java
@@ -0,0 +1,326 @@
+package org.hornbeamusher.forwarding;
+
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.hornbeamusher.clock.Clock;
+import org.hornbeamusher.directory.Endpoint;
+import org.hornbeamusher.directory.SoftwareHistory;
+import org.hornbeamusher.events.EventLog;
+import org.hornbeamusher.events.EventType;
+import org.hornbeamusher.failure.HornbeamusherException;
+import org.hornbeamusher.ids.EndpointId;
+import org.hornbeamusher.ids.SoftwareVersion;
+import org.hornbeamusher.loop.EventLoop;
+import org.hornbeamusher.wire.Message;
+
+/**
+ * Finds the software version that began a stream, for a caller that takes the stream up at any
+ * entry.
+ *
+ * <p><b>Problem.</b> Endpoints of several software versions serve one service, and a stream may go
+ * on only at the version that began it. A caller that takes a stream up names the try that brought
+ * the first event, but neither the endpoint nor the version, and may have reached another entry.
+ *
+ * <p><b>Algorithm.</b> The first of these that knows decides:
+ *
+ * <ol>
+ *   <li>this entry, if it served that try;
+ *   <li>the list, if every endpoint of the service had the same version for as long as a stream
+ *       lives;
+ *   <li>two agents, chosen by rendezvous hashing of the try's id, to which the entry that served it
+ *       reported the version with the first event;
+ *   <li>the table, which contains the versions that have served lately, if it is a single one. It
+ *       is needed when all processes have restarted.
+ * </ol>
+ *
+ * <p>If none of them knows, the request is refused, because a stream of two versions is useless to
+ * its caller.
+ *
+ * <p>Rejected: a row for each stream, more writes than the table takes; choosing the version of
+ * each stream by its id, because versions come and go during a release.
+ */
+final class StreamOrigins {
+
+  private static final int AGENTS_PER_STREAM = 2;
+
+  /** A round trip to an agent takes a few milliseconds. */
+  private static final long AGENT_TIMEOUT_MILLIS = 150;
+
+  private static final int MAX_STREAMS = 20_000;
+
+  /** Spreads the reads of the table by all entries when a version comes or goes. */
+  private static final int MAX_WRITE_DELAY_MILLIS = 1_000;
+
+  private static final long WRITE_RETRY_MILLIS = 2_000;
+
+  private final AgentConnections agents;
+  private final SoftwareHistory history;
+  private final Supplier<List<Endpoint>> endpoints;
+  private final SoftwareVersionTable table;
+  private final ForwardMetrics metrics;
+  private final EventLoop loop;
+  private final Clock clock;
+
+  /** The origins of streams that this entry served, by the id of the try, the oldest first. */
+  private final Map<String, StreamOrigin> own =
+      new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, StreamOrigin> eldest) {
+          return size() > MAX_STREAMS;
+        }
+      };
+
+  private final Map<Long, Lookup> lookups = new HashMap<>();
+  private long lastLookup;
+
+  /** The versions of each service when its endpoints last changed. */
+  private final Map<String, Set<String>> noticed = new HashMap<>();
+
+  private int failedWrites;
+
+  /** The versions of each service that this entry has last written or found in the table. */
+  private final Map<String, Set<String>> written = new HashMap<>();
+
+  StreamOrigins(
+      AgentConnections agents,
+      SoftwareHistory history,
+      Supplier<List<Endpoint>> endpoints,
+      SoftwareVersionTable table,
+      ForwardMetrics metrics,
+      EventLoop loop,
+      Clock clock) {
+    this.agents = agents;
+    this.history = history;
+    this.endpoints = endpoints;
+    this.table = table;
+    this.metrics = metrics;
+    this.loop = loop;
+    this.clock = clock;
+  }
+
+  /** Records that a try has brought an event of a stream that can be resumed. */
+  void begun(String requestId, StreamOrigin origin) {
+    own.put(requestId, origin);
+    Message report =
+        new Message.StreamBegun(
+            requestId,
+            origin.endpoint().map(EndpointId::value).orElse(""),
+            software(origin).map(SoftwareVersion::value).orElse(""),
+            software(origin).isPresent());
+    for (InetSocketAddress agent : agents.choose(requestId, AGENTS_PER_STREAM)) {
+      agents.send(agent, report);
+    }
+  }
+
+  /** Returns whether a stream may continue at an endpoint. */
+  boolean mayContinue(StreamOrigin origin, Endpoint endpoint) {
+    boolean same = origin.endpoint().filter(endpoint.id()::equals).isPresent();
+    return same
+        || (endpoint.software().isPresent() && endpoint.software().equals(software(origin)));
+  }
+
+  private Optional<SoftwareVersion> software(StreamOrigin origin) {
+    return origin.software().or(() -> origin.endpoint().flatMap(history::versionOf));
+  }
+
+  /**
+   * Finds where a stream began.
+   *
+   * @param request the request that resumes it
+   * @param service its service
+   * @param maxAgeMillis how long a stream of its route lives
+   * @param found called with the origin, now or later; empty if it is not known
+   */
+  void find(
+      RequestMetadata request,
+      String service,
+      long maxAgeMillis,
+      Consumer<Optional<StreamOrigin>> found) {
+    long startMillis = clock.millis();
+    StreamOrigin known = request.resumes().map(own::get).orElse(null);
+    if (known != null) {
+      found.accept(finish(request, "own", Optional.of(known), startMillis));
+      return;
+    }
+    List<Endpoint> current = endpoints.get();
+    Set<String> served = history.versions(service, current, maxAgeMillis, startMillis);
+    if (served.size() == 1 && history.isComplete(service, current, maxAgeMillis, startMillis)) {
+      found.accept(finish(request, "list", Optional.of(origin(served)), startMillis));
+      return;
+    }
+    askAgents(
+        request.resumes(),
+        fromAgents -> {
+          if (fromAgents.isPresent()) {
+            found.accept(finish(request, "agent", fromAgents, startMillis));
+          } else {
+            askTable(
+                service,
+                fromTable -> found.accept(finish(request, "table", fromTable, startMillis)));
+          }
+        });
+  }
+
+  private static StreamOrigin origin(Set<String> single) {
+    return new StreamOrigin(
+        Optional.empty(), Optional.of(new SoftwareVersion(single.iterator().next())));
+  }
+
+  private Optional<StreamOrigin> finish(
+      RequestMetadata request, String source, Optional<StreamOrigin> origin, long startMillis) {
+    metrics.streamResumed(origin.isPresent());
+    EventLog.log(
+        EventType.STREAM_RESUMED,
+        "id",
+        request.id(),
+        "resumes",
+        request.resumes().orElse(""),
+        "source",
+        origin.isPresent() ? source : "unknown",
+        "endpoint",
+        origin.flatMap(StreamOrigin::endpoint).map(EndpointId::value).orElse(""),
+        "software",
+        origin.flatMap(this::software).map(SoftwareVersion::value).orElse("unknown"),
+        "took_ms",
+        clock.millis() - startMillis);
+    return origin;
+  }
+
+  private void askAgents(Optional<String> resumes, Consumer<Optional<StreamOrigin>> found) {
+    List<InetSocketAddress> asked =
+        resumes.map(id -> agents.choose(id, AGENTS_PER_STREAM)).orElse(List.of());
+    if (asked.isEmpty()) {
+      found.accept(Optional.empty());
+      return;
+    }
+    long number = ++lastLookup;
+    lookups.put(number, new Lookup(found, asked.size()));
+    asked.forEach(
+        agent -> agents.send(agent, new Message.StreamOriginRequest(number, resumes.get())));
+    loop.after(AGENT_TIMEOUT_MILLIS, () -> complete(number, Optional.empty()));
+  }
+
+  /** Handles the response of an agent. */
+  void received(Message.StreamOriginResponse response) {
+    Lookup lookup = lookups.get(response.requestNumber());
+    if (lookup == null) {
+      return;
+    }
+    lookup.pending--;
+    if (!response.endpoint().isEmpty() || response.softwareKnown()) {
+      Optional<SoftwareVersion> software =
+          response.softwareKnown()
+              ? Optional.of(new SoftwareVersion(response.software()))
+              : Optional.empty();
+      Optional<EndpointId> endpoint =
+          response.endpoint().isEmpty()
+              ? Optional.empty()
+              : Optional.of(new EndpointId(response.endpoint()));
+      complete(response.requestNumber(), Optional.of(new StreamOrigin(endpoint, software)));
+    } else if (lookup.pending == 0) {
+      complete(response.requestNumber(), Optional.empty());
+    }
+  }
+
+  private void complete(long number, Optional<StreamOrigin> origin) {
+    Lookup lookup = lookups.remove(number);
+    if (lookup != null) {
+      lookup.found.accept(origin);
+    }
+  }
+
+  private void askTable(String service, Consumer<Optional<StreamOrigin>> found) {
+    table
+        .read(service)
+        .handle((versions, thrown) -> thrown == null ? versions : Optional.<Set<String>>empty())
+        .thenAccept(versions -> loop.execute(() -> found.accept(singleVersion(service, versions))));
+  }
+
+  private Optional<StreamOrigin> singleVersion(String service, Optional<Set<String>> stored) {
+    List<Endpoint> current = endpoints.get();
+    Set<String> served =
+        history.versions(service, current, SoftwareHistory.RETENTION_MILLIS, clock.millis());
+    boolean single = served.size() == 1 && stored.filter(served::equals).isPresent();
+    return single && history.allKnown(service, current)
+        ? Optional.of(origin(served))
+        : Optional.empty();
+  }
+
+  /** Called when endpoints of a service have changed; writes the versions that serve. */
+  void endpointsChanged(String service) {
+    Set<String> served =
+        history.versions(
+            service, endpoints.get(), SoftwareHistory.RETENTION_MILLIS, clock.millis());
+    if (!served.equals(noticed.put(service, served))) {
+      loop.after(ThreadLocalRandom.current().nextInt(MAX_WRITE_DELAY_MILLIS), () -> write(service));
+    }
+  }
+
+  private void write(String service) {
+    long now = clock.millis();
+    List<Endpoint> current = endpoints.get();
+    Set<String> served = history.versions(service, current, SoftwareHistory.RETENTION_MILLIS, now);
+    if (served.isEmpty() || served.equals(written.get(service))) {
+      return;
+    }
+    boolean complete = history.isComplete(service, current, SoftwareHistory.RETENTION_MILLIS, now);
+    table
+        .update(service, served, complete)
+        .whenComplete(
+            (done, thrown) -> loop.execute(() -> written(service, served, complete, thrown)));
+  }
+
+  private void written(String service, Set<String> served, boolean complete, Throwable thrown) {
+    if (thrown == null) {
+      failedWrites = 0;
+      written.put(service, served);
+    } else if (Integer.bitCount(++failedWrites) == 1) {
+      // Logs only at powers of two, so that a long outage does not flood the log.
+      EventLog.log(
+          EventType.SOFTWARE_VERSIONS_UNWRITTEN,
+          "service",
+          service,
+          "versions",
+          String.join(",", served),
+          "reason",
+          "failures",
+          failedWrites,
+          "reason",
+          HornbeamusherException.from(thrown).type().label());
+    }
+    if (thrown != null) {
+      loop.after(WRITE_RETRY_MILLIS, () -> write(service));
+    } else if (served.size() > 1 || !complete) {
+      // A version that has gone, or that another entry wrote, is removed when it is long enough
+      // ago.
+      loop.after(
+          SoftwareHistory.RETENTION_MILLIS + MAX_WRITE_DELAY_MILLIS,
+          () -> {
+            written.remove(service);
+            write(service);
+          });
+    }
+  }
+
+  /** A question to agents. */
+  private static final class Lookup {
+
+    private final Consumer<Optional<StreamOrigin>> found;
+    private int pending;
+
+    Lookup(Consumer<Optional<StreamOrigin>> found, int pending) {
+      this.found = found;
+      this.pending = pending;
+    }
+  }
+}
--- a/runtime/src/main/java/org/hornbeamusher/sidecar/EntryServices.java
+++ b/runtime/src/main/java/org/hornbeamusher/sidecar/EntryServices.java
@@ -13,13 +13,14 @@
 
 /**
  * Services of an agent for all entries that do not concern its own engine: it relays quota usage
- * and crash records, and grants permits for requests to rate-limited endpoints. Confined to the
- * event loop.
+ * and crash records, remembers where streams began, and grants permits for requests to rate-limited
+ * endpoints. Confined to the event loop.
  */
 final class EntryServices {
 
   private final UsageRelayService usage;
   private final CrashRelay crashes;
+  private final StreamOriginRegistry streams;
   private final RatePermits permits = new RatePermits();
   private final Clock clock;
   private final Counter granted;
@@ -28,6 +29,7 @@
   EntryServices(EventLoop loop, Clock clock, MetricRegistry registry) {
     this.usage = new UsageRelayService(QuotaSettings.DEFAULT, loop, clock);
     this.crashes = new CrashRelay(clock);
+    this.streams = new StreamOriginRegistry(clock);
     this.clock = clock;
     this.granted = registry.counter("agent.rate_permits.granted");
     this.refused = registry.counter("agent.rate_permits.refused");
@@ -52,6 +54,8 @@
   boolean received(WireConnection entry, Message message) {
     switch (message) {
       case Message.UsageReport report -> usage.received(entry, report);
+      case Message.StreamBegun begun -> streams.begun(begun);
+      case Message.StreamOriginRequest request -> entry.send(streams.origin(request));
       case Message.CrashReport report -> crashes.received(entry, report);
       case Message.Leaving leaving -> usage.entryLeaving(entry);
       case Message.RatePermitRequest request -> decidePermit(entry, request);
--- a/runtime/src/main/java/org/hornbeamusher/wire/Message.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/Message.java
@@ -255,6 +255,37 @@
    */
   record CrashReport(byte[] record) implements Message {}
 
+  /**
+   * Reports where a stream began (entry to agent).
+   *
+   * @param requestId the id of the try that brought its first event
+   * @param endpoint the id of the endpoint
+   * @param software the version of the endpoint's software; empty if it states none
+   * @param softwareKnown whether the version is known
+   */
+  record StreamBegun(String requestId, String endpoint, String software, boolean softwareKnown)
+      implements Message {}
+
+  /**
+   * Asks where a stream began (entry to agent).
+   *
+   * @param requestNumber the number of this message, counted by the entry
+   * @param requestId the id of the try that brought its first event
+   */
+  record StreamOriginRequest(long requestNumber, String requestId) implements Message {}
+
+  /**
+   * Answers where a stream began (agent to entry).
+   *
+   * @param requestNumber the number of the message that asked
+   * @param endpoint the id of the endpoint; empty if the agent does not know
+   * @param software the version of the endpoint's software; empty if it states none
+   * @param softwareKnown whether the version is known
+   */
+  record StreamOriginResponse(
+      long requestNumber, String endpoint, String software, boolean softwareKnown)
+      implements Message {}
+
   /**
    * Reports a request that is sent to the agent's endpoint, or that needs an adapter to be loaded
    * there first (entry to agent).
--- a/runtime/src/main/java/org/hornbeamusher/wire/MessageCodec.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/MessageCodec.java
@@ -46,6 +46,9 @@
   private static final int RATE_PERMIT_RESPONSE = 30;
   private static final int RATE_LIMIT_LIFTED = 31;
   private static final int CRASH_REPORT = 32;
+  private static final int STREAM_BEGUN = 33;
+  private static final int STREAM_ORIGIN_REQUEST = 34;
+  private static final int STREAM_ORIGIN_RESPONSE = 35;
 
   /**
    * Most messages carry at most one token. The default buffer of 8 KiB for each message was a fifth
@@ -208,6 +211,22 @@
               .packLong(m.waitMillis());
       case Message.RateLimitLifted m ->
           packHeader(p, RATE_LIMIT_LIFTED, 2).packString(m.endpoint()).packLong(m.sentAgoMillis());
+      case Message.StreamBegun m ->
+          packHeader(p, STREAM_BEGUN, 4)
+              .packString(m.requestId())
+              .packString(m.endpoint())
+              .packString(m.software())
+              .packBoolean(m.softwareKnown());
+      case Message.StreamOriginRequest m ->
+          packHeader(p, STREAM_ORIGIN_REQUEST, 2)
+              .packLong(m.requestNumber())
+              .packString(m.requestId());
+      case Message.StreamOriginResponse m ->
+          packHeader(p, STREAM_ORIGIN_RESPONSE, 4)
+              .packLong(m.requestNumber())
+              .packString(m.endpoint())
+              .packString(m.software())
+              .packBoolean(m.softwareKnown());
       case Message.CrashReport m -> packBytes(packHeader(p, CRASH_REPORT, 1), m.record());
       case Message.Unknown m -> packHeader(p, m.type(), 0);
     }
@@ -351,6 +370,12 @@
       case RATE_PERMIT_RESPONSE ->
           new Message.RatePermitResponse(r.readLong(), r.readBoolean(), r.readLong());
       case RATE_LIMIT_LIFTED -> new Message.RateLimitLifted(r.readString(), r.readLong());
+      case STREAM_BEGUN ->
+          new Message.StreamBegun(r.readString(), r.readString(), r.readString(), r.readBoolean());
+      case STREAM_ORIGIN_REQUEST -> new Message.StreamOriginRequest(r.readLong(), r.readString());
+      case STREAM_ORIGIN_RESPONSE ->
+          new Message.StreamOriginResponse(
+              r.readLong(), r.readString(), r.readString(), r.readBoolean());
       case CRASH_REPORT -> new Message.CrashReport(r.readBytes());
       default -> new Message.Unknown(type);
     };
--- /dev/null
+++ b/runtime/src/test/java/org/hornbeamusher/directory/SoftwareHistoryTest.java
@@ -0,0 +1,77 @@
+package org.hornbeamusher.directory;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.URI;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.hornbeamusher.ids.EndpointId;
+import org.hornbeamusher.ids.EndpointIncarnation;
+import org.hornbeamusher.ids.SoftwareVersion;
+import org.junit.jupiter.api.Test;
+
+class SoftwareHistoryTest {
+
+  private static final long AGE_MILLIS = 10_000;
+
+  private final SoftwareHistory history = new SoftwareHistory();
+
+  /** Guards against taking what serves now for what served when a stream began. */
+  @Test
+  void versionOfRemovedEndpointCountsForItsAge() {
+    history.listReceived(0);
+    Endpoint former = endpoint("a", "v1");
+    Endpoint latter = endpoint("b", "v2");
+    history.changed(former, 0);
+    history.changed(latter, 0);
+    history.removed(former, 20_000);
+    List<Endpoint> current = List.of(latter);
+    assertEquals(Set.of("v1", "v2"), history.versions("s", current, AGE_MILLIS, 29_999));
+    assertEquals(Set.of("v2"), history.versions("s", current, AGE_MILLIS, 30_000));
+    assertEquals(Optional.of(new SoftwareVersion("v1")), history.versionOf(former.id()));
+  }
+
+  /** Guards against a version that an endpoint had before it restarted under the same id. */
+  @Test
+  void versionBeforeRestartUnderTheSameIdCountsForItsAge() {
+    history.listReceived(0);
+    history.changed(endpoint("a", "v1"), 0);
+    Endpoint restarted = endpoint("a", "v2");
+    history.changed(restarted, 20_000);
+    assertEquals(Set.of("v1", "v2"), history.versions("s", List.of(restarted), AGE_MILLIS, 20_000));
+  }
+
+  @Test
+  void historyIsCompleteAfterItsAge() {
+    List<Endpoint> current = List.of(endpoint("a", "v1"));
+    assertFalse(history.isComplete("s", current, AGE_MILLIS, 0));
+    history.listReceived(0);
+    assertFalse(history.isComplete("s", current, AGE_MILLIS, AGE_MILLIS - 1));
+    assertTrue(history.isComplete("s", current, AGE_MILLIS, AGE_MILLIS));
+    assertFalse(history.isComplete("other", current, AGE_MILLIS, AGE_MILLIS));
+  }
+
+  /** Guards against inferring a version while that of a new incarnation is not known. */
+  @Test
+  void historyIsNotCompleteWhileSomeVersionIsUnknown() {
+    history.listReceived(0);
+    List<Endpoint> current = List.of(endpoint("a", "v1"), endpoint("b", "v1").restartedAt(5));
+    assertFalse(history.isComplete("s", current, AGE_MILLIS, AGE_MILLIS));
+  }
+
+  private static Endpoint endpoint(String id, String software) {
+    return new Endpoint(
+        new EndpointIncarnation(new EndpointId(id), 0),
+        "s",
+        URI.create("http://127.0.0.1:1"),
+        "z",
+        1,
+        false,
+        0,
+        Set.of(),
+        Optional.of(new SoftwareVersion(software)));
+  }
+}
