--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
@@ -91,6 +91,12 @@
   /** Whether the last request for the configuration failed. */
   private boolean configurationUnreachable;
 
+  /**
+   * Whether the first request for the crash records was answered or failed. Callers that waited for
+   * the start could otherwise repeat a request that all other entries refuse.
+   */
+  private boolean crashRecordsAnswered;
+
   /** Whether callers with keys were served at the last readiness check. */
   private boolean keysConfirmed = true;
 
@@ -178,13 +184,7 @@
         settings.metricsAddress().map(at -> new MetricsListener(at, http.worker(), registry));
     this.server =
         new ForwardServer(
-            settings,
-            http.worker(),
-            clock,
-            loop,
-            this::accept,
-            this::hasConfiguration,
-            this::ready);
+            settings, http.worker(), clock, loop, this::accept, this::hasInitialState, this::ready);
   }
 
   private static Message.Hello hello(ForwardSettings settings) {
@@ -346,6 +346,19 @@
    */
   public void onCrashRecords(TableChanges rows) {
     crashReports.tableRead(rows);
+    onCrashRecordsAnswered();
+  }
+
+  /** Records that a request for the crash records failed. */
+  public void onCrashRecordsFailed() {
+    onCrashRecordsAnswered();
+  }
+
+  private void onCrashRecordsAnswered() {
+    if (!crashRecordsAnswered) {
+      crashRecordsAnswered = true;
+      openWhenReady();
+    }
   }
 
   private void expireMissing() {
@@ -446,13 +459,13 @@
     context.agents().connect(addresses);
   }
 
-  private boolean hasConfiguration() {
-    return context.configuration().current().isPresent();
+  private boolean hasInitialState() {
+    return crashRecordsAnswered && context.configuration().current().isPresent();
   }
 
   private boolean ready() {
     return !draining
-        && hasConfiguration()
+        && hasInitialState()
         && !context.placer().views().isEmpty()
         && !keysUnconfirmed();
   }
