--- a/runtime/src/main/java/org/hornbeamusher/directory/SoftwareHistory.java
+++ b/runtime/src/main/java/org/hornbeamusher/directory/SoftwareHistory.java
@@ -16,12 +16,12 @@
  * gone. Endpoints of several versions may serve side by side. Not thread-safe.
  *
  * <p>A stream may continue only at the version that began it. While every endpoint that served in
- * the lifetime of a stream had the same version, that version is known without any record of the
+ * the duration of a stream had the same version, that version is known without any record of the
  * stream.
  */
 public final class SoftwareHistory {
 
-  /** Longer than any stream lives. */
+  /** Longer than any stream lasts. */
   public static final long RETENTION_MILLIS = 60_000;
 
   private static final int MAX_ENDPOINTS = 4_096;
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/SoftwareVersionTable.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/SoftwareVersionTable.java
@@ -17,8 +17,8 @@
 import org.hornbeamusher.table.Transaction;
 
 /**
- * The platform's table of the software versions that have served lately, one row for each service.
- * It tells an entry that has just started what served before.
+ * The platform's table of the software versions that have served lately, one row for each service,
+ * for entries that have just started.
  */
 final class SoftwareVersionTable {
 
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/StreamOrigins.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/StreamOrigins.java
@@ -34,7 +34,7 @@
  * <ol>
  *   <li>this entry, if it served that try;
  *   <li>the list, if every endpoint of the service had the same version for as long as a stream
- *       lives;
+ *       lasts;
  *   <li>two agents, chosen by rendezvous hashing of the try's id, to which the entry that served it
  *       reported the version with the first event;
  *   <li>the table, which contains the versions that have served lately, if it is a single one. It
@@ -138,7 +138,7 @@
    *
    * @param request the request that resumes it
    * @param service its service
-   * @param maxAgeMillis how long a stream of its route lives
+   * @param maxAgeMillis how long a stream of its route lasts
    * @param found called with the origin, now or later; empty if it is not known
    */
   void find(
@@ -158,13 +158,13 @@
       found.accept(finish(request, "list", Optional.of(origin(served)), startMillis));
       return;
     }
-    askAgents(
+    requestFromAgents(
         request.resumes(),
         fromAgents -> {
           if (fromAgents.isPresent()) {
             found.accept(finish(request, "agent", fromAgents, startMillis));
           } else {
-            askTable(
+            requestFromTable(
                 service,
                 fromTable -> found.accept(finish(request, "table", fromTable, startMillis)));
           }
@@ -196,16 +196,16 @@
     return origin;
   }
 
-  private void askAgents(Optional<String> resumes, Consumer<Optional<StreamOrigin>> found) {
-    List<InetSocketAddress> asked =
+  private void requestFromAgents(Optional<String> resumes, Consumer<Optional<StreamOrigin>> found) {
+    List<InetSocketAddress> chosen =
         resumes.map(id -> agents.choose(id, AGENTS_PER_STREAM)).orElse(List.of());
-    if (asked.isEmpty()) {
+    if (chosen.isEmpty()) {
       found.accept(Optional.empty());
       return;
     }
     long number = ++lastLookup;
-    lookups.put(number, new Lookup(found, asked.size()));
-    asked.forEach(
+    lookups.put(number, new Lookup(found, chosen.size()));
+    chosen.forEach(
         agent -> agents.send(agent, new Message.StreamOriginRequest(number, resumes.get())));
     loop.after(AGENT_TIMEOUT_MILLIS, () -> complete(number, Optional.empty()));
   }
@@ -239,7 +239,7 @@
     }
   }
 
-  private void askTable(String service, Consumer<Optional<StreamOrigin>> found) {
+  private void requestFromTable(String service, Consumer<Optional<StreamOrigin>> found) {
     table
         .read(service)
         .handle((versions, thrown) -> thrown == null ? versions : Optional.<Set<String>>empty())
@@ -312,7 +312,7 @@
     }
   }
 
-  /** A question to agents. */
+  /** A request to agents. */
   private static final class Lookup {
 
     private final Consumer<Optional<StreamOrigin>> found;
--- a/runtime/src/main/java/org/hornbeamusher/wire/Message.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/Message.java
@@ -267,17 +267,17 @@
       implements Message {}
 
   /**
-   * Asks where a stream began (entry to agent).
+   * Requests the origin of a stream (entry to agent).
    *
-   * @param requestNumber the number of this message, counted by the entry
+   * @param requestNumber the number of the request, counted by the entry
    * @param requestId the id of the try that brought its first event
    */
   record StreamOriginRequest(long requestNumber, String requestId) implements Message {}
 
   /**
-   * Answers where a stream began (agent to entry).
+   * The response to a {@link StreamOriginRequest} (agent to entry).
    *
-   * @param requestNumber the number of the message that asked
+   * @param requestNumber the number of the request
    * @param endpoint the id of the endpoint; empty if the agent does not know
    * @param software the version of the endpoint's software; empty if it states none
    * @param softwareKnown whether the version is known
