A restarted engine does not keep streams of a single version from being resumed

Cause: an engine that its agent reports before the list contains it has no version yet, and both the list and the table were taken for an answer only if every version was known. Each crash made that so for up to a second.

Change: with such an incarnation the list still decides, but after the agents, which would know of a stream that began there; the table's answer needs the versions that are known. streamIsResumedWhileRestartedEngineIsNotListed got 503 before and 200 now.

--- a/runtime/src/main/java/org/hornbeamusher/forwarding/StreamOrigins.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/StreamOrigins.java
@@ -41,6 +41,9 @@
  *       is needed when all processes have restarted.
  * </ol>
  *
+ * <p>The version of an incarnation that the list does not contain yet is not known. The list then
+ * decides only after the agents, which would know of a stream that began there.
+ *
  * <p>If none of them knows, the request is refused, because a stream of two versions is useless to
  * its caller.
  *
@@ -154,8 +157,11 @@
     }
     List<Endpoint> current = endpoints.get();
     Set<String> served = history.versions(service, current, maxAgeMillis, startMillis);
-    if (served.size() == 1 && history.isComplete(service, current, maxAgeMillis, startMillis)) {
-      found.accept(finish(request, "list", Optional.of(origin(served)), startMillis));
+    boolean single = served.size() == 1 && history.covers(maxAgeMillis, startMillis);
+    Runnable fromList =
+        () -> found.accept(finish(request, "list", Optional.of(origin(served)), startMillis));
+    if (single && history.allKnown(service, current)) {
+      fromList.run();
       return;
     }
     requestFromAgents(
@@ -163,6 +169,8 @@
         fromAgents -> {
           if (fromAgents.isPresent()) {
             found.accept(finish(request, "agent", fromAgents, startMillis));
+          } else if (single) {
+            fromList.run();
           } else {
             requestFromTable(
                 service,
@@ -247,13 +255,11 @@
   }
 
   private Optional<StreamOrigin> singleVersion(String service, Optional<Set<String>> stored) {
-    List<Endpoint> current = endpoints.get();
     Set<String> served =
-        history.versions(service, current, SoftwareHistory.RETENTION_MILLIS, clock.millis());
+        history.versions(
+            service, endpoints.get(), SoftwareHistory.RETENTION_MILLIS, clock.millis());
     boolean single = served.size() == 1 && stored.filter(served::equals).isPresent();
-    return single && history.allKnown(service, current)
-        ? Optional.of(origin(served))
-        : Optional.empty();
+    return single ? Optional.of(origin(served)) : Optional.empty();
   }
 
   /** Called when endpoints of a service have changed; writes the versions that serve. */
@@ -273,7 +279,8 @@
     if (served.isEmpty() || served.equals(written.get(service))) {
       return;
     }
-    boolean complete = history.isComplete(service, current, SoftwareHistory.RETENTION_MILLIS, now);
+    boolean complete =
+        history.covers(SoftwareHistory.RETENTION_MILLIS, now) && history.allKnown(service, current);
     table
         .update(service, served, complete)
         .whenComplete(
