Log line of unwritten software versions names its fields

SOFTWARE_VERSIONS_UNWRITTEN had a value without its name, so `failures` and `reason` stood under wrong names; found while reading the change again. StreamOriginsTest plays what the line is about: a version that comes while the table is away is written once it is back, and one that has gone leaves the row after the retention time.

--- a/runtime/src/main/java/org/hornbeamusher/forwarding/StreamOrigins.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/StreamOrigins.java
@@ -299,7 +299,6 @@
           service,
           "versions",
           String.join(",", served),
-          "reason",
           "failures",
           failedWrites,
           "reason",
--- /dev/null
+++ b/runtime/src/test/java/org/hornbeamusher/forwarding/StreamOriginsTest.java
@@ -0,0 +1,96 @@
+package org.hornbeamusher.forwarding;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import com.codahale.metrics.MetricRegistry;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.hornbeamusher.directory.Endpoint;
+import org.hornbeamusher.directory.SoftwareHistory;
+import org.hornbeamusher.ids.EndpointId;
+import org.hornbeamusher.ids.EndpointIncarnation;
+import org.hornbeamusher.ids.SoftwareVersion;
+import org.hornbeamusher.loop.SimulatedLoop;
+import org.hornbeamusher.table.InMemoryTable;
+import org.hornbeamusher.table.RowKey;
+import org.hornbeamusher.wire.Message;
+import org.junit.jupiter.api.Test;
+
+class StreamOriginsTest {
+
+  private static final RowKey ROW = new RowKey("software", "s");
+
+  private final SimulatedLoop loop = new SimulatedLoop();
+  private final InMemoryTable table = new InMemoryTable();
+  private final SoftwareHistory history = new SoftwareHistory();
+  private final List<Endpoint> endpoints = new ArrayList<>();
+  private final StreamOrigins origins =
+      new StreamOrigins(
+          new AgentConnections(
+              new HashMap<>(),
+              new Message.Hello(1, 1, "entry", "e", 0, "z", "", ""),
+              null,
+              loop,
+              loop.clock()),
+          history,
+          () -> endpoints,
+          new SoftwareVersionTable(table),
+          new ForwardMetrics(new MetricRegistry()),
+          loop,
+          loop.clock());
+
+  /** Guards against a version that is never written because the table was away when it came. */
+  @Test
+  void versionsAreWrittenOnceTheTableIsBack() {
+    table.down(true);
+    add("a", "v1");
+    loop.runUntil(10_000);
+    assertEquals(Optional.empty(), table.read(ROW).exceptionally(away -> Optional.empty()).join());
+    table.down(false);
+    loop.runUntil(15_000);
+    assertEquals("[\"v1\"]", stored());
+  }
+
+  /** Guards against a row that names versions long after their endpoints have gone. */
+  @Test
+  void versionThatHasGoneIsRemovedAfterTheRetention() {
+    history.listReceived(0);
+    add("a", "v1");
+    add("b", "v2");
+    loop.runUntil(2_000);
+    assertEquals("[\"v1\",\"v2\"]", stored());
+    Endpoint gone = endpoints.remove(0);
+    history.removed(gone, loop.clock().millis());
+    origins.endpointsChanged("s");
+    loop.runUntil(SoftwareHistory.RETENTION_MILLIS);
+    assertEquals("[\"v1\",\"v2\"]", stored());
+    loop.runUntil(3 * SoftwareHistory.RETENTION_MILLIS);
+    assertEquals("[\"v2\"]", stored());
+  }
+
+  private void add(String id, String software) {
+    Endpoint endpoint =
+        new Endpoint(
+            new EndpointIncarnation(new EndpointId(id), 0),
+            "s",
+            URI.create("http://127.0.0.1:1"),
+            "z",
+            1,
+            false,
+            0,
+            Set.of(),
+            Optional.of(new SoftwareVersion(software)));
+    endpoints.add(endpoint);
+    history.changed(endpoint, loop.clock().millis());
+    origins.endpointsChanged("s");
+  }
+
+  private String stored() {
+    return new String(table.read(ROW).join().orElseThrow().value(), StandardCharsets.UTF_8);
+  }
+}
