Log the parts of the prompt of requests whose connection to an endpoint is lost

On-call could not tell from the logs whether requests with different contents under which endpoints crashed had a part of their prompts in common, nor whether the endpoint had begun to send a body. ATTEMPT_ENDED has both now: parts, only where the connection was lost, and first_data_ms. No behaviour changes.

--- a/runtime/src/main/java/org/hornbeamusher/forwarding/Attempt.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/Attempt.java
@@ -27,6 +27,10 @@
   private final Listener listener;
   private HttpStream stream;
   private long sentMillis;
+
+  /** When the first part of the body arrived; -1 before. */
+  private long firstDataMillis = -1;
+
   private HttpHead refused;
 
   /** The status of the response; 0 before it arrives. */
@@ -66,6 +70,11 @@
     return metadata;
   }
 
+  /** Returns the time from the send to the first part of the body; -1 if none has arrived. */
+  long firstDataAfterMillis() {
+    return firstDataMillis < 0 ? -1 : firstDataMillis - sentMillis;
+  }
+
   /** Cancels the attempt; the listener is not called any more. */
   void cancel() {
     ended = true;
@@ -118,6 +127,9 @@
   @Override
   public void data(byte[] bytes) {
     if (!ended && refused == null) {
+      if (firstDataMillis < 0) {
+        firstDataMillis = clock.millis();
+      }
       listener.data(this, bytes);
     }
   }
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
@@ -496,8 +496,11 @@
       return;
     }
     AttemptOutcome outcome = classify(end);
-    String content = outcome.connectionLost() ? content().toString() : "";
-    log.attemptEnded(from, outcome.label(), content, relay, now() - sentMillis);
+    Optional<RequestLog.LostRequest> lost =
+        outcome.connectionLost()
+            ? Optional.of(new RequestLog.LostRequest(content(), routed.metadata().parts()))
+            : Optional.empty();
+    log.attemptEnded(from, outcome.label(), lost, relay, now() - sentMillis);
     context.metrics().attemptEnded(outcome.label(), now() - sentMillis);
     EndpointView left = endpoint;
     if (outcome.connectionLost()) {
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/RequestLog.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/RequestLog.java
@@ -1,6 +1,8 @@
 package org.hornbeamusher.forwarding;
 
+import java.util.List;
 import java.util.Optional;
+import java.util.stream.Collectors;
 import org.hornbeamusher.availability.RetryAfter;
 import org.hornbeamusher.directory.AdapterVersion;
 import org.hornbeamusher.events.EventLog;
@@ -9,6 +11,8 @@
 import org.hornbeamusher.ids.SoftwareVersion;
 import org.hornbeamusher.placement.Placement;
 import org.hornbeamusher.placement.PlacementRequest;
+import org.hornbeamusher.placement.PromptPart;
+import org.hornbeamusher.quarantine.RequestContent;
 import org.hornbeamusher.ratelimit.AdvertisedRateLimit;
 import org.hornbeamusher.routes.Configuration;
 
@@ -19,6 +23,8 @@
  */
 record RequestLog(String id) {
 
+  private static final int MAX_LOGGED_PARTS = 16;
+
   /** Logs that the request was placed at an endpoint, to be sent at once or after a load. */
   void placed(
       String service,
@@ -76,11 +82,14 @@
   /**
    * Logs the end of an attempt.
    *
-   * @param content identifies the request when it is sent again; empty unless the connection was
-   *     lost
+   * @param lost what identifies the request; empty unless the connection was lost
    */
   void attemptEnded(
-      Attempt attempt, String end, String content, ResponseRelay relay, long tookMillis) {
+      Attempt attempt,
+      String end,
+      Optional<LostRequest> lost,
+      ResponseRelay relay,
+      long tookMillis) {
     EventLog.log(
         EventType.ATTEMPT_ENDED,
         "id",
@@ -94,13 +103,17 @@
         "end",
         end,
         "content",
-        content,
+        lost.map(request -> request.content().toString()).orElse(""),
+        "parts",
+        lost.map(request -> text(request.parts())).orElse(""),
         "status",
         attempt.status(),
         "caller_status",
         relay.started() ? relay.status() : 0,
         "took_ms",
         tookMillis,
+        "first_data_ms",
+        attempt.firstDataAfterMillis(),
         "last_event",
         relay.lastEvent().orElse(-1),
         "stated_limit_per_s",
@@ -136,6 +149,13 @@
         state.ageMillis());
   }
 
+  private static String text(List<PromptPart> parts) {
+    return parts.stream()
+        .limit(MAX_LOGGED_PARTS)
+        .map(PromptPart::id)
+        .collect(Collectors.joining(","));
+  }
+
   private static String text(RetryAfter stated) {
     return switch (stated) {
       case RetryAfter.Millis time -> Long.toString(time.millis());
@@ -176,6 +196,20 @@
         end.refusals());
   }
 
+  /**
+   * What identifies a request, or a part of it, when it is sent again.
+   *
+   * @param content the whole request
+   * @param parts the parts of its prompt in order
+   */
+  record LostRequest(RequestContent content, List<PromptPart> parts) {
+
+    /** Copies the list. */
+    LostRequest {
+      parts = List.copyOf(parts);
+    }
+  }
+
   /**
    * How a request ended.
    *
