A stream without length or chunks that ends before its first event is cut

An engine that ends its connection after the head of such a response, in order, made callers see a complete stream without an event; a stream that may be resumed was not tried elsewhere. Only the end of the connection ends these responses, so no framing shows that something is missing.

--- a/runtime/src/main/java/org/hornbeamusher/forwarding/EventStreamRelay.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/EventStreamRelay.java
@@ -17,6 +17,8 @@
 final class EventStreamRelay implements ResponseRelay {
 
   private static final String CONTENT_TYPE = "Content-Type";
+  private static final String CONTENT_LENGTH = "Content-Length";
+  private static final String TRANSFER_ENCODING = "Transfer-Encoding";
 
   private final CallerResponse caller;
   private EventSplitter splitter = new EventSplitter();
@@ -29,6 +31,9 @@
 
   private boolean started;
 
+  /** Whether the response has neither a length nor chunks, so that only its connection ends it. */
+  private boolean unframed;
+
   /** False after an event without an id was relayed: no endpoint could resume after it. */
   private boolean resumable = true;
 
@@ -51,6 +56,7 @@
     }
     splitter = new EventSplitter();
     failure = null;
+    unframed = head.first(CONTENT_LENGTH).isEmpty() && head.first(TRANSFER_ENCODING).isEmpty();
     if (!started) {
       status = head.status();
       type = contentType(head);
@@ -135,10 +141,14 @@
     return lastEvent;
   }
 
-  /** A stream that ends within an event is truncated, even if its HTTP framing is complete. */
+  /**
+   * A stream that ends within an event is truncated, even if its HTTP framing is complete. So is
+   * one that ends with its connection before its first event.
+   */
   @Override
   public boolean canEnd() {
-    return failure != null || splitter.incompleteBytes().length == 0;
+    boolean endedBeforeItBegan = unframed && !started && lastEvent.isEmpty();
+    return failure != null || (splitter.incompleteBytes().length == 0 && !endedBeforeItBegan);
   }
 
   @Override
