Agents pass on the lost connections of an entry that ends before it knows of a crash

Callers could have an endpoint crashed by the same request several times more: the verdict on a lost connection takes 0.1 s and more, and an entry that was killed meanwhile took its knowledge of the crash along.

An agent passes the losses of the last 10 s on when the connection of their entry ends; the others decide by the list and the agents' reports, without a health check. An entry that runs on is not affected.

The simulation let entries that had ended go on with their timers and so reported crashes for them; that is mended, else the new tests would have passed before.

--- a/runtime/src/main/java/org/hornbeamusher/forwarding/AgentConnections.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/AgentConnections.java
@@ -301,6 +301,9 @@
           @Override
           public void received(InetSocketAddress agent, Message.CrashReport report) {}
 
+          @Override
+          public void received(Message.ConnectionLoss loss) {}
+
           @Override
           public void closed(InetSocketAddress agent) {}
         };
@@ -311,6 +314,9 @@
     /** An agent has relayed a record of another entry. */
     void received(InetSocketAddress agent, Message.CrashReport report);
 
+    /** An agent has relayed a loss whose cause another entry did not find out before it ended. */
+    void received(Message.ConnectionLoss loss);
+
     /** The connection to an agent was lost. */
     void closed(InetSocketAddress agent);
   }
@@ -424,6 +430,7 @@
         case Message.RatePermitResponse response -> permitListener.received(response);
         case Message.StreamOriginResponse response -> originListener.accept(response);
         case Message.CrashReport report -> crashListener.received(address, report);
+        case Message.ConnectionLoss loss -> crashListener.received(loss);
         case Message.ReservationGranted report -> {
           EngineReservation granted = activeReservations.get(report.reservation());
           if (granted != null) {
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/CrashReports.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/CrashReports.java
@@ -8,10 +8,13 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import org.hornbeamusher.clock.Clock;
 import org.hornbeamusher.events.EventLog;
 import org.hornbeamusher.events.EventType;
 import org.hornbeamusher.failure.HornbeamusherException;
+import org.hornbeamusher.ids.EndpointId;
+import org.hornbeamusher.ids.EndpointIncarnation;
 import org.hornbeamusher.loop.EventLoop;
 import org.hornbeamusher.quarantine.CrashHistory;
 import org.hornbeamusher.quarantine.CrashRecord;
@@ -60,6 +63,9 @@
   /** The suspects whose rows may differ from their records, and when to write them. */
   private final Map<CrashSuspect, Long> unwritten = new LinkedHashMap<>();
 
+  private BiConsumer<EndpointIncarnation, Set<CrashSuspect>> lossListener =
+      (endpoint, suspects) -> {};
+
   private boolean writing;
   private int failedWrites;
 
@@ -79,6 +85,24 @@
     this.clock = clock;
   }
 
+  /**
+   * Reports that a request lost its connection to an endpoint. If this entry ends before it knows
+   * whether the endpoint has crashed, the relays pass the loss on to the other entries.
+   */
+  void connectionLost(EndpointIncarnation endpoint, Set<CrashSuspect> suspects) {
+    Message.ConnectionLoss loss =
+        new Message.ConnectionLoss(
+            endpoint.id().value(),
+            endpoint.startMillis(),
+            suspects.stream().map(Object::toString).toList());
+    selection.relays().forEach(relay -> transport.send(relay, loss));
+  }
+
+  /** Sets who receives the losses that other entries reported before they ended. */
+  void setLossListener(BiConsumer<EndpointIncarnation, Set<CrashSuspect>> listener) {
+    lossListener = listener;
+  }
+
   /** Reports a record that this entry has changed. */
   void changed(CrashRecord record) {
     selection.relays().forEach(relay -> send(relay, record));
@@ -125,6 +149,18 @@
     history.correction(record.get()).ifPresent(own -> send(agent, own));
   }
 
+  @Override
+  public void received(Message.ConnectionLoss loss) {
+    Set<CrashSuspect> suspects = new HashSet<>();
+    loss.suspects().forEach(text -> CrashSuspect.parse(text).ifPresent(suspects::add));
+    try {
+      EndpointId endpoint = new EndpointId(loss.endpoint());
+      lossListener.accept(new EndpointIncarnation(endpoint, loss.startMillis()), suspects);
+    } catch (IllegalArgumentException e) {
+      EventLog.log(EventType.CRASH_RECORD_UNREADABLE, "source", "agent");
+    }
+  }
+
   /** Applies rows of the table that were read. */
   void tableRead(TableChanges rows) {
     CrashRecordTable.Changes changes = table.received(rows);
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
@@ -146,6 +146,7 @@
             crashHistory,
             crashReports,
             new EndpointHealthCheck(configuration, dialect, http),
+            incarnation -> isListed(placer, incarnation),
             counts,
             loop,
             clock);
@@ -187,6 +188,12 @@
             settings, http.worker(), clock, loop, this::accept, this::hasInitialState, this::ready);
   }
 
+  private static boolean isListed(Placer placer, EndpointIncarnation incarnation) {
+    EndpointView view = placer.views().get(incarnation.id());
+    boolean noList = placer.views().isEmpty();
+    return noList || (view != null && view.incarnation().maybeSameAs(incarnation));
+  }
+
   private static Message.Hello hello(ForwardSettings settings) {
     return new Message.Hello(
         PROTOCOL,
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/RequestCrashes.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/RequestCrashes.java
@@ -1,6 +1,7 @@
 package org.hornbeamusher.forwarding;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -9,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.hornbeamusher.clock.Clock;
 import org.hornbeamusher.events.EventLog;
 import org.hornbeamusher.events.EventType;
@@ -45,6 +47,9 @@
  * retry of the same request does not reach another endpoint in the meantime. It does not count for
  * parts of the prompt: other requests with them would be refused wherever connections are reset.
  *
+ * <p>An entry may end before the verdict. Its losses are then reported by agents to the others,
+ * which learn from the list or from agents whether the endpoint has ended.
+ *
  * <p>A request whose caller left or whose deadline passed shortly before the end of its endpoint
  * may have run there, so it counts as well.
  *
@@ -72,6 +77,9 @@
   /** Agents and the list may report an end before this entry notices the lost connections. */
   private static final int MAX_ENDED = 256;
 
+  /** Losses that other entries reported before they ended and that have no verdict yet. */
+  private static final int MAX_REPORTED = 1_000;
+
   private final CrashHistory history;
   private final PromptPartQuarantine partQuarantine;
   private final CrashReports reports;
@@ -79,7 +87,9 @@
   private final ForwardMetrics metrics;
   private final EventLoop loop;
   private final Clock clock;
+  private final Predicate<EndpointIncarnation> isListed;
   private final Map<EndpointIncarnation, Losses> losses = new HashMap<>();
+  private final List<ReportedLoss> reported = new ArrayList<>();
 
   /** The requests that were cancelled recently, the oldest first. */
   private final Deque<Cancelled> cancelled = new ArrayDeque<>();
@@ -95,10 +105,22 @@
         }
       };
 
+  /**
+   * Creates an instance for an entry that has sent nothing yet.
+   *
+   * @param history the known crashes
+   * @param reports shares them with other entries
+   * @param check checks whether an endpoint still runs
+   * @param isListed tells whether an incarnation may still be in the list of endpoints
+   * @param metrics the metrics
+   * @param loop the event loop
+   * @param clock monotonic
+   */
   RequestCrashes(
       CrashHistory history,
       CrashReports reports,
       EndpointCheck check,
+      Predicate<EndpointIncarnation> isListed,
       ForwardMetrics metrics,
       EventLoop loop,
       Clock clock) {
@@ -106,9 +128,11 @@
     this.partQuarantine = new PromptPartQuarantine(history.crashLimit(), history::openCrashes);
     this.reports = reports;
     this.check = check;
+    this.isListed = isListed;
     this.metrics = metrics;
     this.loop = loop;
     this.clock = clock;
+    reports.setLossListener(this::lossReported);
   }
 
   /**
@@ -197,6 +221,18 @@
     }
     known.suspects.addAll(suspects);
     known.lastMillis = clock.millis();
+    reports.connectionLost(incarnation, suspects);
+  }
+
+  /** Handles a loss whose cause another entry did not find out before it ended. */
+  private void lossReported(EndpointIncarnation incarnation, Set<CrashSuspect> suspects) {
+    long now = clock.millis();
+    reported.removeIf(each -> now - each.atMillis() >= VERDICT_TIMEOUT_MILLIS);
+    if (hasEnded(incarnation) || !isListed.test(incarnation)) {
+      record(incarnation, suspects);
+    } else if (reported.size() < MAX_REPORTED) {
+      reported.add(new ReportedLoss(incarnation, suspects, now));
+    }
   }
 
   private static Set<CrashSuspect> suspects(RequestSuspects request, boolean answered) {
@@ -265,6 +301,10 @@
     if (known != null && sentMillis > known.lastMillis) {
       alive(known, "responded");
     }
+    if (!reported.isEmpty()) {
+      reported.removeIf(
+          each -> each.endpoint().maybeSameAs(incarnation) && sentMillis > each.atMillis());
+    }
   }
 
   /** Called when an incarnation of an endpoint has ended. */
@@ -274,6 +314,10 @@
     cancelled.stream()
         .filter(each -> each.endpoint().maybeSameAs(incarnation))
         .forEach(each -> record(incarnation, each.suspects()));
+    List<ReportedLoss> confirmed =
+        reported.stream().filter(each -> each.endpoint().maybeSameAs(incarnation)).toList();
+    reported.removeAll(confirmed);
+    confirmed.forEach(each -> record(each.endpoint(), each.suspects()));
     List<Losses> affected =
         losses.values().stream().filter(each -> each.incarnation.maybeSameAs(incarnation)).toList();
     for (Losses each : affected) {
@@ -355,6 +399,10 @@
   private record Cancelled(
       EndpointIncarnation endpoint, Set<CrashSuspect> suspects, long atMillis) {}
 
+  /** A loss that another entry reported before it ended. */
+  private record ReportedLoss(
+      EndpointIncarnation endpoint, Set<CrashSuspect> suspects, long atMillis) {}
+
   /** The requests whose connections to one incarnation of an endpoint were lost. */
   private static final class Losses {
 
--- a/runtime/src/main/java/org/hornbeamusher/sidecar/CrashRelay.java
+++ b/runtime/src/main/java/org/hornbeamusher/sidecar/CrashRelay.java
@@ -1,5 +1,7 @@
 package org.hornbeamusher.sidecar;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
@@ -14,13 +16,24 @@
 import org.hornbeamusher.wire.WireConnection;
 
 /**
- * Relays crash records between the entries, and reports them to an entry that connects. Confined to
- * the event loop.
+ * Relays crash records between the entries, and reports them to an entry that connects. Keeps the
+ * lost connections that entries report, and passes those of an entry that ends on to the others,
+ * because it may not have found out whether the endpoints crashed. Confined to the event loop.
  */
 final class CrashRelay {
 
   private final CrashHistory history = new CrashHistory(QuarantineSettings.WITHOUT_ISOLATION);
+
+  /** After this time an entry knows whether an endpoint has crashed or gives up. */
+  private static final long LOSS_RETENTION_MILLIS = 10_000;
+
+  private static final int MAX_LOSSES = 1_000;
+
   private final Set<WireConnection> entries = new HashSet<>();
+
+  /** The recent losses of connected entries and of those that have ended, the oldest first. */
+  private final Deque<ReportedLoss> losses = new ArrayDeque<>();
+
   private final Clock clock;
 
   CrashRelay(Clock clock) {
@@ -31,10 +44,26 @@
     entries.add(entry);
     history.removeExpired(clock.millis());
     history.openRecords().forEach(record -> entry.send(message(record)));
+    removeOldLosses();
+    losses.stream()
+        .filter(loss -> !entries.contains(loss.reporter()))
+        .forEach(loss -> entry.send(loss.message()));
   }
 
   void entryDisconnected(WireConnection entry) {
     entries.remove(entry);
+    removeOldLosses();
+    losses.stream()
+        .filter(loss -> loss.reporter() == entry)
+        .forEach(loss -> entries.forEach(other -> other.send(loss.message())));
+  }
+
+  private void removeOldLosses() {
+    long oldest = clock.millis() - LOSS_RETENTION_MILLIS;
+    while (!losses.isEmpty()
+        && (losses.peek().atMillis() < oldest || losses.size() >= MAX_LOSSES)) {
+      losses.remove();
+    }
   }
 
   void received(WireConnection entry, Message.CrashReport report) {
@@ -54,6 +83,14 @@
                 .forEach(other -> other.send(message(changed))));
   }
 
+  void received(WireConnection entry, Message.ConnectionLoss loss) {
+    removeOldLosses();
+    losses.add(new ReportedLoss(entry, loss, clock.millis()));
+  }
+
+  private record ReportedLoss(
+      WireConnection reporter, Message.ConnectionLoss message, long atMillis) {}
+
   private static Message.CrashReport message(CrashRecord record) {
     return new Message.CrashReport(CrashRecordCodec.encode(record));
   }
--- a/runtime/src/main/java/org/hornbeamusher/sidecar/EntryServices.java
+++ b/runtime/src/main/java/org/hornbeamusher/sidecar/EntryServices.java
@@ -57,6 +57,7 @@
       case Message.StreamBegun begun -> streams.begun(begun);
       case Message.StreamOriginRequest request -> entry.send(streams.origin(request));
       case Message.CrashReport report -> crashes.received(entry, report);
+      case Message.ConnectionLoss loss -> crashes.received(entry, loss);
       case Message.Leaving leaving -> usage.entryLeaving(entry);
       case Message.RatePermitRequest request -> decidePermit(entry, request);
       case Message.RateLimitLifted lifted -> {
--- a/runtime/src/main/java/org/hornbeamusher/wire/Message.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/Message.java
@@ -255,6 +255,23 @@
    */
   record CrashReport(byte[] record) implements Message {}
 
+  /**
+   * Reports that a request lost its connection to an endpoint, which may have crashed (both
+   * directions).
+   *
+   * @param endpoint the id of the endpoint
+   * @param startMillis the start of its incarnation
+   * @param suspects what the request has in common with others, as {@code CrashSuspect} writes it
+   */
+  record ConnectionLoss(String endpoint, long startMillis, List<String> suspects)
+      implements Message {
+
+    /** Copies the list. */
+    public ConnectionLoss {
+      suspects = List.copyOf(suspects);
+    }
+  }
+
   /**
    * Reports where a stream began (entry to agent).
    *
--- a/runtime/src/main/java/org/hornbeamusher/wire/MessageCodec.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/MessageCodec.java
@@ -46,6 +46,7 @@
   private static final int RATE_PERMIT_RESPONSE = 30;
   private static final int RATE_LIMIT_LIFTED = 31;
   private static final int CRASH_REPORT = 32;
+  private static final int CONNECTION_LOSS = 36;
   private static final int STREAM_BEGUN = 33;
   private static final int STREAM_ORIGIN_REQUEST = 34;
   private static final int STREAM_ORIGIN_RESPONSE = 35;
@@ -228,6 +229,10 @@
               .packString(m.software())
               .packBoolean(m.softwareKnown());
       case Message.CrashReport m -> packBytes(packHeader(p, CRASH_REPORT, 1), m.record());
+      case Message.ConnectionLoss m -> {
+        packHeader(p, CONNECTION_LOSS, 3).packString(m.endpoint()).packLong(m.startMillis());
+        packStrings(p, m.suspects());
+      }
       case Message.Unknown m -> packHeader(p, m.type(), 0);
     }
   }
@@ -377,6 +382,8 @@
           new Message.StreamOriginResponse(
               r.readLong(), r.readString(), r.readString(), r.readBoolean());
       case CRASH_REPORT -> new Message.CrashReport(r.readBytes());
+      case CONNECTION_LOSS ->
+          new Message.ConnectionLoss(r.readString(), r.readLong(), r.readStrings());
       default -> new Message.Unknown(type);
     };
   }
--- a/runtime/src/test/java/org/hornbeamusher/forwarding/CrashingRequestSimulation.java
+++ b/runtime/src/test/java/org/hornbeamusher/forwarding/CrashingRequestSimulation.java
@@ -4,7 +4,9 @@
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
@@ -13,6 +15,7 @@
 import org.hornbeamusher.directory.Endpoint;
 import org.hornbeamusher.ids.EndpointId;
 import org.hornbeamusher.ids.EndpointIncarnation;
+import org.hornbeamusher.loop.EventLoop;
 import org.hornbeamusher.loop.SimulatedLoop;
 import org.hornbeamusher.placement.EndpointView;
 import org.hornbeamusher.placement.PromptPart;
@@ -75,6 +78,12 @@
   /** What the relaying agent remembers; a new one after its restart. */
   private CrashHistory relay = new CrashHistory(QuarantineSettings.WITHOUT_ISOLATION);
 
+  /** The losses that entries reported to the relaying agent. */
+  private final Map<Entry, List<Message.ConnectionLoss>> losses = new HashMap<>();
+
+  /** Whether the entry that sent a crashing request ends with the endpoint. */
+  private boolean entriesEnd;
+
   private boolean relayUp = true;
   private int incarnations;
   private long requests = 1_000;
@@ -112,13 +121,24 @@
 
   /** Replaces an entry by a new process; its requests are lost. */
   void restartEntry(int index) {
-    runs.removeIf(run -> run.entry == entries.get(index));
+    Entry ended = entries.get(index);
+    ended.running = false;
+    runs.removeIf(run -> run.entry == ended);
     entries.set(index, new Entry());
+    losses
+        .getOrDefault(ended, List.of())
+        .forEach(loss -> entries.forEach(other -> other.reports.received(loss)));
+  }
+
+  /** Ends each entry that has sent a crashing request right after the crash. */
+  void endEntriesAfterCrashes() {
+    entriesEnd = true;
   }
 
   /** Replaces the agents by new processes, which remember nothing. */
   void restartAgents() {
     relay = new CrashHistory(QuarantineSettings.WITHOUT_ISOLATION);
+    losses.clear();
     for (int i = 0; i < entries.size(); i++) {
       entries.get(i).reports.closed(RELAY);
       entries.get(i).connectRelay();
@@ -232,7 +252,7 @@
       sends.add(loop.clock().millis());
     }
     if (request.crashing() && callersLeave) {
-      loop.after(
+      entry.after(
           CRASH_AFTER_MILLIS - STEP_MILLIS,
           () -> entry.crashes.cancelled(endpoint, request.suspects(), false));
     }
@@ -251,6 +271,9 @@
         if (index >= 0) {
           end(index);
         }
+        if (entriesEnd) {
+          loop.after(STEP_MILLIS, () -> restartIfRunning(run.entry));
+        }
       } else if (!crashing && now - run.startMillis >= RUN_MILLIS) {
         runs.remove(run);
         servedOthers++;
@@ -261,6 +284,13 @@
     }
   }
 
+  private void restartIfRunning(Entry entry) {
+    int index = entries.indexOf(entry);
+    if (index >= 0) {
+      restartEntry(index);
+    }
+  }
+
   private void end(int index) {
     EndpointView gone = endpoints.get(index);
     endpoints.remove(index);
@@ -279,7 +309,7 @@
     }
     long reportMillis = random.nextInt(400);
     for (Entry entry : entries) {
-      loop.after(
+      entry.after(
           reportMillis, () -> entry.crashes.incarnationEnded(gone.incarnation(), "not-seen"));
     }
   }
@@ -353,12 +383,14 @@
   }
 
   /** One process of an entry. */
-  private final class Entry {
+  private final class Entry implements EventLoop {
+
+    private boolean running = true;
 
     private final CrashHistory history = new CrashHistory(QuarantineSettings.WITHOUT_ISOLATION);
     private final CrashReports reports =
         new CrashReports(
-            history, new CrashRecordTable(table), this::sendToRelay, loop, loop.clock());
+            history, new CrashRecordTable(table), this::sendToRelay, this, loop.clock());
     private final RequestCrashes crashes =
         new RequestCrashes(
             history,
@@ -368,8 +400,10 @@
                     endpoints.contains(endpoint)
                         ? EndpointCheck.Result.ALIVE
                         : EndpointCheck.Result.ENDED),
+            incarnation ->
+                endpoints.stream().anyMatch(each -> each.incarnation().maybeSameAs(incarnation)),
             new ForwardMetrics(new MetricRegistry()),
-            loop,
+            this,
             loop.clock());
 
     Entry() {
@@ -378,12 +412,32 @@
       }
     }
 
+    @Override
+    public void execute(Runnable task) {
+      loop.execute(() -> runIfRunning(task));
+    }
+
+    @Override
+    public Timer after(long delayMillis, Runnable task) {
+      return loop.after(delayMillis, () -> runIfRunning(task));
+    }
+
+    private void runIfRunning(Runnable task) {
+      if (running) {
+        task.run();
+      }
+    }
+
     void connectRelay() {
       reports.opened(RELAY);
       relay.openRecords().forEach(this::receive);
     }
 
     private void sendToRelay(InetSocketAddress agent, Message message) {
+      if (message instanceof Message.ConnectionLoss loss) {
+        losses.computeIfAbsent(this, entry -> new ArrayList<>()).add(loss);
+        return;
+      }
       CrashRecord record =
           CrashRecordCodec.decode(((Message.CrashReport) message).record()).orElseThrow();
       loop.after(
--- a/runtime/src/test/java/org/hornbeamusher/forwarding/CrashingRequestTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/forwarding/CrashingRequestTest.java
@@ -96,6 +96,17 @@
     check(simulation);
   }
 
+  /** Guards against crashes that are forgotten with the entry that sent the request. */
+  @Property(tries = 8, seed = "12")
+  void crashingRequestIsRefusedThoughEntriesEndBeforeTheVerdict(
+      @ForAll @IntRange(max = 10_000) int seed,
+      @ForAll @IntRange(min = 40, max = 1_000) int interval) {
+    CrashingRequestSimulation simulation = simulation(seed);
+    simulation.endEntriesAfterCrashes();
+    simulation.runUntil(END_MILLIS, interval);
+    check(simulation);
+  }
+
   private static CrashingRequestSimulation simulation(int seed) {
     return new CrashingRequestSimulation(
         CrashingRequestSimulation.Cause.CONTENT, ENTRIES, ENDPOINTS, seed);
