Log relayed losses and requests that are sent with a quarantined part; a class of their own

On-call could not see from the logs that a request with a quarantined part was sent since another suspect explains its crashes, nor what became of the losses of an entry that ended. Both have a line, the first at most once a second. RelayedLosses takes the losses of other entries out of RequestCrashes. No decision changes.

--- a/runtime/src/main/java/org/hornbeamusher/events/EventType.java
+++ b/runtime/src/main/java/org/hornbeamusher/events/EventType.java
@@ -35,6 +35,10 @@
       1113, Level.INFO, "A request was refused because of its content or a part of its prompt."),
   STREAM_RESUMED(
       1114, Level.INFO, "A caller resumes a stream; gives the software version that began it."),
+  EXPLAINED_SUSPECT_SENT(
+      1115,
+      Level.INFO,
+      "A request with a quarantined part is sent: another suspect explains the crashes."),
   // 1200: endpoints and loads
   ADAPTER_LOADED(1201, Level.FINE, "An adapter became resident."),
   ADAPTER_LOAD_FAILED(1202, Level.WARNING, "An adapter could not be loaded."),
@@ -68,6 +72,8 @@
   ENDPOINT_CRASHED(1318, Level.WARNING, "An endpoint ended while it ran requests of this entry."),
   ENDPOINT_ALIVE(1319, Level.INFO, "An endpoint that lost connections has not ended."),
   CRASH_RECORD_UNREADABLE(1320, Level.WARNING, "A record of crashes cannot be read."),
+  CONNECTION_LOSS_RELAYED(
+      1323, Level.INFO, "An entry ended before it knew whether an endpoint had crashed."),
   SOFTWARE_VERSIONS_UNWRITTEN(
       1322, Level.WARNING, "The software versions that serve could not be written yet."),
   CRASH_RECORDS_UNWRITTEN(1321, Level.WARNING, "Records of crashes could not be written yet."),
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/RequestCrashes.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/RequestCrashes.java
@@ -1,7 +1,6 @@
 package org.hornbeamusher.forwarding;
 
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -69,6 +68,8 @@
 
   private static final int MAX_CHECKS = 4;
 
+  private static final long SUSPECT_LOG_INTERVAL_MILLIS = 1_000;
+
   /** An endpoint stops a cancelled request within half a second; its end is noticed a bit later. */
   private static final long CANCELLED_MILLIS = 1_000;
 
@@ -77,9 +78,6 @@
   /** Agents and the list may report an end before this entry notices the lost connections. */
   private static final int MAX_ENDED = 256;
 
-  /** Losses that other entries reported before they ended and that have no verdict yet. */
-  private static final int MAX_REPORTED = 1_000;
-
   private final CrashHistory history;
   private final PromptPartQuarantine partQuarantine;
   private final CrashReports reports;
@@ -89,7 +87,10 @@
   private final Clock clock;
   private final Predicate<EndpointIncarnation> isListed;
   private final Map<EndpointIncarnation, Losses> losses = new HashMap<>();
-  private final List<ReportedLoss> reported = new ArrayList<>();
+  private final RelayedLosses relayed = new RelayedLosses(VERDICT_TIMEOUT_MILLIS);
+
+  /** When the next request with an explained suspect is logged. */
+  private long nextSuspectLogMillis;
 
   /** The requests that were cancelled recently, the oldest first. */
   private final Deque<Cancelled> cancelled = new ArrayDeque<>();
@@ -132,7 +133,7 @@
     this.metrics = metrics;
     this.loop = loop;
     this.clock = clock;
-    reports.setLossListener(this::lossReported);
+    reports.setLossListener(this::lossRelayed);
   }
 
   /**
@@ -143,7 +144,27 @@
    * @return empty if it may be sent
    */
   Optional<HornbeamusherException> refusal(String id, RequestSuspects request) {
-    return refusedSuspect(request).map(suspect -> refuse(id, suspect));
+    Optional<CrashSuspect> refused = refusedSuspect(request);
+    if (refused.isEmpty() && !history.quarantined().isEmpty()) {
+      logExplainedSuspect(id, request);
+    }
+    return refused.map(suspect -> refuse(id, suspect));
+  }
+
+  /** Logs at most once a second that a request is sent although a part of it is quarantined. */
+  private void logExplainedSuspect(String id, RequestSuspects request) {
+    long now = clock.millis();
+    if (now < nextSuspectLogMillis) {
+      return;
+    }
+    request.parts().stream()
+        .filter(history.quarantined()::contains)
+        .findFirst()
+        .ifPresent(
+            part -> {
+              nextSuspectLogMillis = now + SUSPECT_LOG_INTERVAL_MILLIS;
+              EventLog.log(EventType.EXPLAINED_SUSPECT_SENT, "id", id, "content", part);
+            });
   }
 
   private HornbeamusherException refuse(String id, CrashSuspect suspect) {
@@ -225,13 +246,22 @@
   }
 
   /** Handles a loss whose cause another entry did not find out before it ended. */
-  private void lossReported(EndpointIncarnation incarnation, Set<CrashSuspect> suspects) {
-    long now = clock.millis();
-    reported.removeIf(each -> now - each.atMillis() >= VERDICT_TIMEOUT_MILLIS);
-    if (hasEnded(incarnation) || !isListed.test(incarnation)) {
+  private void lossRelayed(EndpointIncarnation incarnation, Set<CrashSuspect> suspects) {
+    boolean crashed = hasEnded(incarnation) || !isListed.test(incarnation);
+    EventLog.log(
+        EventType.CONNECTION_LOSS_RELAYED,
+        "endpoint",
+        incarnation.id(),
+        "start_ms",
+        incarnation.startMillis(),
+        "suspects",
+        suspects.size(),
+        "crashed",
+        crashed);
+    if (crashed) {
       record(incarnation, suspects);
-    } else if (reported.size() < MAX_REPORTED) {
-      reported.add(new ReportedLoss(incarnation, suspects, now));
+    } else {
+      relayed.add(incarnation, suspects, clock.millis());
     }
   }
 
@@ -301,10 +331,7 @@
     if (known != null && sentMillis > known.lastMillis) {
       alive(known, "responded");
     }
-    if (!reported.isEmpty()) {
-      reported.removeIf(
-          each -> each.endpoint().maybeSameAs(incarnation) && sentMillis > each.atMillis());
-    }
+    relayed.responded(incarnation, sentMillis);
   }
 
   /** Called when an incarnation of an endpoint has ended. */
@@ -314,10 +341,7 @@
     cancelled.stream()
         .filter(each -> each.endpoint().maybeSameAs(incarnation))
         .forEach(each -> record(incarnation, each.suspects()));
-    List<ReportedLoss> confirmed =
-        reported.stream().filter(each -> each.endpoint().maybeSameAs(incarnation)).toList();
-    reported.removeAll(confirmed);
-    confirmed.forEach(each -> record(each.endpoint(), each.suspects()));
+    relayed.removeAt(incarnation).forEach(each -> record(each.endpoint(), each.suspects()));
     List<Losses> affected =
         losses.values().stream().filter(each -> each.incarnation.maybeSameAs(incarnation)).toList();
     for (Losses each : affected) {
@@ -399,10 +423,6 @@
   private record Cancelled(
       EndpointIncarnation endpoint, Set<CrashSuspect> suspects, long atMillis) {}
 
-  /** A loss that another entry reported before it ended. */
-  private record ReportedLoss(
-      EndpointIncarnation endpoint, Set<CrashSuspect> suspects, long atMillis) {}
-
   /** The requests whose connections to one incarnation of an endpoint were lost. */
   private static final class Losses {
 
