--- a/runtime/src/main/java/org/hornbeamusher/forwarding/CrashReports.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/CrashReports.java
@@ -46,6 +46,7 @@
   private static final long OWN_WRITE_DELAY_MILLIS = 500;
   private static final long OTHERS_WRITE_DELAY_MILLIS = 3_000;
   private static final long RETRY_MILLIS = 1_000;
+  private static final long EXPIRY_CHECK_MILLIS = 10 * 60_000;
 
   /** A transaction may contain 100 conditions and writes. */
   private static final int MAX_ROWS = 40;
@@ -83,6 +84,12 @@
     this.transport = transport;
     this.loop = loop;
     this.clock = clock;
+    loop.after(EXPIRY_CHECK_MILLIS, this::removeExpired);
+  }
+
+  private void removeExpired() {
+    scheduleWrite(clock.millis());
+    loop.after(EXPIRY_CHECK_MILLIS, this::removeExpired);
   }
 
   /**
