--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/features/package-info.java
@@ -0,0 +1,2 @@
+/** The features of serving that an operator can switch off. */
+package org.hornbeamusher.features;
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardSettings.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardSettings.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.Optional;
 import org.hornbeamusher.directory.EndpointListSettings;
+import org.hornbeamusher.features.ServingFeatures;
 import org.hornbeamusher.quota.QuotaTolerance;
 import org.hornbeamusher.routes.RevocationBounds;
 
@@ -21,6 +22,7 @@
  * @param retries limits of retries
  * @param revocation how soon a revoked key is refused
  * @param quotas tolerated overshoot of the quotas of client accounts
+ * @param features the features of serving that are used
  */
 public record ForwardSettings(
     String instance,
@@ -34,4 +36,5 @@
     long maxStartupHoldMillis,
     ServiceRetrySettings retries,
     RevocationBounds revocation,
-    QuotaTolerance quotas) {}
+    QuotaTolerance quotas,
+    ServingFeatures features) {}
--- a/runtime/src/test/java/org/hornbeamusher/sidecar/EngineRestartTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/sidecar/EngineRestartTest.java
@@ -15,6 +15,7 @@
 import org.hornbeamusher.clock.ManualClock;
 import org.hornbeamusher.failure.FailureType;
 import org.hornbeamusher.failure.HornbeamusherException;
+import org.hornbeamusher.features.ServingFeatures;
 import org.hornbeamusher.fencing.FencingNumberAllocator;
 import org.hornbeamusher.holdings.EngineOrder;
 import org.hornbeamusher.holdings.EngineReport;
@@ -45,7 +46,12 @@
   private final SidecarDaemon agent =
       new SidecarDaemon(
           new SidecarSettings(
-              "agent-1", "a", new InetSocketAddress("127.0.0.1", 0), Optional.empty(), "e"),
+              "agent-1",
+              "a",
+              new InetSocketAddress("127.0.0.1", 0),
+              Optional.empty(),
+              "e",
+              ServingFeatures.ALL),
           engine,
           new FencingNumberAllocator(table, ID, "agent-1"),
           new NoEntries(),
