--- a/runtime/src/main/java/org/hornbeamusher/events/EventType.java
+++ b/runtime/src/main/java/org/hornbeamusher/events/EventType.java
@@ -74,6 +74,10 @@
   CRASH_RECORD_UNREADABLE(1320, Level.WARNING, "A record of crashes cannot be read."),
   CONNECTION_LOSS_RELAYED(
       1323, Level.INFO, "An entry ended before it knew whether an endpoint had crashed."),
+  CRASH_NOT_COUNTED(
+      1324,
+      Level.INFO,
+      "An endpoint ended that is not known to have run after a request was sent there."),
   SOFTWARE_VERSIONS_UNWRITTEN(
       1322, Level.WARNING, "The software versions that serve could not be written yet."),
   CRASH_RECORDS_UNWRITTEN(1321, Level.WARNING, "Records of crashes could not be written yet."),
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/Attempt.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/Attempt.java
@@ -43,6 +43,9 @@
   private ResponseMetadata metadata = ResponseMetadata.NONE;
   private boolean ended;
 
+  /** Whether the endpoint's side ended the connection. */
+  private boolean endedByPeer;
+
   Attempt(EndpointView endpoint, ForwardContext context, String requestId, Listener listener) {
     this.endpoint = endpoint;
     this.dialect = context.headerCodec();
@@ -89,6 +92,11 @@
     return answered() && clock.millis() - firstDataMillis >= CRASH_MILLIS;
   }
 
+  /** Returns what this attempt shows if its endpoint crashes. */
+  AttemptEvidence evidence() {
+    return new AttemptEvidence(sentMillis, endedByPeer, answeredForLong());
+  }
+
   /** Cancels the attempt; the listener is not called any more. */
   void cancel() {
     ended = true;
@@ -142,6 +150,7 @@
   @Override
   public void data(byte[] bytes) {
     if (!ended && refused == null) {
+      statements.recordData(endpoint);
       if (firstDataMillis < 0) {
         firstDataMillis = clock.millis();
       }
@@ -153,6 +162,7 @@
   public void end() {
     if (!ended) {
       ended = true;
+      endedByPeer = true;
       listener.ended(
           this,
           refused == null
@@ -179,7 +189,10 @@
           case CONNECT_FAILED -> new AttemptOutcome.NotSent();
           case SEND_WITHDRAWN -> new AttemptOutcome.Withdrawn();
           case CONNECTIONS_IN_USE -> new AttemptOutcome.NoConnection();
-          default -> new AttemptOutcome.Failed(FailureType.ENDPOINT_LOST);
+          default -> {
+            endedByPeer = true;
+            yield new AttemptOutcome.Failed(FailureType.ENDPOINT_LOST);
+          }
         });
   }
 
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/CrashReports.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/CrashReports.java
@@ -8,7 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import org.hornbeamusher.clock.Clock;
 import org.hornbeamusher.events.EventLog;
 import org.hornbeamusher.events.EventType;
@@ -64,8 +64,7 @@
   /** The suspects whose rows may differ from their records, and when to write them. */
   private final Map<CrashSuspect, Long> unwritten = new LinkedHashMap<>();
 
-  private BiConsumer<EndpointIncarnation, Set<CrashSuspect>> lossListener =
-      (endpoint, suspects) -> {};
+  private Consumer<LostRequest> lossListener = lost -> {};
 
   private boolean writing;
   private int failedWrites;
@@ -95,18 +94,23 @@
   /**
    * Reports that a request lost its connection to an endpoint. If this entry ends before it knows
    * whether the endpoint has crashed, the relays pass the loss on to the other entries.
+   *
+   * @param lost the request, with times since the epoch
    */
-  void connectionLost(EndpointIncarnation endpoint, Set<CrashSuspect> suspects) {
+  void connectionLost(LostRequest lost) {
     Message.ConnectionLoss loss =
         new Message.ConnectionLoss(
-            endpoint.id().value(),
-            endpoint.startMillis(),
-            suspects.stream().map(Object::toString).toList());
+            lost.endpoint().id().value(),
+            lost.endpoint().startMillis(),
+            lost.suspects().stream().map(Object::toString).toList(),
+            lost.sentMillis(),
+            lost.runningMillis(),
+            lost.lostMillis());
     selection.relays().forEach(relay -> transport.send(relay, loss));
   }
 
   /** Sets who receives the losses that other entries reported before they ended. */
-  void setLossListener(BiConsumer<EndpointIncarnation, Set<CrashSuspect>> listener) {
+  void setLossListener(Consumer<LostRequest> listener) {
     lossListener = listener;
   }
 
@@ -158,14 +162,26 @@
 
   @Override
   public void received(Message.ConnectionLoss loss) {
-    Set<CrashSuspect> suspects = new HashSet<>();
-    loss.suspects().forEach(text -> CrashSuspect.parse(text).ifPresent(suspects::add));
     try {
-      EndpointId endpoint = new EndpointId(loss.endpoint());
-      lossListener.accept(new EndpointIncarnation(endpoint, loss.startMillis()), suspects);
+      lossListener.accept(lostRequest(loss));
     } catch (IllegalArgumentException e) {
-      EventLog.log(EventType.CRASH_RECORD_UNREADABLE, "source", "agent");
+      EventLog.log(EventType.CRASH_RECORD_UNREADABLE, "source", "agent", "reason", e.getMessage());
+    }
+  }
+
+  /** An earlier release states no times, so nothing shows that the endpoint ran. */
+  private static LostRequest lostRequest(Message.ConnectionLoss loss) {
+    if (loss.sentMillis() < 0 || loss.runningMillis() < 0 || loss.lostMillis() < 0) {
+      throw new IllegalArgumentException("negative time");
     }
+    Set<CrashSuspect> suspects = new HashSet<>();
+    loss.suspects().forEach(text -> CrashSuspect.parse(text).ifPresent(suspects::add));
+    return new LostRequest(
+        new EndpointIncarnation(new EndpointId(loss.endpoint()), loss.startMillis()),
+        suspects,
+        loss.sentMillis(),
+        loss.lostMillis() > 0 ? loss.runningMillis() : EndpointLiveness.NEVER,
+        loss.lostMillis());
   }
 
   /** Applies rows of the table that were read. */
@@ -174,6 +190,10 @@
     changes.unreadable().forEach(CrashReports::logUnreadable);
     for (CrashRecord record : changes.records()) {
       merge(record, "table");
+      // Lifts the quarantine of a part that was answered here before the row is written again.
+      history
+          .correction(record)
+          .ifPresent(own -> selection.relays().forEach(relay -> send(relay, own)));
       writeLater(record.suspect(), OTHERS_WRITE_DELAY_MILLIS);
     }
     changes.deleted().forEach(this::deleted);
@@ -217,6 +237,8 @@
           record.suspect(),
           "crashes",
           record.openCrashes(),
+          "independent",
+          record.independentCrashes(),
           "endpoints",
           String.join(
               ",", record.crashes().stream().map(crash -> crash.endpoint().id().value()).toList()),
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/EndpointStateUpdater.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/EndpointStateUpdater.java
@@ -28,6 +28,15 @@
     this.clock = clock;
   }
 
+  /**
+   * Records that a part of the body of a response has arrived.
+   *
+   * @param endpoint the endpoint that sent it
+   */
+  void recordData(EndpointView endpoint) {
+    crashes.seen(endpoint.incarnation());
+  }
+
   /**
    * Processes the head of a response.
    *
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
@@ -12,6 +12,7 @@
 import java.util.stream.Stream;
 import org.hornbeamusher.availability.AvailabilityRegistry;
 import org.hornbeamusher.clock.Clock;
+import org.hornbeamusher.clock.SystemClock;
 import org.hornbeamusher.directory.Endpoint;
 import org.hornbeamusher.directory.EndpointDirectory;
 import org.hornbeamusher.directory.ListedEntry;
@@ -149,7 +150,8 @@
             incarnation -> isListed(placer, incarnation),
             counts,
             loop,
-            clock);
+            clock,
+            SystemClock.INSTANCE);
     LatestAdapterVersions versions = new LatestAdapterVersions();
     EndpointDirectory directory = new EndpointDirectory(settings.list());
     StreamOrigins streams =
@@ -570,6 +572,10 @@
 
     @Override
     public void incarnationSeen(EndpointIncarnation incarnation, String address) {
+      EndpointView view = context.placer().views().get(incarnation.id());
+      if (view != null && view.incarnation().maybeSameAs(incarnation)) {
+        context.crashes().seen(view.incarnation());
+      }
       apply(context.directory().agentReported(incarnation, address, clock.millis()));
     }
 
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
@@ -512,7 +512,7 @@
     context.metrics().attemptEnded(outcome.label(), now() - sentMillis);
     EndpointView left = endpoint;
     if (outcome.connectionLost()) {
-      context.crashes().connectionLost(left, suspects, from.answeredForLong());
+      context.crashes().connectionLost(left, suspects, from.evidence());
     } else if (outcome instanceof AttemptOutcome.Completed) {
       context.crashes().completed(suspects);
       if (from.answered()) {
@@ -704,7 +704,7 @@
   private void cancelAttempt() {
     if (attempt != null) {
       attempt.cancel();
-      context.crashes().cancelled(endpoint, suspects, attempt.answeredForLong());
+      context.crashes().cancelled(endpoint, suspects, attempt.evidence());
     }
   }
 
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/RelayedLosses.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/RelayedLosses.java
@@ -2,13 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Set;
 import org.hornbeamusher.ids.EndpointIncarnation;
-import org.hornbeamusher.quarantine.CrashSuspect;
 
 /**
- * The lost connections of other entries that ended before they knew whether the endpoints had
- * crashed. Each waits until its endpoint ends or responds, or a time limit has passed.
+ * The lost requests of other entries that ended before they knew whether the endpoints had crashed.
+ * Each waits until its endpoint ends or responds, or a time limit has passed.
  */
 final class RelayedLosses {
 
@@ -21,10 +19,10 @@
     this.maxAgeMillis = maxAgeMillis;
   }
 
-  void add(EndpointIncarnation endpoint, Set<CrashSuspect> suspects, long now) {
+  void add(LostRequest request, long now) {
     losses.removeIf(each -> now - each.atMillis() >= maxAgeMillis);
     if (losses.size() < MAX_LOSSES) {
-      losses.add(new Loss(endpoint, suspects, now));
+      losses.add(new Loss(request, now));
     }
   }
 
@@ -32,30 +30,18 @@
   void responded(EndpointIncarnation endpoint, long sentMillis) {
     if (!losses.isEmpty()) {
       losses.removeIf(
-          each -> each.endpoint().maybeSameAs(endpoint) && sentMillis > each.atMillis());
+          each -> each.request().endpoint().maybeSameAs(endpoint) && sentMillis > each.atMillis());
     }
   }
 
-  /** Removes and returns the losses at an endpoint that has ended. */
-  List<Loss> removeAt(EndpointIncarnation endpoint) {
+  /** Removes and returns the requests that were lost at an endpoint that has ended. */
+  List<LostRequest> removeAt(EndpointIncarnation endpoint) {
     List<Loss> removed =
-        losses.stream().filter(each -> each.endpoint().maybeSameAs(endpoint)).toList();
+        losses.stream().filter(each -> each.request().endpoint().maybeSameAs(endpoint)).toList();
     losses.removeAll(removed);
-    return removed;
+    return removed.stream().map(Loss::request).toList();
   }
 
-  /**
-   * A lost connection.
-   *
-   * @param endpoint where the connection led
-   * @param suspects what the request has in common with others
-   * @param atMillis when an agent reported it
-   */
-  record Loss(EndpointIncarnation endpoint, Set<CrashSuspect> suspects, long atMillis) {
-
-    /** Copies the set. */
-    Loss {
-      suspects = Set.copyOf(suspects);
-    }
-  }
+  /** A lost request and when an agent reported it. */
+  private record Loss(LostRequest request, long atMillis) {}
 }
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/RequestCrashes.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/RequestCrashes.java
@@ -1,14 +1,12 @@
 package org.hornbeamusher.forwarding;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
-import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Predicate;
 import org.hornbeamusher.clock.Clock;
 import org.hornbeamusher.events.EventLog;
@@ -42,6 +40,9 @@
  *   <li>without either within a time limit nothing is recorded.
  * </ul>
  *
+ * <p>The end of an endpoint counts only for requests after whose send it is known to have run, see
+ * {@link LostRequest}; without that the loss counts for nothing, before the verdict and after it.
+ *
  * <p>Until the verdict the loss counts at this entry as if the endpoint had crashed, so that a
  * retry of the same request does not reach another endpoint in the meantime. It does not count for
  * parts of the prompt: other requests with them would be refused wherever connections are reset.
@@ -68,16 +69,16 @@
 
   private static final int MAX_CHECKS = 4;
 
-  private static final long SUSPECT_LOG_INTERVAL_MILLIS = 1_000;
+  /** What shows that an incarnation has ended: an agent or the list reports the next one. */
+  private static final String RESTARTED = "restarted";
+
+  private static final long LOG_INTERVAL_MILLIS = 1_000;
 
   /** An endpoint stops a cancelled request within half a second; its end is noticed a bit later. */
   private static final long CANCELLED_MILLIS = 1_000;
 
   private static final int MAX_CANCELLED = 1_000;
 
-  /** Agents and the list may report an end before this entry notices the lost connections. */
-  private static final int MAX_ENDED = 256;
-
   private final CrashHistory history;
   private final PromptPartQuarantine partQuarantine;
   private final CrashReports reports;
@@ -85,26 +86,24 @@
   private final ForwardMetrics metrics;
   private final EventLoop loop;
   private final Clock clock;
+  private final Clock wallClock;
   private final Predicate<EndpointIncarnation> isListed;
   private final Map<EndpointIncarnation, Losses> losses = new HashMap<>();
   private final RelayedLosses relayed = new RelayedLosses(VERDICT_TIMEOUT_MILLIS);
 
+  private final EndpointLiveness liveness = new EndpointLiveness(VERDICT_TIMEOUT_MILLIS);
+
+  /** When the next request that does not count for the end of its endpoint is logged. */
+  private long nextUncountedLogMillis;
+
+  /** Number of those that were not logged. */
+  private int uncountedUnlogged;
+
   /** When the next request with an explained suspect is logged. */
   private long nextSuspectLogMillis;
 
   /** The requests that were cancelled recently, the oldest first. */
-  private final Deque<Cancelled> cancelled = new ArrayDeque<>();
-
-  /** Incarnations that have ended, and when. */
-  private final Map<EndpointIncarnation, Long> ended =
-      new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<EndpointIncarnation, Long> eldest) {
-          return size() > MAX_ENDED;
-        }
-      };
+  private final Deque<LostRequest> cancelled = new ArrayDeque<>();
 
   /**
    * Creates an instance for an entry that has sent nothing yet.
@@ -116,6 +115,7 @@
    * @param metrics the metrics
    * @param loop the event loop
    * @param clock monotonic
+   * @param wallClock time since the epoch, by which records of several processes are compared
    */
   RequestCrashes(
       CrashHistory history,
@@ -124,7 +124,8 @@
       Predicate<EndpointIncarnation> isListed,
       ForwardMetrics metrics,
       EventLoop loop,
-      Clock clock) {
+      Clock clock,
+      Clock wallClock) {
     this.history = history;
     this.partQuarantine = new PromptPartQuarantine(history.crashLimit(), history::openCrashes);
     this.reports = reports;
@@ -133,6 +134,7 @@
     this.metrics = metrics;
     this.loop = loop;
     this.clock = clock;
+    this.wallClock = wallClock;
     reports.setLossListener(this::lossRelayed);
   }
 
@@ -162,14 +164,14 @@
         .findFirst()
         .ifPresent(
             part -> {
-              nextSuspectLogMillis = now + SUSPECT_LOG_INTERVAL_MILLIS;
+              nextSuspectLogMillis = now + LOG_INTERVAL_MILLIS;
               EventLog.log(EventType.EXPLAINED_SUSPECT_SENT, "id", id, "content", part);
             });
   }
 
   private HornbeamusherException refuse(String id, CrashSuspect suspect) {
-    int confirmed = history.openCrashes(suspect).size();
-    int unconfirmed = unconfirmed(suspect);
+    int confirmed = history.independentCrashes(suspect);
+    int unconfirmed = unconfirmed(suspect).size();
     metrics.crashingRequestRefused();
     EventLog.log(
         EventType.QUARANTINED_REQUEST_REFUSED,
@@ -208,46 +210,80 @@
         || losses.values().stream().anyMatch(each -> each.mayContain(bodyBytes));
   }
 
-  private int unconfirmed(CrashSuspect suspect) {
-    int count = 0;
+  private List<CrashRecord.Crash> unconfirmed(CrashSuspect suspect) {
+    List<CrashRecord.Crash> crashes = new ArrayList<>();
     for (Losses each : losses.values()) {
-      if (each.suspects.contains(suspect)) {
-        count++;
+      LostRequest lost = each.requests.get(suspect);
+      if (lost != null) {
+        crash(suspect, lost).ifPresent(crashes::add);
       }
     }
-    return count;
+    return crashes;
   }
 
-  /**
-   * Called when a request lost its connection to an endpoint.
-   *
-   * @param answered whether the endpoint had been answering for a while, so that no part of the
-   *     prompt caused its crash
-   */
-  void connectionLost(EndpointView endpoint, RequestSuspects request, boolean answered) {
+  private Optional<CrashRecord.Crash> crash(CrashSuspect suspect, LostRequest lost) {
+    return withLastSeen(lost)
+        .withTimesShiftedBy(epochOffsetMillis())
+        .crash(suspect, wallClock.millis());
+  }
+
+  private LostRequest withLastSeen(LostRequest lost) {
+    return lost.withLastSeen(liveness.lastSeenMillis(lost.endpoint()));
+  }
+
+  /** Returns the time since the epoch at the zero of the monotonic clock. */
+  private long epochOffsetMillis() {
+    return wallClock.millis() - clock.millis();
+  }
+
+  /** Called when a request lost its connection to an endpoint. */
+  void connectionLost(EndpointView endpoint, RequestSuspects request, AttemptEvidence attempt) {
     EndpointIncarnation incarnation = endpoint.incarnation();
     if (endpoint.leaving()) {
       return;
     }
-    Set<CrashSuspect> suspects = suspects(request, answered);
-    if (hasEnded(incarnation)) {
-      record(incarnation, suspects);
+    long now = clock.millis();
+    LostRequest lost = lostRequest(incarnation, request, attempt);
+    Optional<EndpointLiveness.End> end = liveness.end(incarnation, now);
+    if (end.isPresent()) {
+      // With the next incarnation running, an attempt that was still open was at that one.
+      if (!end.get().successorRuns() || attempt.endedByPeer()) {
+        record(List.of(lost));
+      } else {
+        logUncounted(lost);
+      }
       return;
     }
     Losses known = losses.get(incarnation);
     if (known == null) {
-      known = new Losses(endpoint, clock.millis());
+      known = new Losses(endpoint, now);
       losses.put(incarnation, known);
       checkLater(known, FIRST_CHECK_MILLIS);
     }
-    known.suspects.addAll(suspects);
-    known.lastMillis = clock.millis();
-    reports.connectionLost(incarnation, suspects);
+    known.add(lost);
+    known.lastMillis = now;
+    LostRequest withLastSeen = withLastSeen(lost);
+    if (withLastSeen.mayBeCause()) {
+      reports.connectionLost(withLastSeen.withTimesShiftedBy(epochOffsetMillis()));
+    }
+  }
+
+  private LostRequest lostRequest(
+      EndpointIncarnation incarnation, RequestSuspects request, AttemptEvidence attempt) {
+    return new LostRequest(
+        incarnation,
+        LostRequest.suspects(request, attempt.answered()),
+        attempt.sentMillis(),
+        attempt.endedByPeer() ? attempt.sentMillis() : EndpointLiveness.NEVER,
+        clock.millis());
   }
 
   /** Handles a loss whose cause another entry did not find out before it ended. */
-  private void lossRelayed(EndpointIncarnation incarnation, Set<CrashSuspect> suspects) {
-    boolean crashed = hasEnded(incarnation) || !isListed.test(incarnation);
+  private void lossRelayed(LostRequest relayedLoss) {
+    LostRequest lost = relayedLoss.withTimesShiftedBy(-epochOffsetMillis());
+    EndpointIncarnation incarnation = lost.endpoint();
+    boolean crashed =
+        liveness.end(incarnation, clock.millis()).isPresent() || !isListed.test(incarnation);
     EventLog.log(
         EventType.CONNECTION_LOSS_RELAYED,
         "endpoint",
@@ -255,52 +291,37 @@
         "start_ms",
         incarnation.startMillis(),
         "suspects",
-        suspects.size(),
+        lost.suspects().size(),
+        "counted",
+        lost.mayBeCause(),
         "crashed",
         crashed);
+    if (!lost.mayBeCause()) {
+      return;
+    }
     if (crashed) {
-      record(incarnation, suspects);
+      record(List.of(lost));
     } else {
-      relayed.add(incarnation, suspects, clock.millis());
-    }
-  }
-
-  private static Set<CrashSuspect> suspects(RequestSuspects request, boolean answered) {
-    Set<CrashSuspect> suspects = new HashSet<>();
-    suspects.add(request.content());
-    if (!answered) {
-      suspects.addAll(request.parts());
+      relayed.add(lost, clock.millis());
     }
-    return suspects;
   }
 
-  /**
-   * Called when a request at an endpoint is cancelled; the endpoint may still run it.
-   *
-   * @param answered as for {@link #connectionLost}
-   */
-  void cancelled(EndpointView endpoint, RequestSuspects request, boolean answered) {
+  /** Called when a request at an endpoint is cancelled; the endpoint may still run it. */
+  void cancelled(EndpointView endpoint, RequestSuspects request, AttemptEvidence attempt) {
     if (!endpoint.leaving()) {
       removeOldCancelled();
-      cancelled.add(
-          new Cancelled(endpoint.incarnation(), suspects(request, answered), clock.millis()));
+      cancelled.add(lostRequest(endpoint.incarnation(), request, attempt));
     }
   }
 
   private void removeOldCancelled() {
     long oldest = clock.millis() - CANCELLED_MILLIS;
     while (!cancelled.isEmpty()
-        && (cancelled.peek().atMillis() < oldest || cancelled.size() >= MAX_CANCELLED)) {
+        && (cancelled.peek().lostMillis() < oldest || cancelled.size() >= MAX_CANCELLED)) {
       cancelled.remove();
     }
   }
 
-  private boolean hasEnded(EndpointIncarnation incarnation) {
-    long now = clock.millis();
-    ended.values().removeIf(at -> now - at >= VERDICT_TIMEOUT_MILLIS);
-    return ended.keySet().stream().anyMatch(incarnation::maybeSameAs);
-  }
-
   /** Called when an endpoint has completed a request. */
   void completed(RequestSuspects request) {
     if (history.mayContain(request.bodyBytes())) {
@@ -327,6 +348,7 @@
 
   /** Called when an endpoint has responded to a request. */
   void responded(EndpointIncarnation incarnation, long sentMillis) {
+    seen(incarnation);
     Losses known = losses.get(incarnation);
     if (known != null && sentMillis > known.lastMillis) {
       alive(known, "responded");
@@ -334,18 +356,25 @@
     relayed.responded(incarnation, sentMillis);
   }
 
+  /** Called when data of a response or an agent shows that an incarnation runs. */
+  void seen(EndpointIncarnation incarnation) {
+    liveness.seen(incarnation, clock.millis());
+  }
+
   /** Called when an incarnation of an endpoint has ended. */
   void incarnationEnded(EndpointIncarnation incarnation, String evidence) {
-    ended.put(incarnation, clock.millis());
+    long now = clock.millis();
+    liveness.ended(incarnation, evidence.equals(RESTARTED), now);
     removeOldCancelled();
     cancelled.stream()
         .filter(each -> each.endpoint().maybeSameAs(incarnation))
-        .forEach(each -> record(incarnation, each.suspects()));
-    relayed.removeAt(incarnation).forEach(each -> record(each.endpoint(), each.suspects()));
+        .forEach(each -> record(List.of(each)));
+    relayed.removeAt(incarnation).forEach(each -> record(List.of(each)));
     List<Losses> affected =
         losses.values().stream().filter(each -> each.incarnation.maybeSameAs(incarnation)).toList();
     for (Losses each : affected) {
       losses.remove(each.incarnation);
+      long lastSeen = liveness.lastSeenMillis(each.incarnation);
       EventLog.log(
           EventType.ENDPOINT_CRASHED,
           "endpoint",
@@ -355,27 +384,71 @@
           "evidence",
           evidence,
           "requests",
-          each.requests(),
+          each.contents(),
+          "counted",
+          each.countedContents(lastSeen),
+          "last_seen_ms",
+          ageMillis(lastSeen),
           "after_ms",
-          clock.millis() - each.firstMillis);
-      record(each.incarnation, each.suspects);
+          now - each.firstMillis);
+      each.requests.forEach(this::record);
     }
   }
 
-  private void record(EndpointIncarnation incarnation, Set<CrashSuspect> suspects) {
-    for (CrashSuspect suspect : suspects) {
-      boolean quarantined = history.isQuarantined(suspect, 0);
-      history
-          .recordCrash(suspect, incarnation, clock.millis())
-          .ifPresent(
-              changed -> {
-                metrics.crashRecorded();
-                reports.logChange(changed, quarantined, "own");
-                reports.changed(changed);
-              });
+  /** Returns how long ago an endpoint was last seen; -1 if it never was. */
+  private long ageMillis(long lastSeenMillis) {
+    return lastSeenMillis == EndpointLiveness.NEVER ? -1 : clock.millis() - lastSeenMillis;
+  }
+
+  private void record(List<LostRequest> requests) {
+    for (LostRequest lost : requests) {
+      if (!withLastSeen(lost).mayBeCause()) {
+        logUncounted(lost);
+        continue;
+      }
+      lost.suspects().forEach(suspect -> record(suspect, lost));
     }
   }
 
+  private void record(CrashSuspect suspect, LostRequest lost) {
+    crash(suspect, lost).ifPresent(crash -> record(suspect, crash));
+  }
+
+  private void record(CrashSuspect suspect, CrashRecord.Crash crash) {
+    boolean quarantined = history.isQuarantined(suspect, 0);
+    history
+        .recordCrash(suspect, crash, clock.millis())
+        .ifPresent(
+            changed -> {
+              metrics.crashRecorded();
+              reports.logChange(changed, quarantined, "own");
+              reports.changed(changed);
+            });
+  }
+
+  /** Logs at most once a second that an end does not count for a request. */
+  private void logUncounted(LostRequest lost) {
+    long now = clock.millis();
+    uncountedUnlogged++;
+    if (now < nextUncountedLogMillis) {
+      return;
+    }
+    nextUncountedLogMillis = now + LOG_INTERVAL_MILLIS;
+    EventLog.log(
+        EventType.CRASH_NOT_COUNTED,
+        "endpoint",
+        lost.endpoint().id(),
+        "start_ms",
+        lost.endpoint().startMillis(),
+        "sent_ms",
+        now - lost.sentMillis(),
+        "last_seen_ms",
+        ageMillis(liveness.lastSeenMillis(lost.endpoint())),
+        "requests",
+        uncountedUnlogged);
+    uncountedUnlogged = 0;
+  }
+
   private void alive(Losses known, String evidence) {
     losses.remove(known.incarnation);
     EventLog.log(
@@ -385,7 +458,7 @@
         "evidence",
         evidence,
         "requests",
-        known.requests(),
+        known.contents(),
         "after_ms",
         clock.millis() - known.firstMillis);
   }
@@ -419,17 +492,16 @@
     }
   }
 
-  /** A request that was cancelled while it was at an endpoint. */
-  private record Cancelled(
-      EndpointIncarnation endpoint, Set<CrashSuspect> suspects, long atMillis) {}
-
   /** The requests whose connections to one incarnation of an endpoint were lost. */
   private static final class Losses {
 
     private final EndpointView endpoint;
     private final EndpointIncarnation incarnation;
     private final long firstMillis;
-    private final Set<CrashSuspect> suspects = new HashSet<>();
+
+    /** The request that shows most about a crash, for each suspect. */
+    private final Map<CrashSuspect, LostRequest> requests = new HashMap<>();
+
     private long lastMillis;
     private int checks;
 
@@ -439,16 +511,39 @@
       this.firstMillis = now;
     }
 
+    void add(LostRequest lost) {
+      for (CrashSuspect suspect : lost.suspects()) {
+        requests.merge(suspect, lost, Losses::stronger);
+      }
+    }
+
+    private static LostRequest stronger(LostRequest one, LostRequest other) {
+      if (one.mayBeCause() != other.mayBeCause()) {
+        return one.mayBeCause() ? one : other;
+      }
+      boolean oneIsLater = one.sentMillis() > other.sentMillis();
+      // If it depends on when the endpoint was last seen, an earlier send shows more.
+      return one.mayBeCause() == oneIsLater ? one : other;
+    }
+
     boolean mayContain(int bodyBytes) {
-      return suspects.stream()
+      return requests.keySet().stream()
           .anyMatch(
               suspect ->
                   suspect instanceof RequestContent content && content.bodyBytes() == bodyBytes);
     }
 
     /** Returns the number of different requests. */
-    long requests() {
-      return suspects.stream().filter(RequestContent.class::isInstance).count();
+    long contents() {
+      return requests.keySet().stream().filter(RequestContent.class::isInstance).count();
+    }
+
+    /** Returns the number of different requests for which the end of the endpoint counts. */
+    long countedContents(long lastSeenMillis) {
+      return requests.entrySet().stream()
+          .filter(each -> each.getKey() instanceof RequestContent)
+          .filter(each -> each.getValue().withLastSeen(lastSeenMillis).mayBeCause())
+          .count();
     }
   }
 }
--- a/runtime/src/main/java/org/hornbeamusher/quarantine/CrashRecord.java
+++ b/runtime/src/main/java/org/hornbeamusher/quarantine/CrashRecord.java
@@ -24,8 +24,25 @@
    * @param endpoint the incarnation
    * @param cleared whether a request with the same suspect has been answered since, so that this
    *     crash had another cause
+   * @param ended when the endpoint ended; distinguishes crashes that may have another cause in
+   *     common
    */
-  public record Crash(EndpointIncarnation endpoint, boolean cleared) {}
+  public record Crash(EndpointIncarnation endpoint, boolean cleared, EndInterval ended) {
+
+    /**
+     * Creates a crash at an unknown time.
+     *
+     * @param endpoint the incarnation
+     * @param cleared whether a request with the same suspect has been answered since
+     */
+    public Crash(EndpointIncarnation endpoint, boolean cleared) {
+      this(endpoint, cleared, EndInterval.UNKNOWN);
+    }
+
+    private Crash mergedWith(Crash other) {
+      return new Crash(endpoint, cleared || other.cleared, ended.mergedWith(other.ended));
+    }
+  }
 
   /** Copies the list and drops the oldest crashes of one that is too long. */
   public CrashRecord {
@@ -42,34 +59,39 @@
     return (int) crashes.stream().filter(crash -> !crash.cleared()).count();
   }
 
-  /** Returns the incarnations of the crashes that are not cleared. */
-  List<EndpointIncarnation> openIncarnations() {
-    return crashes.stream().filter(crash -> !crash.cleared()).map(Crash::endpoint).toList();
-  }
-
   /**
-   * Adds a crash.
+   * Counts the crashes that are not cleared and had no cause in common other than the suspect.
    *
-   * @param endpoint the incarnation that crashed
-   * @return this record if it has that crash already
+   * @return at most {@link #openCrashes()}
    */
-  CrashRecord with(EndpointIncarnation endpoint) {
-    return mergedWith(new CrashRecord(suspect, List.of(new Crash(endpoint, false))));
+  public int independentCrashes() {
+    return IndependentCrashes.count(suspect, open());
+  }
+
+  /** Returns the crashes that are not cleared. */
+  List<Crash> open() {
+    return crashes.stream().filter(crash -> !crash.cleared()).toList();
+  }
+
+  /** Adds a crash; returns an equal record if that adds nothing. */
+  CrashRecord with(Crash crash) {
+    return mergedWith(new CrashRecord(suspect, List.of(crash)));
   }
 
   /** Returns this record with all crashes cleared. */
   CrashRecord cleared() {
     return new CrashRecord(
-        suspect, crashes.stream().map(crash -> new Crash(crash.endpoint(), true)).toList());
+        suspect,
+        crashes.stream().map(crash -> new Crash(crash.endpoint(), true, crash.ended())).toList());
   }
 
   /** Returns whether a crash that is open in another record is cleared in this one. */
   boolean clearsAnyOf(CrashRecord other) {
-    return other.openIncarnations().stream()
+    return other.open().stream()
         .anyMatch(
             open ->
                 crashes.stream()
-                    .anyMatch(own -> own.cleared() && own.endpoint().maybeSameAs(open)));
+                    .anyMatch(own -> own.cleared() && own.endpoint().maybeSameAs(open.endpoint())));
   }
 
   /** Returns the crashes of both records; one that either has cleared is cleared. */
@@ -79,8 +101,8 @@
       int known = indexOf(merged, crash.endpoint());
       if (known < 0) {
         merged.add(crash);
-      } else if (crash.cleared()) {
-        merged.set(known, new Crash(merged.get(known).endpoint(), true));
+      } else {
+        merged.set(known, merged.get(known).mergedWith(crash));
       }
     }
     return new CrashRecord(suspect, merged);
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/quarantine/EndInterval.java
@@ -0,0 +1,56 @@
+package org.hornbeamusher.quarantine;
+
+/**
+ * When an endpoint ended, as far as this is known: after it was last known to run and before its
+ * end was noticed.
+ *
+ * <p>Both times are read from the clock of the process that noticed the end, so that they can be
+ * stored and compared between processes. If the clocks of two processes that noticed one end
+ * differ, the merged interval is too long, and the end is taken for simultaneous with more others.
+ *
+ * @param afterMillis when the endpoint was last known to run, in milliseconds since the epoch
+ * @param beforeMillis when its end was noticed, in milliseconds since the epoch; 0 if this is not
+ *     known
+ */
+public record EndInterval(long afterMillis, long beforeMillis) {
+
+  /** The end of an endpoint whose time was not recorded. */
+  public static final EndInterval UNKNOWN = new EndInterval(0, 0);
+
+  /** Rejects negative times. */
+  public EndInterval {
+    if (afterMillis < 0 || beforeMillis < 0) {
+      throw new IllegalArgumentException("negative time: " + afterMillis + " " + beforeMillis);
+    }
+  }
+
+  /**
+   * Returns whether the time is known.
+   *
+   * @return false for {@link #UNKNOWN}
+   */
+  public boolean isKnown() {
+    return beforeMillis > 0;
+  }
+
+  /** Returns the interval in which the endpoint ended according to both. */
+  EndInterval mergedWith(EndInterval other) {
+    if (!isKnown()) {
+      return other;
+    }
+    return other.isKnown()
+        ? new EndInterval(
+            Math.max(afterMillis, other.afterMillis), Math.min(beforeMillis, other.beforeMillis))
+        : this;
+  }
+
+  /** Returns the earliest time; the bounds are reversed if they were read from different clocks. */
+  long earliestMillis() {
+    return Math.min(afterMillis, beforeMillis);
+  }
+
+  /** Returns the latest time. */
+  long latestMillis() {
+    return Math.max(afterMillis, beforeMillis);
+  }
+}
--- a/runtime/src/main/java/org/hornbeamusher/quarantine/PromptPartQuarantine.java
+++ b/runtime/src/main/java/org/hornbeamusher/quarantine/PromptPartQuarantine.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Function;
-import org.hornbeamusher.ids.EndpointIncarnation;
 
 /**
  * Decides which requests are refused because of a part of their prompts.
@@ -30,16 +29,16 @@
 public final class PromptPartQuarantine {
 
   private final int crashLimit;
-  private final Function<CrashSuspect, List<EndpointIncarnation>> crashes;
+  private final Function<CrashSuspect, List<CrashRecord.Crash>> crashes;
 
   /**
    * Creates a decision.
    *
    * @param crashLimit number of crashes from which a part is a suspect
-   * @param crashes returns the endpoints that crashed under a suspect and are not cleared
+   * @param crashes returns the crashes of a suspect that are not cleared
    */
   public PromptPartQuarantine(
-      int crashLimit, Function<CrashSuspect, List<EndpointIncarnation>> crashes) {
+      int crashLimit, Function<CrashSuspect, List<CrashRecord.Crash>> crashes) {
     this.crashLimit = crashLimit;
     this.crashes = crashes;
   }
@@ -67,11 +66,14 @@
   }
 
   private boolean explains(CrashSuspect other, PromptPartId suspect) {
-    List<EndpointIncarnation> explained = crashes.apply(other);
-    long left =
+    List<CrashRecord.Crash> explained = crashes.apply(other);
+    List<CrashRecord.Crash> left =
         crashes.apply(suspect).stream()
-            .filter(crash -> explained.stream().noneMatch(crash::maybeSameAs))
-            .count();
-    return left < crashLimit;
+            .filter(
+                crash ->
+                    explained.stream()
+                        .noneMatch(each -> each.endpoint().maybeSameAs(crash.endpoint())))
+            .toList();
+    return IndependentCrashes.count(suspect, left) < crashLimit;
   }
 }
--- a/runtime/src/main/java/org/hornbeamusher/suspects/CrashRecordCodec.java
+++ b/runtime/src/main/java/org/hornbeamusher/suspects/CrashRecordCodec.java
@@ -13,6 +13,7 @@
 import org.hornbeamusher.ids.EndpointIncarnation;
 import org.hornbeamusher.quarantine.CrashRecord;
 import org.hornbeamusher.quarantine.CrashSuspect;
+import org.hornbeamusher.quarantine.EndInterval;
 
 /** Encodes crash records as JSON, for rows of the table and for messages between processes. */
 public final class CrashRecordCodec {
@@ -35,7 +36,9 @@
           .addObject()
           .put("endpoint", crash.endpoint().id().value())
           .put("start_ms", crash.endpoint().startMillis())
-          .put("cleared", crash.cleared());
+          .put("cleared", crash.cleared())
+          .put("ended_after_ms", crash.ended().afterMillis())
+          .put("ended_before_ms", crash.ended().beforeMillis());
     }
     return json.toString().getBytes(StandardCharsets.UTF_8);
   }
@@ -57,7 +60,8 @@
                 new EndpointIncarnation(
                     new EndpointId(crash.path("endpoint").asText()),
                     crash.path("start_ms").asLong(EndpointIncarnation.UNKNOWN_START)),
-                crash.path("cleared").asBoolean()));
+                crash.path("cleared").asBoolean(),
+                ended(crash)));
       }
       return suspect
           .filter(unused -> !crashes.isEmpty())
@@ -66,4 +70,19 @@
       return Optional.empty();
     }
   }
+
+  /** Returns the time of a crash; unknown in records of releases that did not state it. */
+  private static EndInterval ended(JsonNode crash) {
+    return crash.has("ended_after_ms") || crash.has("ended_before_ms")
+        ? new EndInterval(
+            millis(crash.path("ended_after_ms")), millis(crash.path("ended_before_ms")))
+        : EndInterval.UNKNOWN;
+  }
+
+  private static long millis(JsonNode time) {
+    if (!time.isIntegralNumber() || !time.canConvertToLong()) {
+      throw new IllegalArgumentException("not a time: " + time);
+    }
+    return time.longValue();
+  }
 }
--- a/runtime/src/main/java/org/hornbeamusher/wire/Message.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/Message.java
@@ -262,14 +262,35 @@
    * @param endpoint the id of the endpoint
    * @param startMillis the start of its incarnation
    * @param suspects what the request has in common with others, as {@code CrashSuspect} writes it
+   * @param sentMillis when the request was sent, in milliseconds since the epoch
+   * @param runningMillis when the endpoint was last known to run, in milliseconds since the epoch
+   * @param lostMillis when the connection was lost, in milliseconds since the epoch; 0 from a
+   *     sender that does not state it
    */
-  record ConnectionLoss(String endpoint, long startMillis, List<String> suspects)
+  record ConnectionLoss(
+      String endpoint,
+      long startMillis,
+      List<String> suspects,
+      long sentMillis,
+      long runningMillis,
+      long lostMillis)
       implements Message {
 
     /** Copies the list. */
     public ConnectionLoss {
       suspects = List.copyOf(suspects);
     }
+
+    /**
+     * Creates a loss without times, as releases before them send it.
+     *
+     * @param endpoint the id of the endpoint
+     * @param startMillis the start of its incarnation
+     * @param suspects what the request has in common with others
+     */
+    public ConnectionLoss(String endpoint, long startMillis, List<String> suspects) {
+      this(endpoint, startMillis, suspects, 0, 0, 0);
+    }
   }
 
   /**
--- a/runtime/src/main/java/org/hornbeamusher/wire/MessageCodec.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/MessageCodec.java
@@ -230,8 +230,9 @@
               .packBoolean(m.softwareKnown());
       case Message.CrashReport m -> packBytes(packHeader(p, CRASH_REPORT, 1), m.record());
       case Message.ConnectionLoss m -> {
-        packHeader(p, CONNECTION_LOSS, 3).packString(m.endpoint()).packLong(m.startMillis());
+        packHeader(p, CONNECTION_LOSS, 6).packString(m.endpoint()).packLong(m.startMillis());
         packStrings(p, m.suspects());
+        p.packLong(m.sentMillis()).packLong(m.runningMillis()).packLong(m.lostMillis());
       }
       case Message.Unknown m -> packHeader(p, m.type(), 0);
     }
@@ -383,7 +384,13 @@
               r.readLong(), r.readString(), r.readString(), r.readBoolean());
       case CRASH_REPORT -> new Message.CrashReport(r.readBytes());
       case CONNECTION_LOSS ->
-          new Message.ConnectionLoss(r.readString(), r.readLong(), r.readStrings());
+          new Message.ConnectionLoss(
+              r.readString(),
+              r.readLong(),
+              r.readStrings(),
+              r.readLong(),
+              r.readLong(),
+              r.readLong());
       default -> new Message.Unknown(type);
     };
   }
