--- a/runtime/src/test/java/org/hornbeamusher/forwarding/CrashingRequestSimulation.java
+++ b/runtime/src/test/java/org/hornbeamusher/forwarding/CrashingRequestSimulation.java
@@ -110,6 +110,9 @@
   /** How many different requests there are that crash nothing; 0 if each is different. */
   private int soundContents;
 
+  /** How far the wall clocks of entries may differ; applies to those that start later. */
+  private int maxSkewMillis;
+
   private boolean relayUp = true;
   private int incarnations;
   private long requests = 1_000;
@@ -213,6 +216,10 @@
     runMillis = millis;
   }
 
+  void setClockSkew(int maxMillis) {
+    maxSkewMillis = maxMillis;
+  }
+
   void setSoundContents(int count) {
     soundContents = count;
   }
@@ -510,6 +517,9 @@
 
     private boolean running = true;
 
+    /** How far the wall clock of its machine is ahead. */
+    private final long skewMillis = maxSkewMillis == 0 ? 0 : random.nextInt(maxSkewMillis);
+
     private final CrashHistory history = new CrashHistory(QuarantineSettings.WITHOUT_ISOLATION);
     private final CrashReports reports =
         new CrashReports(
@@ -528,7 +538,7 @@
             new ForwardMetrics(new MetricRegistry()),
             this,
             loop.clock(),
-            () -> EPOCH_MILLIS + loop.clock().millis());
+            () -> EPOCH_MILLIS + skewMillis + loop.clock().millis());
 
     /** The endpoints that this entry knows to have ended. */
     private final Set<EndpointView> ended = new HashSet<>();
--- a/runtime/src/test/java/org/hornbeamusher/forwarding/EndpointsLostTogetherTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/forwarding/EndpointsLostTogetherTest.java
@@ -5,6 +5,7 @@
 
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import net.jqwik.api.Tag;
 import net.jqwik.api.constraints.IntRange;
 import org.hornbeamusher.forwarding.CrashingRequestSimulation.Cause;
 
@@ -14,6 +15,7 @@
   private static final int ENTRIES = 40;
   private static final int ENDPOINTS = 60;
   private static final int ZONE = 20;
+  private static final int MAX_SKEW_MILLIS = 10_000;
   private static final int NO_CRASHES = 0;
   private static final long LOSS_MILLIS = 500;
   private static final long END_MILLIS = 10_000;
@@ -72,6 +74,33 @@
     checkNoneRefused(simulation);
   }
 
+  /** Guards against ends at one time that look like several because clocks differ. */
+  @Property(tries = 8, seed = "6")
+  void soundRequestsAreServedWhenZoneIsLostThoughClocksDiffer(
+      @ForAll @IntRange(max = 10_000) int seed, @ForAll boolean differentContents) {
+    CrashingRequestSimulation simulation = simulation(seed, differentContents);
+    simulation.setClockSkew(MAX_SKEW_MILLIS);
+    simulation.restartAll();
+    simulation.runUntil(LOSS_MILLIS, NO_CRASHES);
+    simulation.loseMachines(ZONE, 100);
+    simulation.runUntil(END_MILLIS, NO_CRASHES);
+    checkNoneRefused(simulation);
+  }
+
+  /** Guards against connections lost at one time that look like several because clocks differ. */
+  @Tag("known-red")
+  @Property(tries = 8, seed = "7")
+  void soundRequestsAreServedWhenAllEndpointsAreEndedThoughClocksDiffer(
+      @ForAll @IntRange(max = 10_000) int seed, @ForAll boolean differentContents) {
+    CrashingRequestSimulation simulation = simulation(seed, differentContents);
+    simulation.setClockSkew(MAX_SKEW_MILLIS);
+    simulation.restartAll();
+    simulation.runUntil(LOSS_MILLIS, NO_CRASHES);
+    simulation.endAllProcesses();
+    simulation.runUntil(END_MILLIS, NO_CRASHES);
+    checkNoneRefused(simulation);
+  }
+
   /** Guards against a crashing part that escapes because a zone is lost as well. */
   @Property(tries = 8, seed = "5")
   void crashingPartIsRefusedThoughZoneIsLost(
