--- a/runtime/src/main/java/org/hornbeamusher/forwarding/RequestCrashes.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/RequestCrashes.java
@@ -21,7 +21,6 @@
 import org.hornbeamusher.quarantine.CrashSuspect;
 import org.hornbeamusher.quarantine.PromptPartId;
 import org.hornbeamusher.quarantine.PromptPartQuarantine;
-import org.hornbeamusher.quarantine.RequestContent;
 
 /**
  * Finds out which requests ran at endpoints that crashed, and refuses those of a quarantined
@@ -88,7 +87,7 @@
   private final Clock clock;
   private final Clock wallClock;
   private final Predicate<EndpointIncarnation> isListed;
-  private final Map<EndpointIncarnation, Losses> losses = new HashMap<>();
+  private final Map<EndpointIncarnation, EndpointLosses> losses = new HashMap<>();
   private final RelayedLosses relayed = new RelayedLosses(VERDICT_TIMEOUT_MILLIS);
 
   private final EndpointLiveness liveness = new EndpointLiveness(VERDICT_TIMEOUT_MILLIS);
@@ -212,11 +211,8 @@
 
   private List<CrashRecord.Crash> unconfirmed(CrashSuspect suspect) {
     List<CrashRecord.Crash> crashes = new ArrayList<>();
-    for (Losses each : losses.values()) {
-      LostRequest lost = each.requests.get(suspect);
-      if (lost != null) {
-        crash(suspect, lost).ifPresent(crashes::add);
-      }
+    for (EndpointLosses each : losses.values()) {
+      each.request(suspect).flatMap(lost -> crash(suspect, lost)).ifPresent(crashes::add);
     }
     return crashes;
   }
@@ -254,14 +250,13 @@
       }
       return;
     }
-    Losses known = losses.get(incarnation);
+    EndpointLosses known = losses.get(incarnation);
     if (known == null) {
-      known = new Losses(endpoint, now);
+      known = new EndpointLosses(endpoint, now);
       losses.put(incarnation, known);
       checkLater(known, FIRST_CHECK_MILLIS);
     }
     known.add(lost);
-    known.lastMillis = now;
     LostRequest withLastSeen = withLastSeen(lost);
     if (withLastSeen.mayBeCause()) {
       reports.connectionLost(withLastSeen.withTimesShiftedBy(epochOffsetMillis()));
@@ -349,8 +344,8 @@
   /** Called when an endpoint has responded to a request. */
   void responded(EndpointIncarnation incarnation, long sentMillis) {
     seen(incarnation);
-    Losses known = losses.get(incarnation);
-    if (known != null && sentMillis > known.lastMillis) {
+    EndpointLosses known = losses.get(incarnation);
+    if (known != null && sentMillis > known.lastMillis()) {
       alive(known, "responded");
     }
     relayed.responded(incarnation, sentMillis);
@@ -370,17 +365,19 @@
         .filter(each -> each.endpoint().maybeSameAs(incarnation))
         .forEach(each -> record(List.of(each)));
     relayed.removeAt(incarnation).forEach(each -> record(List.of(each)));
-    List<Losses> affected =
-        losses.values().stream().filter(each -> each.incarnation.maybeSameAs(incarnation)).toList();
-    for (Losses each : affected) {
-      losses.remove(each.incarnation);
-      long lastSeen = liveness.lastSeenMillis(each.incarnation);
+    List<EndpointLosses> affected =
+        losses.values().stream()
+            .filter(each -> each.incarnation().maybeSameAs(incarnation))
+            .toList();
+    for (EndpointLosses each : affected) {
+      losses.remove(each.incarnation());
+      long lastSeen = liveness.lastSeenMillis(each.incarnation());
       EventLog.log(
           EventType.ENDPOINT_CRASHED,
           "endpoint",
-          each.incarnation.id(),
+          each.incarnation().id(),
           "start_ms",
-          each.incarnation.startMillis(),
+          each.incarnation().startMillis(),
           "evidence",
           evidence,
           "requests",
@@ -390,8 +387,8 @@
           "last_seen_ms",
           ageMillis(lastSeen),
           "after_ms",
-          now - each.firstMillis);
-      each.requests.forEach(this::record);
+          now - each.firstMillis());
+      each.requests().forEach(this::record);
     }
   }
 
@@ -449,101 +446,47 @@
     uncountedUnlogged = 0;
   }
 
-  private void alive(Losses known, String evidence) {
-    losses.remove(known.incarnation);
+  private void alive(EndpointLosses known, String evidence) {
+    losses.remove(known.incarnation());
     EventLog.log(
         EventType.ENDPOINT_ALIVE,
         "endpoint",
-        known.incarnation.id(),
+        known.incarnation().id(),
         "evidence",
         evidence,
         "requests",
         known.contents(),
         "after_ms",
-        clock.millis() - known.firstMillis);
+        clock.millis() - known.firstMillis());
   }
 
-  private void checkLater(Losses known, long delayMillis) {
+  private void checkLater(EndpointLosses known, long delayMillis) {
     loop.after(delayMillis, () -> check(known));
   }
 
-  private void check(Losses known) {
-    if (losses.get(known.incarnation) != known) {
+  private void check(EndpointLosses known) {
+    if (losses.get(known.incarnation()) != known) {
       return;
     }
-    long age = clock.millis() - known.firstMillis;
-    if (known.checks >= MAX_CHECKS) {
+    long age = clock.millis() - known.firstMillis();
+    if (known.checks() >= MAX_CHECKS) {
       loop.after(
-          Math.max(0, VERDICT_TIMEOUT_MILLIS - age), () -> losses.remove(known.incarnation, known));
+          Math.max(0, VERDICT_TIMEOUT_MILLIS - age),
+          () -> losses.remove(known.incarnation(), known));
       return;
     }
-    known.checks++;
-    check.check(known.endpoint).thenAccept(result -> loop.execute(() -> checked(known, result)));
+    known.checkSent();
+    check.check(known.endpoint()).thenAccept(result -> loop.execute(() -> checked(known, result)));
   }
 
-  private void checked(Losses known, EndpointCheck.Result result) {
-    if (losses.get(known.incarnation) != known) {
+  private void checked(EndpointLosses known, EndpointCheck.Result result) {
+    if (losses.get(known.incarnation()) != known) {
       return;
     }
     switch (result) {
       case ALIVE -> alive(known, "health-check");
-      case ENDED -> incarnationEnded(known.incarnation, "health-check");
+      case ENDED -> incarnationEnded(known.incarnation(), "health-check");
       default -> checkLater(known, CHECK_INTERVAL_MILLIS);
     }
   }
-
-  /** The requests whose connections to one incarnation of an endpoint were lost. */
-  private static final class Losses {
-
-    private final EndpointView endpoint;
-    private final EndpointIncarnation incarnation;
-    private final long firstMillis;
-
-    /** The request that shows most about a crash, for each suspect. */
-    private final Map<CrashSuspect, LostRequest> requests = new HashMap<>();
-
-    private long lastMillis;
-    private int checks;
-
-    Losses(EndpointView endpoint, long now) {
-      this.endpoint = endpoint;
-      this.incarnation = endpoint.incarnation();
-      this.firstMillis = now;
-    }
-
-    void add(LostRequest lost) {
-      for (CrashSuspect suspect : lost.suspects()) {
-        requests.merge(suspect, lost, Losses::stronger);
-      }
-    }
-
-    private static LostRequest stronger(LostRequest one, LostRequest other) {
-      if (one.mayBeCause() != other.mayBeCause()) {
-        return one.mayBeCause() ? one : other;
-      }
-      boolean oneIsLater = one.sentMillis() > other.sentMillis();
-      // If it depends on when the endpoint was last seen, an earlier send shows more.
-      return one.mayBeCause() == oneIsLater ? one : other;
-    }
-
-    boolean mayContain(int bodyBytes) {
-      return requests.keySet().stream()
-          .anyMatch(
-              suspect ->
-                  suspect instanceof RequestContent content && content.bodyBytes() == bodyBytes);
-    }
-
-    /** Returns the number of different requests. */
-    long contents() {
-      return requests.keySet().stream().filter(RequestContent.class::isInstance).count();
-    }
-
-    /** Returns the number of different requests for which the end of the endpoint counts. */
-    long countedContents(long lastSeenMillis) {
-      return requests.entrySet().stream()
-          .filter(each -> each.getKey() instanceof RequestContent)
-          .filter(each -> each.getValue().withLastSeen(lastSeenMillis).mayBeCause())
-          .count();
-    }
-  }
 }
