--- a/runtime/src/main/java/org/hornbeamusher/features/ServingFeature.java
+++ b/runtime/src/main/java/org/hornbeamusher/features/ServingFeature.java
@@ -16,9 +16,7 @@
    * Requests are refused by the forecast of their first event, and callers are told to return when
    * capacity is expected; without it by fixed fractions of their time.
    */
-  FORECAST("forecast"),
-  /** Runs without progress are ended and, where allowed, repeated or resumed elsewhere. */
-  STALL_DETECTION("stall-detection");
+  FORECAST("forecast");
 
   private final String label;
 
