--- a/runtime/src/main/java/org/hornbeamusher/forwarding/Attempt.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/Attempt.java
@@ -34,6 +34,11 @@
   /** When the first part of the body arrived; -1 before. */
   private long firstDataMillis = -1;
 
+  /** When the last part of the body arrived. */
+  private long lastDataMillis;
+
+  private long longestPauseMillis;
+
   private HttpHead refused;
 
   /** The status of the response; 0 before it arrives. */
@@ -82,6 +87,11 @@
     return firstDataMillis < 0 ? -1 : firstDataMillis - sentMillis;
   }
 
+  /** Returns the longest time between two parts of the body; 0 before the second. */
+  long longestPauseMillis() {
+    return longestPauseMillis;
+  }
+
   /** Returns whether the endpoint has answered with success, wholly or in part. */
   boolean answered() {
     return firstDataMillis >= 0 && success;
@@ -151,9 +161,13 @@
   public void data(byte[] bytes) {
     if (!ended && refused == null) {
       statements.recordData(endpoint);
+      long now = clock.millis();
       if (firstDataMillis < 0) {
-        firstDataMillis = clock.millis();
+        firstDataMillis = now;
+      } else {
+        longestPauseMillis = Math.max(longestPauseMillis, now - lastDataMillis);
       }
+      lastDataMillis = now;
       listener.data(this, bytes);
     }
   }
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/RequestLog.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/RequestLog.java
@@ -114,6 +114,8 @@
         tookMillis,
         "first_data_ms",
         attempt.firstDataAfterMillis(),
+        "longest_pause_ms",
+        attempt.longestPauseMillis(),
         "last_event",
         relay.lastEvent().orElse(-1),
         "stated_limit_per_s",
