--- a/runtime/src/main/java/org/hornbeamusher/directory/AdapterVersion.java
+++ b/runtime/src/main/java/org/hornbeamusher/directory/AdapterVersion.java
@@ -28,6 +28,19 @@
         AdapterKey.parse(text.substring(0, at)), Long.parseLong(text.substring(at + 1)));
   }
 
+  // The generated methods call a chain of method handles, and each placement compares many keys.
+  @Override
+  public boolean equals(Object object) {
+    return object instanceof AdapterVersion other
+        && version == other.version
+        && key.equals(other.key);
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * key.hashCode() + Long.hashCode(version);
+  }
+
   @Override
   public String toString() {
     return key.toString() + SEPARATOR + version;
--- a/runtime/src/main/java/org/hornbeamusher/ids/EndpointId.java
+++ b/runtime/src/main/java/org/hornbeamusher/ids/EndpointId.java
@@ -17,6 +17,17 @@
     return value.compareTo(other.value);
   }
 
+  // The generated methods call a chain of method handles, and each placement compares many keys.
+  @Override
+  public boolean equals(Object object) {
+    return object instanceof EndpointId other && value.equals(other.value);
+  }
+
+  @Override
+  public int hashCode() {
+    return value.hashCode();
+  }
+
   @Override
   public String toString() {
     return value;
--- a/runtime/src/main/java/org/hornbeamusher/ids/EndpointIncarnation.java
+++ b/runtime/src/main/java/org/hornbeamusher/ids/EndpointIncarnation.java
@@ -41,4 +41,17 @@
   public static boolean maybeSameStart(long one, long other) {
     return one == other || one == UNKNOWN_START || other == UNKNOWN_START;
   }
+
+  // The generated methods call a chain of method handles, and each placement compares many keys.
+  @Override
+  public boolean equals(Object object) {
+    return object instanceof EndpointIncarnation other
+        && startMillis == other.startMillis
+        && id.equals(other.id);
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * id.hashCode() + Long.hashCode(startMillis);
+  }
 }
--- a/runtime/src/main/java/org/hornbeamusher/placement/EndpointHealth.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/EndpointHealth.java
@@ -64,6 +64,9 @@
   }
 
   double penaltyMillis(long now) {
+    if (penalty == 0) {
+      return 0;
+    }
     double halfLives = Math.max(0, now - penaltyUpdatedMillis) / PENALTY_HALF_LIFE_MILLIS;
     return penalty * Math.pow(0.5, halfLives);
   }
--- a/runtime/src/main/java/org/hornbeamusher/placement/EndpointView.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/EndpointView.java
@@ -62,6 +62,10 @@
   private LoadCosts costs;
 
   private Set<AdapterVersion> residentAdapters;
+
+  /** The base models of the resident adapters; each placement looks up one at every endpoint. */
+  private Set<String> residentModels;
+
   private Set<AdapterVersion> loadingAdapters = Set.of();
   private int othersRunning;
   private long othersPromptTokens;
@@ -90,7 +94,7 @@
     this.endpoint = endpoint;
     this.availability = availability;
     this.costs = LoadCosts.initialEstimate(adapterSlots);
-    this.residentAdapters = endpoint.residentAdapters();
+    setResidentAdapters(endpoint.residentAdapters());
     this.hash = RendezvousHash.hash(endpoint.id().value());
     this.prefixes = new PrefixCacheEstimate((long) (memoryTokens * PREFIX_MEMORY_FRACTION));
   }
@@ -179,7 +183,14 @@
     while (evicted.size() > MAX_EVICTED_ADAPTERS) {
       evicted.remove(evicted.keySet().iterator().next());
     }
+    setResidentAdapters(current);
+  }
+
+  private void setResidentAdapters(Set<AdapterVersion> current) {
     residentAdapters = Set.copyOf(current);
+    Set<String> models = new HashSet<>();
+    residentAdapters.forEach(adapter -> models.add(adapter.key().model()));
+    residentModels = models;
   }
 
   /**
@@ -261,7 +272,7 @@
    */
   public void misdirected(long now) {
     if (!agentConnected) {
-      residentAdapters = Set.of();
+      setResidentAdapters(Set.of());
       health.setMaxPenalty(now);
     }
   }
@@ -273,11 +284,10 @@
    * @return the number of prompt tokens that it probably has not cached
    */
   public int uncachedTokens(PlacementRequest request) {
-    int cached =
-        request
-            .adapter()
-            .map(adapter -> prefixes.cachedTokens(adapter.key(), request.parts()))
-            .orElse(0);
+    if (request.adapter().isEmpty()) {
+      return Math.max(0, request.promptTokens());
+    }
+    int cached = prefixes.cachedTokens(request.adapter().get().key(), request.parts());
     return Math.max(0, request.promptTokens() - cached);
   }
 
@@ -385,7 +395,7 @@
    * @return whether the model or one of its adapters was reported there
    */
   public boolean hasModel(String model) {
-    return residentAdapters.stream().anyMatch(one -> one.key().model().equals(model));
+    return residentModels.contains(model);
   }
 
   /** Returns whether the engine probably still caches a copy of an adapter that it has evicted. */
@@ -413,9 +423,11 @@
    * entry has just requested count as taken, or a burst of loads would be placed on one free slot.
    */
   int freeAdapterSlots(long now) {
-    requestedAdapters
-        .values()
-        .removeIf(requestedMillis -> now - requestedMillis >= MAX_REPORT_DELAY_MILLIS);
+    if (!requestedAdapters.isEmpty()) {
+      requestedAdapters
+          .values()
+          .removeIf(requestedMillis -> now - requestedMillis >= MAX_REPORT_DELAY_MILLIS);
+    }
     return reportedFreeSlots - requestedAdapters.size();
   }
 
--- a/runtime/src/main/java/org/hornbeamusher/placement/Placer.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/Placer.java
@@ -132,7 +132,7 @@
         continue;
       }
       accepting = true;
-      if (tried.contains(view.incarnation())) {
+      if (!tried.isEmpty() && tried.contains(view.incarnation())) {
         skipped = true;
         continue;
       }
@@ -184,12 +184,13 @@
       return plainCost(view, request, penalty);
     }
     AdapterVersion adapter = request.adapter().get();
+    int uncachedTokens = view.uncachedTokens(request);
     double promptTime =
-        (view.pendingPromptTokens() + view.uncachedTokens(request))
+        (view.pendingPromptTokens() + uncachedTokens)
             / settings.promptTokensPerMilli()
             * view.health().slowdown();
     double latency = promptTime + view.running() * settings.runningRequestMillis() + slotWait(view);
-    penalty += delayCost(view, request);
+    penalty += delayCost(view, uncachedTokens);
     if (view.isResident(adapter)) {
       return new Cost(latency, penalty, 0, true);
     }
@@ -219,8 +220,8 @@
    * steps. A delayed run occupies its adapter slot for longer, and adapter slots are the scarce
    * resource under full load.
    */
-  private double delayCost(EndpointView view, PlacementRequest request) {
-    double promptTime = view.uncachedTokens(request) / settings.promptTokensPerMilli();
+  private double delayCost(EndpointView view, int uncachedTokens) {
+    double promptTime = uncachedTokens / settings.promptTokensPerMilli();
     return promptTime * view.running() * settings.delayFraction();
   }
 
--- a/runtime/src/main/java/org/hornbeamusher/placement/PrefixCacheEstimate.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/PrefixCacheEstimate.java
@@ -54,5 +54,19 @@
     tokens = 0;
   }
 
-  private record Key(AdapterKey adapter, String part) {}
+  private record Key(AdapterKey adapter, String part) {
+
+    // The generated methods call a chain of method handles, and each placement compares many keys.
+    @Override
+    public boolean equals(Object object) {
+      return object instanceof Key other
+          && part.equals(other.part)
+          && adapter.equals(other.adapter);
+    }
+
+    @Override
+    public int hashCode() {
+      return 31 * adapter.hashCode() + part.hashCode();
+    }
+  }
 }
--- a/runtime/src/main/java/org/hornbeamusher/routes/AdapterKey.java
+++ b/runtime/src/main/java/org/hornbeamusher/routes/AdapterKey.java
@@ -30,6 +30,19 @@
     return adapter.isEmpty();
   }
 
+  // The generated methods call a chain of method handles, and each placement compares many keys.
+  @Override
+  public boolean equals(Object object) {
+    return object instanceof AdapterKey other
+        && adapter.equals(other.adapter)
+        && model.equals(other.model);
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * model.hashCode() + adapter.hashCode();
+  }
+
   @Override
   public String toString() {
     return isBase() ? model : model + "/" + adapter;
