--- a/runtime/src/main/java/org/hornbeamusher/forwarding/AgentConnections.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/AgentConnections.java
@@ -1,6 +1,7 @@
 package org.hornbeamusher.forwarding;
 
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -122,15 +123,26 @@
    */
   List<InetSocketAddress> choose(String key, int count) {
     long hash = RendezvousHash.hash(key);
-    return connections.values().stream()
-        .filter(link -> link.connection != null)
-        .sorted(
-            Comparator.<AgentConnection, Long>comparing(
-                    link -> link.weight(hash), Long::compareUnsigned)
-                .reversed())
-        .limit(count)
-        .map(link -> link.address)
-        .toList();
+    List<AgentConnection> chosen = new ArrayList<>(count + 1);
+    for (AgentConnection link : connections.values()) {
+      if (link.connection != null) {
+        insert(link, chosen, hash);
+        if (chosen.size() > count) {
+          chosen.removeLast();
+        }
+      }
+    }
+    return chosen.stream().map(link -> link.address).toList();
+  }
+
+  /** Inserts a connection before the first one that is less preferred for the key. */
+  private static void insert(AgentConnection link, List<AgentConnection> chosen, long key) {
+    long weight = link.weight(key);
+    int position = chosen.size();
+    while (position > 0 && Long.compareUnsigned(chosen.get(position - 1).weight(key), weight) < 0) {
+      position--;
+    }
+    chosen.add(position, link);
   }
 
   /** Sends a message to the agent at an address; dropped if it is not connected. */
@@ -325,6 +337,10 @@
   final class AgentConnection implements WireListener {
 
     private final InetSocketAddress address;
+
+    /** Of the address; every stream that begins weighs all connections by it. */
+    private final long addressHash;
+
     private final Map<Long, EngineReservation> activeReservations = new HashMap<>();
     private WireService connector;
     private WireConnection connection;
@@ -344,6 +360,7 @@
 
     AgentConnection(InetSocketAddress address) {
       this.address = address;
+      this.addressHash = RendezvousHash.hash(address.toString());
     }
 
     void setListed(boolean listed, long now) {
@@ -351,7 +368,7 @@
     }
 
     long weight(long key) {
-      return RendezvousHash.weight(key, RendezvousHash.hash(address.toString()));
+      return RendezvousHash.weight(key, addressHash);
     }
 
     boolean serves(EndpointIncarnation endpoint) {
--- a/runtime/src/test/java/org/hornbeamusher/forwarding/AgentConnectionsTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/forwarding/AgentConnectionsTest.java
@@ -4,6 +4,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.OptionalInt;
@@ -11,6 +12,7 @@
 import org.hornbeamusher.failure.HornbeamusherException;
 import org.hornbeamusher.loop.SimulatedLoop;
 import org.hornbeamusher.quota.QuotaSettings;
+import org.hornbeamusher.routing.RendezvousHash;
 import org.hornbeamusher.wire.Message;
 import org.hornbeamusher.wire.WireConnection;
 import org.hornbeamusher.wire.WireListener;
@@ -78,6 +80,37 @@
     assertEquals(5, agents.entries());
   }
 
+  /**
+   * Guards against entries that look for the origin of a stream at other agents than its writer.
+   */
+  @Test
+  void chosenAgentsAreThoseOfTheGreatestWeights() {
+    List<InetSocketAddress> all = new ArrayList<>();
+    for (int port = 1; port <= 40; port++) {
+      all.add(new InetSocketAddress("127.0.0.1", port));
+      agents.connect(all);
+      opened.opened(connection, new Message.Hello(1, 1, "agent", "a" + port, 0, "z", "", ""));
+    }
+    loop.runUntil(1);
+    for (int i = 0; i < 500; i++) {
+      String key = "request-" + i;
+      List<InetSocketAddress> expected =
+          all.stream()
+              .sorted(
+                  Comparator.<InetSocketAddress, Long>comparing(
+                          address -> weight(key, address), Long::compareUnsigned)
+                      .reversed())
+              .toList();
+      assertEquals(expected.subList(0, 1), agents.choose(key, 1));
+      assertEquals(expected.subList(0, 2), agents.choose(key, 2));
+      assertEquals(expected, agents.choose(key, 100));
+    }
+  }
+
+  private static long weight(String key, InetSocketAddress address) {
+    return RendezvousHash.weight(RendezvousHash.hash(key), RendezvousHash.hash(address.toString()));
+  }
+
   private final class RecordingTransport implements WireTransport {
 
     @Override
