--- a/runtime/src/main/java/org/hornbeamusher/directory/EndpointDirectory.java
+++ b/runtime/src/main/java/org/hornbeamusher/directory/EndpointDirectory.java
@@ -271,13 +271,16 @@
    */
   private Change resolveAddress(EndpointIncarnation incarnation, String address, long now) {
     Change change = agentReported(incarnation);
+    boolean listed =
+        known.containsKey(incarnation.id()) || replacements.isDisplaced(incarnation.id());
+    if (!listed || replacements.isReportedAt(incarnation.id(), address)) {
+      return change;
+    }
     List<Endpoint> others =
         known.values().stream()
             .filter(one -> one.address().equals(address) && !one.id().equals(incarnation.id()))
             .toList();
-    boolean listed =
-        known.containsKey(incarnation.id()) || replacements.isDisplaced(incarnation.id());
-    if (!listed || !replacements.agentReported(incarnation.id(), address, others, now)) {
+    if (!replacements.agentReported(incarnation.id(), address, others, now)) {
       return change;
     }
     others.forEach(one -> known.remove(one.id()));
--- a/runtime/src/main/java/org/hornbeamusher/directory/EndpointReplacements.java
+++ b/runtime/src/main/java/org/hornbeamusher/directory/EndpointReplacements.java
@@ -86,6 +86,11 @@
     return displaced.containsKey(id);
   }
 
+  /** Returns whether the last report of the agent at an address was of this endpoint as well. */
+  boolean isReportedAt(EndpointId id, String address) {
+    return id.equals(reportedAt.get(address));
+  }
+
   /**
    * Records that the agent at an address reports a listed endpoint. If its previous report was of
    * another endpoint, the other endpoints at the address are displaced.
