--- a/runtime/src/main/java/org/hornbeamusher/events/EventType.java
+++ b/runtime/src/main/java/org/hornbeamusher/events/EventType.java
@@ -39,6 +39,8 @@
       1115,
       Level.INFO,
       "A request with a quarantined part is sent: another suspect explains the crashes."),
+  SHARE_EXCEEDED(
+      1116, Level.INFO, "A request beyond its account's fair share was ranked down or refused."),
   // 1200: endpoints and loads
   ADAPTER_LOADED(1201, Level.FINE, "An adapter became resident."),
   ADAPTER_LOAD_FAILED(1202, Level.WARNING, "An adapter could not be loaded."),
--- a/runtime/src/main/java/org/hornbeamusher/failure/FailureType.java
+++ b/runtime/src/main/java/org/hornbeamusher/failure/FailureType.java
@@ -38,6 +38,7 @@
   CRASHES_ENDPOINTS(127, 503, Severity.WARNING, "Endpoints crashed while they ran this request."),
   STREAM_VERSION_UNKNOWN(
       128, 503, Severity.WARNING, "The software version that began the stream is not known."),
+  SHARE_EXCEEDED(129, 429, Severity.INFO, "The client account %s is beyond its fair share."),
   // 200: endpoints and agents
   ENDPOINT_FAILED(201, 502, Severity.WARNING, "The endpoint %s failed: %s."),
   ENDPOINT_LOST(202, 502, Severity.WARNING, "The connection to endpoint %s was lost."),
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
@@ -21,6 +21,7 @@
 import org.hornbeamusher.events.EventType;
 import org.hornbeamusher.failure.FailureType;
 import org.hornbeamusher.failure.HornbeamusherException;
+import org.hornbeamusher.features.ServingFeature;
 import org.hornbeamusher.http.HttpClient;
 import org.hornbeamusher.ids.EndpointId;
 import org.hornbeamusher.ids.EndpointIncarnation;
@@ -40,6 +41,8 @@
 import org.hornbeamusher.routes.EngineSpec;
 import org.hornbeamusher.routes.LatestAdapterVersions;
 import org.hornbeamusher.routes.ServiceSpec;
+import org.hornbeamusher.shares.FairShares;
+import org.hornbeamusher.shares.ShareSettings;
 import org.hornbeamusher.suspects.CrashRecordTable;
 import org.hornbeamusher.table.Table;
 import org.hornbeamusher.transfer.TransferStats;
@@ -75,6 +78,7 @@
   private final ConfigurationFreshness freshness;
   private final AccountCheck accounts;
   private final QuotaMeter<InetSocketAddress> meter;
+  private final FairShares<InetSocketAddress> shares;
   private final UsageExchange usage;
   private final SoftwareHistory software = new SoftwareHistory();
   private final CrashHistory crashHistory;
@@ -131,7 +135,8 @@
             new LoopTransport(http.worker(), WireSettings.DEFAULT, clock),
             loop,
             clock);
-    this.usage = new UsageExchange(meter, QuotaSettings.DEFAULT, agents::send, loop, clock);
+    this.shares = new FairShares<>(ShareSettings.DEFAULT);
+    this.usage = new UsageExchange(meter, shares, QuotaSettings.DEFAULT, agents::send, loop, clock);
     agents.setUsageListener(usage);
     ForwardMetrics counts = new ForwardMetrics(registry);
     EndpointRateLimiter limits = new EndpointRateLimiter(agents, counts, loop, clock);
@@ -165,7 +170,14 @@
     this.context =
         new ForwardContext(
             configuration,
-            new RequestAdmission(configuration, versions, accounts, meter, usage, clock),
+            new RequestAdmission(
+                configuration,
+                versions,
+                accounts,
+                meter,
+                usage,
+                new RequestShares(sharesUsed(), shares, counts, clock),
+                clock),
             versions,
             directory,
             placer,
@@ -188,6 +200,10 @@
             settings, http.worker(), clock, loop, this::accept, this::hasInitialState, this::ready);
   }
 
+  private boolean sharesUsed() {
+    return settings.features().uses(ServingFeature.FAIR_SHARES);
+  }
+
   private static boolean isListed(Placer placer, EndpointIncarnation incarnation) {
     EndpointView view = placer.views().get(incarnation.id());
     boolean noList = placer.views().isEmpty();
@@ -224,6 +240,7 @@
     measured.gauge("key_proof_age_ms", accounts::proofAgeMillis);
     measured.gauge("configuration_age_ms", freshness::ageMillis);
     measured.gauge("quota_entries", () -> meter.entryCount());
+    measured.gauge("shares", shares::size);
     measured.gauge("quota_reachable_entries", () -> meter.reachableEntryCount(clock.millis()));
     measured.gauge(
         "configuration",
@@ -260,7 +277,7 @@
           "read_ms",
           transfer.millis());
       meter.updateAccounts(configuration.accounts().accounts(), clock.millis());
-      usage.start();
+      usage.start(sharesUsed() && configuration.accounts().keyRequired());
       apply(context.directory().servicesChanged(configuration.services().keySet()));
       connectAgents();
       openWhenReady();
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardMetrics.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardMetrics.java
@@ -84,6 +84,16 @@
     registry.counter(PREFIX + "retries." + (granted ? "granted" : "denied")).inc();
   }
 
+  /** Records that a request was ranked down because it is beyond its account's fair share. */
+  void rankedDown() {
+    registry.counter(PREFIX + "shares.ranked_down").inc();
+  }
+
+  /** Records that a request was refused because it is beyond its account's fair share. */
+  void refusedBeyondShare() {
+    registry.counter(PREFIX + "shares.refused").inc();
+  }
+
   /** Records that a caller resumes a stream. */
   void streamResumed(boolean known) {
     registry.counter(PREFIX + "streams.resumed." + (known ? "known" : "unknown")).inc();
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
@@ -249,6 +249,11 @@
   }
 
   private void placedAt(Placement.Assigned at, long remaining) {
+    Optional<HornbeamusherException> refusal = context.admission().waitRefusal(routed, at);
+    if (refusal.isPresent()) {
+      giveUp(refusal.get());
+      return;
+    }
     endpoint = at.endpoint();
     placedMillis = now();
     loadPossibleMillis = placedMillis;
@@ -406,6 +411,9 @@
     reservation.requestSent();
     sentMillis = now();
     endpointPromptTokens = endpoint.pendingPromptTokens();
+    if (sends == 0) {
+      context.admission().started(routed);
+    }
     sends++;
     possibleRuns++;
     AttemptMetadata sent =
@@ -547,6 +555,7 @@
       tried.add(left.incarnation());
     } else if (placementRequest.adapter().isPresent()) {
       left.runCompleted(now() - sentMillis);
+      context.admission().completed(routed, now() - sentMillis);
     }
     if (failed && route.repeatable() && relay.canContinue() && mayRetry()) {
       failureBuffered = true;
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/RequestAdmission.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/RequestAdmission.java
@@ -8,6 +8,7 @@
 import org.hornbeamusher.events.EventType;
 import org.hornbeamusher.failure.FailureType;
 import org.hornbeamusher.failure.HornbeamusherException;
+import org.hornbeamusher.placement.Placement;
 import org.hornbeamusher.placement.PlacementRequest;
 import org.hornbeamusher.quota.QuotaCharge;
 import org.hornbeamusher.quota.QuotaDecision;
@@ -20,7 +21,8 @@
 
 /**
  * Admits or refuses requests: determines the route and the client account, charges the account's
- * quota and sets the deadline, in this order. A refused request has not run.
+ * quota, decides whether the request is within the account's fair share and sets the deadline, in
+ * this order. A refused request has not run.
  */
 final class RequestAdmission {
 
@@ -29,6 +31,7 @@
   private final AccountCheck accounts;
   private final QuotaMeter<?> meter;
   private final UsageExchange usage;
+  private final RequestShares shares;
   private final Clock clock;
 
   RequestAdmission(
@@ -37,12 +40,14 @@
       AccountCheck accounts,
       QuotaMeter<?> meter,
       UsageExchange usage,
+      RequestShares shares,
       Clock clock) {
     this.configuration = configuration;
     this.versions = versions;
     this.accounts = accounts;
     this.meter = meter;
     this.usage = usage;
+    this.shares = shares;
     this.clock = clock;
   }
 
@@ -67,12 +72,15 @@
     Optional<ClientAccount> account = identify(current, route, metadata);
     long hash = RendezvousHash.hash(metadata.id());
     long budget = Math.min(route.timeoutMillis(), metadata.budgetMillis().orElse(Long.MAX_VALUE));
+    String service = route.service(hash);
+    Optional<QuotaCharge> charge = account.map(holder -> charge(holder, metadata, current));
     return new RoutedRequest(
         metadata,
         route,
-        route.service(hash),
+        service,
         account,
-        account.map(holder -> charge(holder, metadata, current)),
+        charge,
+        shares.arrived(metadata.id(), account, route, service),
         request.arrivedMillis() + budget,
         new PlacementRequest(
             hash,
@@ -97,6 +105,24 @@
     return refusal;
   }
 
+  /** Decides whether a request may wait for its adapter where it was placed. */
+  Optional<HornbeamusherException> waitRefusal(RoutedRequest request, Placement.Assigned at) {
+    return request
+        .placementRequest()
+        .adapter()
+        .flatMap(adapter -> shares.refusal(request.metadata().id(), request.share(), at, adapter));
+  }
+
+  /** Records that a request is sent to an endpoint for the first time. */
+  void started(RoutedRequest request) {
+    shares.started(request.share());
+  }
+
+  /** Records that an endpoint has completed a request. */
+  void completed(RoutedRequest request, long tookMillis) {
+    shares.completed(request.route(), tookMillis);
+  }
+
   /** Refunds the quota charge of a request that did not run. */
   void refund(RoutedRequest request) {
     request.charge().ifPresent(charge -> meter.refund(charge, clock.millis()));
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/RoutedRequest.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/RoutedRequest.java
@@ -1,7 +1,6 @@
 package org.hornbeamusher.forwarding;
 
 import java.util.Optional;
-import java.util.OptionalInt;
 import org.hornbeamusher.accounts.AccountName;
 import org.hornbeamusher.accounts.ClientAccount;
 import org.hornbeamusher.placement.PlacementRequest;
@@ -16,6 +15,7 @@
  * @param service the service that runs it
  * @param account its client account; empty if no key is required
  * @param charge its charge on the account's quota
+ * @param share what it counts against of the service's capacity
  * @param deadlineMillis time after which a response is useless
  * @param placementRequest the inputs of placement
  */
@@ -25,12 +25,13 @@
     String service,
     Optional<ClientAccount> account,
     Optional<QuotaCharge> charge,
+    RequestShare share,
     long deadlineMillis,
     PlacementRequest placementRequest) {
 
-  /** Returns the priority; the account's takes precedence over the route's. */
+  /** Returns the priority with which it is served; 0 is the most urgent. */
   int rank() {
-    return account.map(ClientAccount::rank).orElse(OptionalInt.empty()).orElse(route.rank());
+    return share.rank();
   }
 
   Optional<AccountName> accountName() {
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/UsageExchange.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/UsageExchange.java
@@ -1,21 +1,26 @@
 package org.hornbeamusher.forwarding;
 
 import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
 import org.hornbeamusher.accounts.AccountName;
 import org.hornbeamusher.clock.Clock;
 import org.hornbeamusher.loop.EventLoop;
 import org.hornbeamusher.quota.QuotaMeter;
 import org.hornbeamusher.quota.QuotaSettings;
+import org.hornbeamusher.quota.UsageNames;
+import org.hornbeamusher.shares.FairShares;
 import org.hornbeamusher.wire.Message;
 
 /**
- * Reports an entry's usage of client account quotas to two of its connected agents and receives the
- * aggregated usage of all entries. All entries choose the same two agents by rendezvous hashing, so
- * that each of them receives the usage of all entries.
+ * Reports an entry's usage of client account quotas, and the demand for capacity by account, to two
+ * of its connected agents and receives what all entries report, added up. All entries choose the
+ * same two agents by rendezvous hashing, so that each of them receives the usage of all entries.
  */
 final class UsageExchange implements AgentConnections.UsageListener {
 
   private final QuotaMeter<InetSocketAddress> meter;
+  private final FairShares<InetSocketAddress> shares;
   private final QuotaSettings settings;
   private final Transport transport;
   private final EventLoop loop;
@@ -26,11 +31,13 @@
 
   UsageExchange(
       QuotaMeter<InetSocketAddress> meter,
+      FairShares<InetSocketAddress> shares,
       QuotaSettings settings,
       Transport transport,
       EventLoop loop,
       Clock clock) {
     this.meter = meter;
+    this.shares = shares;
     this.settings = settings;
     this.transport = transport;
     this.loop = loop;
@@ -44,9 +51,13 @@
     void send(InetSocketAddress agent, Message message);
   }
 
-  /** Starts reporting; does nothing if already started or if no account has a quota. */
-  void start() {
-    if (!started && meter.active()) {
+  /**
+   * Starts reporting unless already started.
+   *
+   * @param shared whether accounts share capacity; if not, only their quotas are reported, if any
+   */
+  void start(boolean shared) {
+    if (!started && (shared || meter.active())) {
       started = true;
       reportRegularly();
     }
@@ -56,22 +67,25 @@
   public void opened(InetSocketAddress agent) {
     selection.opened(agent);
     meter.relayConnected(agent);
+    shares.relayConnected(agent);
   }
 
   @Override
   public void closed(InetSocketAddress agent) {
     selection.closed(agent);
     meter.relayDisconnected(agent);
+    shares.relayDisconnected(agent);
   }
 
   @Override
   public void received(InetSocketAddress agent, Message.UsageUpdate update) {
-    meter.usageReported(
-        agent,
-        update.increments(),
-        update.reachableEntryCount(),
-        update.entryCount(),
-        clock.millis());
+    Map<String, Long> quotas = new HashMap<>(update.increments());
+    quotas.keySet().removeIf(UsageNames::isShare);
+    Map<String, Long> demand = new HashMap<>(update.increments());
+    demand.keySet().removeAll(quotas.keySet());
+    long now = clock.millis();
+    meter.usageReported(agent, quotas, update.reachableEntryCount(), update.entryCount(), now);
+    shares.usageReported(agent, demand, now);
   }
 
   /** Called when the usage of an account has changed at this entry. */
@@ -94,7 +108,9 @@
 
   private void report() {
     for (InetSocketAddress relay : selection.relays()) {
-      transport.send(relay, new Message.UsageReport(meter.takeIncrements(relay)));
+      Map<String, Long> increments = meter.takeIncrements(relay);
+      increments.putAll(shares.takeIncrements(relay));
+      transport.send(relay, new Message.UsageReport(increments));
     }
   }
 }
--- a/runtime/src/main/java/org/hornbeamusher/holdings/AdapterSlots.java
+++ b/runtime/src/main/java/org/hornbeamusher/holdings/AdapterSlots.java
@@ -69,6 +69,7 @@
 
   private final int slots;
   private final LatestAdapterVersions versions;
+  private final LoadPriority priority;
   private final long startedMillis;
 
   private final Map<ReservationId, Reservation> reservations = new LinkedHashMap<>();
@@ -94,10 +95,12 @@
    *
    * @param slots the engine's adapter slots
    * @param versions the newest version of each adapter
+   * @param priority the order in which awaited adapters are loaded
    * @param now milliseconds
    */
-  public AdapterSlots(int slots, LatestAdapterVersions versions, long now) {
+  public AdapterSlots(int slots, LatestAdapterVersions versions, LoadPriority priority, long now) {
     this.slots = slots;
+    this.priority = priority;
     this.loadTimes = new LoadTimeEstimator(slots);
     this.versions = versions;
     this.startedMillis = now;
@@ -193,10 +196,7 @@
    * @param id the reservation
    */
   public void promptProcessed(ReservationId id) {
-    reservations.computeIfPresent(
-        id,
-        (unused, r) ->
-            new Reservation(r.id(), r.adapter(), r.rank(), 0, r.expiresMillis(), r.targetMillis()));
+    reservations.computeIfPresent(id, (unused, known) -> known.withPromptProcessed());
   }
 
   /**
@@ -395,7 +395,7 @@
   }
 
   private Optional<EngineOrder> wantedAdapterOrder(long now) {
-    for (Reservation wanted : LoadPriority.sort(waiting.values(), now)) {
+    for (Reservation wanted : priority.sort(waiting.values(), now)) {
       if (LoadPriority.isLate(wanted, now)
           && underPressure(now)
           && usableSlots() <= SLOTS_KEPT_FOR_ON_TIME) {
--- a/runtime/src/main/java/org/hornbeamusher/holdings/Reservation.java
+++ b/runtime/src/main/java/org/hornbeamusher/holdings/Reservation.java
@@ -11,6 +11,7 @@
  * @param pendingPromptTokens prompt tokens that are not yet processed
  * @param expiresMillis time after which the request no longer needs a slot
  * @param targetMillis target time of its first event
+ * @param sinceMillis when it was made
  */
 public record Reservation(
     ReservationId id,
@@ -18,4 +19,11 @@
     int rank,
     long pendingPromptTokens,
     long expiresMillis,
-    long targetMillis) {}
+    long targetMillis,
+    long sinceMillis) {
+
+  /** Returns the reservation once its prompt is processed. */
+  Reservation withPromptProcessed() {
+    return new Reservation(id, adapter, rank, 0, expiresMillis, targetMillis, sinceMillis);
+  }
+}
--- a/runtime/src/main/java/org/hornbeamusher/quota/QuotaMeter.java
+++ b/runtime/src/main/java/org/hornbeamusher/quota/QuotaMeter.java
@@ -1,10 +1,8 @@
 package org.hornbeamusher.quota;
 
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import org.hornbeamusher.accounts.AccountName;
 import org.hornbeamusher.accounts.ClientAccount;
 import org.hornbeamusher.membership.RecentMaximumPeerCount;
@@ -32,9 +30,7 @@
  * <p>A bucket starts empty: entries that all restart at once must not grant the burst twice, and
  * the rate refills it faster than an account within its quota uses it up.
  *
- * <p>Both relays forward the same usage. Each sends increments on one connection, relative to what
- * was known when the connection opened; the larger of the two sums counts, so that a relay that is
- * lost or paused does not hide usage that the other one knows.
+ * <p>{@link UsageTotals} adds up what the relays forward.
  *
  * <p><b>Load.</b> Callers reach the entries unevenly, and an account may request many times its
  * quota at all of them. A request refused within the quota is lost to its caller; one admitted
@@ -57,13 +53,8 @@
   private final QuotaTolerance tolerance;
   private final Map<AccountName, QuotaBucket> buckets = new HashMap<>();
 
-  /** Units admitted at this entry since its start, minus refunds. */
-  private final Map<AccountName, Long> localUnits = new HashMap<>();
-
-  /** Units admitted by other entries, as far as known here. */
-  private final Map<AccountName, Long> remoteUnits = new HashMap<>();
-
-  private final Map<R, Relay> relays = new HashMap<>();
+  private final UsageTotals<R, AccountName> totals = new UsageTotals<>();
+  private final Map<R, RelayState> relays = new HashMap<>();
   private final RecentMaximumPeerCount entryCounts =
       new RecentMaximumPeerCount(ENTRY_COUNT_WINDOW_MILLIS);
 
@@ -97,9 +88,7 @@
    */
   private void removeAccount(AccountName account) {
     buckets.remove(account);
-    localUnits.remove(account);
-    remoteUnits.remove(account);
-    relays.values().forEach(relay -> relay.removeAccount(account));
+    totals.remove(account);
   }
 
   private static boolean limited(ClientAccount account) {
@@ -149,7 +138,7 @@
           entries);
     }
     bucket.charge(cost, now);
-    localUnits.merge(account, cost, Long::sum);
+    totals.add(account, cost);
     return new QuotaDecision.Admitted(new QuotaCharge(account, cost, now));
   }
 
@@ -163,7 +152,7 @@
     QuotaBucket bucket = buckets.get(charge.account());
     if (bucket != null && charge.units() > 0) {
       bucket.refund(charge.units(), charge.chargedMillis(), now);
-      localUnits.merge(charge.account(), -charge.units(), Long::sum);
+      totals.add(charge.account(), -charge.units());
     }
   }
 
@@ -185,7 +174,8 @@
    * @param relay the relay
    */
   public void relayConnected(R relay) {
-    relays.put(relay, new Relay(new HashMap<>(localUnits), new HashMap<>(remoteUnits)));
+    totals.relayConnected(relay);
+    relays.put(relay, new RelayState());
   }
 
   /**
@@ -194,6 +184,7 @@
    * @param relay the relay
    */
   public void relayDisconnected(R relay) {
+    totals.relayDisconnected(relay);
     relays.remove(relay);
   }
 
@@ -204,16 +195,10 @@
    * @return units by account; empty if there is nothing new
    */
   public Map<String, Long> takeIncrements(R relay) {
-    Relay to = relays.get(relay);
     Map<String, Long> increments = new HashMap<>();
-    localUnits.forEach(
-        (account, total) -> {
-          long unreported = total - to.reported.getOrDefault(account, 0L);
-          if (unreported != 0) {
-            increments.put(account.value(), unreported);
-            to.reported.put(account, total);
-          }
-        });
+    totals
+        .takeIncrements(relay)
+        .forEach((account, units) -> increments.put(account.value(), units));
     return increments;
   }
 
@@ -228,21 +213,17 @@
    */
   public void usageReported(
       R relay, Map<String, Long> increments, int reachable, int entries, long now) {
-    Relay from = relays.get(relay);
+    RelayState from = relays.get(relay);
     if (from == null) {
       return;
     }
     from.reachable = reachable;
     from.reportedMillis = now;
     entryCounts.record(entries, now);
-    Set<AccountName> changed = new HashSet<>();
-    increments.forEach(
-        (account, units) -> {
-          AccountName name = new AccountName(account);
-          from.received.merge(name, units, Long::sum);
-          changed.add(name);
-        });
-    changed.forEach(account -> applyRemoteUsage(account, now));
+    Map<AccountName, Long> byAccount = new HashMap<>();
+    increments.forEach((account, units) -> byAccount.put(new AccountName(account), units));
+    totals.receive(relay, byAccount);
+    byAccount.keySet().forEach(account -> applyRemoteUsage(account, now));
     buckets.values().forEach(bucket -> remoteUsageUpdated(bucket, now));
   }
 
@@ -253,15 +234,10 @@
 
   private void applyRemoteUsage(AccountName account, long now) {
     QuotaBucket bucket = buckets.get(account);
-    if (bucket == null) {
-      return;
+    if (bucket != null) {
+      refill(bucket, now);
+      bucket.chargeRemote(totals.takeRemoteChange(account), now);
     }
-    long known = remoteUnits.getOrDefault(account, 0L);
-    long max =
-        relays.values().stream().mapToLong(relay -> relay.total(account)).max().orElse(known);
-    refill(bucket, now);
-    bucket.chargeRemote(max - known, now);
-    remoteUnits.put(account, max);
   }
 
   private void refill(QuotaBucket bucket, long now) {
@@ -286,7 +262,7 @@
   public int reachableEntryCount(long now) {
     long unreachableAfterMillis = settings.unreachableAfterMillis(entryCount());
     int max = 1;
-    for (Relay relay : relays.values()) {
+    for (RelayState relay : relays.values()) {
       if (now - relay.reportedMillis <= unreachableAfterMillis) {
         max = Math.max(max, relay.reachable);
       }
@@ -294,31 +270,10 @@
     return max;
   }
 
-  /** The usage sent to and received from one relay since its connection opened. */
-  private static final class Relay {
-
-    private final Map<AccountName, Long> reported;
-
-    /** The known usage of other entries when the connection opened. */
-    private final Map<AccountName, Long> baseline;
+  /** What a relay reported last. */
+  private static final class RelayState {
 
-    private final Map<AccountName, Long> received = new HashMap<>();
     private int reachable = 1;
     private long reportedMillis = Long.MIN_VALUE / 2;
-
-    Relay(Map<AccountName, Long> reported, Map<AccountName, Long> baseline) {
-      this.reported = reported;
-      this.baseline = baseline;
-    }
-
-    void removeAccount(AccountName account) {
-      reported.remove(account);
-      baseline.remove(account);
-      received.remove(account);
-    }
-
-    long total(AccountName account) {
-      return baseline.getOrDefault(account, 0L) + received.getOrDefault(account, 0L);
-    }
   }
 }
--- a/runtime/src/main/java/org/hornbeamusher/quota/UsageRelay.java
+++ b/runtime/src/main/java/org/hornbeamusher/quota/UsageRelay.java
@@ -6,8 +6,8 @@
 import java.util.function.BiConsumer;
 
 /**
- * Adds up, at an agent, the usage of client accounts that entries report, and forwards to each
- * entry the usage of the others.
+ * Adds up, at an agent, the usage of client accounts that entries report, of their quotas and of
+ * the capacity that they share, and forwards to each entry the usage of the others.
  *
  * <p>It keeps sums only, no limits: with a lost relay only the reports in transit are lost, and the
  * other relay receives those too.
@@ -119,12 +119,13 @@
           totals.merge(account, units, Long::sum);
           // An entry's own usage is not sent back to it.
           from.known.merge(account, units, Long::sum);
-          changed = true;
+          // Shares need no more than the periodic updates.
+          changed |= !UsageNames.isShare(account);
         });
   }
 
   /**
-   * Returns whether usage was reported that has not been forwarded.
+   * Returns whether usage of quotas was reported that has not been forwarded.
    *
    * @return whether {@link #forwardUsage} has new usage to send
    */
--- a/runtime/src/main/java/org/hornbeamusher/routing/DecayedRate.java
+++ b/runtime/src/main/java/org/hornbeamusher/routing/DecayedRate.java
@@ -4,7 +4,7 @@
  * An event rate with exponential decay, updated when events are added or the rate is read, so that
  * it needs neither a timer nor more than constant memory.
  */
-final class DecayedRate {
+public final class DecayedRate {
 
   private static final double MILLIS_PER_SECOND = 1_000;
 
@@ -12,16 +12,37 @@
   private double events;
   private long lastUpdateMillis;
 
-  DecayedRate(double timeConstantMillis) {
+  /**
+   * Creates a rate of 0.
+   *
+   * @param timeConstantMillis the time in which past events lose all but 1/e of their weight
+   */
+  public DecayedRate(double timeConstantMillis) {
     this.timeConstantMillis = timeConstantMillis;
   }
 
   void add(long now) {
+    add(1, now);
+  }
+
+  /**
+   * Counts several events, or an amount.
+   *
+   * @param amount what is counted
+   * @param now milliseconds
+   */
+  public void add(double amount, long now) {
     decay(now);
-    events += 1;
+    events += amount;
   }
 
-  double perSecond(long now) {
+  /**
+   * Returns the rate.
+   *
+   * @param now milliseconds
+   * @return what was counted, for each second
+   */
+  public double perSecond(long now) {
     decay(now);
     return events * MILLIS_PER_SECOND / timeConstantMillis;
   }
--- a/runtime/src/main/java/org/hornbeamusher/sidecar/SidecarDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/sidecar/SidecarDaemon.java
@@ -16,10 +16,12 @@
 import org.hornbeamusher.events.EventType;
 import org.hornbeamusher.failure.FailureType;
 import org.hornbeamusher.failure.HornbeamusherException;
+import org.hornbeamusher.features.ServingFeature;
 import org.hornbeamusher.fencing.FencingNumberAllocator;
 import org.hornbeamusher.holdings.AdapterSlots;
 import org.hornbeamusher.holdings.EngineOrder;
 import org.hornbeamusher.holdings.EngineReport;
+import org.hornbeamusher.holdings.LoadPriority;
 import org.hornbeamusher.holdings.OrderResult;
 import org.hornbeamusher.holdings.Reservation;
 import org.hornbeamusher.holdings.ReservationId;
@@ -190,13 +192,20 @@
     }
     spec = engineSpec;
     if (adapterSlots == null) {
-      adapterSlots = new AdapterSlots(spec.adapterCapacity(), versions, clock.millis());
+      adapterSlots =
+          new AdapterSlots(spec.adapterCapacity(), versions, loadPriority(), clock.millis());
       Optional.ofNullable(report)
           .ifPresent(lastReport -> adapterSlots.recordReport(lastReport, clock.millis()));
     }
     scheduleDueWork();
   }
 
+  private LoadPriority loadPriority() {
+    return settings.features().uses(ServingFeature.FAIR_SHARES)
+        ? LoadPriority.BY_RANK
+        : LoadPriority.BY_WAITERS;
+  }
+
   /**
    * Applies a published version of an adapter.
    *
@@ -284,7 +293,8 @@
         reserve.rank(),
         reserve.pendingPromptTokens(),
         clock.millis() + reserve.maxWaitMillis(),
-        clock.millis() + reserve.firstEventTargetMillis());
+        clock.millis() + reserve.firstEventTargetMillis(),
+        clock.millis());
   }
 
   /** Schedules {@link #runDueWork} once for all messages that are processed before it runs. */
--- a/runtime/src/test/java/org/hornbeamusher/holdings/AdapterSlotsTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/holdings/AdapterSlotsTest.java
@@ -26,7 +26,7 @@
   private static final long WAIT_MILLIS = 60_000;
 
   private final LatestAdapterVersions versions = new LatestAdapterVersions();
-  private final AdapterSlots adapterSlots = new AdapterSlots(2, versions, 0);
+  private final AdapterSlots adapterSlots = new AdapterSlots(2, versions, LoadPriority.BY_RANK, 0);
   private long sequence;
 
   @Test
@@ -329,7 +329,7 @@
   @Property(tries = 300, seed = "4711")
   void ordersNeverExceedSlots(
       @ForAll @Size(min = 20, max = 120) List<@IntRange(max = 99) Integer> steps) {
-    AdapterSlots tested = new AdapterSlots(3, new LatestAdapterVersions(), 0);
+    AdapterSlots tested = new AdapterSlots(3, new LatestAdapterVersions(), LoadPriority.BY_RANK, 0);
     Map<AdapterKey, Long> engine = new HashMap<>();
     Map<Long, AdapterKey> running = new TreeMap<>();
     tested.recordReport(engineReport(engine, 0), 0);
@@ -388,7 +388,7 @@
 
   private static Reservation reservation(
       long number, AdapterVersion adapter, long now, long targetMillis) {
-    return new Reservation(id(number), adapter, 0, 100, now + WAIT_MILLIS, now + targetMillis);
+    return new Reservation(id(number), adapter, 0, 100, now + WAIT_MILLIS, now + targetMillis, now);
   }
 
   private Optional<EngineOrder> order(long now) {
