--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardMetrics.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardMetrics.java
@@ -60,13 +60,18 @@
 
   /** Records the end of a request of a client account. */
   void accountEnded(AccountName account, boolean refused) {
+    AccountCounters counters = counters(account);
+    (refused ? counters.refused : counters.answered).inc();
+  }
+
+  private AccountCounters counters(AccountName account) {
     AccountCounters counters = accounts.get(account);
     if (counters == null) {
       boolean own = accounts.size() < MAX_ACCOUNTS;
       counters = new AccountCounters(registry, own ? account.value() : OTHER_ACCOUNTS);
       accounts.put(account, counters);
     }
-    (refused ? counters.refused : counters.answered).inc();
+    return counters;
   }
 
   /** Records how long a request waited for its adapter before it was sent. */
@@ -85,8 +90,9 @@
   }
 
   /** Records that a request was ranked down because it is beyond its account's fair share. */
-  void rankedDown() {
+  void rankedDown(AccountName account) {
     registry.counter(PREFIX + "shares.ranked_down").inc();
+    counters(account).beyondShare.inc();
   }
 
   /** Records that a request was refused because it is beyond its account's fair share. */
@@ -125,10 +131,12 @@
 
     private final Counter answered;
     private final Counter refused;
+    private final Counter beyondShare;
 
     AccountCounters(MetricRegistry registry, String name) {
       answered = registry.counter(PREFIX + "accounts." + name + ".answered");
       refused = registry.counter(PREFIX + "accounts." + name + ".refused");
+      beyondShare = registry.counter(PREFIX + "accounts." + name + ".beyond_share");
     }
   }
 }
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/RequestShares.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/RequestShares.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.OptionalInt;
+import org.hornbeamusher.accounts.AccountName;
 import org.hornbeamusher.accounts.ClientAccount;
 import org.hornbeamusher.clock.Clock;
 import org.hornbeamusher.directory.AdapterVersion;
@@ -62,7 +63,7 @@
     ShareDecision decision = shares.arrived(id, WEIGHT, cost, clock.millis());
     RequestShare share = new RequestShare(id, cost, decision);
     if (decision.beyond()) {
-      metrics.rankedDown();
+      metrics.rankedDown(new AccountName(name));
       log(requestId, share, "ranked-down");
     }
     return share;
