--- a/runtime/src/main/java/org/hornbeamusher/shares/FairShares.java
+++ b/runtime/src/main/java/org/hornbeamusher/shares/FairShares.java
@@ -1,12 +1,8 @@
 package org.hornbeamusher.shares;
 
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
 import org.hornbeamusher.quota.UsageTotals;
-import org.hornbeamusher.routing.DecayedRate;
 
 /**
  * Shares the capacity of each service between client accounts, over all entries: decides at one
@@ -59,7 +55,6 @@
   private final ShareSettings settings;
   private final UsageTotals<R, ShareId> totals = new UsageTotals<>();
   private final Map<String, ServiceShares> services = new HashMap<>();
-  private int shares;
   private long reportedMillis = Long.MIN_VALUE;
 
   /**
@@ -85,11 +80,13 @@
       return ShareDecision.UNSHARED;
     }
     ServiceShares service = service(share.service());
-    if (!service.count(share, weight, costMillis, now)) {
+    if (!track(service, share, now)) {
       return ShareDecision.UNSHARED;
     }
     totals.add(share, costMillis);
-    return service.decide(share, settings.minimumDemand(costMillis), now);
+    service.demanded(share, costMillis, now);
+    service.setWeight(share.account(), weight);
+    return service.decide(share, settings.minimumDemand(costMillis), usageAgeMillis(now), now);
   }
 
   /**
@@ -101,7 +98,7 @@
    */
   public void started(ShareId share, long costMillis, long now) {
     if (!share.account().isEmpty()) {
-      service(share.service()).capacity.add(costMillis, now);
+      service(share.service()).started(costMillis, now);
       totals.add(new ShareId(share.service(), "", CAPACITY), costMillis);
     }
   }
@@ -151,162 +148,52 @@
       return;
     }
     reportedMillis = now;
-    Map<ShareId, Long> byShare = new HashMap<>();
     increments.forEach(
-        (name, millis) -> ShareId.parse(name).ifPresent(share -> byShare.put(share, millis)));
-    totals.receive(relay, byShare);
-    byShare.keySet().forEach(share -> applyRemoteUsage(share, now));
+        (name, millis) ->
+            ShareId.parse(name)
+                .filter(share -> isTracked(share, now))
+                .ifPresent(share -> applyRemoteUsage(relay, share, millis, now)));
   }
 
-  private void applyRemoteUsage(ShareId share, long now) {
+  /** Services that no request of this entry goes to are left out, so that state is bounded. */
+  private boolean isTracked(ShareId share, long now) {
+    ServiceShares service = services.get(share.service());
+    return service != null && (share.rank() == CAPACITY || track(service, share, now));
+  }
+
+  /** Makes sure that demand for a share can be counted, in place of idle ones if need be. */
+  private boolean track(ServiceShares service, ShareId share, long now) {
+    if (service.size() >= settings.maxShares()) {
+      service.removeIdle(share.service(), now).forEach(totals::remove);
+    }
+    return service.track(share);
+  }
+
+  private void applyRemoteUsage(R relay, ShareId share, long increment, long now) {
+    totals.receive(relay, Map.of(share, increment));
     long millis = totals.takeRemoteChange(share);
-    ServiceShares service = service(share.service());
+    ServiceShares service = services.get(share.service());
     if (share.rank() == CAPACITY) {
-      service.capacity.add(millis, now);
+      service.started(millis, now);
     } else {
-      service.countRemote(share, millis, now);
+      service.demanded(share, millis, now);
     }
   }
 
+  private long usageAgeMillis(long now) {
+    return reportedMillis == Long.MIN_VALUE ? -1 : now - reportedMillis;
+  }
+
   /**
    * Counts the shares.
    *
    * @return accounts by service and kind of request
    */
   public int size() {
-    return shares;
+    return services.values().stream().mapToInt(ServiceShares::size).sum();
   }
 
   private ServiceShares service(String name) {
-    return services.computeIfAbsent(name, unused -> new ServiceShares());
-  }
-
-  /** The demand for one service and its capacity. */
-  private final class ServiceShares {
-
-    private final DecayedRate capacity = new DecayedRate(settings.windowMillis());
-    private final Map<String, AccountDemand> accounts = new HashMap<>();
-    private double level = Double.POSITIVE_INFINITY;
-    private long levelMillis = Long.MIN_VALUE;
-
-    /** Counts a request of this entry; returns false if its share cannot be counted. */
-    boolean count(ShareId share, double weight, long costMillis, long now) {
-      KindDemand demand = demand(share);
-      if (demand == null) {
-        return false;
-      }
-      accounts.get(share.account()).weight = weight;
-      demand.rate.add(costMillis, now);
-      return true;
-    }
-
-    void countRemote(ShareId share, long millis, long now) {
-      KindDemand demand = demand(share);
-      if (demand != null) {
-        demand.rate.add(millis, now);
-      }
-    }
-
-    private KindDemand demand(ShareId share) {
-      AccountDemand account = accounts.get(share.account());
-      KindDemand known = account == null ? null : account.kinds.get(share.rank());
-      if (known != null || shares >= settings.maxShares()) {
-        return known;
-      }
-      shares++;
-      return accounts
-          .computeIfAbsent(share.account(), unused -> new AccountDemand())
-          .kinds
-          .computeIfAbsent(
-              share.rank(), unused -> new KindDemand(new DecayedRate(settings.windowMillis())));
-    }
-
-    ShareDecision decide(ShareId share, double minimumDemand, long now) {
-      updateLevel(now);
-      AccountDemand account = accounts.get(share.account());
-      double demand = account.perSecond(now);
-      double fair = level * account.weight;
-      ShareDecision.Standing standing;
-      if (demand <= Math.max(minimumDemand, fair)) {
-        standing = ShareDecision.Standing.BELOW;
-      } else if (account.kinds.get(share.rank()).take(account.fraction(share.rank(), fair, now))) {
-        standing = ShareDecision.Standing.WITHIN;
-      } else {
-        standing = ShareDecision.Standing.BEYOND;
-      }
-      long age = reportedMillis == Long.MIN_VALUE ? -1 : now - reportedMillis;
-      return new ShareDecision(standing, demand, fair, capacity.perSecond(now), age);
-    }
-
-    private void updateLevel(long now) {
-      if (levelMillis != Long.MIN_VALUE && now - levelMillis < settings.levelAgeMillis()) {
-        return;
-      }
-      levelMillis = now;
-      List<MaxMin.Demand> demands = new ArrayList<>();
-      double total = 0;
-      for (AccountDemand account : accounts.values()) {
-        double demand = account.perSecond(now);
-        demands.add(new MaxMin.Demand(account.weight, demand));
-        total += demand;
-      }
-      double available = capacity.perSecond(now);
-      level =
-          total <= available * (1 + settings.tolerance())
-              ? Double.POSITIVE_INFINITY
-              : MaxMin.level(demands, available * (1 - settings.headroom()));
-    }
-  }
-
-  /** The demand of one account for one service, by the rank of the kind of request. */
-  private final class AccountDemand {
-
-    private double weight = 1;
-    private final TreeMap<Integer, KindDemand> kinds = new TreeMap<>();
-
-    double perSecond(long now) {
-      double sum = 0;
-      for (KindDemand kind : kinds.values()) {
-        sum += kind.rate.perSecond(now);
-      }
-      return sum;
-    }
-
-    /**
-     * Returns the fraction of the requests of a kind that is within the account's share. Each kind
-     * gets the guaranteed fraction of its proportional part, the rest goes to the urgent ones
-     * first.
-     */
-    double fraction(int rank, double fair, long now) {
-      double guaranteed = settings.guaranteedFraction() * fair / perSecond(now);
-      double left = (1 - settings.guaranteedFraction()) * fair;
-      for (KindDemand moreUrgent : kinds.headMap(rank).values()) {
-        left -= (1 - guaranteed) * moreUrgent.rate.perSecond(now);
-      }
-      double demand = kinds.get(rank).rate.perSecond(now);
-      return Math.min(1, guaranteed + Math.max(0, left) / demand);
-    }
-  }
-
-  /** The demand for one kind of request. */
-  private static final class KindDemand {
-
-    private final DecayedRate rate;
-
-    /** Requests that may be counted as within the share; at most one is carried over. */
-    private double credit;
-
-    KindDemand(DecayedRate rate) {
-      this.rate = rate;
-    }
-
-    boolean take(double fraction) {
-      credit = Math.min(credit + fraction, 1 + fraction);
-      if (credit < 1) {
-        return false;
-      }
-      credit--;
-      return true;
-    }
+    return services.computeIfAbsent(name, unused -> new ServiceShares(settings));
   }
 }
--- a/runtime/src/main/java/org/hornbeamusher/shares/ShareSettings.java
+++ b/runtime/src/main/java/org/hornbeamusher/shares/ShareSettings.java
@@ -13,7 +13,8 @@
  * @param guaranteedFraction fraction of its proportional part of the account's share that the least
  *     urgent kind of request gets however much more urgent ones the account sends
  * @param levelAgeMillis how long a computed fair level is used
- * @param maxShares limit on the shares that are counted; requests of further ones are within theirs
+ * @param maxShares limit on the shares of a service that are counted; requests of further ones are
+ *     within theirs
  */
 public record ShareSettings(
     double windowMillis,
--- a/runtime/src/test/java/org/hornbeamusher/shares/FairSharesTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/shares/FairSharesTest.java
@@ -150,23 +150,40 @@
   /** Guards against state that grows with the names that other processes report. */
   @Test
   void sharesBeyondTheLimitAreNotCounted() {
-    FairShares<Integer> shares =
-        new FairShares<>(new ShareSettings(1_000, 0.1, 0.1, 2, 0.25, 20, 2));
-    shares.relayConnected(1);
-    shares.usageReported(1, Map.of("\ts\ta\t0", 5L, "\ts\tb\t0", 5L, "\ts\tc\t0", 5L), 0);
+    FairShares<Integer> shares = fewShares();
+    shares.arrived(new ShareId("s", "a", 0), 1, 500, 0);
+    shares.usageReported(1, Map.of("\ts\tb\t0", 500L, "\ts\tc\t0", 500L), 0);
+    assertEquals(2, shares.size());
+    shares.usageReported(1, Map.of("\tunknown\ta\t0", 500L), 0);
     assertEquals(2, shares.size());
-    ShareDecision decision = shares.arrived(new ShareId("s", "d", 0), 1, 500, 1);
-    assertEquals(ShareDecision.UNSHARED, decision);
+    assertEquals(ShareDecision.UNSHARED, shares.arrived(new ShareId("s", "d", 0), 1, 500, 1));
+  }
+
+  /** Guards against accounts of former configurations keeping out those of the current one. */
+  @Test
+  void idleSharesMakeRoomForOthers() {
+    FairShares<Integer> shares = fewShares();
+    shares.arrived(new ShareId("s", "a", 0), 1, 500, 0);
+    shares.arrived(new ShareId("s", "b", 0), 1, 500, 0);
+    shares.arrived(new ShareId("s", "c", 0), 1, 500, 10_000);
+    assertEquals(1, shares.size());
   }
 
   /** Guards against an entry of another release whose names of shares cannot be read. */
   @Test
   void namesThatCannotBeReadAreIgnored() {
-    FairShares<Integer> shares = new FairShares<>(ShareSettings.DEFAULT);
-    shares.relayConnected(1);
+    FairShares<Integer> shares = fewShares();
+    shares.arrived(new ShareId("s", "a", 0), 1, 500, 0);
     shares.usageReported(
-        1, Map.of("account", 5L, "\t", 5L, "\ts\ta\tx", 5L, "\ts\ta\t0\tmore", 5L), 0);
-    assertEquals(0, shares.size());
+        1, Map.of("account", 5L, "\t", 5L, "\ts\ta\tx", 5L, "\ts\tb\t0\tmore", 5L), 0);
+    assertEquals(1, shares.size());
+  }
+
+  private static FairShares<Integer> fewShares() {
+    FairShares<Integer> shares =
+        new FairShares<>(new ShareSettings(1_000, 0.1, 0.1, 2, 0.25, 20, 2));
+    shares.relayConnected(1);
+    return shares;
   }
 
   private static void measure(ShareSimulation simulation) {
