--- a/tool/src/main/java/org/hornbeamusher/explain/Explanation.java
+++ b/tool/src/main/java/org/hornbeamusher/explain/Explanation.java
@@ -29,7 +29,7 @@
   private static final String ATTEMPT_ENDED = "ATTEMPT_ENDED";
   private static final String REQUEST_ENDED = "REQUEST_ENDED";
   private static final Set<String> ROUTING_EVENTS =
-      Set.of("REQUEST_PLACED", "REQUEST_MOVED", ATTEMPT_ENDED);
+      Set.of("ACCOUNT_REFUSED", "SHARE_EXCEEDED", "REQUEST_PLACED", "REQUEST_MOVED", ATTEMPT_ENDED);
   private static final String ENGINE_ORDERED = "ENGINE_ORDERED";
   private static final Set<String> ENGINE_EVENTS =
       Set.of("ENGINE_SEEN", "ENGINE_UNREACHABLE", "ENDPOINT_GONE", ENGINE_ORDERED);
--- a/tool/src/test/java/org/hornbeamusher/explain/ExplanationTest.java
+++ b/tool/src/test/java/org/hornbeamusher/explain/ExplanationTest.java
@@ -123,6 +123,24 @@
             .toList());
   }
 
+  /** Guards against a 429 whose account and share an operator has to look for in the logs. */
+  @Test
+  void refusalBeyondTheShareIsExplainedByTheShare() {
+    String beyond =
+        """
+        {"time":"2026-03-26T05:43:51.800Z","name":"SHARE_EXCEEDED","id":"c8",\
+        "account":"depot","outcome":"refused","demand_ms_per_s":4685,"fair_ms_per_s":797}\
+        """;
+    String ended =
+        """
+        {"time":"2026-03-26T05:43:51.801Z","name":"REQUEST_ENDED","id":"c8",\
+        "cause":"share-exceeded","status":429,"sends":0}\
+        """;
+    LogLine deciding = Explanation.of("c8", lines("entry", ended, beyond)).deciding().orElseThrow();
+    assertEquals("SHARE_EXCEEDED", deciding.name());
+    assertEquals("depot", deciding.field("account"));
+  }
+
   /**
    * An agent that cannot reach its engine does not log the endpoint; its log must be identified by
    * earlier lines.
