--- a/runtime/src/main/java/org/hornbeamusher/forwarding/RequestShares.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/RequestShares.java
@@ -52,16 +52,16 @@
   /** Counts a request that has arrived and decides whether it is within its share. */
   RequestShare arrived(
       String requestId, Optional<ClientAccount> account, Route route, String service) {
-    // The account's priority takes precedence over the route's.
+    // The account's priority takes precedence over the route's, except between its own requests.
     int rank = account.map(ClientAccount::rank).orElse(OptionalInt.empty()).orElse(route.rank());
     String name = account.map(holder -> holder.name().value()).orElse("");
-    ShareId id = new ShareId(service, name, rank);
+    ShareId id = new ShareId(service, name, route.rank());
     long cost = runTimes.millis(route.name());
     if (!used) {
-      return new RequestShare(id, cost, ShareDecision.UNSHARED);
+      return new RequestShare(id, rank, cost, ShareDecision.UNSHARED);
     }
     ShareDecision decision = shares.arrived(id, WEIGHT, cost, clock.millis());
-    RequestShare share = new RequestShare(id, cost, decision);
+    RequestShare share = new RequestShare(id, rank, cost, decision);
     if (decision.beyond()) {
       metrics.rankedDown(new AccountName(name));
       log(requestId, share, "ranked-down");
@@ -116,8 +116,10 @@
         share.id().account(),
         "outcome",
         outcome,
-        "rank",
+        "kind_rank",
         share.id().rank(),
+        "rank",
+        share.baseRank(),
         "effective_rank",
         share.rank(),
         "demand_ms_per_s",
--- a/runtime/src/main/java/org/hornbeamusher/shares/ShareId.java
+++ b/runtime/src/main/java/org/hornbeamusher/shares/ShareId.java
@@ -8,7 +8,7 @@
  *
  * @param service the service
  * @param account the client account; empty where no account is required
- * @param rank the priority of the kind of request; 0 is the most urgent
+ * @param rank the priority of the kind of request among those of the account; 0 is the most urgent
  */
 public record ShareId(String service, String account, int rank) {
 
--- a/runtime/src/test/java/org/hornbeamusher/forwarding/RequestSharesTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/forwarding/RequestSharesTest.java
@@ -36,20 +36,7 @@
   private static final int RANK = 1;
   private static final AdapterVersion ADAPTER = new AdapterVersion(new AdapterKey("m", "a"), 1);
   private static final AdapterVersion MODEL = new AdapterVersion(new AdapterKey("m", ""), 1);
-  private static final Route ROUTE =
-      new Route(
-          "chat",
-          "h",
-          "/",
-          RequestKind.STREAMING,
-          3_000,
-          500,
-          RANK,
-          List.of(new WeightedTarget("s", 1)),
-          1,
-          false,
-          2_000,
-          false);
+  private static final Route ROUTE = route(RANK);
 
   private final ManualClock clock = new ManualClock(0);
   private final MetricRegistry registry = new MetricRegistry();
@@ -91,6 +78,26 @@
     assertTrue(shares.refusal("1", other, placed(Set.of(MODEL), false, false), ADAPTER).isEmpty());
   }
 
+  /** Guards against an account with a priority of its own losing its urgent requests first. */
+  @Test
+  void urgentRequestsOfAccountWithPriorityAreWithinItsShareFirst() {
+    RequestShares shares = shares(true);
+    ClientAccount ranked =
+        new ClientAccount(new AccountName("ranked"), OptionalInt.of(3), Quota.UNLIMITED);
+    int urgentBeyond = 0;
+    int otherBeyond = 0;
+    for (int i = 0; i < 200; i++) {
+      clock.advance(10);
+      RequestShare urgent = shares.arrived("1", Optional.of(ranked), route(0), "s");
+      shares.started(urgent);
+      assertTrue(urgent.rank() >= 3);
+      urgentBeyond += urgent.decision().beyond() ? 1 : 0;
+      RequestShare other = shares.arrived("2", Optional.of(ranked), route(2), "s");
+      otherBeyond += other.decision().beyond() ? 1 : 0;
+    }
+    assertTrue(urgentBeyond < otherBeyond / 2, urgentBeyond + " and " + otherBeyond);
+  }
+
   @Test
   void callersWithoutAccountsKeepTheirRank() {
     RequestShares shares = shares(true);
@@ -106,6 +113,22 @@
     assertFalse(overload(shares(false), "hot").rank() > RANK);
   }
 
+  private static Route route(int rank) {
+    return new Route(
+        "chat-" + rank,
+        "h",
+        "/",
+        RequestKind.STREAMING,
+        3_000,
+        500,
+        rank,
+        List.of(new WeightedTarget("s", 1)),
+        1,
+        false,
+        2_000,
+        false);
+  }
+
   private RequestShares shares(boolean used) {
     return new RequestShares(
         used,
