--- a/runtime/src/main/java/org/hornbeamusher/events/EventType.java
+++ b/runtime/src/main/java/org/hornbeamusher/events/EventType.java
@@ -83,6 +83,10 @@
   // 1500: connections and membership
   PEER_CONNECTED(1501, Level.INFO, "A connection to a peer was opened."),
   PEER_LOST(1502, Level.WARNING, "A connection to a peer was lost or abandoned."),
+  LOAD_COORDINATOR_CHANGED(
+      1503, Level.INFO, "The agent gets its load permits from another entry, or from none."),
+  LOAD_PACING_CHANGED(
+      1504, Level.INFO, "Loads from the weight store begin or cease to need permits."),
   // 1600: the platform
   PLATFORM_OUTAGE(1601, Level.WARNING, "The platform does not respond."),
   PLATFORM_BACK(1602, Level.INFO, "The platform responds again."),
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/AgentConnections.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/AgentConnections.java
@@ -60,6 +60,7 @@
   private UsageListener usageListener = UsageListener.NONE;
   private PermitListener permitListener = PermitListener.NONE;
   private CrashListener crashListener = CrashListener.NONE;
+  private LoadListener loadListener = LoadListener.NONE;
   private Consumer<Message.StreamOriginResponse> originListener = response -> {};
   private long lastReservation;
 
@@ -96,6 +97,11 @@
     originListener = listener;
   }
 
+  /** Sets the listener for loads from the weight store. */
+  void setLoadListener(LoadListener listener) {
+    loadListener = listener;
+  }
+
   /** Sets the listener for records of crashes. */
   void setCrashListener(CrashListener listener) {
     crashListener = listener;
@@ -321,6 +327,32 @@
     void closed(InetSocketAddress agent);
   }
 
+  /** Receives what agents report of their loads from the weight store. */
+  interface LoadListener {
+
+    /** Ignores everything. */
+    LoadListener NONE =
+        new LoadListener() {
+          @Override
+          public void loadsReported(InetSocketAddress agent, int loads) {}
+
+          @Override
+          public void received(InetSocketAddress agent, Message.LoadPermitRequest request) {}
+
+          @Override
+          public void closed(InetSocketAddress agent) {}
+        };
+
+    /** An agent has reported how many loads its engine has in progress. */
+    void loadsReported(InetSocketAddress agent, int loads);
+
+    /** An agent requests permits. */
+    void received(InetSocketAddress agent, Message.LoadPermitRequest request);
+
+    /** The connection to an agent was lost. */
+    void closed(InetSocketAddress agent);
+  }
+
   /** The connection to one agent. */
   final class AgentConnection implements WireListener {
 
@@ -409,6 +441,7 @@
           incarnation = incarnationOf(report);
           notifyIncarnations(before);
           apply();
+          loadListener.loadsReported(address, report.loading().size());
         }
         case Message.PeerLoad report -> {
           EndpointView view = view();
@@ -426,6 +459,7 @@
                       report.cachedAdapters()));
           applyCosts();
         }
+        case Message.LoadPermitRequest request -> loadListener.received(address, request);
         case Message.UsageUpdate update -> usageListener.received(address, update);
         case Message.RatePermitResponse response -> permitListener.received(response);
         case Message.StreamOriginResponse response -> originListener.accept(response);
@@ -483,6 +517,7 @@
       usageListener.closed(address);
       permitListener.closed(address);
       crashListener.closed(address);
+      loadListener.closed(address);
       EventLog.log(EventType.PEER_LOST, "peer", address, "reason", reason.type().label());
       EndpointView view = view();
       if (view != null) {
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
@@ -21,6 +21,7 @@
 import org.hornbeamusher.events.EventType;
 import org.hornbeamusher.failure.FailureType;
 import org.hornbeamusher.failure.HornbeamusherException;
+import org.hornbeamusher.features.ServingFeature;
 import org.hornbeamusher.http.HttpClient;
 import org.hornbeamusher.ids.EndpointId;
 import org.hornbeamusher.ids.EndpointIncarnation;
@@ -79,6 +80,7 @@
   private final SoftwareHistory software = new SoftwareHistory();
   private final CrashHistory crashHistory;
   private final CrashReports crashReports;
+  private final LoadCoordinator loads;
   private final ForwardServer server;
   private final MetricRegistry registry = new MetricRegistry();
   private final Optional<MetricsListener> metrics;
@@ -136,6 +138,10 @@
     ForwardMetrics counts = new ForwardMetrics(registry);
     EndpointRateLimiter limits = new EndpointRateLimiter(agents, counts, loop, clock);
     agents.setPermitListener(limits);
+    this.loads = new LoadCoordinator(agents::send, counts, loop, clock);
+    if (settings.features().uses(ServingFeature.RECOVERY)) {
+      agents.setLoadListener(loads);
+    }
     this.crashHistory = new CrashHistory(QuarantineSettings.WITHOUT_ISOLATION);
     this.crashReports =
         new CrashReports(crashHistory, new CrashRecordTable(table), agents::send, loop, clock);
@@ -219,6 +225,8 @@
     measured.gauge("missing_endpoints", context.directory()::missingEndpoints);
     measured.gauge("unusable_entries", context.directory()::unusableEntries);
     measured.gauge("quarantined_contents", () -> crashHistory.quarantined().size());
+    measured.gauge("store_loads", loads::loadsInProgress);
+    measured.gauge("store_load_limit", loads::concurrencyLimit);
     measured.gauge("retry_entries", context.agents()::entries);
     measured.gauge("list_age_ms", () -> context.directory().ageMillis(clock.millis()));
     measured.gauge("key_proof_age_ms", accounts::proofAgeMillis);
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardMetrics.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardMetrics.java
@@ -74,6 +74,11 @@
     loadStallMillis.update(millis);
   }
 
+  /** Records a response to an agent about its loads from the weight store. */
+  void loadPermitsStated(boolean paced) {
+    registry.counter(PREFIX + "load_permits." + (paced ? "paced" : "unpaced")).inc();
+  }
+
   /** Records the decision about a request to a rate-limited endpoint. */
   void permitDecided(boolean granted) {
     registry.counter(PREFIX + "rate_permits." + (granted ? "granted" : "refused")).inc();
--- a/runtime/src/main/java/org/hornbeamusher/holdings/AdapterSlots.java
+++ b/runtime/src/main/java/org/hornbeamusher/holdings/AdapterSlots.java
@@ -10,6 +10,8 @@
 import java.util.Optional;
 import java.util.Set;
 import org.hornbeamusher.directory.AdapterVersion;
+import org.hornbeamusher.recovery.LoadPermits;
+import org.hornbeamusher.recovery.StoreLoadDemand;
 import org.hornbeamusher.routes.AdapterKey;
 import org.hornbeamusher.routes.LatestAdapterVersions;
 
@@ -67,6 +69,15 @@
    */
   private static final int SLOTS_KEPT_FOR_ON_TIME = 1;
 
+  /**
+   * Loads in progress after a restart of the engine while no coordinator responds. More than one
+   * load at each of many engines that restart together takes longer than most callers wait.
+   */
+  private static final int PACED_INITIAL_WINDOW = 1;
+
+  /** The wait for a permit is reported to entries in this unit. */
+  private static final long STORE_WAIT_UNIT_MILLIS = 50;
+
   private final int slots;
   private final LatestAdapterVersions versions;
   private final long startedMillis;
@@ -82,6 +93,7 @@
   private final Set<AdapterKey> ordered = new HashSet<>();
 
   private final LoadTimeEstimator loadTimes;
+  private final Optional<LoadPermits> permits;
 
   /** When a request that could still meet its target time last found no free slot. */
   private long lastOnTimeWaitMillis = Long.MIN_VALUE / 2;
@@ -97,8 +109,26 @@
    * @param now milliseconds
    */
   public AdapterSlots(int slots, LatestAdapterVersions versions, long now) {
+    this(slots, versions, Optional.empty(), now);
+  }
+
+  /**
+   * Creates an instance for an engine whose state is unknown.
+   *
+   * @param slots the engine's adapter slots
+   * @param versions the newest version of each adapter
+   * @param permits permits for loads from the weight store; empty if loads are not paced over all
+   *     engines
+   * @param now milliseconds
+   */
+  public AdapterSlots(
+      int slots, LatestAdapterVersions versions, Optional<LoadPermits> permits, long now) {
     this.slots = slots;
-    this.loadTimes = new LoadTimeEstimator(slots);
+    this.permits = permits;
+    this.loadTimes =
+        permits
+            .map(known -> new LoadTimeEstimator(slots, PACED_INITIAL_WINDOW, known::loadCompleted))
+            .orElseGet(() -> new LoadTimeEstimator(slots));
     this.versions = versions;
     this.startedMillis = now;
   }
@@ -148,7 +178,9 @@
    * @return the estimate from the engine's loads and runs so far
    */
   public LoadCosts costs() {
-    return loadTimes.costs();
+    LoadCosts measured = loadTimes.costs();
+    long wait = permits.map(LoadPermits::waitMillis).orElse(0L);
+    return measured.withStoreWait(wait / STORE_WAIT_UNIT_MILLIS * STORE_WAIT_UNIT_MILLIS);
   }
 
   /**
@@ -161,6 +193,7 @@
     reservations.clear();
     waiting.clear();
     loadTimes.engineRestarted();
+    permits.ifPresent(LoadPermits::engineRestarted);
   }
 
   /** Handles the loss of contact with the engine; what it holds is unknown. */
@@ -369,6 +402,9 @@
       ordered.add(load.key());
       if (!load.key().isBase() && !report.adapters().containsKey(load.key())) {
         loadTimes.loadOrdered(load.key(), now);
+        if (!loadTimes.isCached(load.key())) {
+          permits.ifPresent(LoadPermits::loadStarted);
+        }
       }
     }
   }
@@ -412,7 +448,11 @@
         }
         continue;
       }
-      if (report.loading().size() + ordered.size() >= loadTimes.maxConcurrentLoads()) {
+      if (!mayLoad(key, now)) {
+        // A copy that the engine has cached needs no permit.
+        if (permits.isPresent()) {
+          continue;
+        }
         return Optional.empty();
       }
       if (occupiedSlots() < slots) {
@@ -426,6 +466,53 @@
     return Optional.empty();
   }
 
+  private boolean mayLoad(AdapterKey key, long now) {
+    int loads = report.loading().size() + ordered.size();
+    if (permits.isEmpty()) {
+      return loads < loadTimes.maxConcurrentLoads();
+    }
+    return loadTimes.isCached(key)
+        ? loads < LoadConcurrencyWindow.MAX_SIZE
+        : permits.get().mayLoad(loads, loadTimes.maxConcurrentLoads(), now);
+  }
+
+  /**
+   * Returns what could be loaded from the weight store at once.
+   *
+   * @param now milliseconds
+   * @return the adapters that requests wait for, as many as there are usable slots for
+   */
+  public StoreLoadDemand storeLoadDemand(long now) {
+    if (report == null || report.leaving() || waiting.isEmpty()) {
+      return StoreLoadDemand.NONE;
+    }
+    List<AdapterKey> wanted =
+        LoadPriority.sort(waiting.values(), now).stream()
+            .filter(one -> one.expiresMillis() > now)
+            .map(one -> one.adapter().key())
+            .filter(this::needsStoreLoad)
+            .toList();
+    int adapters = (int) Math.min(wanted.size(), Math.max(0, usableSlots()));
+    return adapters == 0
+        ? StoreLoadDemand.NONE
+        : new StoreLoadDemand(adapters, onTimeRequests(wanted.getFirst(), now));
+  }
+
+  private boolean needsStoreLoad(AdapterKey key) {
+    return !key.isBase()
+        && report.models().contains(key.model())
+        && !report.adapters().containsKey(key)
+        && !isLoading(key)
+        && !loadTimes.isCached(key);
+  }
+
+  private int onTimeRequests(AdapterKey key, long now) {
+    return (int)
+        waiting.values().stream()
+            .filter(one -> one.adapter().key().equals(key) && !LoadPriority.isLate(one, now))
+            .count();
+  }
+
   /**
    * Tells whether a request that could meet its target time recently had to wait for a slot. For
    * the mean time of use of a slot, another such request is expected.
--- a/runtime/src/main/java/org/hornbeamusher/holdings/LoadConcurrencyWindow.java
+++ b/runtime/src/main/java/org/hornbeamusher/holdings/LoadConcurrencyWindow.java
@@ -20,9 +20,10 @@
 final class LoadConcurrencyWindow {
 
   /** The engine refuses a fifth concurrent load. */
-  private static final int MAX_SIZE = 4;
+  static final int MAX_SIZE = 4;
 
-  private static final int INITIAL_SIZE = 2;
+  /** Without pacing, a small window after a restart keeps the store from being overloaded. */
+  static final int INITIAL_SIZE = 2;
 
   /** A load slower than this multiple of the uncongested time indicates a congested store. */
   private static final double CONGESTION_RATIO = 1.5;
@@ -36,14 +37,21 @@
    */
   private static final double MIN_BASELINE_RATIO = 0.95;
 
+  private final int initialSize;
   private double uncongestedMillis;
-  private int size = INITIAL_SIZE;
+  private int size;
 
   /** Loads completed since the last change; those started before it do not reflect it. */
   private int loadsSinceChange;
 
   LoadConcurrencyWindow(double initialMillis) {
-    uncongestedMillis = initialMillis;
+    this(initialMillis, INITIAL_SIZE);
+  }
+
+  LoadConcurrencyWindow(double initialMillis, int initialSize) {
+    this.uncongestedMillis = initialMillis;
+    this.initialSize = initialSize;
+    this.size = initialSize;
   }
 
   /** Records the duration of a load from the weight store. */
@@ -62,7 +70,7 @@
 
   /** Resets the window for a new incarnation of the engine. */
   void reset() {
-    size = INITIAL_SIZE;
+    size = initialSize;
     loadsSinceChange = 0;
   }
 
--- a/runtime/src/main/java/org/hornbeamusher/holdings/LoadCosts.java
+++ b/runtime/src/main/java/org/hornbeamusher/holdings/LoadCosts.java
@@ -38,4 +38,17 @@
         USE_MILLIS / atLeastOne,
         CACHED_ADAPTERS_PER_SLOT * atLeastOne);
   }
+
+  /**
+   * Returns these costs for a load that has to wait before it begins.
+   *
+   * @param waitMillis how long a load from the weight store waits
+   * @return the costs with the wait
+   */
+  LoadCosts withStoreWait(long waitMillis) {
+    return waitMillis == 0
+        ? this
+        : new LoadCosts(
+            storeLoadMillis + waitMillis, cachedLoadMillis, slotWaitMillis, cachedAdapters);
+  }
 }
--- a/runtime/src/main/java/org/hornbeamusher/holdings/LoadTimeEstimator.java
+++ b/runtime/src/main/java/org/hornbeamusher/holdings/LoadTimeEstimator.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.LongConsumer;
 import org.hornbeamusher.routes.AdapterKey;
 
 /**
@@ -69,14 +70,22 @@
   private double useMillis;
   private int cachedAdapters;
 
+  /** Receives the duration of each load from the weight store. */
+  private final LongConsumer storeLoads;
+
   LoadTimeEstimator(int slots) {
+    this(slots, LoadConcurrencyWindow.INITIAL_SIZE, tookMillis -> {});
+  }
+
+  LoadTimeEstimator(int slots, int initialWindow, LongConsumer storeLoads) {
     this.slots = Math.max(1, slots);
+    this.storeLoads = storeLoads;
     LoadCosts prior = LoadCosts.initialEstimate(slots);
     storeMillis = prior.storeLoadMillis();
     cachedMillis = prior.cachedLoadMillis();
     useMillis = prior.slotWaitMillis() * this.slots;
     cachedAdapters = prior.cachedAdapters();
-    loadWindow = new LoadConcurrencyWindow(storeMillis);
+    loadWindow = new LoadConcurrencyWindow(storeMillis, initialWindow);
   }
 
   /** Records that an adapter was unloaded. */
@@ -141,6 +150,7 @@
     } else {
       storeMillis += SMOOTHING_FACTOR * (took - storeMillis);
       loadWindow.loadCompleted(took);
+      storeLoads.accept(took);
     }
     unloaded.remove(key);
   }
@@ -163,6 +173,11 @@
     return unloaded.size() - 1 - oldestFirst.indexOf(key);
   }
 
+  /** Returns whether the engine probably still caches an adapter that it has unloaded. */
+  boolean isCached(AdapterKey key) {
+    return unloaded.contains(key) && depth(key) < cachedAdapters;
+  }
+
   /** Records how long an adapter was in use without interruption. */
   void useEnded(long tookMillis) {
     useMillis += SMOOTHING_FACTOR * (tookMillis - useMillis);
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/recovery/package-info.java
@@ -0,0 +1,2 @@
+/** Order and pace of the loads from the weight store over all engines. */
+package org.hornbeamusher.recovery;
--- a/runtime/src/main/java/org/hornbeamusher/sidecar/SidecarDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/sidecar/SidecarDaemon.java
@@ -16,6 +16,7 @@
 import org.hornbeamusher.events.EventType;
 import org.hornbeamusher.failure.FailureType;
 import org.hornbeamusher.failure.HornbeamusherException;
+import org.hornbeamusher.features.ServingFeature;
 import org.hornbeamusher.fencing.FencingNumberAllocator;
 import org.hornbeamusher.holdings.AdapterSlots;
 import org.hornbeamusher.holdings.EngineOrder;
@@ -27,6 +28,8 @@
 import org.hornbeamusher.ids.EndpointIncarnation;
 import org.hornbeamusher.ids.FencingNumber;
 import org.hornbeamusher.loop.EventLoop;
+import org.hornbeamusher.recovery.LoadPermits;
+import org.hornbeamusher.recovery.StoreLoadDemand;
 import org.hornbeamusher.routes.AdapterKey;
 import org.hornbeamusher.routes.EngineSpec;
 import org.hornbeamusher.routes.LatestAdapterVersions;
@@ -72,6 +75,10 @@
   private final LatestAdapterVersions versions = new LatestAdapterVersions();
   private final ConnectedEntries entries = new ConnectedEntries();
   private final EntryServices services;
+
+  /** Empty if loads are not paced over all engines. */
+  private final Optional<LoadPermitExchange> permits;
+
   private final MetricRegistry registry = new MetricRegistry();
   private AdapterSlots adapterSlots;
   private EngineSpec spec;
@@ -122,6 +129,10 @@
     this.clock = clock;
     this.fencing = new FencingNumbers(lease, loop);
     this.services = new EntryServices(loop, clock, registry);
+    this.permits =
+        settings.features().uses(ServingFeature.RECOVERY)
+            ? Optional.of(new LoadPermitExchange(clock, registry))
+            : Optional.empty();
     this.server = transport.listen(settings.listenAddress(), hello(settings), this);
   }
 
@@ -190,7 +201,12 @@
     }
     spec = engineSpec;
     if (adapterSlots == null) {
-      adapterSlots = new AdapterSlots(spec.adapterCapacity(), versions, clock.millis());
+      adapterSlots =
+          new AdapterSlots(
+              spec.adapterCapacity(),
+              versions,
+              permits.map(LoadPermitExchange::permits),
+              clock.millis());
       Optional.ofNullable(report)
           .ifPresent(lastReport -> adapterSlots.recordReport(lastReport, clock.millis()));
     }
@@ -229,6 +245,7 @@
         () -> {
           entries.entryConnected(connection);
           services.entryConnected(connection);
+          permits.ifPresent(exchange -> exchange.entryConnected(connection));
           scheduleDueWork();
           EventLog.log(EventType.PEER_CONNECTED, "peer", hello.instance());
         });
@@ -245,6 +262,7 @@
         () -> {
           OptionalLong entry = entries.entryDisconnected(connection);
           services.entryDisconnected(connection);
+          permits.ifPresent(exchange -> exchange.entryDisconnected(connection));
           if (entry.isPresent() && adapterSlots != null) {
             adapterSlots.releaseAll(entry.getAsLong());
             scheduleDueWork();
@@ -255,6 +273,9 @@
   }
 
   private void handle(WireConnection connection, Message message) {
+    if (message instanceof Message.Leaving) {
+      permits.ifPresent(exchange -> exchange.entryLeaving(connection));
+    }
     if (services.received(connection, message)) {
       return;
     }
@@ -270,6 +291,8 @@
           adapterSlots.promptProcessed(new ReservationId(entry, read.reservation()));
       case Message.ReservationRelease release ->
           adapterSlots.release(new ReservationId(entry, release.reservation()));
+      case Message.LoadPermitResponse response ->
+          permits.ifPresent(exchange -> exchange.received(connection, response));
       default -> {
         // A newer entry may send messages that this agent does not know.
       }
@@ -304,6 +327,7 @@
     if (adapterSlots != null) {
       grant();
       adapterSlots.updateAdaptersInUse(clock.millis());
+      permits.ifPresent(this::updatePermits);
     }
     if (!callInProgress) {
       callEngine();
@@ -311,11 +335,18 @@
     long reportDueMillis = Long.MAX_VALUE;
     if (adapterSlots != null) {
       reportHoldings();
+      // After the report of holdings, which shows the load that has just used a permit.
+      permits.ifPresent(this::updatePermits);
       reportDueMillis = entries.reportWorkload(adapterSlots, clock.millis());
     }
     wakeUpAt(Math.min(nextReportMillis, reportDueMillis));
   }
 
+  private void updatePermits(LoadPermitExchange exchange) {
+    boolean paced = exchange.permits().mode() == LoadPermits.Mode.PACED;
+    exchange.update(paced ? adapterSlots.storeLoadDemand(clock.millis()) : StoreLoadDemand.NONE);
+  }
+
   /** Schedules the next {@link #runDueWork}; without waiting requests only for the given time. */
   private void wakeUpAt(long nextMillis) {
     long now = clock.millis();
--- a/runtime/src/main/java/org/hornbeamusher/wire/FieldReader.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/FieldReader.java
@@ -35,6 +35,24 @@
     return nextField() ? unpacker.unpackLong() : 0;
   }
 
+  /** Reads a number that must not be negative. */
+  int readCount() throws IOException {
+    return (int) checkedCount(readInt());
+  }
+
+  /** Reads a number that must not be negative. */
+  long readCountLong() throws IOException {
+    return checkedCount(readLong());
+  }
+
+  private static long checkedCount(long count) {
+    if (count < 0) {
+      throw HornbeamusherException.notRun(
+          FailureType.FRAME_MALFORMED, "a count of " + count + " is negative");
+    }
+    return count;
+  }
+
   double readDouble() throws IOException {
     return nextField() ? unpacker.unpackDouble() : 0;
   }
--- a/runtime/src/main/java/org/hornbeamusher/wire/Message.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/Message.java
@@ -448,6 +448,41 @@
    */
   record RateLimitLifted(String endpoint, long sentAgoMillis) implements Message {}
 
+  /**
+   * Requests permits for loads from the weight store (agent to the entry that is its coordinator).
+   *
+   * @param epoch counts the coordinators that the agent has chosen; permits belong to one epoch
+   * @param adapters how many adapters the agent could load at once if it had permits
+   * @param onTimeRequests the requests for the first of these adapters that can still meet their
+   *     target time
+   * @param usedPermits the permits of this epoch that were used or have expired
+   * @param loadMillis the duration of a load that has completed since the last request; 0 for none
+   * @param concurrencyLimit the limit that the agent received from an earlier coordinator; 0 for
+   *     none
+   */
+  record LoadPermitRequest(
+      long epoch,
+      int adapters,
+      int onTimeRequests,
+      long usedPermits,
+      long loadMillis,
+      int concurrencyLimit)
+      implements Message {}
+
+  /**
+   * States whether loads from the weight store need permits, and the permits granted to an agent
+   * (entry to agent).
+   *
+   * @param epoch the epoch of the agent's request
+   * @param paced whether loads need permits
+   * @param grantedPermits the permits granted in this epoch
+   * @param waitMillis estimated time until a load that is wanted now begins
+   * @param concurrencyLimit how many loads may be in progress over all engines
+   */
+  record LoadPermitResponse(
+      long epoch, boolean paced, long grantedPermits, long waitMillis, int concurrencyLimit)
+      implements Message {}
+
   /**
    * A message of a type that this process does not know; it is ignored.
    *
--- a/runtime/src/main/java/org/hornbeamusher/wire/MessageCodec.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/MessageCodec.java
@@ -47,6 +47,8 @@
   private static final int RATE_LIMIT_LIFTED = 31;
   private static final int CRASH_REPORT = 32;
   private static final int CONNECTION_LOSS = 36;
+  private static final int LOAD_PERMIT_REQUEST = 37;
+  private static final int LOAD_PERMIT_RESPONSE = 38;
   private static final int STREAM_BEGUN = 33;
   private static final int STREAM_ORIGIN_REQUEST = 34;
   private static final int STREAM_ORIGIN_RESPONSE = 35;
@@ -233,6 +235,21 @@
         packHeader(p, CONNECTION_LOSS, 3).packString(m.endpoint()).packLong(m.startMillis());
         packStrings(p, m.suspects());
       }
+      case Message.LoadPermitRequest m ->
+          packHeader(p, LOAD_PERMIT_REQUEST, 6)
+              .packLong(m.epoch())
+              .packInt(m.adapters())
+              .packInt(m.onTimeRequests())
+              .packLong(m.usedPermits())
+              .packLong(m.loadMillis())
+              .packInt(m.concurrencyLimit());
+      case Message.LoadPermitResponse m ->
+          packHeader(p, LOAD_PERMIT_RESPONSE, 5)
+              .packLong(m.epoch())
+              .packBoolean(m.paced())
+              .packLong(m.grantedPermits())
+              .packLong(m.waitMillis())
+              .packInt(m.concurrencyLimit());
       case Message.Unknown m -> packHeader(p, m.type(), 0);
     }
   }
@@ -384,6 +401,17 @@
       case CRASH_REPORT -> new Message.CrashReport(r.readBytes());
       case CONNECTION_LOSS ->
           new Message.ConnectionLoss(r.readString(), r.readLong(), r.readStrings());
+      case LOAD_PERMIT_REQUEST ->
+          new Message.LoadPermitRequest(
+              r.readLong(),
+              r.readCount(),
+              r.readCount(),
+              r.readCountLong(),
+              r.readCountLong(),
+              r.readCount());
+      case LOAD_PERMIT_RESPONSE ->
+          new Message.LoadPermitResponse(
+              r.readLong(), r.readBoolean(), r.readCountLong(), r.readCountLong(), r.readCount());
       default -> new Message.Unknown(type);
     };
   }
--- a/runtime/src/test/java/org/hornbeamusher/wire/MessageCodecTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/wire/MessageCodecTest.java
@@ -48,6 +48,8 @@
           new Message.RatePermitRequest(5, "i-1", 1.7, 40, 600),
           new Message.RatePermitResponse(5, true, 120),
           new Message.RateLimitLifted("i-1", 80),
+          new Message.LoadPermitRequest(2, 3, 4, 5, 290, 24),
+          new Message.LoadPermitResponse(2, true, 6, 350, 25),
           new Message.ConnectionLoss("i-1", 1_764_000L, List.of("part-5c1e07a2")));
 
   @Test
@@ -117,6 +119,21 @@
     assertEquals(FailureType.FRAME_TOO_LONG, failure.type());
   }
 
+  /** Guards against permits from a faulty agent that has used less than none. */
+  @Test
+  void negativeCountIsRejected() {
+    for (Message faulty :
+        List.of(
+            new Message.LoadPermitRequest(1, -1, 0, 0, 0, 0),
+            new Message.LoadPermitRequest(1, 0, 0, -1, 0, 0),
+            new Message.LoadPermitResponse(1, true, -1, 0, 0))) {
+      HornbeamusherException failure =
+          assertThrows(
+              HornbeamusherException.class, () -> MessageCodec.decode(MessageCodec.encode(faulty)));
+      assertEquals(FailureType.FRAME_MALFORMED, failure.type());
+    }
+  }
+
   /** Guards against allocating memory for a string whose length exceeds the rest of its frame. */
   @Test
   void lengthBeyondFrameIsRejected() {
