--- a/runtime/src/test/java/org/hornbeamusher/recovery/RestartedFleet.java
+++ b/runtime/src/test/java/org/hornbeamusher/recovery/RestartedFleet.java
@@ -68,6 +68,9 @@
   /** The most loads from the store that were in progress at once. */
   int maxStoreLoads;
 
+  /** Requests whose callers left before their adapter was loaded. */
+  int abandoned;
+
   /** The requests by the second of their arrival: asked, and with a first event in time. */
   final Map<Long, int[]> bySecond = new TreeMap<>();
 
@@ -75,7 +78,17 @@
 
   private record Arrival(long millis, int adapter) {}
 
-  RestartedFleet(boolean paced, long seed) {
+  /** How the loads of the engines are limited. */
+  enum Pacing {
+    /** Each agent learns from its own loads and begins with two at once. */
+    PER_ENGINE,
+    /** The same, beginning with one load, as without a coordinator. */
+    SELF_PACED,
+    /** A coordinator grants permits. */
+    COORDINATED
+  }
+
+  RestartedFleet(Pacing pacing, long seed) {
     random = new Random(seed);
     double sum = 0;
     for (int i = 0; i < ADAPTERS; i++) {
@@ -83,11 +96,13 @@
       cumulativePopularity[i] = sum;
     }
     for (int i = 0; i < ENGINES; i++) {
-      engines.add(new Engine(i, paced));
+      engines.add(new Engine(i, pacing != Pacing.PER_ENGINE));
     }
     coordinators.put(0, new LoadPermitAllocator<>(0));
     coordinators.put(1, new LoadPermitAllocator<>(0));
-    engines.forEach(engine -> engine.choose(0));
+    if (pacing == Pacing.COORDINATED) {
+      engines.forEach(engine -> engine.choose(0));
+    }
   }
 
   /** Makes a coordinator unreachable; with {@code closed} the agents notice it at once. */
@@ -238,6 +253,7 @@
                 boolean expired = now - entry.getValue().millis >= CALLER_PATIENCE_MILLIS;
                 if (expired) {
                   slots.release(entry.getKey());
+                  abandoned++;
                 }
                 return expired;
               });
