--- a/runtime/src/main/java/org/hornbeamusher/forwarding/LoadCoordinator.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/LoadCoordinator.java
@@ -21,15 +21,15 @@
   /** Permits expire and pacing ends by the passage of time. */
   private static final long POLL_MILLIS = 50;
 
+  /** The epoch in a request of an agent that has chosen another coordinator. */
+  private static final long RELEASE_EPOCH = 0;
+
   private final LoadPermitAllocator<InetSocketAddress> allocator;
   private final BiConsumer<InetSocketAddress, Message> sender;
   private final ForwardMetrics metrics;
   private final EventLoop loop;
   private final Clock clock;
 
-  /** Whether an agent has chosen this entry; other entries only record the reported loads. */
-  private boolean active;
-
   private boolean pollScheduled;
   private boolean pacedBefore = true;
 
@@ -61,7 +61,10 @@
 
   @Override
   public void received(InetSocketAddress agent, Message.LoadPermitRequest message) {
-    active = true;
+    if (message.epoch() == RELEASE_EPOCH) {
+      allocator.released(agent);
+      return;
+    }
     allocator.request(
         agent,
         new LoadPermitRequest(
@@ -81,7 +84,8 @@
   }
 
   private void poll() {
-    if (!active) {
+    // Other entries only record the reported loads.
+    if (!allocator.isCoordinator()) {
       return;
     }
     long now = clock.millis();
--- a/runtime/src/main/java/org/hornbeamusher/recovery/LoadPermitAllocator.java
+++ b/runtime/src/main/java/org/hornbeamusher/recovery/LoadPermitAllocator.java
@@ -116,6 +116,24 @@
     agents.computeIfAbsent(agent, unused -> new Agent()).requested(request, now);
   }
 
+  /**
+   * Handles an agent that has chosen another coordinator.
+   *
+   * @param agent the agent; its loads are still counted
+   */
+  public void released(A agent) {
+    Optional.ofNullable(agents.get(agent)).ifPresent(known -> known.request = null);
+  }
+
+  /**
+   * Returns whether this process coordinates.
+   *
+   * @return whether an agent has chosen it
+   */
+  public boolean isCoordinator() {
+    return agents.values().stream().anyMatch(agent -> agent.request != null);
+  }
+
   /**
    * Removes an agent whose connection is lost.
    *
--- a/runtime/src/main/java/org/hornbeamusher/sidecar/LoadPermitExchange.java
+++ b/runtime/src/main/java/org/hornbeamusher/sidecar/LoadPermitExchange.java
@@ -31,6 +31,9 @@
 
   private static final long SUSPENSION_MILLIS = 10_000;
 
+  /** Tells the former coordinator that another one was chosen. */
+  private static final Message RELEASE = new Message.LoadPermitRequest(0, 0, 0, 0, 0, 0);
+
   private static final long CHOICE_KEY = RendezvousHash.hash("load-coordinator");
 
   private final LoadPermits permits = new LoadPermits();
@@ -121,6 +124,9 @@
     if (next.orElse(null) == coordinator) {
       return;
     }
+    if (suspendedUntilMillis.containsKey(coordinator)) {
+      coordinator.send(RELEASE);
+    }
     coordinator = next.orElse(null);
     if (coordinator == null) {
       permits.coordinatorLost();
--- a/runtime/src/main/java/org/hornbeamusher/wire/Message.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/Message.java
@@ -451,7 +451,8 @@
   /**
    * Requests permits for loads from the weight store (agent to the entry that is its coordinator).
    *
-   * @param epoch counts the coordinators that the agent has chosen; permits belong to one epoch
+   * @param epoch counts the coordinators that the agent has chosen, from 1; permits belong to one
+   *     epoch. 0 if the agent has chosen another coordinator
    * @param adapters how many adapters the agent could load at once if it had permits
    * @param onTimeRequests the requests for the first of these adapters that can still meet their
    *     target time
--- a/runtime/src/test/java/org/hornbeamusher/recovery/LoadPermitAllocatorTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/recovery/LoadPermitAllocatorTest.java
@@ -77,6 +77,17 @@
     assertTrue(last(allocator.poll(2_000)).paced());
   }
 
+  /** Guards against two entries that both grant permits to an agent. */
+  @Test
+  void agentThatHasChosenAnotherCoordinatorIsOnlyCounted() {
+    request(1, 1, 5, 0, 0);
+    allocator.loadsReported(1, 3);
+    allocator.released(1);
+    assertFalse(allocator.isCoordinator());
+    assertEquals(List.of(), granted(0));
+    assertEquals(3, allocator.loadsInProgress(0));
+  }
+
   /** Guards against a coordinator that learns the limit anew after it has replaced another. */
   @Test
   void limitIsHandedOverByTheFirstAgent() {
--- a/runtime/src/test/java/org/hornbeamusher/sidecar/LoadPermitExchangeTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/sidecar/LoadPermitExchangeTest.java
@@ -34,11 +34,13 @@
   @Test
   void agentsWithTheSameEntriesChooseTheSameCoordinator() {
     connectAll(exchange, first, second, third);
+    List.of(first, second, third).forEach(entry -> entry.sent.clear());
     exchange.update(ONE);
     final Entry chosen = chosen();
     LoadPermitExchange other = exchange();
     List.of(first, second, third).forEach(entry -> entry.sent.clear());
     connectAll(other, third, first, second);
+    List.of(first, second, third).forEach(entry -> entry.sent.clear());
     other.update(ONE);
     assertEquals(chosen, chosen());
   }
@@ -46,6 +48,8 @@
   @Test
   void nextEntryIsChosenWhenTheCoordinatorIsLost() {
     connectAll(exchange, first, second);
+    first.sent.clear();
+    second.sent.clear();
     exchange.update(ONE);
     Entry lost = chosen();
     lost.sent.clear();
@@ -58,16 +62,18 @@
   @Test
   void silentCoordinatorIsPassedOverForSomeTime() {
     connectAll(exchange, first, second);
+    first.sent.clear();
+    second.sent.clear();
     exchange.update(ONE);
     Entry silent = chosen();
-    silent.sent.clear();
     clock.advance(LONG_SILENCE_MILLIS);
     exchange.update(ONE);
+    silent.sent.clear();
     Entry next = chosen();
     assertNotEquals(silent, next);
-    next.sent.clear();
     clock.advance(LONG_SILENCE_MILLIS);
     exchange.update(ONE);
+    next.sent.clear();
     assertEquals(LoadPermits.Mode.SELF_PACED, exchange.permits().mode());
     clock.advance(SUSPENSION_MILLIS);
     exchange.update(ONE);
@@ -77,10 +83,14 @@
   @Test
   void drainingCoordinatorIsReplaced() {
     connectAll(exchange, first, second);
+    first.sent.clear();
+    second.sent.clear();
     exchange.update(ONE);
     Entry draining = chosen();
     draining.sent.clear();
     exchange.entryLeaving(draining);
+    assertEquals(List.of(new Message.LoadPermitRequest(0, 0, 0, 0, 0, 0)), draining.sent);
+    draining.sent.clear();
     exchange.update(ONE);
     assertNotEquals(draining, chosen());
   }
@@ -89,6 +99,8 @@
   @Test
   void responseOfFormerCoordinatorIsIgnored() {
     connectAll(exchange, first, second);
+    first.sent.clear();
+    second.sent.clear();
     exchange.update(ONE);
     Entry former = chosen();
     exchange.entryLeaving(former);
