--- a/runtime/src/test/java/org/hornbeamusher/wire/MessageCodecTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/wire/MessageCodecTest.java
@@ -50,7 +50,8 @@
           new Message.RateLimitLifted("i-1", 80),
           new Message.LoadPermitRequest(2, 3, 4, 5, 290, 24),
           new Message.LoadPermitResponse(2, true, 6, 350, 25),
-          new Message.ConnectionLoss("i-1", 1_764_000L, List.of("part-5c1e07a2")));
+          new Message.ConnectionLoss("i-1", 1_764_000L, List.of("part-5c1e07a2")),
+          new Message.ConnectionLoss("i-1", 1_764_000L, List.of("part-5c1e07a2"), 3, 4, 5));
 
   @Test
   void messagesRoundTrip() {
