--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
@@ -366,7 +366,7 @@
         && context.placer().place(service, placementRequest, excluded(), now())
             instanceof Placement.Assigned at
         && at.endpoint() != endpoint
-        && at.justifiesMove(now() - loadPossibleMillis)) {
+        && at.justifiesMove(now() - loadPossibleMillis, endpoint.storeLoadMillis())) {
       placeAgain();
       return;
     }
--- a/runtime/src/main/java/org/hornbeamusher/placement/EndpointView.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/EndpointView.java
@@ -408,6 +408,15 @@
     return costs;
   }
 
+  /**
+   * Returns how long a load from the weight store takes here.
+   *
+   * @return the agent's estimate, including the wait until the load may begin
+   */
+  public long storeLoadMillis() {
+    return costs.storeLoadMillis();
+  }
+
   /**
    * Returns the free adapter slots; with zero or less a load has to wait for one. Slots that this
    * entry has just requested count as taken, or a burst of loads would be placed on one free slot.
--- a/runtime/src/main/java/org/hornbeamusher/placement/Placement.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/Placement.java
@@ -32,15 +32,22 @@
      */
     private static final long OVERDUE_LOAD_MILLIS = 450;
 
+    /** Variation of the time of a load, beyond its estimate. */
+    private static final long LOAD_MARGIN_MILLIS = 100;
+
     /**
      * Returns whether a request that waits for a load at another endpoint should move to this one.
+     * While the weight store is congested, loads wait at every engine; a load that has not begun
+     * there would begin no sooner here, and its adapter would be loaded twice.
      *
      * @param waitedMillis how long it has waited there
+     * @param loadMillis how long a load takes there, including its wait for the weight store
      * @return true when it could start here at once, or when the other load is overdue and a load
      *     could begin here at once
      */
-    public boolean justifiesMove(long waitedMillis) {
-      return canStartNow || (waitedMillis >= OVERDUE_LOAD_MILLIS && canLoadNow);
+    public boolean justifiesMove(long waitedMillis, long loadMillis) {
+      long overdueMillis = Math.max(OVERDUE_LOAD_MILLIS, loadMillis + LOAD_MARGIN_MILLIS);
+      return canStartNow || (waitedMillis >= overdueMillis && canLoadNow);
     }
   }
 
--- a/runtime/src/test/java/org/hornbeamusher/placement/PlacerTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/placement/PlacerTest.java
@@ -23,6 +23,11 @@
 
 class PlacerTest {
 
+  private static final long LOAD_MILLIS = 250;
+
+  /** A load and its wait for the weight store. */
+  private static final long CONGESTED_LOAD_MILLIS = 900;
+
   private static final int ADAPTER_SLOTS = 7;
   private static final int ENGINE_SLOTS = 64;
   private static final int PLAIN_SLOTS = 4;
@@ -190,8 +195,10 @@
   void requestStaysInQueueUntilItsLoadIsOverdue() {
     engine("e1", "a", Set.of()).reportedLoad(0, 0, 1);
     Placement.Assigned free = place(COLD, 800);
-    assertFalse(free.justifiesMove(100));
-    assertTrue(free.justifiesMove(450));
+    assertFalse(free.justifiesMove(100, LOAD_MILLIS));
+    assertTrue(free.justifiesMove(450, LOAD_MILLIS));
+    assertFalse(free.justifiesMove(450, CONGESTED_LOAD_MILLIS));
+    assertTrue(free.justifiesMove(1_000, CONGESTED_LOAD_MILLIS));
   }
 
   /**
@@ -205,13 +212,13 @@
     EndpointView engine = engine("e1", "a", Set.of());
     engine.updateFromAgent(Set.of(), Set.of(), false);
     engine.reportedLoad(0, 0, 4);
-    assertFalse(place(COLD, 800).justifiesMove(450));
+    assertFalse(place(COLD, 800).justifiesMove(450, LOAD_MILLIS));
   }
 
   @Test
   void requestLeavesItsQueueForEngineThatHoldsItsAdapter() {
     engine("e1", "a", Set.of(HOT));
-    assertTrue(place(HOT, 800).justifiesMove(0));
+    assertTrue(place(HOT, 800).justifiesMove(0, LOAD_MILLIS));
   }
 
   @Test
