--- a/runtime/src/test/java/org/hornbeamusher/holdings/AdapterSlotsTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/holdings/AdapterSlotsTest.java
@@ -15,6 +15,9 @@
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
 import org.hornbeamusher.directory.AdapterVersion;
+import org.hornbeamusher.recovery.LoadPermitResponse;
+import org.hornbeamusher.recovery.LoadPermits;
+import org.hornbeamusher.recovery.StoreLoadDemand;
 import org.hornbeamusher.routes.AdapterKey;
 import org.hornbeamusher.routes.LatestAdapterVersions;
 import org.junit.jupiter.api.Test;
@@ -322,6 +325,46 @@
     assertEquals(0, adapterSlots.workloads(0).fromOthers(8).pendingPromptTokens());
   }
 
+  @Test
+  void pacedLoadWaitsForPermit() {
+    LoadPermits permits = pacedPermits();
+    AdapterSlots paced = new AdapterSlots(2, versions, Optional.of(permits), 0);
+    paced.recordReport(engineReport(Map.of(), 1), 0);
+    paced.reserve(reservation(1, held("a", 1), 0, 800), 0);
+    assertEquals(Optional.empty(), paced.nextOrder(MODELS, 0));
+    assertEquals(new StoreLoadDemand(1, 1), paced.storeLoadDemand(0));
+    permits.received(new LoadPermitResponse(1, true, 1, 400, 24), 0);
+    assertEquals(load("a"), paced.nextOrder(MODELS, 0));
+    assertEquals(StoreLoadDemand.NONE, paced.storeLoadDemand(0));
+  }
+
+  /** Guards against an engine that waits for the store to load what it has cached itself. */
+  @Test
+  void cachedAdapterIsLoadedWithoutPermit() {
+    AdapterSlots paced = new AdapterSlots(2, versions, Optional.of(pacedPermits()), 0);
+    paced.recordReport(engineReport(Map.of(key("a"), 1L), 1), 0);
+    paced.recordReport(engineReport(Map.of(), 2), 0);
+    paced.reserve(reservation(1, held("b", 1), 0, 800), 0);
+    paced.reserve(reservation(2, held("a", 1), 0, 900), 0);
+    assertEquals(load("a"), paced.nextOrder(MODELS, 0));
+  }
+
+  /** Guards against entries that place requests as if the store were idle. */
+  @Test
+  void waitForPermitIsPartOfTheCosts() {
+    LoadPermits permits = pacedPermits();
+    AdapterSlots paced = new AdapterSlots(2, versions, Optional.of(permits), 0);
+    final long before = paced.costs().storeLoadMillis();
+    permits.received(new LoadPermitResponse(1, true, 0, 420, 24), 0);
+    assertEquals(before + 400, paced.costs().storeLoadMillis());
+  }
+
+  private static LoadPermits pacedPermits() {
+    LoadPermits permits = new LoadPermits();
+    permits.coordinatorChosen();
+    return permits;
+  }
+
   /**
    * Random sequences of reservations, releases and lost responses against a model of the engine,
    * which must never be ordered to load more adapters than it has slots.
