--- a/runtime/src/main/java/org/hornbeamusher/forwarding/LoadCoordinator.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/LoadCoordinator.java
@@ -30,6 +30,9 @@
   private final EventLoop loop;
   private final Clock clock;
 
+  /** Whether a poll is scheduled after the messages that are already queued in the loop. */
+  private boolean pollQueued;
+
   private boolean pollScheduled;
   private boolean pacedBefore = true;
 
@@ -56,7 +59,7 @@
   @Override
   public void loadsReported(InetSocketAddress agent, int loads) {
     allocator.loadsReported(agent, loads);
-    poll();
+    queuePoll();
   }
 
   @Override
@@ -74,20 +77,28 @@
             message.loadMillis(),
             message.concurrencyLimit()),
         clock.millis());
-    poll();
+    queuePoll();
   }
 
   @Override
   public void closed(InetSocketAddress agent) {
     allocator.agentLost(agent);
-    poll();
+    queuePoll();
   }
 
-  private void poll() {
+  private void queuePoll() {
     // Other entries only record the reported loads.
-    if (!allocator.isCoordinator()) {
-      return;
+    if (!pollQueued && allocator.isCoordinator()) {
+      pollQueued = true;
+      loop.execute(
+          () -> {
+            pollQueued = false;
+            poll();
+          });
     }
+  }
+
+  private void poll() {
     long now = clock.millis();
     allocator.poll(now).forEach(reply -> send(reply.agent(), reply.response()));
     if (allocator.paced() != pacedBefore) {
@@ -103,7 +114,7 @@
           "limit",
           allocator.concurrencyLimit());
     }
-    if (allocator.paced() && !pollScheduled) {
+    if (allocator.paced() && allocator.isCoordinator() && !pollScheduled) {
       pollScheduled = true;
       loop.after(
           POLL_MILLIS,
