--- a/runtime/src/main/java/org/hornbeamusher/recovery/LoadPermitAllocator.java
+++ b/runtime/src/main/java/org/hornbeamusher/recovery/LoadPermitAllocator.java
@@ -52,7 +52,13 @@
   static final long REQUEST_EXPIRY_MILLIS = 1_000;
 
   /** Loads need no permits when few were in progress for this time. */
-  static final long UNPACED_AFTER_MILLIS = 1_000;
+  static final long UNPACED_AFTER_MILLIS = 500;
+
+  /**
+   * Percentage of the limit below which few loads are in progress. A permit costs a round trip, for
+   * which a free adapter slot is idle, so loads are not paced for longer than the store needs it.
+   */
+  private static final int FEW_LOADS_PERCENT = 75;
 
   /** One of this many permits is granted to the agent that has waited longest. */
   static final int LONGEST_WAIT_INTERVAL = 8;
@@ -171,7 +177,7 @@
     if (busy >= limit.value()) {
       paced = true;
     }
-    if (busy >= limit.value() / 2) {
+    if (busy >= limit.value() * FEW_LOADS_PERCENT / 100) {
       lastBusyMillis = now;
     } else if (now - lastBusyMillis >= UNPACED_AFTER_MILLIS) {
       paced = false;
