--- a/runtime/src/main/java/org/hornbeamusher/recovery/LoadPermitAllocator.java
+++ b/runtime/src/main/java/org/hornbeamusher/recovery/LoadPermitAllocator.java
@@ -12,18 +12,23 @@
  * the agents have chosen as their coordinator. Confined to one thread.
  *
  * <p>While few loads are in progress, agents load without permits. When as many are in progress or
- * wanted as the store serves at full speed, loads are <em>paced</em>: a permit is granted when
- * fewer than {@link StoreConcurrencyLimit} are in progress, to the agent with the greatest demand:
- * the number of requests for its next adapter that can still meet their target time. One permit in
- * {@value #LONGEST_WAIT_INTERVAL} goes to the agent that has waited longest, so that late requests
- * and adapters in low demand are served as well. Pacing ends when the loads in progress and wanted
- * have stayed below half of the limit for a second.
+ * wanted as the store serves at full speed, loads are <em>paced</em>: each needs a permit. It goes
+ * to the agent with the greatest demand, the number of requests for its next adapter that can still
+ * meet their target time. Loads for such requests begin up to {@value #ON_TIME_PERCENT} % of the
+ * limit, because a somewhat slower load is sooner than one that waits; loads for late requests
+ * begin below the limit only. One permit in {@value #LONGEST_WAIT_INTERVAL} goes to the agent that
+ * has waited longest, so that late requests and adapters in low demand are served as well. Pacing
+ * ends when the loads in progress and wanted have stayed below {@value #FEW_LOADS_PERCENT} % of the
+ * limit for {@value #UNPACED_AFTER_MILLIS} ms.
  *
  * <p><b>Load.</b> All engines have lost power and are empty; within a second callers ask for three
  * hundred adapters. The store serves 24 loads at full speed, in 0.29 s each; further loads share
  * its bandwidth. If 35 engines load two adapters each, none is loaded before 0.84 s, and nearly all
- * callers who wanted their first event within 0.6 s are late. In order of demand, the adapters that
- * most callers wait for are loaded after 0.3 s, at the same number of adapters per second.
+ * callers who wanted their first event within 0.6 s are late. With permits, the adapters that most
+ * callers wait for are loaded after 0.3 to 0.45 s, at the same number of adapters per second.
+ *
+ * <p>Rejected: a strict limit for all loads. A request that waits for a permit is later than one
+ * whose load shares the bandwidth with half as many more.
  *
  * <p>The loads in progress are those that agents report to every entry anyway, and each request and
  * response states totals. A coordinator that has just been chosen therefore knows what is in
