--- a/runtime/src/main/java/org/hornbeamusher/holdings/AdapterSlots.java
+++ b/runtime/src/main/java/org/hornbeamusher/holdings/AdapterSlots.java
@@ -141,6 +141,10 @@
    */
   public void recordReport(EngineReport newReport, long now) {
     recordLoadTimes(newReport, now);
+    boolean hadModel = report != null && !report.models().isEmpty();
+    if (!hadModel && !newReport.models().isEmpty()) {
+      permits.ifPresent(LoadPermits::engineReady);
+    }
     report = newReport;
     withdrawn.keySet().retainAll(newReport.adapters().keySet());
     if (outstandingOrder == null) {
@@ -193,7 +197,6 @@
     reservations.clear();
     waiting.clear();
     loadTimes.engineRestarted();
-    permits.ifPresent(LoadPermits::engineRestarted);
   }
 
   /** Handles the loss of contact with the engine; what it holds is unknown. */
--- a/runtime/src/main/java/org/hornbeamusher/recovery/LoadPermits.java
+++ b/runtime/src/main/java/org/hornbeamusher/recovery/LoadPermits.java
@@ -15,11 +15,11 @@
  *       the duration of its own loads ({@code LoadConcurrencyWindow}).
  * </ul>
  *
- * <p>A new coordinator, and a restart of the engine, begin in {@code PACED}: engines tend to
- * restart together, and nothing is known of the others yet. A load is delayed by a round trip then,
- * and by {@link #RESPONSE_TIMEOUT_MILLIS} if the coordinator is silent. A load that has waited for
- * a permit for {@link #MIN_GUARD_MILLIS}, and twice as long as the coordinator has estimated,
- * begins without one, so that a faulty coordinator cannot stop all loads.
+ * <p>A new coordinator, and an engine that has loaded its base model, begin in {@code PACED}:
+ * engines tend to restart together, and nothing is known of the others yet. A load is delayed by a
+ * round trip then, and by {@link #RESPONSE_TIMEOUT_MILLIS} if the coordinator is silent. A load
+ * that has waited for a permit for {@link #MIN_GUARD_MILLIS}, and twice as long as the coordinator
+ * has estimated, begins without one, so that a faulty coordinator cannot stop all loads.
  */
 public final class LoadPermits {
 
@@ -99,8 +99,12 @@
     waitMillis = 0;
   }
 
-  /** Handles a new incarnation of the engine, which is empty. */
-  public void engineRestarted() {
+  /**
+   * Handles an engine that can load adapters from now on, because its base model is loaded. While
+   * many engines load their base models after a restart, the weight store is idle, and the
+   * coordinator has stated that no permits are needed.
+   */
+  public void engineReady() {
     waitingSinceMillis = -1;
     if (mode == Mode.UNPACED) {
       mode = Mode.PACED;
--- a/runtime/src/test/java/org/hornbeamusher/holdings/AdapterSlotsTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/holdings/AdapterSlotsTest.java
@@ -349,6 +349,23 @@
     assertEquals(load("a"), paced.nextOrder(MODELS, 0));
   }
 
+  /**
+   * Guards against engines that all begin to load adapters at once after a restart. While they
+   * loaded their base models the store was idle, so they were told that no permits are needed.
+   */
+  @Test
+  void engineThatHasLoadedItsBaseModelNeedsPermits() {
+    LoadPermits permits = pacedPermits();
+    AdapterSlots paced = new AdapterSlots(2, versions, Optional.of(permits), 0);
+    EngineReport withoutModel = new EngineReport(Set.of(), Map.of(), Set.of(), false, 1, false, 0);
+    paced.recordReport(withoutModel, 0);
+    permits.received(new LoadPermitResponse(1, false, 0, 0, 24), 0);
+    paced.recordReport(engineReport(Map.of(), 2), 0);
+    paced.reserve(reservation(1, held("a", 1), 0, 800), 0);
+    assertEquals(Optional.empty(), paced.nextOrder(MODELS, 0));
+    assertTrue(permits.dueRequest(0).isPresent());
+  }
+
   /** Guards against entries that place requests as if the store were idle. */
   @Test
   void waitForPermitIsPartOfTheCosts() {
--- a/runtime/src/test/java/org/hornbeamusher/recovery/LoadPermitsTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/recovery/LoadPermitsTest.java
@@ -84,11 +84,11 @@
 
   /** Guards against engines that restart together and load as if they were the only one. */
   @Test
-  void restartedEngineNeedsPermits() {
+  void engineThatBecomesReadyNeedsPermits() {
     choose();
     respond(false, 0, 0);
     assertTrue(permits.mayLoad(0, WINDOW, 0));
-    permits.engineRestarted();
+    permits.engineReady();
     assertFalse(permits.mayLoad(0, WINDOW, 0));
     assertTrue(permits.dueRequest(0).isPresent());
   }
