--- a/runtime/src/main/java/org/hornbeamusher/holdings/AdapterSlots.java
+++ b/runtime/src/main/java/org/hornbeamusher/holdings/AdapterSlots.java
@@ -80,6 +80,7 @@
 
   private final int slots;
   private final LatestAdapterVersions versions;
+  private final LoadPriority priority;
   private final long startedMillis;
 
   private final Map<ReservationId, Reservation> reservations = new LinkedHashMap<>();
@@ -106,10 +107,11 @@
    *
    * @param slots the engine's adapter slots
    * @param versions the newest version of each adapter
+   * @param priority the order in which awaited adapters are loaded
    * @param now milliseconds
    */
-  public AdapterSlots(int slots, LatestAdapterVersions versions, long now) {
-    this(slots, versions, Optional.empty(), now);
+  public AdapterSlots(int slots, LatestAdapterVersions versions, LoadPriority priority, long now) {
+    this(slots, versions, priority, Optional.empty(), now);
   }
 
   /**
@@ -117,13 +119,19 @@
    *
    * @param slots the engine's adapter slots
    * @param versions the newest version of each adapter
+   * @param priority the order in which awaited adapters are loaded
    * @param permits permits for loads from the weight store; empty if loads are not paced over all
    *     engines
    * @param now milliseconds
    */
   public AdapterSlots(
-      int slots, LatestAdapterVersions versions, Optional<LoadPermits> permits, long now) {
+      int slots,
+      LatestAdapterVersions versions,
+      LoadPriority priority,
+      Optional<LoadPermits> permits,
+      long now) {
     this.slots = slots;
+    this.priority = priority;
     this.permits = permits;
     this.loadTimes =
         permits
@@ -229,10 +237,7 @@
    * @param id the reservation
    */
   public void promptProcessed(ReservationId id) {
-    reservations.computeIfPresent(
-        id,
-        (unused, r) ->
-            new Reservation(r.id(), r.adapter(), r.rank(), 0, r.expiresMillis(), r.targetMillis()));
+    reservations.computeIfPresent(id, (unused, known) -> known.withPromptProcessed());
   }
 
   /**
@@ -434,7 +439,7 @@
   }
 
   private Optional<EngineOrder> wantedAdapterOrder(long now) {
-    for (Reservation wanted : LoadPriority.sort(waiting.values(), now)) {
+    for (Reservation wanted : priority.sort(waiting.values(), now)) {
       if (LoadPriority.isLate(wanted, now)
           && underPressure(now)
           && usableSlots() <= SLOTS_KEPT_FOR_ON_TIME) {
@@ -490,7 +495,7 @@
       return StoreLoadDemand.NONE;
     }
     List<AdapterKey> wanted =
-        LoadPriority.sort(waiting.values(), now).stream()
+        priority.sort(waiting.values(), now).stream()
             .filter(one -> one.expiresMillis() > now)
             .map(one -> one.adapter().key())
             .filter(this::needsStoreLoad)
--- a/runtime/src/main/java/org/hornbeamusher/sidecar/SidecarDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/sidecar/SidecarDaemon.java
@@ -21,6 +21,7 @@
 import org.hornbeamusher.holdings.AdapterSlots;
 import org.hornbeamusher.holdings.EngineOrder;
 import org.hornbeamusher.holdings.EngineReport;
+import org.hornbeamusher.holdings.LoadPriority;
 import org.hornbeamusher.holdings.OrderResult;
 import org.hornbeamusher.holdings.Reservation;
 import org.hornbeamusher.holdings.ReservationId;
@@ -205,6 +206,7 @@
           new AdapterSlots(
               spec.adapterCapacity(),
               versions,
+              loadPriority(),
               permits.map(LoadPermitExchange::permits),
               clock.millis());
       Optional.ofNullable(report)
@@ -213,6 +215,12 @@
     scheduleDueWork();
   }
 
+  private LoadPriority loadPriority() {
+    return settings.features().uses(ServingFeature.FAIR_SHARES)
+        ? LoadPriority.BY_RANK
+        : LoadPriority.BY_WAITERS;
+  }
+
   /**
    * Applies a published version of an adapter.
    *
@@ -307,7 +315,8 @@
         reserve.rank(),
         reserve.pendingPromptTokens(),
         clock.millis() + reserve.maxWaitMillis(),
-        clock.millis() + reserve.firstEventTargetMillis());
+        clock.millis() + reserve.firstEventTargetMillis(),
+        clock.millis());
   }
 
   /** Schedules {@link #runDueWork} once for all messages that are processed before it runs. */
--- a/runtime/src/test/java/org/hornbeamusher/holdings/AdapterSlotsTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/holdings/AdapterSlotsTest.java
@@ -29,7 +29,7 @@
   private static final long WAIT_MILLIS = 60_000;
 
   private final LatestAdapterVersions versions = new LatestAdapterVersions();
-  private final AdapterSlots adapterSlots = new AdapterSlots(2, versions, 0);
+  private final AdapterSlots adapterSlots = new AdapterSlots(2, versions, LoadPriority.BY_RANK, 0);
   private long sequence;
 
   @Test
@@ -328,7 +328,8 @@
   @Test
   void pacedLoadWaitsForPermit() {
     LoadPermits permits = pacedPermits();
-    AdapterSlots paced = new AdapterSlots(2, versions, Optional.of(permits), 0);
+    AdapterSlots paced =
+        new AdapterSlots(2, versions, LoadPriority.BY_RANK, Optional.of(permits), 0);
     paced.recordReport(engineReport(Map.of(), 1), 0);
     paced.reserve(reservation(1, held("a", 1), 0, 800), 0);
     assertEquals(Optional.empty(), paced.nextOrder(MODELS, 0));
@@ -341,7 +342,8 @@
   /** Guards against an engine that waits for the store to load what it has cached itself. */
   @Test
   void cachedAdapterIsLoadedWithoutPermit() {
-    AdapterSlots paced = new AdapterSlots(2, versions, Optional.of(pacedPermits()), 0);
+    AdapterSlots paced =
+        new AdapterSlots(2, versions, LoadPriority.BY_RANK, Optional.of(pacedPermits()), 0);
     paced.recordReport(engineReport(Map.of(key("a"), 1L), 1), 0);
     paced.recordReport(engineReport(Map.of(), 2), 0);
     paced.reserve(reservation(1, held("b", 1), 0, 800), 0);
@@ -356,7 +358,8 @@
   @Test
   void engineThatHasLoadedItsBaseModelNeedsPermits() {
     LoadPermits permits = pacedPermits();
-    AdapterSlots paced = new AdapterSlots(2, versions, Optional.of(permits), 0);
+    AdapterSlots paced =
+        new AdapterSlots(2, versions, LoadPriority.BY_RANK, Optional.of(permits), 0);
     EngineReport withoutModel = new EngineReport(Set.of(), Map.of(), Set.of(), false, 1, false, 0);
     paced.recordReport(withoutModel, 0);
     permits.received(new LoadPermitResponse(1, false, 0, 0, 24), 0);
@@ -370,7 +373,8 @@
   @Test
   void waitForPermitIsPartOfTheCosts() {
     LoadPermits permits = pacedPermits();
-    AdapterSlots paced = new AdapterSlots(2, versions, Optional.of(permits), 0);
+    AdapterSlots paced =
+        new AdapterSlots(2, versions, LoadPriority.BY_RANK, Optional.of(permits), 0);
     final long before = paced.costs().storeLoadMillis();
     permits.received(new LoadPermitResponse(1, true, 0, 420, 24), 0);
     assertEquals(before + 400, paced.costs().storeLoadMillis());
@@ -389,7 +393,7 @@
   @Property(tries = 300, seed = "4711")
   void ordersNeverExceedSlots(
       @ForAll @Size(min = 20, max = 120) List<@IntRange(max = 99) Integer> steps) {
-    AdapterSlots tested = new AdapterSlots(3, new LatestAdapterVersions(), 0);
+    AdapterSlots tested = new AdapterSlots(3, new LatestAdapterVersions(), LoadPriority.BY_RANK, 0);
     Map<AdapterKey, Long> engine = new HashMap<>();
     Map<Long, AdapterKey> running = new TreeMap<>();
     tested.recordReport(engineReport(engine, 0), 0);
@@ -448,7 +452,7 @@
 
   private static Reservation reservation(
       long number, AdapterVersion adapter, long now, long targetMillis) {
-    return new Reservation(id(number), adapter, 0, 100, now + WAIT_MILLIS, now + targetMillis);
+    return new Reservation(id(number), adapter, 0, 100, now + WAIT_MILLIS, now + targetMillis, now);
   }
 
   private Optional<EngineOrder> order(long now) {
--- a/runtime/src/test/java/org/hornbeamusher/recovery/RestartedFleet.java
+++ b/runtime/src/test/java/org/hornbeamusher/recovery/RestartedFleet.java
@@ -20,6 +20,7 @@
 import org.hornbeamusher.holdings.AdapterSlots;
 import org.hornbeamusher.holdings.EngineOrder;
 import org.hornbeamusher.holdings.EngineReport;
+import org.hornbeamusher.holdings.LoadPriority;
 import org.hornbeamusher.holdings.OrderResult;
 import org.hornbeamusher.holdings.Reservation;
 import org.hornbeamusher.holdings.ReservationId;
@@ -217,7 +218,9 @@
     Engine(int number, boolean paced) {
       this.number = number;
       this.permits = paced ? Optional.of(new LoadPermits()) : Optional.empty();
-      this.slots = new AdapterSlots(SLOTS, new LatestAdapterVersions(), permits, -2_000);
+      this.slots =
+          new AdapterSlots(
+              SLOTS, new LatestAdapterVersions(), LoadPriority.BY_RANK, permits, -2_000);
     }
 
     void choose(int next) {
@@ -237,7 +240,8 @@
               0,
               600,
               arrival.millis + CALLER_PATIENCE_MILLIS,
-              arrival.millis + TARGET_MILLIS),
+              arrival.millis + TARGET_MILLIS,
+              now),
           now);
     }
 
