--- a/runtime/src/main/java/org/hornbeamusher/forwarding/SharedRetryBudget.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/SharedRetryBudget.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import org.hornbeamusher.ratelimit.SlidingWindowCounter;
 
 /**
  * Bounds how many retries each service gets from this entry, so that all entries together stay
--- a/runtime/src/main/java/org/hornbeamusher/ratelimit/SlidingWindowCounter.java
+++ b/runtime/src/main/java/org/hornbeamusher/ratelimit/SlidingWindowCounter.java
@@ -1,7 +1,7 @@
-package org.hornbeamusher.forwarding;
+package org.hornbeamusher.ratelimit;
 
 /** Counts events in a sliding window, in steps of 100 ms. */
-final class SlidingWindowCounter {
+public final class SlidingWindowCounter {
 
   private static final long STEP_MILLIS = 100;
 
@@ -9,17 +9,33 @@
   private long step = Long.MIN_VALUE;
   private long total;
 
-  SlidingWindowCounter(long windowMillis) {
+  /**
+   * Creates a counter without events.
+   *
+   * @param windowMillis length of the window
+   */
+  public SlidingWindowCounter(long windowMillis) {
     this.counts = new long[Math.toIntExact(windowMillis / STEP_MILLIS)];
   }
 
-  void add(long now) {
+  /**
+   * Counts an event.
+   *
+   * @param now milliseconds
+   */
+  public void add(long now) {
     advance(now);
     counts[index(step)]++;
     total++;
   }
 
-  long total(long now) {
+  /**
+   * Returns the number of events in the window that ends now.
+   *
+   * @param now milliseconds
+   * @return the number
+   */
+  public long total(long now) {
     advance(now);
     return total;
   }
--- a/runtime/src/test/java/org/hornbeamusher/forwarding/ForwardingDecisionsTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/forwarding/ForwardingDecisionsTest.java
@@ -9,6 +9,7 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
+import org.hornbeamusher.ratelimit.SlidingWindowCounter;
 import org.junit.jupiter.api.Test;
 
 class ForwardingDecisionsTest {
