--- a/runtime/src/main/java/org/hornbeamusher/events/EventType.java
+++ b/runtime/src/main/java/org/hornbeamusher/events/EventType.java
@@ -39,6 +39,10 @@
       1115,
       Level.INFO,
       "A request with a quarantined part is sent: another suspect explains the crashes."),
+  FORECAST_REFUSED(
+      1120, Level.INFO, "A request was refused because of the forecast of its first event."),
+  RETURN_PLANNED(1121, Level.INFO, "A refused caller was told when capacity is expected."),
+  REQUEST_HELD(1122, Level.INFO, "A request waits at the entry for capacity."),
   // 1200: endpoints and loads
   ADAPTER_LOADED(1201, Level.FINE, "An adapter became resident."),
   ADAPTER_LOAD_FAILED(1202, Level.WARNING, "An adapter could not be loaded."),
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardContext.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardContext.java
@@ -22,6 +22,7 @@
  * @param stateUpdater updates endpoints from their responses
  * @param retryBudget bounds retries
  * @param crashes refuses requests under which endpoints crashed
+ * @param refusals refuses requests that cannot be served in time
  * @param streams finds the software versions that began streams
  * @param headerCodec reads and writes headers
  * @param http sends attempts
@@ -40,6 +41,7 @@
     EndpointStateUpdater stateUpdater,
     SharedRetryBudget retryBudget,
     RequestCrashes crashes,
+    RefusalDecisions refusals,
     StreamOrigins streams,
     HeaderCodec headerCodec,
     HttpClient http,
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
@@ -174,6 +174,12 @@
             new EndpointStateUpdater(limits, crashes, clock),
             new SharedRetryBudget(settings.retries(), clock.millis()),
             crashes,
+            new RefusalDecisions(
+                settings.features(),
+                placer,
+                agents::entries,
+                () -> ThreadLocalRandom.current().nextDouble(),
+                counts),
             streams,
             dialect,
             http,
@@ -220,6 +226,7 @@
     measured.gauge("unusable_entries", context.directory()::unusableEntries);
     measured.gauge("quarantined_contents", () -> crashHistory.quarantined().size());
     measured.gauge("retry_entries", context.agents()::entries);
+    measured.gauge("promised_returns_ms", () -> context.refusals().promisedMillis(clock.millis()));
     measured.gauge("list_age_ms", () -> context.directory().ageMillis(clock.millis()));
     measured.gauge("key_proof_age_ms", accounts::proofAgeMillis);
     measured.gauge("configuration_age_ms", freshness::ageMillis);
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardMetrics.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardMetrics.java
@@ -24,6 +24,7 @@
   private final Histogram firstEventMillis;
   private final Histogram attemptMillis;
   private final Histogram loadStallMillis;
+  private final Histogram forecastErrorMillis;
 
   /** Counters by outcome, cached to avoid building their names for each lookup in the registry. */
   private final Map<String, Counter> requests = new HashMap<>();
@@ -37,6 +38,7 @@
     this.firstEventMillis = registry.histogram(PREFIX + "first_event_ms");
     this.attemptMillis = registry.histogram(PREFIX + "attempt_ms");
     this.loadStallMillis = registry.histogram(PREFIX + "load_stall_ms");
+    this.forecastErrorMillis = registry.histogram(PREFIX + "forecast_error_ms");
   }
 
   /** Records the end of a request. */
@@ -74,6 +76,26 @@
     loadStallMillis.update(millis);
   }
 
+  /** Records by how much a first event came later than forecast; negative if it came earlier. */
+  void forecastError(long millis) {
+    forecastErrorMillis.update(millis);
+  }
+
+  /** Records that a request waits at the entry for capacity. */
+  void held() {
+    registry.counter(PREFIX + "held").inc();
+  }
+
+  /** Records that a request was refused because of its forecast, when placed or while waiting. */
+  void refusedByForecast(String stage) {
+    registry.counter(PREFIX + "forecast_refusals." + stage).inc();
+  }
+
+  /** Records that a refused caller was told when to return, with capacity promised or not. */
+  void returnPlanned(boolean promised) {
+    registry.counter(PREFIX + "returns." + (promised ? "promised" : "too_late")).inc();
+  }
+
   /** Records the decision about a request to a rate-limited endpoint. */
   void permitDecided(boolean granted) {
     registry.counter(PREFIX + "rate_permits." + (granted ? "granted" : "refused")).inc();
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
@@ -10,6 +10,7 @@
 import org.hornbeamusher.failure.FailureType;
 import org.hornbeamusher.failure.HornbeamusherException;
 import org.hornbeamusher.failure.Outcome;
+import org.hornbeamusher.forecast.ForecastErrors;
 import org.hornbeamusher.http.HttpHead;
 import org.hornbeamusher.http.HttpRequest;
 import org.hornbeamusher.ids.EndpointIncarnation;
@@ -43,11 +44,8 @@
 final class ForwardedRequest
     implements Attempt.Listener, EngineReservation.Listener, PendingRatePermit.Listener {
 
-  /** No response arrives within this time, so a request with less time left is not sent. */
-  private static final long MIN_SEND_MILLIS = 15;
-
   /** How long a request waits for a load or a connection before it is placed anew. */
-  private static final long PLACEMENT_RETRY_MILLIS = 100;
+  static final long PLACEMENT_RETRY_MILLIS = 100;
 
   private static final int SERVER_ERROR = 500;
 
@@ -88,6 +86,12 @@
   private Attempt attempt;
   private long placedMillis;
 
+  /** The estimate of the first event where the request is placed. */
+  private ForecastErrors.Estimate estimate;
+
+  /** Whether its adapter was in memory when it was placed; otherwise it had to wait for a load. */
+  private boolean placedPresent;
+
   /** Earliest time at which the load could start; a load is overdue relative to this time. */
   private long loadPossibleMillis;
 
@@ -106,6 +110,9 @@
   /** Whether a retry was granted that has not been sent. */
   private boolean retryUnsent;
 
+  /** Whether it has waited at the entry for capacity. */
+  private boolean held;
+
   private int refusals;
   private int unsent;
   private boolean mayHaveRun;
@@ -195,23 +202,44 @@
 
   private void place() {
     long now = now();
-    long remaining = startByMillis() - now;
     Placement placement = context.placer().place(service, placementRequest, excluded(), now);
     switch (placement) {
       case Placement.Unplaceable nowhere when !connectionsInUse.isEmpty() -> awaitConnection();
       case Placement.Unplaceable nowhere -> giveUp(noEndpoint(nowhere));
       case Placement.Assigned at -> {
-        if (at.rateWaitMillis() > targetLatencyLeftMillis()) {
-          giveUp(notRun(FailureType.ENDPOINT_LIMITED, service).retryAfter(at.rateWaitMillis()));
-        } else if (at.estimateMillis() > remaining || remaining < MIN_SEND_MILLIS) {
-          giveUp(notRun(FailureType.DEADLINE_TOO_NEAR));
-        } else {
-          placedAt(at, remaining);
+        switch (context.refusals().atPlacement(candidate(), at, now)) {
+          case RefusalDecisions.PlacementDecision.Place place -> placedAt(place.at());
+          case RefusalDecisions.PlacementDecision.Hold hold -> hold(at);
+          case RefusalDecisions.PlacementDecision.Refuse refuse -> giveUp(refuse.refusal());
         }
       }
     }
   }
 
+  /** Waits without an endpoint for capacity that no other request waits for. */
+  private void hold(Placement.Assigned best) {
+    if (!held) {
+      held = true;
+      context.metrics().held();
+      log.held(
+          best.endpoint().id(),
+          best.estimateMillis(),
+          request.arrivedMillis() + route.targetLatencyMillis() - now());
+    }
+    placementTimer = context.loop().after(PLACEMENT_RETRY_MILLIS, this::place);
+  }
+
+  private RefusalDecisions.Candidate candidate() {
+    return new RefusalDecisions.Candidate(
+        log,
+        service,
+        placementRequest,
+        request.arrivedMillis() + route.targetLatencyMillis(),
+        startByMillis(),
+        deadlineMillis,
+        !mayHaveRun);
+  }
+
   private Set<EndpointIncarnation> excluded() {
     if (connectionsInUse.isEmpty() && origin == null) {
       return tried;
@@ -248,9 +276,11 @@
     };
   }
 
-  private void placedAt(Placement.Assigned at, long remaining) {
+  private void placedAt(Placement.Assigned at) {
     endpoint = at.endpoint();
     placedMillis = now();
+    estimate = context.refusals().estimate(candidate(), at);
+    placedPresent = at.canStartNow();
     loadPossibleMillis = placedMillis;
     pendingPromptTokens = endpoint.uncachedTokens(placementRequest);
     promptPending = true;
@@ -259,7 +289,8 @@
         routed.metadata().resumes(),
         placementRequest,
         at,
-        remaining,
+        context.refusals().forecast(candidate(), at, placedMillis),
+        startByMillis() - placedMillis,
         context,
         placedMillis);
     endpoint.requestStarted(placementRequest, placedMillis);
@@ -338,10 +369,7 @@
    * nothing and wastes a load that has started. It therefore moves only to an endpoint that can
    * start it at once or, if its own load is overdue, to one with a free slot.
    *
-   * <p>Past its target latency it is refused at an engine where more adapters wait than slots
-   * become free. If it kept waiting, it would take a slot from a request that can still be in time,
-   * or get none before its caller gives up: under full load, 150 callers gave up after 2.4 to 4 s
-   * without a response.
+   * <p>Otherwise {@link RefusalDecisions} decides whether it keeps waiting.
    */
   private void reconsiderPlacement() {
     if (finished || attempt != null) {
@@ -370,9 +398,13 @@
       placeAgain();
       return;
     }
-    if (!endpoint.isLoading(adapter) && pastTargetLatency() && endpoint.lacksAdapterSlots(now())) {
+    Optional<HornbeamusherException> refusal =
+        endpoint.isLoading(adapter)
+            ? Optional.empty()
+            : context.refusals().whileWaiting(candidate(), endpoint, now());
+    if (refusal.isPresent()) {
       releaseEndpoint();
-      giveUp(notRun(FailureType.LOAD_TOO_LATE, adapter));
+      giveUp(refusal.get());
       return;
     }
     placementTimer = context.loop().after(PLACEMENT_RETRY_MILLIS, this::reconsiderPlacement);
@@ -405,6 +437,7 @@
     cancel(placementTimer);
     reservation.requestSent();
     sentMillis = now();
+    context.refusals().sent(candidate(), !placedPresent, sentMillis);
     endpointPromptTokens = endpoint.pendingPromptTokens();
     sends++;
     possibleRuns++;
@@ -471,6 +504,9 @@
       promptProcessed();
       endpoint.succeeded(now() - sentMillis);
       context.placer().recordFirstEventTime(endpoint, endpointPromptTokens, now() - sentMillis);
+      if (!placedPresent) {
+        context.refusals().firstEvent(candidate(), endpoint, estimate, now() - placedMillis, now());
+      }
     }
   }
 
@@ -638,10 +674,7 @@
       fail(HornbeamusherException.of(FailureType.RETRIES_EXHAUSTED, Outcome.UNKNOWN, service));
       return;
     }
-    fail(
-        refusal.retryAfterMillis().isPresent()
-            ? refusal
-            : refusal.retryAfter(RetryAfterPolicy.millis(refusal.type(), deadlineMillis - now())));
+    fail(context.refusals().withRetryAfter(candidate(), refusal, now()));
   }
 
   /**
@@ -727,6 +760,10 @@
         promptPending = false;
         endpoint.promptProcessed(pendingPromptTokens);
       }
+      if (attempt == null && !placedPresent) {
+        long waited = now() - placedMillis;
+        context.refusals().leftUnserved(candidate(), endpoint, estimate, waited, now());
+      }
       endpoint.requestEnded();
       reservation.release();
     }
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/RequestLog.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/RequestLog.java
@@ -7,8 +7,14 @@
 import org.hornbeamusher.directory.AdapterVersion;
 import org.hornbeamusher.events.EventLog;
 import org.hornbeamusher.events.EventType;
+import org.hornbeamusher.failure.FailureType;
+import org.hornbeamusher.forecast.FirstEventForecast;
+import org.hornbeamusher.forecast.LateRequestPolicy;
+import org.hornbeamusher.forecast.ReturnPlanner;
+import org.hornbeamusher.forecast.ReturnTime;
 import org.hornbeamusher.ids.EndpointId;
 import org.hornbeamusher.ids.SoftwareVersion;
+import org.hornbeamusher.placement.EndpointView;
 import org.hornbeamusher.placement.Placement;
 import org.hornbeamusher.placement.PlacementRequest;
 import org.hornbeamusher.placement.PromptPart;
@@ -31,6 +37,7 @@
       Optional<String> resumes,
       PlacementRequest request,
       Placement.Assigned at,
+      FirstEventForecast forecast,
       long remainingMillis,
       ForwardContext context,
       long now) {
@@ -52,6 +59,8 @@
         at.canStartNow(),
         "estimate_ms",
         at.estimateMillis(),
+        "expected_ms",
+        forecast.expectedMillis(),
         "stall_ms",
         at.stallMillis(),
         "place_free",
@@ -74,6 +83,94 @@
         context.directory().ageMillis(now));
   }
 
+  /** Logs that the request is refused because of its forecast, with what decided. */
+  void refusedByForecast(
+      String stage,
+      EndpointView endpoint,
+      FirstEventForecast forecast,
+      RefusalDecisions.Candidate request,
+      LateRequestPolicy.Decision decision,
+      long now) {
+    EventLog.log(
+        EventType.FORECAST_REFUSED,
+        "id",
+        id,
+        "stage",
+        stage,
+        "decision",
+        decision,
+        "endpoint",
+        endpoint.id(),
+        "estimate_ms",
+        forecast.estimateMillis(),
+        "expected_ms",
+        forecast.expectedMillis(),
+        "samples",
+        forecast.samples(),
+        "samples_age_ms",
+        forecast.ageMillis(),
+        "target_left_ms",
+        request.targetLeftMillis(now),
+        "time_left_ms",
+        request.startLeftMillis(now),
+        "free_slots",
+        endpoint.freeAdapterSlots(now));
+  }
+
+  /** Logs that the request is held at the entry, or no longer is. */
+  void held(EndpointId best, long estimateMillis, long targetLeftMillis) {
+    EventLog.log(
+        EventType.REQUEST_HELD,
+        "id",
+        id,
+        "endpoint",
+        best,
+        "estimate_ms",
+        estimateMillis,
+        "target_left_ms",
+        targetLeftMillis);
+  }
+
+  /** Logs when the refused caller is to return, with what decided. */
+  void returnPlanned(
+      FailureType cause,
+      ReturnPlanner.Refused refused,
+      ReturnPlanner.FreedCapacity freed,
+      ReturnPlanner.Plan plan) {
+    EventLog.log(
+        EventType.RETURN_PLANNED,
+        "id",
+        id,
+        "cause",
+        cause.label(),
+        "service",
+        refused.service(),
+        "capacity",
+        refused.capacity(),
+        "retry_after_ms",
+        plan.time().millis(),
+        "promised",
+        plan.time() instanceof ReturnTime.Promised,
+        "queue_ms",
+        refused.earliestMillis(),
+        "time_left_ms",
+        refused.timeLeftMillis(),
+        "service_ms",
+        refused.serviceMillis(),
+        "freed_per_s",
+        tenths(freed.perSecond()),
+        "entries",
+        freed.entries(),
+        "for_returns_per_s",
+        tenths(plan.perSecond()),
+        "promised_ms",
+        plan.promisedMillis());
+  }
+
+  private static double tenths(double value) {
+    return Math.round(value * 10) / 10.0;
+  }
+
   /** Logs that the request leaves the queue of an endpoint and is placed anew. */
   void moved(EndpointId from, long waitedMillis) {
     EventLog.log(EventType.REQUEST_MOVED, "id", id, "from", from, "waited_ms", waitedMillis);
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/RetryAfterPolicy.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/RetryAfterPolicy.java
@@ -3,7 +3,9 @@
 import org.hornbeamusher.failure.FailureType;
 
 /**
- * Determines the Retry-After time of a refused caller.
+ * Determines the Retry-After time of a refused caller where it does not follow from a forecast: for
+ * refusals that have nothing to do with capacity, and without the feature {@link
+ * org.hornbeamusher.features.ServingFeature#FORECAST}.
  *
  * <p><b>Load.</b> Under full load every adapter slot is held by requests that run for one to three
  * seconds, and callers retry only once. With a Retry-After of 0.4 s they met the same running
--- a/runtime/src/main/java/org/hornbeamusher/placement/EndpointView.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/EndpointView.java
@@ -411,8 +411,11 @@
   /**
    * Returns the free adapter slots; with zero or less a load has to wait for one. Slots that this
    * entry has just requested count as taken, or a burst of loads would be placed on one free slot.
+   *
+   * @param now milliseconds
+   * @return free slots minus the adapters that wait for one
    */
-  int freeAdapterSlots(long now) {
+  public int freeAdapterSlots(long now) {
     requestedAdapters
         .values()
         .removeIf(requestedMillis -> now - requestedMillis >= MAX_REPORT_DELAY_MILLIS);
--- a/runtime/src/main/java/org/hornbeamusher/placement/Placer.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/Placer.java
@@ -235,6 +235,28 @@
     view.recordFirstEventTime(tokens, settings.promptTokensPerMilli(), takenMillis);
   }
 
+  /**
+   * Estimates the first event of a request if it got capacity at an endpoint now.
+   *
+   * @param view the endpoint
+   * @param request the request
+   * @return milliseconds, including the load of its adapter, without waiting for a slot
+   */
+  public long loadNowMillis(EndpointView view, PlacementRequest request) {
+    if (request.adapter().isEmpty()) {
+      return Math.round(view.health().latencyMillis());
+    }
+    AdapterVersion adapter = request.adapter().get();
+    LoadCosts costs = view.costs();
+    double load =
+        view.isResident(adapter)
+            ? 0
+            : view.hasCopy(adapter) ? costs.cachedLoadMillis() : costs.storeLoadMillis();
+    double prompt =
+        view.uncachedTokens(request) / settings.promptTokensPerMilli() * view.health().slowdown();
+    return Math.round(load + prompt);
+  }
+
   private double crossZonePenalty(PlacementRequest request) {
     return settings.crossZoneMillis()
         + settings.crossZoneMillisPerKilobyte() * request.bytes() / BYTES_PER_KILOBYTE;
--- a/runtime/src/test/java/org/hornbeamusher/architecture/ArchitectureTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/architecture/ArchitectureTest.java
@@ -44,6 +44,7 @@
     ROOT + "placement..",
     ROOT + "holdings..",
     ROOT + "ratelimit..",
+    ROOT + "forecast..",
     ROOT + "routes.."
   };
 
