--- a/runtime/src/main/java/org/hornbeamusher/forecast/LateRequestPolicy.java
+++ b/runtime/src/main/java/org/hornbeamusher/forecast/LateRequestPolicy.java
@@ -34,7 +34,7 @@
 public final class LateRequestPolicy {
 
   /** How old an entry's knowledge of a queue is at most; in this time others may have joined it. */
-  static final long KNOWLEDGE_AGE_MILLIS = 100;
+  public static final long KNOWLEDGE_AGE_MILLIS = 100;
 
   private LateRequestPolicy() {}
 
--- a/runtime/src/main/java/org/hornbeamusher/forecast/ReturnPlanner.java
+++ b/runtime/src/main/java/org/hornbeamusher/forecast/ReturnPlanner.java
@@ -20,12 +20,15 @@
  * <p>An entry that has just started has taken nothing yet, so it counts on its even share of what
  * is reported. If nothing is reported either, the schedule falls back to a slow fixed rate.
  *
+ * <p>A caller that returned while those run that ran when it was refused would meet the same load,
+ * so it returns after the runs of these and of those that waited beside it.
+ *
  * <p>A caller waits for a third of its time at most and needs the rest to be served, so a later
  * return is not promised.
  */
 public final class ReturnPlanner {
 
-  /** A return before this time meets the same queue. */
+  /** A shorter time is no pause. */
   static final long MIN_RETURN_MILLIS = 15;
 
   /** No deadline is longer, so a later time says no more. */
@@ -36,6 +39,12 @@
   /** Part of the capacity that is left to returning callers however many new ones arrive. */
   private static final double MIN_RETURN_SHARE = 0.25;
 
+  /** A caller that returns earlier meets the same running and waiting requests. */
+  private static final int RUNS_BEFORE_RETURN = 2;
+
+  /** Part of the usable time that a caller waits for runs to end. */
+  private static final double MAX_WAIT_FOR_RUNS = 0.75;
+
   private static final long TAKEN_WINDOW_MILLIS = 2_000;
   private static final double MILLIS_PER_SECOND = 1_000;
 
@@ -66,15 +75,27 @@
     double takenPerSecond = state.takenPerSecond(now);
     double share = Math.max(takenPerSecond, freed.perSecond() / Math.max(1, freed.entries()));
     double forReturns = Math.max(share - takenPerSecond, share * MIN_RETURN_SHARE);
-    long earliest = Math.max(MIN_RETURN_MILLIS, refused.earliestMillis());
     long latest =
         Math.min(
             refused.timeLeftMillis() / USABLE_TIME_DIVISOR,
             refused.timeLeftMillis() - refused.serviceMillis());
+    long earliest = earliestMillis(refused, latest);
     ReturnTime time = state.returns.next(now, earliest, latest, forReturns, position);
     return new Plan(bounded(time), forReturns, state.returns.promisedMillis(now));
   }
 
+  /**
+   * Returns the time at which the requests that run now, and then those that wait now, have ended.
+   * If the caller cannot wait for that long, it waits for most of what it can, and the rest is left
+   * to spread the returns.
+   */
+  private static long earliestMillis(Refused refused, long latestMillis) {
+    long runs =
+        Math.min(
+            RUNS_BEFORE_RETURN * refused.runMillis(), Math.round(latestMillis * MAX_WAIT_FOR_RUNS));
+    return Math.max(MIN_RETURN_MILLIS, Math.max(refused.queueMillis(), runs));
+  }
+
   private static ReturnTime bounded(ReturnTime time) {
     return time.millis() > MAX_RETURN_MILLIS ? new ReturnTime.TooLate(MAX_RETURN_MILLIS) : time;
   }
@@ -102,14 +123,16 @@
    *
    * @param service its service
    * @param capacity what it was refused for want of
-   * @param earliestMillis delay before which it would be refused again
+   * @param queueMillis time until no other request waits for that capacity
+   * @param runMillis mean duration of the requests that use that capacity
    * @param timeLeftMillis time until its deadline
    * @param serviceMillis time that it needs once it has capacity
    */
   public record Refused(
       String service,
       Capacity capacity,
-      long earliestMillis,
+      long queueMillis,
+      long runMillis,
       long timeLeftMillis,
       long serviceMillis) {}
 
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
@@ -394,7 +394,8 @@
         && context.placer().place(service, placementRequest, excluded(), now())
             instanceof Placement.Assigned at
         && at.endpoint() != endpoint
-        && at.justifiesMove(now() - loadPossibleMillis)) {
+        && at.justifiesMove(
+            now() - loadPossibleMillis, context.refusals().overdueMillis(endpoint, now()))) {
       placeAgain();
       return;
     }
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/RefusalDecisions.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/RefusalDecisions.java
@@ -116,6 +116,17 @@
     return refusal("wait", request, endpoint, forecast, decision, now);
   }
 
+  /**
+   * Returns after what time the load of a request is overdue, so that it moves to an engine that
+   * could begin it. Where other adapters wait for slots it need not wait for long: once a report of
+   * each engine includes what was placed there since, it is known which of them has a free slot.
+   */
+  long overdueMillis(EndpointView endpoint, long now) {
+    return forecasts && endpoint.lacksAdapterSlots(now)
+        ? 2 * LateRequestPolicy.KNOWLEDGE_AGE_MILLIS
+        : Placement.Assigned.OVERDUE_LOAD_MILLIS;
+  }
+
   private static LateRequestPolicy.Decision decide(
       Candidate request,
       FirstEventForecast forecast,
@@ -253,7 +264,12 @@
             .min()
             .orElse(0);
     return new ReturnPlanner.Refused(
-        request.service(), capacity, queueMillis, timeLeft, serviceMillis);
+        request.service(),
+        capacity,
+        queueMillis,
+        ServiceCapacity.runMillis(views, request.service()),
+        timeLeft,
+        serviceMillis);
   }
 
   /** Returns for how long capacity is promised to returning callers. */
--- a/runtime/src/main/java/org/hornbeamusher/placement/Placement.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/Placement.java
@@ -30,7 +30,7 @@
      * entry's knowledge of free adapter slots is 100 ms old; a request that left its queue earlier
      * would move to slots that other requests have taken by then.
      */
-    private static final long OVERDUE_LOAD_MILLIS = 450;
+    public static final long OVERDUE_LOAD_MILLIS = 450;
 
     /**
      * Returns whether a request that waits for a load at another endpoint should move to this one.
@@ -40,7 +40,19 @@
      *     could begin here at once
      */
     public boolean justifiesMove(long waitedMillis) {
-      return canStartNow || (waitedMillis >= OVERDUE_LOAD_MILLIS && canLoadNow);
+      return justifiesMove(waitedMillis, OVERDUE_LOAD_MILLIS);
+    }
+
+    /**
+     * Returns whether a request that waits for a load at another endpoint should move to this one.
+     *
+     * @param waitedMillis how long it has waited there
+     * @param overdueMillis after what time its load there is overdue
+     * @return true when it could start here at once, or when the other load is overdue and a load
+     *     could begin here at once
+     */
+    public boolean justifiesMove(long waitedMillis, long overdueMillis) {
+      return canStartNow || (waitedMillis >= overdueMillis && canLoadNow);
     }
   }
 
--- a/runtime/src/main/java/org/hornbeamusher/placement/ServiceCapacity.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/ServiceCapacity.java
@@ -64,6 +64,22 @@
         .orElse(0);
   }
 
+  /**
+   * Returns how long requests run at the endpoints of a service.
+   *
+   * @param views the known endpoints
+   * @param service the service
+   * @return the mean over all usable endpoints in milliseconds; 0 if there is none
+   */
+  public static long runMillis(Collection<EndpointView> views, String service) {
+    return Math.round(
+        views.stream()
+            .filter(view -> isUsable(view, service))
+            .mapToDouble(ServiceCapacity::runMillis)
+            .average()
+            .orElse(0));
+  }
+
   /** Endpoints of plain services respond with a complete response, so their latency is the run. */
   private static double runMillis(EndpointView view) {
     double latency = view.health().latencyMillis();
