--- a/runtime/src/main/java/org/hornbeamusher/placement/Placement.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/Placement.java
@@ -30,7 +30,7 @@
      * entry's knowledge of free adapter slots is 100 ms old; a request that left its queue earlier
      * would move to slots that other requests have taken by then.
      */
-    private static final long OVERDUE_LOAD_MILLIS = 450;
+    public static final long OVERDUE_LOAD_MILLIS = 450;
 
     /** Variation of the time of a load, beyond its estimate. */
     private static final long LOAD_MARGIN_MILLIS = 100;
@@ -41,13 +41,18 @@
      * there would begin no sooner here, and its adapter would be loaded twice.
      *
      * @param waitedMillis how long it has waited there
+     * @param overdueMillis after what time its load there is overdue if the store is not congested
      * @param loadMillis how long a load takes there, including its wait for the weight store
      * @return true when it could start here at once, or when the other load is overdue and a load
      *     could begin here at once
      */
-    public boolean justifiesMove(long waitedMillis, long loadMillis) {
-      long overdueMillis = Math.max(OVERDUE_LOAD_MILLIS, loadMillis + LOAD_MARGIN_MILLIS);
-      return canStartNow || (waitedMillis >= overdueMillis && canLoadNow);
+    public boolean justifiesMove(long waitedMillis, long overdueMillis, long loadMillis) {
+      long congestedMillis = loadMillis + LOAD_MARGIN_MILLIS;
+      long dueMillis =
+          congestedMillis > OVERDUE_LOAD_MILLIS
+              ? Math.max(overdueMillis, congestedMillis)
+              : overdueMillis;
+      return canStartNow || (waitedMillis >= dueMillis && canLoadNow);
     }
   }
 
--- a/runtime/src/test/java/org/hornbeamusher/architecture/ArchitectureTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/architecture/ArchitectureTest.java
@@ -45,6 +45,7 @@
     ROOT + "holdings..",
     ROOT + "ratelimit..",
     ROOT + "shares..",
+    ROOT + "forecast..",
     ROOT + "routes.."
   };
 
--- a/runtime/src/test/java/org/hornbeamusher/placement/PlacerTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/placement/PlacerTest.java
@@ -24,6 +24,7 @@
 class PlacerTest {
 
   private static final long LOAD_MILLIS = 250;
+  private static final long OVERDUE_MILLIS = Placement.Assigned.OVERDUE_LOAD_MILLIS;
 
   /** A load and its wait for the weight store. */
   private static final long CONGESTED_LOAD_MILLIS = 900;
@@ -195,10 +196,10 @@
   void requestStaysInQueueUntilItsLoadIsOverdue() {
     engine("e1", "a", Set.of()).reportedLoad(0, 0, 1);
     Placement.Assigned free = place(COLD, 800);
-    assertFalse(free.justifiesMove(100, LOAD_MILLIS));
-    assertTrue(free.justifiesMove(450, LOAD_MILLIS));
-    assertFalse(free.justifiesMove(450, CONGESTED_LOAD_MILLIS));
-    assertTrue(free.justifiesMove(1_000, CONGESTED_LOAD_MILLIS));
+    assertFalse(free.justifiesMove(100, OVERDUE_MILLIS, LOAD_MILLIS));
+    assertTrue(free.justifiesMove(450, OVERDUE_MILLIS, LOAD_MILLIS));
+    assertFalse(free.justifiesMove(450, OVERDUE_MILLIS, CONGESTED_LOAD_MILLIS));
+    assertTrue(free.justifiesMove(1_000, OVERDUE_MILLIS, CONGESTED_LOAD_MILLIS));
   }
 
   /**
@@ -212,13 +213,13 @@
     EndpointView engine = engine("e1", "a", Set.of());
     engine.updateFromAgent(Set.of(), Set.of(), false);
     engine.reportedLoad(0, 0, 4);
-    assertFalse(place(COLD, 800).justifiesMove(450, LOAD_MILLIS));
+    assertFalse(place(COLD, 800).justifiesMove(450, OVERDUE_MILLIS, LOAD_MILLIS));
   }
 
   @Test
   void requestLeavesItsQueueForEngineThatHoldsItsAdapter() {
     engine("e1", "a", Set.of(HOT));
-    assertTrue(place(HOT, 800).justifiesMove(0, LOAD_MILLIS));
+    assertTrue(place(HOT, 800).justifiesMove(0, OVERDUE_MILLIS, LOAD_MILLIS));
   }
 
   @Test
