--- a/runtime/src/main/java/org/hornbeamusher/forwarding/RequestLog.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/RequestLog.java
@@ -117,7 +117,7 @@
         endpoint.freeAdapterSlots(now));
   }
 
-  /** Logs that the request is held at the entry, or no longer is. */
+  /** Logs that the request is held at the entry, with the estimate of the best endpoint. */
   void held(EndpointId best, long estimateMillis, long targetLeftMillis) {
     EventLog.log(
         EventType.REQUEST_HELD,
