--- a/runtime/src/main/java/org/hornbeamusher/features/ServingFeature.java
+++ b/runtime/src/main/java/org/hornbeamusher/features/ServingFeature.java
@@ -17,7 +17,7 @@
    */
   FAIR_SHARES("fair-shares", true),
   /**
-   * Requests are refused by the forecast of their first event, and callers are told to return when
+   * Requests are refused by the forecast of their first event, and callers are given a time to return at which
    * capacity is expected; without it by fixed fractions of their time.
    */
   FORECAST("forecast", false);
--- a/runtime/src/main/java/org/hornbeamusher/forecast/LateRequestPolicy.java
+++ b/runtime/src/main/java/org/hornbeamusher/forecast/LateRequestPolicy.java
@@ -15,7 +15,7 @@
  *   <li>A request that is expected to miss its target latency where others wait for the same
  *       capacity does not join their queue. It is held at the entry while it would be in time if it
  *       got capacity at once, and placed as soon as one of the other rules allows it.
- *   <li>After that it is refused, and its caller is told to return when capacity is expected.
+ *   <li>After that it is refused, and its caller receives the time at which capacity is expected.
  *   <li>All others are placed, late ones where nothing else waits.
  * </ol>
  *
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
@@ -6,7 +6,6 @@
 import java.util.Set;
 import org.hornbeamusher.accounts.AccountName;
 import org.hornbeamusher.directory.AdapterVersion;
-import org.hornbeamusher.directory.Endpoint;
 import org.hornbeamusher.failure.FailureType;
 import org.hornbeamusher.failure.HornbeamusherException;
 import org.hornbeamusher.failure.Outcome;
@@ -120,10 +119,8 @@
   /** Whether the relay holds a complete failure response that no later response has replaced. */
   private boolean failureBuffered;
 
-  /** Where the stream that the caller has events of began; null before the first event. */
-  private StreamOrigin origin;
-
-  private boolean originReported;
+  /** At which endpoints its stream may go on; null before it is admitted. */
+  private StreamContinuation continuation;
 
   /** Whether it is recorded that an endpoint has answered for long without a crash. */
   private boolean answerRecorded;
@@ -169,7 +166,7 @@
       giveUp(notRun(FailureType.STREAM_VERSION_UNKNOWN));
       return;
     }
-    origin = found.get();
+    continuation.resumedFrom(found.get());
     place();
   }
 
@@ -184,6 +181,7 @@
     route = routed.route();
     service = routed.service();
     suspects = new RequestSuspects(request, routed.accountName(), metadata.parts());
+    continuation = new StreamContinuation(context.streams(), metadata, route);
     placementRequest = routed.placementRequest();
     deadlineMillis = routed.deadlineMillis();
     relay =
@@ -241,23 +239,15 @@
   }
 
   private Set<EndpointIncarnation> excluded() {
-    if (connectionsInUse.isEmpty() && origin == null) {
+    if (connectionsInUse.isEmpty() && !continuation.isBound()) {
       return tried;
     }
     Set<EndpointIncarnation> excluded = new HashSet<>(tried);
     excluded.addAll(connectionsInUse);
-    if (origin != null) {
-      context.placer().views().values().stream()
-          .filter(view -> !mayContinue(view))
-          .forEach(view -> excluded.add(view.incarnation()));
-    }
+    continuation.addExcluded(context.placer().views().values(), excluded);
     return excluded;
   }
 
-  private boolean mayContinue(EndpointView view) {
-    return origin == null || context.streams().mayContinue(origin, view.endpoint());
-  }
-
   /** Waits for a free connection, up to the target latency; beyond it, others would be late too. */
   private void awaitConnection() {
     connectionsInUse.clear();
@@ -438,7 +428,7 @@
       giveUp(refusal.get());
       return;
     }
-    if (!endpoint.takesRequests(now()) || !mayContinue(endpoint)) {
+    if (!endpoint.takesRequests(now()) || !continuation.mayRunAt(endpoint)) {
       placeAgain();
       return;
     }
@@ -506,7 +496,9 @@
       answerRecorded = true;
       context.crashes().answered(suspects);
     }
-    recordOrigin(from);
+    if (relay.started() && relay.lastEvent().isPresent()) {
+      continuation.eventRelayed(from.endpoint().endpoint());
+    }
     if (firstMillis < 0) {
       firstMillis = elapsedMillis();
     }
@@ -521,22 +513,6 @@
     }
   }
 
-  /** Records where the stream began once an event of it was relayed. */
-  private void recordOrigin(Attempt from) {
-    if (originReported || !relay.started() || relay.lastEvent().isEmpty()) {
-      return;
-    }
-    originReported = true;
-    if (origin == null) {
-      Endpoint began = from.endpoint().endpoint();
-      origin = new StreamOrigin(Optional.of(began.id()), began.software());
-    }
-    if (route.resumable()) {
-      context.streams().begun(routed.metadata().id(), origin);
-      routed.metadata().resumes().ifPresent(first -> context.streams().begun(first, origin));
-    }
-  }
-
   private void promptProcessed() {
     if (promptPending) {
       promptPending = false;
--- a/runtime/src/main/java/org/hornbeamusher/sidecar/LoadPermitExchange.java
+++ b/runtime/src/main/java/org/hornbeamusher/sidecar/LoadPermitExchange.java
@@ -31,7 +31,7 @@
 
   private static final long SUSPENSION_MILLIS = 10_000;
 
-  /** Tells the former coordinator that another one was chosen. */
+  /** Notifies the former coordinator that another one was chosen. */
   private static final Message RELEASE = new Message.LoadPermitRequest(0, 0, 0, 0, 0, 0);
 
   private static final long CHOICE_KEY = RendezvousHash.hash("load-coordinator");
