--- a/runtime/src/main/java/org/hornbeamusher/features/ServingFeature.java
+++ b/runtime/src/main/java/org/hornbeamusher/features/ServingFeature.java
@@ -17,8 +17,8 @@
    */
   FAIR_SHARES("fair-shares", true),
   /**
-   * Requests are refused by the forecast of their first event, and callers are given a time to return at which
-   * capacity is expected; without it by fixed fractions of their time.
+   * Requests are refused by the forecast of their first event, and callers return when capacity is
+   * expected; without it both go by fixed fractions of their time.
    */
   FORECAST("forecast", false);
 
