Log which inputs of a lost request agree with others, and which response cleared recorded crashes

A content is one digest, so the logs could not tell a repeat that differs in host, method or query from another request, nor which response of which endpoint cleared a count. ATTEMPT_ENDED now has path_content, the digest of path, client account and body, for lost connections; CRASHES_CLEARED names request, endpoint and status. No logic changes.

RequestCrashesTest, CrashingRequestTest and CrashingPromptPartTest pass (29 tests); the calls that state a response in the tests follow the new parameter.

--- a/runtime/src/main/java/org/hornbeamusher/events/EventType.java
+++ b/runtime/src/main/java/org/hornbeamusher/events/EventType.java
@@ -41,6 +41,8 @@
       "A request with a quarantined part is sent: another suspect explains the crashes."),
   SHARE_EXCEEDED(
       1116, Level.INFO, "A request beyond its account's fair share was ranked down or refused."),
+  CRASHES_CLEARED(
+      1117, Level.INFO, "A response cleared the crashes recorded for a content or a part."),
   FORECAST_REFUSED(
       1120, Level.INFO, "A request was refused because of the forecast of its first event."),
   RETURN_PLANNED(1121, Level.INFO, "A refused caller was told when capacity is expected."),
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
@@ -494,7 +494,7 @@
     relay.data(bytes);
     if (!answerRecorded && from.answeredForLong()) {
       answerRecorded = true;
-      context.crashes().answered(suspects);
+      context.crashes().answered(suspects, response(from));
     }
     if (relay.started() && relay.lastEvent().isPresent()) {
       continuation.eventRelayed(from.endpoint().endpoint());
@@ -529,7 +529,9 @@
     AttemptOutcome outcome = classify(end);
     Optional<RequestLog.LostRequest> lost =
         outcome.connectionLost()
-            ? Optional.of(new RequestLog.LostRequest(suspects.content(), routed.metadata().parts()))
+            ? Optional.of(
+                new RequestLog.LostRequest(
+                    suspects.content(), suspects.pathContent(), routed.metadata().parts()))
             : Optional.empty();
     log.attemptEnded(from, outcome.label(), lost, relay, now() - sentMillis);
     context.metrics().attemptEnded(outcome.label(), now() - sentMillis);
@@ -537,9 +539,9 @@
     if (outcome.connectionLost()) {
       context.crashes().connectionLost(left, suspects, from.evidence());
     } else if (outcome instanceof AttemptOutcome.Completed) {
-      context.crashes().completed(suspects);
+      context.crashes().completed(suspects, response(from));
       if (from.answered()) {
-        context.crashes().answered(suspects);
+        context.crashes().answered(suspects, response(from));
       }
     }
     releaseEndpoint();
@@ -553,6 +555,10 @@
     }
   }
 
+  private AttemptResponse response(Attempt from) {
+    return new AttemptResponse(log.id(), from.endpoint().id(), from.status());
+  }
+
   private AttemptOutcome classify(AttemptOutcome end) {
     boolean cut = end instanceof AttemptOutcome.Completed && !relay.canEnd();
     return cut ? new AttemptOutcome.Failed(FailureType.ANSWER_CUT) : end;
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/RequestCrashes.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/RequestCrashes.java
@@ -318,25 +318,39 @@
   }
 
   /** Called when an endpoint has completed a request. */
-  void completed(RequestSuspects request) {
+  void completed(RequestSuspects request, AttemptResponse response) {
     if (history.mayContain(request.bodyBytes())) {
       boolean quarantined = history.isQuarantined(request.content(), 0);
       history
           .clear(request.content(), clock.millis())
-          .ifPresent(cleared -> cleared(cleared, quarantined));
+          .ifPresent(cleared -> cleared(cleared, quarantined, response));
     }
   }
 
   /** Called when an endpoint has answered a request for a while, or completely. */
-  void answered(RequestSuspects request) {
+  void answered(RequestSuspects request, AttemptResponse response) {
     long now = clock.millis();
     for (PromptPartId part : request.parts()) {
       boolean quarantined = history.isQuarantined(part, 0);
-      history.recordSurvival(part, now).ifPresent(cleared -> cleared(cleared, quarantined));
+      history
+          .recordSurvival(part, now)
+          .ifPresent(cleared -> cleared(cleared, quarantined, response));
     }
   }
 
-  private void cleared(CrashRecord record, boolean quarantinedBefore) {
+  private void cleared(CrashRecord record, boolean quarantinedBefore, AttemptResponse response) {
+    EventLog.log(
+        EventType.CRASHES_CLEARED,
+        "id",
+        response.requestId(),
+        "content",
+        record.suspect(),
+        "crashes",
+        record.crashes().size(),
+        "endpoint",
+        response.endpoint(),
+        "status",
+        response.status());
     reports.logChange(record, quarantinedBefore, "completed");
     reports.changed(record);
   }
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/RequestLog.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/RequestLog.java
@@ -18,6 +18,7 @@
 import org.hornbeamusher.placement.Placement;
 import org.hornbeamusher.placement.PlacementRequest;
 import org.hornbeamusher.placement.PromptPart;
+import org.hornbeamusher.quarantine.PathContent;
 import org.hornbeamusher.quarantine.RequestContent;
 import org.hornbeamusher.ratelimit.AdvertisedRateLimit;
 import org.hornbeamusher.routes.Configuration;
@@ -203,6 +204,8 @@
         end,
         "content",
         lost.map(request -> request.content().toString()).orElse(""),
+        "path_content",
+        lost.map(request -> request.pathContent().toString()).orElse(""),
         "parts",
         lost.map(request -> text(request.parts())).orElse(""),
         "status",
@@ -301,9 +304,10 @@
    * What identifies a request, or a part of it, when it is sent again.
    *
    * @param content the whole request
+   * @param pathContent its path, client account and body
    * @param parts the parts of its prompt in order
    */
-  record LostRequest(RequestContent content, List<PromptPart> parts) {
+  record LostRequest(RequestContent content, PathContent pathContent, List<PromptPart> parts) {
 
     /** Copies the list. */
     LostRequest {
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/RequestSuspects.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/RequestSuspects.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import org.hornbeamusher.accounts.AccountName;
 import org.hornbeamusher.placement.PromptPart;
+import org.hornbeamusher.quarantine.PathContent;
 import org.hornbeamusher.quarantine.PromptPartId;
 import org.hornbeamusher.quarantine.RequestContent;
 
@@ -16,6 +17,7 @@
   private final Optional<AccountName> account;
   private final List<PromptPart> prompt;
   private RequestContent content;
+  private PathContent pathContent;
   private List<PromptPartId> parts;
 
   /**
@@ -42,6 +44,13 @@
     return content;
   }
 
+  PathContent pathContent() {
+    if (pathContent == null) {
+      pathContent = PathContent.of(request.path(), account.map(AccountName::value), request.body());
+    }
+    return pathContent;
+  }
+
   /** Returns the parts of the prompt without the last, which no other request or session has. */
   List<PromptPartId> parts() {
     if (parts == null) {
--- a/runtime/src/test/java/org/hornbeamusher/forwarding/CrashingRequestSimulation.java
+++ b/runtime/src/test/java/org/hornbeamusher/forwarding/CrashingRequestSimulation.java
@@ -408,12 +408,16 @@
         runs.remove(run);
         servedOthers++;
         run.entry.crashes.responded(run.endpoint.incarnation(), run.startMillis);
-        run.entry.crashes.completed(run.request.suspects());
-        run.entry.crashes.answered(run.request.suspects());
+        run.entry.crashes.completed(run.request.suspects(), response(run));
+        run.entry.crashes.answered(run.request.suspects(), response(run));
       }
     }
   }
 
+  private static AttemptResponse response(Run run) {
+    return new AttemptResponse("r", run.endpoint.id(), 200);
+  }
+
   private void restartIfRunning(Entry entry) {
     int index = entries.indexOf(entry);
     if (index >= 0) {
--- a/runtime/src/test/java/org/hornbeamusher/forwarding/RequestCrashesTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/forwarding/RequestCrashesTest.java
@@ -38,6 +38,8 @@
   private static final int LIMIT = QuarantineSettings.WITHOUT_ISOLATION.crashLimit();
   private static final long RUN_MILLIS = 100;
   private static final long SECOND_MILLIS = 1_000;
+  private static final AttemptResponse RESPONSE =
+      new AttemptResponse("r", new EndpointId("e"), 200);
 
   private final SimulatedLoop loop = new SimulatedLoop();
   private int endpoints;
@@ -193,7 +195,7 @@
     first.sentReports().forEach(report -> second.reports.received(RELAY, report));
     assertTrue(second.crashes.isRefused(different()));
     second.sent.clear();
-    second.crashes.answered(different());
+    second.crashes.answered(different(), RESPONSE);
     second.sentReports().forEach(report -> first.reports.received(RELAY, report));
     assertFalse(first.crashes.isRefused(different()));
     assertFalse(second.crashes.isRefused(different()));
@@ -203,7 +205,7 @@
   @Test
   void quarantineIsLiftedByAnEntryThatSawThePartAnsweredBefore() {
     Entry second = new Entry();
-    second.crashes.answered(different());
+    second.crashes.answered(different(), RESPONSE);
     Entry first = quarantiningEntry();
     first.sentReports().forEach(report -> second.reports.received(RELAY, report));
     second.sentReports().forEach(report -> first.reports.received(RELAY, report));
@@ -214,7 +216,7 @@
   @Test
   void quarantineInTheTableIsLiftedByAnEntryThatSawThePartAnswered() {
     Entry second = new Entry();
-    second.crashes.answered(different());
+    second.crashes.answered(different(), RESPONSE);
     Entry first = quarantiningEntry();
     List<ChangedRow> rows =
         first.history.openRecords().stream()
