Crash records are written at once where no two agents relay them, and before an entry ends

The delay saves writes of records that are soon cleared, and rests on two agents that keep them meanwhile. It is now skipped while fewer than two relay, and once the entry is stopping; a stopping entry waits for its writes until its drain time is over. Nothing changes for an entry with two agents that runs.

CrashReportsTest.crashIsWrittenAtOnceWhileFewerThanTwoAgentsRelayIt failed before ("0 relays ==> expected: <1> but was: <0>"); the two tests of an entry that ends use the new call.

--- a/runtime/src/main/java/org/hornbeamusher/forwarding/CrashReports.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/CrashReports.java
@@ -39,7 +39,9 @@
  * is written to the table by the entry that made it, and a little later by every other entry that
  * does not find it there: the first may have been killed, and a table that was restored from a copy
  * has lost it. Most records are cleared within a second or two, when the requests that ran beside
- * the cause are completed elsewhere; the delay of the first write saves most of their writes.
+ * the cause are completed elsewhere; the delay of the first write saves most of their writes. There
+ * is no delay while fewer than two agents relay changes or this entry is about to end, because its
+ * knowledge could end with it.
  */
 final class CrashReports implements AgentConnections.CrashListener {
 
@@ -66,6 +68,9 @@
 
   private Consumer<LostRequest> lossListener = lost -> {};
 
+  /** Whether this entry is about to end. */
+  private boolean ending;
+
   private boolean writing;
   private int failedWrites;
 
@@ -117,8 +122,22 @@
   /** Reports a record that this entry has changed. */
   void changed(CrashRecord record) {
     selection.relays().forEach(relay -> send(relay, record));
-    boolean quarantined = history.isQuarantined(record.suspect(), 0);
-    writeLater(record.suspect(), quarantined ? 0 : OWN_WRITE_DELAY_MILLIS);
+    boolean urgent =
+        ending || !selection.isComplete() || history.isQuarantined(record.suspect(), 0);
+    writeLater(record.suspect(), urgent ? 0 : OWN_WRITE_DELAY_MILLIS);
+  }
+
+  /** Called when this entry is about to end; what it knows is written without delay from now on. */
+  void entryEnds() {
+    ending = true;
+    long now = clock.millis();
+    unwritten.replaceAll((suspect, at) -> now);
+    scheduleWrite(now);
+  }
+
+  /** Returns whether the table may lack something that this entry knows. */
+  boolean hasUnwritten() {
+    return unwritten.keySet().stream().anyMatch(suspect -> !upToDate(suspect));
   }
 
   @Override
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
@@ -559,9 +559,9 @@
   }
 
   /**
-   * Stops accepting callers and finishes the running requests.
+   * Stops accepting callers, finishes the running requests and writes what is known of crashes.
    *
-   * @return completes when no request is running or when the drain time is over
+   * @return completes when that is done or when the drain time is over
    */
   public CompletableFuture<Void> drain() {
     loop.execute(
@@ -570,6 +570,7 @@
             draining = true;
             drainStartMillis = clock.millis();
             EventLog.log(EventType.PROCESS_STOPPING, "role", "entry", "running", runs.size());
+            crashReports.entryEnds();
             checkDrained();
           }
         });
@@ -582,7 +583,8 @@
     if (late) {
       Set.copyOf(runs).forEach(ForwardedRequest::abort);
     }
-    if (late || (runs.isEmpty() && since >= MIN_DRAIN_MILLIS)) {
+    boolean finished = runs.isEmpty() && !crashReports.hasUnwritten();
+    if (late || (finished && since >= MIN_DRAIN_MILLIS)) {
       EventLog.log(EventType.PROCESS_STOPPED, "role", "entry", "after_ms", since);
       context.agents().notifyLeaving();
       drained.complete(null);
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/RelaySelection.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/RelaySelection.java
@@ -25,6 +25,11 @@
     connected.remove(agent);
   }
 
+  /** Returns whether as many agents are connected as are to be chosen. */
+  boolean isComplete() {
+    return connected.size() >= RELAY_COUNT;
+  }
+
   /** Returns the chosen agents; fewer than two if no more are connected. */
   List<InetSocketAddress> relays() {
     return connected.stream()
--- a/runtime/src/test/java/org/hornbeamusher/forwarding/CrashReportsTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/forwarding/CrashReportsTest.java
@@ -4,6 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Set;
 import org.hornbeamusher.ids.EndpointId;
 import org.hornbeamusher.ids.EndpointIncarnation;
@@ -13,6 +15,10 @@
 import org.hornbeamusher.quarantine.QuarantineSettings;
 import org.hornbeamusher.suspects.CrashRecordTable;
 import org.hornbeamusher.table.InMemoryTable;
+import org.hornbeamusher.table.Row;
+import org.hornbeamusher.watch.ChangedRow;
+import org.hornbeamusher.watch.RowContent;
+import org.hornbeamusher.watch.TableChanges;
 import org.junit.jupiter.api.Test;
 
 class CrashReportsTest {
@@ -20,6 +26,12 @@
   private static final PromptPartId PART = PromptPartId.of("5c1e07a2");
   private static final long DAY_MILLIS = 24L * 60 * 60 * 1_000;
   private static final long HOUR_MILLIS = 60L * 60 * 1_000;
+  private static final long SOON_MILLIS = 50;
+  private static final long DOWN_MILLIS = 1_500;
+  private static final List<InetSocketAddress> RELAYS =
+      List.of(
+          InetSocketAddress.createUnresolved("relay1", 1),
+          InetSocketAddress.createUnresolved("relay2", 1));
 
   /** Guards against a quarantine that ends only when another endpoint crashes. */
   @Test
@@ -42,4 +54,83 @@
     assertFalse(history.isQuarantined(PART, 0));
     assertEquals(Set.of(), history.quarantined());
   }
+
+  /** Guards against crashes that are forgotten because the entry ends and no agent relayed them. */
+  @Test
+  void crashIsWrittenAtOnceWhileFewerThanTwoAgentsRelayIt() {
+    for (int relays = 0; relays < RELAYS.size(); relays++) {
+      Entry entry = new Entry(relays);
+      entry.recordCrash();
+      entry.loop.runUntil(SOON_MILLIS);
+      assertEquals(1, entry.rows().size(), relays + " relays");
+    }
+    Entry relayed = new Entry(RELAYS.size());
+    relayed.recordCrash();
+    relayed.loop.runUntil(SOON_MILLIS);
+    assertEquals(List.of(), relayed.rows(), "a record that is soon cleared is not written");
+  }
+
+  /** Guards against crashes that are forgotten because the entry is stopped before it writes. */
+  @Test
+  void crashIsWrittenBeforeAnEntryEnds() {
+    Entry entry = new Entry(RELAYS.size());
+    entry.recordCrash();
+    entry.loop.runUntil(1);
+    entry.reports.entryEnds();
+    assertTrue(entry.reports.hasUnwritten());
+    entry.loop.runUntil(SOON_MILLIS);
+    assertEquals(1, entry.rows().size());
+    entry.readTable();
+    assertFalse(entry.reports.hasUnwritten());
+  }
+
+  /** Guards against an entry that ends while the store is away although it has time to wait. */
+  @Test
+  void entryThatEndsWritesOnceTheTableIsBack() {
+    Entry entry = new Entry(RELAYS.size());
+    entry.table.down(true);
+    entry.reports.entryEnds();
+    entry.recordCrash();
+    entry.loop.runUntil(DOWN_MILLIS);
+    assertTrue(entry.reports.hasUnwritten());
+    entry.table.down(false);
+    entry.loop.runUntil(DOWN_MILLIS + 2_000);
+    entry.readTable();
+    assertFalse(entry.reports.hasUnwritten());
+  }
+
+  /** One entry that reports crashes and is connected to some agents. */
+  private static final class Entry {
+
+    private final SimulatedLoop loop = new SimulatedLoop();
+    private final InMemoryTable table = new InMemoryTable();
+    private final CrashHistory history = new CrashHistory(QuarantineSettings.WITHOUT_ISOLATION);
+    private final CrashReports reports =
+        new CrashReports(
+            history, new CrashRecordTable(table), (agent, message) -> {}, loop, loop.clock());
+
+    Entry(int relays) {
+      RELAYS.subList(0, relays).forEach(reports::opened);
+    }
+
+    void recordCrash() {
+      EndpointIncarnation endpoint = new EndpointIncarnation(new EndpointId("e"), 0);
+      reports.changed(history.recordCrash(PART, endpoint, loop.clock().millis()).orElseThrow());
+    }
+
+    List<Row> rows() {
+      return table.scan(CrashRecordTable.NAME, "", "", 10).join();
+    }
+
+    void readTable() {
+      List<ChangedRow> changed =
+          rows().stream()
+              .map(
+                  row ->
+                      new ChangedRow(
+                          row.key().key(), new RowContent.Present(row.value(), row.revision())))
+              .toList();
+      reports.tableRead(new TableChanges(changed, 1, true));
+    }
+  }
 }
