Crash records are written after a write that was in progress when the next one was due

Cause: the timer of a write found another write in progress and returned without clearing the time of the next write. The end of that write schedules only times before it, so no timer was ever set again. The end of the write schedules the next one; the time is now cleared before the check.

--- a/runtime/src/main/java/org/hornbeamusher/forwarding/CrashReports.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/CrashReports.java
@@ -290,10 +290,11 @@
   }
 
   private void write() {
+    nextWriteMillis = Long.MAX_VALUE;
     if (writing) {
+      // The end of the write in progress schedules the next one.
       return;
     }
-    nextWriteMillis = Long.MAX_VALUE;
     long now = clock.millis();
     history.removeExpired(now).forEach(suspect -> unwritten.putIfAbsent(suspect, now));
     unwritten.keySet().removeIf(this::upToDate);
--- a/runtime/src/test/java/org/hornbeamusher/forwarding/CrashReportsTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/forwarding/CrashReportsTest.java
@@ -6,7 +6,9 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import org.hornbeamusher.ids.EndpointId;
 import org.hornbeamusher.ids.EndpointIncarnation;
 import org.hornbeamusher.loop.SimulatedLoop;
@@ -15,7 +17,11 @@
 import org.hornbeamusher.quarantine.QuarantineSettings;
 import org.hornbeamusher.suspects.CrashRecordTable;
 import org.hornbeamusher.table.InMemoryTable;
+import org.hornbeamusher.table.CommitResult;
 import org.hornbeamusher.table.Row;
+import org.hornbeamusher.table.RowKey;
+import org.hornbeamusher.table.Table;
+import org.hornbeamusher.table.Transaction;
 import org.hornbeamusher.watch.ChangedRow;
 import org.hornbeamusher.watch.RowContent;
 import org.hornbeamusher.watch.TableChanges;
@@ -99,22 +105,40 @@
     assertFalse(entry.reports.hasUnwritten());
   }
 
+  /** Guards against records that are never written because another write was in progress. */
+  @Test
+  void crashIsWrittenThoughAnotherWriteIsInProgress() {
+    Entry entry = new Entry(0);
+    entry.table.setCommitMillis(2 * SOON_MILLIS);
+    entry.recordCrash();
+    entry.loop.runUntil(SOON_MILLIS);
+    entry.recordCrash();
+    entry.loop.runUntil(DOWN_MILLIS);
+    entry.readTable();
+    entry.loop.runUntil(2 * DOWN_MILLIS);
+    entry.readTable();
+    assertFalse(entry.reports.hasUnwritten());
+  }
+
   /** One entry that reports crashes and is connected to some agents. */
   private static final class Entry {
 
     private final SimulatedLoop loop = new SimulatedLoop();
-    private final InMemoryTable table = new InMemoryTable();
+    private final SlowTable table = new SlowTable(loop);
     private final CrashHistory history = new CrashHistory(QuarantineSettings.WITHOUT_ISOLATION);
     private final CrashReports reports =
         new CrashReports(
             history, new CrashRecordTable(table), (agent, message) -> {}, loop, loop.clock());
 
+    private int crashes;
+
     Entry(int relays) {
       RELAYS.subList(0, relays).forEach(reports::opened);
     }
 
     void recordCrash() {
-      EndpointIncarnation endpoint = new EndpointIncarnation(new EndpointId("e"), 0);
+      EndpointIncarnation endpoint =
+          new EndpointIncarnation(new EndpointId("e-" + ++crashes), 0);
       reports.changed(history.recordCrash(PART, endpoint, loop.clock().millis()).orElseThrow());
     }
 
@@ -133,4 +157,53 @@
       reports.tableRead(new TableChanges(changed, 1, true));
     }
   }
+
+  /** A table whose commits take a while. */
+  private static final class SlowTable implements Table {
+
+    private final InMemoryTable rows = new InMemoryTable();
+    private final SimulatedLoop loop;
+    private long commitMillis;
+
+    SlowTable(SimulatedLoop loop) {
+      this.loop = loop;
+    }
+
+    void setCommitMillis(long millis) {
+      commitMillis = millis;
+    }
+
+    void down(boolean down) {
+      rows.down(down);
+    }
+
+    @Override
+    public CompletableFuture<Optional<Row>> read(RowKey key) {
+      return rows.read(key);
+    }
+
+    @Override
+    public CompletableFuture<List<Row>> scan(
+        String table, String prefix, String after, int limit) {
+      return rows.scan(table, prefix, after, limit);
+    }
+
+    @Override
+    public CompletableFuture<CommitResult> commit(Transaction transaction) {
+      CompletableFuture<CommitResult> result = new CompletableFuture<>();
+      loop.after(
+          commitMillis,
+          () ->
+              rows.commit(transaction)
+                  .whenComplete(
+                      (committed, thrown) -> {
+                        if (thrown == null) {
+                          result.complete(committed);
+                        } else {
+                          result.completeExceptionally(thrown);
+                        }
+                      }));
+      return result;
+    }
+  }
 }
