Refuse a crashing request whatever its host, method and query

Users' pages know such a request by path, caller and body; the quarantine knew it by a digest that also holds host, method and query.

A crash now counts for the path content (path, client account, body) as well. Any response that clears a content clears it. At the limit it is refused for an hour after its last crash, unless one quarantined content or part explains all but one of its crashes, so that other queries of a path are served beside the one that crashes endpoints. Ends within 200 ms count once, as for parts.

--- a/runtime/src/main/java/org/hornbeamusher/forwarding/LostRequest.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/LostRequest.java
@@ -7,6 +7,7 @@
 import org.hornbeamusher.quarantine.CrashRecord;
 import org.hornbeamusher.quarantine.CrashSuspect;
 import org.hornbeamusher.quarantine.EndInterval;
+import org.hornbeamusher.quarantine.PathContent;
 import org.hornbeamusher.quarantine.PromptPartId;
 import org.hornbeamusher.quarantine.RequestContent;
 
@@ -40,6 +41,7 @@
   static Set<CrashSuspect> suspects(RequestSuspects request, boolean answered) {
     Set<CrashSuspect> suspects = new HashSet<>();
     suspects.add(request.content());
+    suspects.add(request.pathContent());
     if (!answered) {
       suspects.addAll(request.parts());
     }
@@ -76,6 +78,7 @@
     long afterMillis =
         switch (suspect) {
           case RequestContent content -> sentMillis;
+          case PathContent path -> runningMillis;
           case PromptPartId part -> runningMillis;
         };
     long beforeMillis = runningMillis > lostMillis ? endMillis : lostMillis;
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/RequestCrashes.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/RequestCrashes.java
@@ -19,12 +19,13 @@
 import org.hornbeamusher.quarantine.CrashHistory;
 import org.hornbeamusher.quarantine.CrashRecord;
 import org.hornbeamusher.quarantine.CrashSuspect;
+import org.hornbeamusher.quarantine.PathQuarantine;
 import org.hornbeamusher.quarantine.PromptPartId;
 import org.hornbeamusher.quarantine.PromptPartQuarantine;
 
 /**
  * Finds out which requests ran at endpoints that crashed, and refuses those of a quarantined
- * content or with a quarantined part of the prompt.
+ * content, with a quarantined path and body, or with a quarantined part of the prompt.
  *
  * <p>A lost connection does not show that the endpoint crashed: endpoints reset connections and
  * break off responses while they serve other requests. So the requests whose connections to an
@@ -44,7 +45,8 @@
  *
  * <p>Until the verdict the loss counts at this entry as if the endpoint had crashed, so that a
  * retry of the same request does not reach another endpoint in the meantime. It does not count for
- * parts of the prompt: other requests with them would be refused wherever connections are reset.
+ * what other requests share, the path and parts of the prompt: they would be refused wherever
+ * connections are reset.
  *
  * <p>An entry may end before the verdict. Its losses are then reported by agents to the others,
  * which learn from the list or from agents whether the endpoint has ended.
@@ -80,6 +82,7 @@
 
   private final CrashHistory history;
   private final PromptPartQuarantine partQuarantine;
+  private final PathQuarantine pathQuarantine;
   private final CrashReports reports;
   private final EndpointCheck check;
   private final ForwardMetrics metrics;
@@ -127,6 +130,7 @@
       Clock serviceClock) {
     this.history = history;
     this.partQuarantine = new PromptPartQuarantine(history.crashLimit(), history::openCrashes);
+    this.pathQuarantine = new PathQuarantine(history::openCrashes);
     this.reports = reports;
     this.check = check;
     this.isListed = isListed;
@@ -195,9 +199,13 @@
   }
 
   private Optional<CrashSuspect> refusedSuspect(RequestSuspects request) {
-    if (mayBeQuarantined(request.bodyBytes())
-        && history.isQuarantined(request.content(), unconfirmed(request.content()))) {
-      return Optional.of(request.content());
+    if (mayBeQuarantined(request.bodyBytes())) {
+      if (history.isQuarantined(request.content(), unconfirmed(request.content()))) {
+        return Optional.of(request.content());
+      }
+      if (pathQuarantine.refuses(request.pathContent(), history.quarantined())) {
+        return Optional.of(request.pathContent());
+      }
     }
     return history.hasOpenParts()
         ? partQuarantine.refusedPart(request.parts(), history.quarantined()).map(part -> part)
@@ -320,13 +328,18 @@
   /** Called when an endpoint has completed a request. */
   void completed(RequestSuspects request, AttemptResponse response) {
     if (history.mayContain(request.bodyBytes())) {
-      boolean quarantined = history.isQuarantined(request.content(), 0);
-      history
-          .clear(request.content(), clock.millis())
-          .ifPresent(cleared -> cleared(cleared, quarantined, response));
+      clear(request.content(), response);
+      clear(request.pathContent(), response);
     }
   }
 
+  private void clear(CrashSuspect suspect, AttemptResponse response) {
+    boolean quarantined = history.isQuarantined(suspect, 0);
+    history
+        .clear(suspect, clock.millis())
+        .ifPresent(cleared -> cleared(cleared, quarantined, response));
+  }
+
   /** Called when an endpoint has answered a request for a while, or completely. */
   void answered(RequestSuspects request, AttemptResponse response) {
     long now = clock.millis();
--- a/runtime/src/main/java/org/hornbeamusher/quarantine/CrashHistory.java
+++ b/runtime/src/main/java/org/hornbeamusher/quarantine/CrashHistory.java
@@ -22,11 +22,12 @@
  * Each crash also ends all other requests at that endpoint.
  *
  * <p><b>Algorithm.</b> A crash shows only which requests were running, not which of them caused it.
- * So it counts for the content of each and for the parts of its prompt. The count of a suspect is
+ * So it counts for the content of each, for its path, client account and body, and for the parts of
+ * its prompt. The count of a suspect is
  * cleared when a request with it is answered: the endpoint survived it. What is left after some
  * crashes is what caused them, because other requests are completed when their callers or the entry
  * retry them. A suspect is quarantined when the limit is reached; see {@link PromptPartQuarantine}
- * for what that means for parts, which many requests share.
+ * and {@link PathQuarantine} for what that means for parts and paths, which many requests share.
  *
  * <p>Crashes are counted by incarnation, so that the reports of several processes about one crash
  * can be merged in any order, see {@link CrashRecord}. Those that may have another cause in common
@@ -41,12 +42,14 @@
   /** Reports of a crash may arrive this long after it was cleared and must not reopen it. */
   private static final long CLEARED_RETENTION_MILLIS = 60_000;
 
+  private static final long PATH_RETENTION_MILLIS = 60 * 60_000;
+
   private final QuarantineSettings settings;
 
   /** The least recently changed record is the first. */
   private final LinkedHashMap<CrashSuspect, Entry> entries = new LinkedHashMap<>();
 
-  /** Number of records of contents by the length of the body. */
+  /** Number of records of contents and of paths with bodies, by the length of the body. */
   private final Map<Integer, Integer> bodyLengths = new HashMap<>();
 
   /** The parts with crashes that are not cleared. */
@@ -203,6 +206,7 @@
     }
     switch (after.suspect()) {
       case RequestContent content -> bodyLengths.merge(content.bodyBytes(), 1, Integer::sum);
+      case PathContent path -> bodyLengths.merge(path.bodyBytes(), 1, Integer::sum);
       case PromptPartId part -> {
         if (after.openCrashes() > 0) {
           openParts.add(part);
@@ -218,13 +222,16 @@
     }
     quarantined.remove(suspect);
     switch (suspect) {
-      case RequestContent content ->
-          bodyLengths.computeIfPresent(
-              content.bodyBytes(), (length, count) -> count > 1 ? count - 1 : null);
+      case RequestContent content -> removeBodyLength(content.bodyBytes());
+      case PathContent path -> removeBodyLength(path.bodyBytes());
       case PromptPartId part -> openParts.remove(part);
     }
   }
 
+  private void removeBodyLength(int bodyBytes) {
+    bodyLengths.computeIfPresent(bodyBytes, (length, count) -> count > 1 ? count - 1 : null);
+  }
+
   /**
    * Finds the record of a suspect.
    *
@@ -338,12 +345,18 @@
     if (entry.record().openCrashes() == 0) {
       return entry.changedMillis() + CLEARED_RETENTION_MILLIS;
     }
-    // Many requests share a part, so a wrong verdict about one must end by itself sooner.
-    boolean quarantinedContent =
-        entry.independentCrashes() >= settings.crashLimit()
-            && entry.record().suspect() instanceof RequestContent;
-    return entry.changedMillis()
-        + (quarantinedContent ? settings.quarantineMillis() : settings.suspectMillis());
+    return entry.changedMillis() + retentionMillis(entry);
+  }
+
+  /** Many requests share a path or a part, so a wrong verdict about one must end sooner. */
+  private long retentionMillis(Entry entry) {
+    boolean atLimit = entry.independentCrashes() >= settings.crashLimit();
+    return switch (entry.record().suspect()) {
+      case RequestContent content ->
+          atLimit ? settings.quarantineMillis() : settings.suspectMillis();
+      case PathContent path -> Math.min(PATH_RETENTION_MILLIS, settings.suspectMillis());
+      case PromptPartId part -> settings.suspectMillis();
+    };
   }
 
   /** A record, when it was changed, and the number of its independent crashes. */
--- a/runtime/src/main/java/org/hornbeamusher/quarantine/IndependentCrashes.java
+++ b/runtime/src/main/java/org/hornbeamusher/quarantine/IndependentCrashes.java
@@ -15,14 +15,14 @@
  * the other. The count is the largest number of crashes of which each two are independent.
  *
  * <p>Endpoints that end for one cause do not end in the same millisecond. Many requests share a
- * part, so one was probably sent in between, and the ends must lie further apart. For a content it
- * is counted from when the request was sent, so it must have been sent again after the former end,
- * which a retry may be within the same millisecond.
+ * part, or a path and a body, so one was probably sent in between, and the ends must lie further
+ * apart. For a content it is counted from when the request was sent, so it must have been sent
+ * again after the former end, which a retry may be within the same millisecond.
  */
 final class IndependentCrashes {
 
   /** The ends that one cause brings about are spread over about this time. */
-  static final long PART_SPREAD_MILLIS = 200;
+  static final long SPREAD_MILLIS = 200;
 
   private IndependentCrashes() {}
 
@@ -37,7 +37,8 @@
     long minGapMillis =
         switch (suspect) {
           case RequestContent content -> 0;
-          case PromptPartId part -> PART_SPREAD_MILLIS;
+          case PathContent path -> SPREAD_MILLIS;
+          case PromptPartId part -> SPREAD_MILLIS;
         };
     List<EndInterval> known =
         crashes.stream()
@@ -46,7 +47,7 @@
             .sorted(Comparator.comparingLong(EndInterval::latestMillis))
             .toList();
     int count = crashes.size() - known.size();
-    long lastMillis = -PART_SPREAD_MILLIS;
+    long lastMillis = -SPREAD_MILLIS;
     for (EndInterval each : known) {
       if (each.earliestMillis() - lastMillis >= minGapMillis) {
         count++;
@@ -55,4 +56,25 @@
     }
     return count;
   }
+
+  /**
+   * Counts the independent crashes of endpoints that did not crash under another suspect as well.
+   *
+   * @param suspect what the requests have in common
+   * @param crashes its crashes
+   * @param explained the crashes of the other suspect
+   */
+  static int countWithout(
+      CrashSuspect suspect,
+      Collection<CrashRecord.Crash> crashes,
+      Collection<CrashRecord.Crash> explained) {
+    List<CrashRecord.Crash> left =
+        crashes.stream()
+            .filter(
+                crash ->
+                    explained.stream()
+                        .noneMatch(each -> each.endpoint().maybeSameAs(crash.endpoint())))
+            .toList();
+    return count(suspect, left);
+  }
 }
--- a/runtime/src/main/java/org/hornbeamusher/quarantine/PathContent.java
+++ b/runtime/src/main/java/org/hornbeamusher/quarantine/PathContent.java
@@ -12,7 +12,7 @@
  * @param fingerprint hash of the path, the client account and the body
  * @param bodyBytes length of the body
  */
-public record PathContent(long fingerprint, int bodyBytes) {
+public record PathContent(long fingerprint, int bodyBytes) implements CrashSuspect {
 
   private static final String PREFIX = "path-";
 
@@ -32,6 +32,19 @@
     return new PathContent(RequestFingerprint.of("", decoded(path), body, caller), body.length);
   }
 
+  /**
+   * Parses the form that {@link #toString} returns.
+   *
+   * @param text for example {@code path-00c3f29a417be8d5-692}
+   * @return the identity; empty if the text has another form
+   */
+  public static Optional<PathContent> parse(String text) {
+    return text.startsWith(PREFIX)
+        ? RequestContent.parse(text.substring(PREFIX.length()))
+            .map(parsed -> new PathContent(parsed.fingerprint(), parsed.bodyBytes()))
+        : Optional.empty();
+  }
+
   private static String decoded(String path) {
     try {
       String decoded = URI.create(ORIGIN + path).getPath();
--- a/runtime/src/main/java/org/hornbeamusher/quarantine/PromptPartQuarantine.java
+++ b/runtime/src/main/java/org/hornbeamusher/quarantine/PromptPartQuarantine.java
@@ -61,19 +61,17 @@
     boolean explained =
         suspects.size() == 1
             && quarantined.stream()
-                .anyMatch(other -> !other.equals(suspect) && explains(other, suspect));
+                .anyMatch(other -> mayExplain(other, suspect) && explains(other, suspect));
     return explained ? Optional.empty() : Optional.of(suspect);
   }
 
+  /** Requests with a crashing part may share a path and a body, which explain nothing then. */
+  private static boolean mayExplain(CrashSuspect other, PromptPartId suspect) {
+    return !other.equals(suspect) && !(other instanceof PathContent);
+  }
+
   private boolean explains(CrashSuspect other, PromptPartId suspect) {
-    List<CrashRecord.Crash> explained = crashes.apply(other);
-    List<CrashRecord.Crash> left =
-        crashes.apply(suspect).stream()
-            .filter(
-                crash ->
-                    explained.stream()
-                        .noneMatch(each -> each.endpoint().maybeSameAs(crash.endpoint())))
-            .toList();
-    return IndependentCrashes.count(suspect, left) < crashLimit;
+    return IndependentCrashes.countWithout(suspect, crashes.apply(suspect), crashes.apply(other))
+        < crashLimit;
   }
 }
--- a/runtime/src/test/java/org/hornbeamusher/forwarding/CrashingRequestSimulation.java
+++ b/runtime/src/test/java/org/hornbeamusher/forwarding/CrashingRequestSimulation.java
@@ -51,6 +51,7 @@
     PART
   }
 
+  private static final String CRASHING_PATH = "/crash";
   private static final int CRASHING_BYTES = 100;
 
   /** All requests begin with one of these parts; the crashing ones with the first. */
@@ -115,6 +116,12 @@
   /** How many different requests there are that crash nothing; 0 if each is different. */
   private int soundContents;
 
+  /** Whether each try of the crashing request has another query. */
+  private boolean queriesChange;
+
+  /** Whether the other requests differ from the crashing one in their queries only. */
+  private boolean soundSharePath;
+
   /** How far the wall clocks of entries may differ; applies to those that start later. */
   private int maxSkewMillis;
 
@@ -225,6 +232,14 @@
     maxSkewMillis = maxMillis;
   }
 
+  void changeQueries() {
+    queriesChange = true;
+  }
+
+  void shareCrashingPath() {
+    soundSharePath = true;
+  }
+
   void setSoundContents(int count) {
     soundContents = count;
   }
@@ -295,8 +310,9 @@
   }
 
   private Request crashing() {
+    String query = queriesChange ? "?" + ++requests : "";
     return cause != Cause.PART
-        ? new Request(true, request("/crash", CRASHING_BYTES, "s0", "own"))
+        ? new Request(true, request(CRASHING_PATH + query, CRASHING_BYTES, "s0", "own"))
         : new Request(
             true,
             request(
@@ -307,6 +323,10 @@
   }
 
   private Request sound() {
+    if (soundSharePath) {
+      return new Request(
+          false, request(CRASHING_PATH + "?" + ++requests, CRASHING_BYTES, "s0", "own"));
+    }
     if (soundContents > 0) {
       String path = "/shared" + random.nextInt(soundContents);
       return new Request(false, request(path, CRASHING_BYTES, "s0", "own"));
@@ -321,7 +341,7 @@
   }
 
   private RequestSuspects request(String path, int bytes, String second, String last) {
-    String first = "f" + (path.equals("/crash") ? 0 : requests % FIRST_PARTS);
+    String first = "f" + (path.equals(CRASHING_PATH) ? 0 : requests % FIRST_PARTS);
     return new RequestSuspects(
         new CallerRequest("POST", "h", path, List.of(), new byte[bytes], 0),
         Optional.empty(),
--- a/runtime/src/test/java/org/hornbeamusher/forwarding/CrashingRequestTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/forwarding/CrashingRequestTest.java
@@ -40,6 +40,28 @@
     check(simulation);
   }
 
+  /** Guards against tries that are taken for new requests because their queries differ. */
+  @Property(tries = 8, seed = "7")
+  void crashingRequestIsRefusedThoughItsQueryChanges(
+      @ForAll @IntRange(max = 10_000) int seed,
+      @ForAll @IntRange(min = 40, max = 1_000) int interval) {
+    CrashingRequestSimulation simulation = simulation(seed);
+    simulation.changeQueries();
+    simulation.runUntil(END_MILLIS, interval);
+    check(simulation);
+  }
+
+  /** Guards against refusing all requests of a path because one query crashes endpoints. */
+  @Property(tries = 8, seed = "8")
+  void otherQueriesAreServedBesideTheOneThatCrashes(
+      @ForAll @IntRange(max = 10_000) int seed,
+      @ForAll @IntRange(min = 40, max = 1_000) int interval) {
+    CrashingRequestSimulation simulation = simulation(seed);
+    simulation.shareCrashingPath();
+    simulation.runUntil(END_MILLIS, interval);
+    check(simulation);
+  }
+
   /** Guards against entries that learn of crashes only from others that still run. */
   @Property(tries = 8, seed = "2")
   void crashingRequestIsRefusedWhileEntriesRestart(
