Failures of endpoints do not clear the crashes of a request at once

Every complete response of any status cleared all crashes of the content, at all entries. An endpoint that fails may not have begun the work, so its failure is no proof that it survives the request.

Weighed: only a success clears (a popular lookup that finds nothing is refused for 90 days after three crashes beside it); failures clear at once as before; a 4xx clears at once, as the endpoint judged the request, while a 5xx, or a 413, which may come before the body is read, counts, and ten without a success clear. The last is kept: with 404 as the response of all sound requests, three contents, 40 crashes of other causes in 20 s, no sound request is refused (CrashingRequestTest.requestsThatFindNothingAreServedWhileEndpointsEndForOtherCauses). A request that always fails with 5xx and runs beside three crashes may be refused.

A success still clears all crashes before it, so a request that crashes only some endpoints is not recognized.

--- a/runtime/src/main/java/org/hornbeamusher/forwarding/RequestCrashes.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/RequestCrashes.java
@@ -328,16 +328,19 @@
   /** Called when an endpoint has completed a request. */
   void completed(RequestSuspects request, AttemptResponse response) {
     if (history.mayContain(request.bodyBytes())) {
-      clear(request.content(), response);
-      clear(request.pathContent(), response);
+      completed(request.content(), response);
+      completed(request.pathContent(), response);
     }
   }
 
-  private void clear(CrashSuspect suspect, AttemptResponse response) {
+  private void completed(CrashSuspect suspect, AttemptResponse response) {
     boolean quarantined = history.isQuarantined(suspect, 0);
-    history
-        .clear(suspect, clock.millis())
-        .ifPresent(cleared -> cleared(cleared, quarantined, response));
+    long now = clock.millis();
+    Optional<CrashRecord> cleared =
+        response.showsSurvival()
+            ? history.clear(suspect, now)
+            : history.recordFailedResponse(suspect, now);
+    cleared.ifPresent(record -> cleared(record, quarantined, response));
   }
 
   /** Called when an endpoint has answered a request for a while, or completely. */
--- a/runtime/src/main/java/org/hornbeamusher/quarantine/CrashHistory.java
+++ b/runtime/src/main/java/org/hornbeamusher/quarantine/CrashHistory.java
@@ -24,7 +24,9 @@
  * <p><b>Algorithm.</b> A crash shows only which requests were running, not which of them caused it.
  * So it counts for the content of each, for its path, client account and body, and for the parts of
  * its prompt. The count of a suspect is
- * cleared when a request with it is answered: the endpoint survived it. What is left after some
+ * cleared when a request with it is answered: the endpoint survived it. A failure of the endpoint
+ * shows less, as it may not have begun the work, and only several clear the count. What is left
+ * after some
  * crashes is what caused them, because other requests are completed when their callers or the entry
  * retry them. A suspect is quarantined when the limit is reached; see {@link PromptPartQuarantine}
  * and {@link PathQuarantine} for what that means for parts and paths, which many requests share.
@@ -44,6 +46,12 @@
 
   private static final long PATH_RETENTION_MILLIS = 60 * 60_000;
 
+  /**
+   * Endpoints may fail a request without running it. One that crashes the others reaches the crash
+   * limit before it has failed so often; one that always fails does not.
+   */
+  private static final int FAILED_RESPONSES_TO_CLEAR = 10;
+
   private final QuarantineSettings settings;
 
   /** The least recently changed record is the first. */
@@ -57,6 +65,9 @@
 
   private final Set<CrashSuspect> quarantined = new LinkedHashSet<>();
 
+  /** Failures without a crash of suspects with crashes that are not cleared. */
+  private final Map<CrashSuspect, Integer> failedResponses = new HashMap<>();
+
   private final SurvivedParts survivedParts = new SurvivedParts();
 
   /**
@@ -171,6 +182,22 @@
     return find(suspect).flatMap(before -> replace(before, before.cleared(), now));
   }
 
+  /**
+   * Records that an endpoint failed a request without a crash. A number of failures clears the
+   * crashes of the suspect.
+   *
+   * @param suspect the suspect
+   * @param now milliseconds
+   * @return the record if it had crashes that were not cleared and are now
+   */
+  public Optional<CrashRecord> recordFailedResponse(CrashSuspect suspect, long now) {
+    if (openCrashes(suspect).isEmpty()) {
+      return Optional.empty();
+    }
+    int count = failedResponses.merge(suspect, 1, Integer::sum);
+    return count < FAILED_RESPONSES_TO_CLEAR ? Optional.empty() : clear(suspect, now);
+  }
+
   /**
    * Merges the record of another process.
    *
@@ -200,6 +227,9 @@
       return Optional.empty();
     }
     remove(after.suspect());
+    if (after.openCrashes() == 0) {
+      failedResponses.remove(after.suspect());
+    }
     entries.put(after.suspect(), new Entry(after, now));
     if (isQuarantined(after.suspect(), 0)) {
       quarantined.add(after.suspect());
@@ -338,6 +368,7 @@
             .toList();
     excess.forEach(this::remove);
     removed.addAll(excess);
+    removed.forEach(failedResponses::remove);
     return removed;
   }
 
--- a/runtime/src/test/java/org/hornbeamusher/forwarding/CrashingRequestSimulation.java
+++ b/runtime/src/test/java/org/hornbeamusher/forwarding/CrashingRequestSimulation.java
@@ -119,6 +119,9 @@
   /** Whether each try of the crashing request has another query. */
   private boolean queriesChange;
 
+  /** The status with which endpoints respond to the other requests. */
+  private int soundStatus = 200;
+
   /** Whether the other requests differ from the crashing one in their queries only. */
   private boolean soundSharePath;
 
@@ -240,6 +243,10 @@
     soundSharePath = true;
   }
 
+  void setSoundStatus(int status) {
+    soundStatus = status;
+  }
+
   void setSoundContents(int count) {
     soundContents = count;
   }
@@ -439,8 +446,8 @@
     }
   }
 
-  private static AttemptResponse response(Run run) {
-    return new AttemptResponse("r", run.endpoint.id(), 200);
+  private AttemptResponse response(Run run) {
+    return new AttemptResponse("r", run.endpoint.id(), soundStatus);
   }
 
   private void restartIfRunning(Entry entry) {
--- a/runtime/src/test/java/org/hornbeamusher/forwarding/CrashingRequestTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/forwarding/CrashingRequestTest.java
@@ -118,6 +118,20 @@
     check(simulation);
   }
 
+  /** Guards against refusing requests that find nothing for crashes that they did not cause. */
+  @Property(tries = 8, seed = "9")
+  void requestsThatFindNothingAreServedWhileEndpointsEndForOtherCauses(
+      @ForAll @IntRange(max = 10_000) int seed) {
+    CrashingRequestSimulation simulation = simulation(seed);
+    simulation.setSoundContents(3);
+    simulation.setSoundStatus(404);
+    for (int i = 1; i <= 40; i++) {
+      simulation.runUntil(i * END_MILLIS / 40, 0);
+      simulation.endEndpoint();
+    }
+    check(simulation);
+  }
+
   /** Guards against crashes that are forgotten with the entry that sent the request. */
   @Property(tries = 8, seed = "12")
   void crashingRequestIsRefusedThoughEntriesEndBeforeTheVerdict(
--- a/runtime/src/test/java/org/hornbeamusher/quarantine/CrashHistoryTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/quarantine/CrashHistoryTest.java
@@ -91,6 +91,21 @@
     assertEquals(0, record.openCrashes());
   }
 
+  /** Guards against crashes that a single failure of an endpoint clears. */
+  @Test
+  void onlySeveralFailuresClearTheCrashes() {
+    crash(CONTENT, 1);
+    for (int i = 0; i < 9; i++) {
+      assertEquals(Optional.empty(), history.recordFailedResponse(CONTENT, 0));
+    }
+    crash(CONTENT, 2);
+    assertEquals(2, history.openCrashes(CONTENT).size());
+    assertTrue(history.recordFailedResponse(CONTENT, 0).isPresent());
+    assertEquals(0, history.openCrashes(CONTENT).size());
+    crash(CONTENT, 3);
+    assertEquals(Optional.empty(), history.recordFailedResponse(CONTENT, 0));
+  }
+
   @Test
   void recordsExpire() {
     crash(CONTENT, 1);
