--- a/runtime/src/main/java/org/hornbeamusher/quarantine/CrashHistory.java
+++ b/runtime/src/main/java/org/hornbeamusher/quarantine/CrashHistory.java
@@ -23,13 +23,12 @@
  *
  * <p><b>Algorithm.</b> A crash shows only which requests were running, not which of them caused it.
  * So it counts for the content of each, for its path, client account and body, and for the parts of
- * its prompt. The count of a suspect is
- * cleared when a request with it is answered: the endpoint survived it. A failure of the endpoint
- * shows less, as it may not have begun the work, and only several clear the count. What is left
- * after some
- * crashes is what caused them, because other requests are completed when their callers or the entry
- * retry them. A suspect is quarantined when the limit is reached; see {@link PromptPartQuarantine}
- * and {@link PathQuarantine} for what that means for parts and paths, which many requests share.
+ * its prompt. The count of a suspect is cleared when a request with it is answered: the endpoint
+ * survived it. A failure of the endpoint shows less, as it may not have begun the work, and only
+ * several clear the count. What is left after some crashes is what caused them, because other
+ * requests are completed when their callers or the entry retry them. A suspect is quarantined when
+ * the limit is reached; see {@link PromptPartQuarantine} and {@link PathQuarantine} for what that
+ * means for parts and paths, which many requests share.
  *
  * <p>Crashes are counted by incarnation, so that the reports of several processes about one crash
  * can be merged in any order, see {@link CrashRecord}. Those that may have another cause in common
--- a/runtime/src/main/java/org/hornbeamusher/quarantine/EndInterval.java
+++ b/runtime/src/main/java/org/hornbeamusher/quarantine/EndInterval.java
@@ -10,8 +10,7 @@
  * others.
  *
  * @param afterMillis when the endpoint was last known to run, in milliseconds
- * @param beforeMillis when its end was noticed, in milliseconds; 0 if this is not
- *     known
+ * @param beforeMillis when its end was noticed, in milliseconds; 0 if this is not known
  */
 public record EndInterval(long afterMillis, long beforeMillis) {
 
--- a/runtime/src/main/java/org/hornbeamusher/wire/Message.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/Message.java
@@ -263,7 +263,8 @@
    * @param startMillis the start of its incarnation
    * @param suspects what the request has in common with others, as {@code CrashSuspect} writes it
    * @param sentMillis when the request was sent, in milliseconds by the service clock
-   * @param runningMillis when the endpoint was last known to run, in milliseconds by the service clock
+   * @param runningMillis when the endpoint was last known to run, in milliseconds by the service
+   *     clock
    * @param lostMillis when the connection was lost, in milliseconds by the service clock; 0 from a
    *     sender that does not state it
    */
--- a/runtime/src/test/java/org/hornbeamusher/forwarding/CrashReportsTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/forwarding/CrashReportsTest.java
@@ -16,8 +16,8 @@
 import org.hornbeamusher.quarantine.PromptPartId;
 import org.hornbeamusher.quarantine.QuarantineSettings;
 import org.hornbeamusher.suspects.CrashRecordTable;
-import org.hornbeamusher.table.InMemoryTable;
 import org.hornbeamusher.table.CommitResult;
+import org.hornbeamusher.table.InMemoryTable;
 import org.hornbeamusher.table.Row;
 import org.hornbeamusher.table.RowKey;
 import org.hornbeamusher.table.Table;
@@ -137,8 +137,7 @@
     }
 
     void recordCrash() {
-      EndpointIncarnation endpoint =
-          new EndpointIncarnation(new EndpointId("e-" + ++crashes), 0);
+      EndpointIncarnation endpoint = new EndpointIncarnation(new EndpointId("e-" + ++crashes), 0);
       reports.changed(history.recordCrash(PART, endpoint, loop.clock().millis()).orElseThrow());
     }
 
@@ -183,8 +182,7 @@
     }
 
     @Override
-    public CompletableFuture<List<Row>> scan(
-        String table, String prefix, String after, int limit) {
+    public CompletableFuture<List<Row>> scan(String table, String prefix, String after, int limit) {
       return rows.scan(table, prefix, after, limit);
     }
 
--- a/runtime/src/test/java/org/hornbeamusher/forwarding/CrashingRequestSimulation.java
+++ b/runtime/src/test/java/org/hornbeamusher/forwarding/CrashingRequestSimulation.java
@@ -561,8 +561,7 @@
     private final long skewMillis = maxSkewMillis == 0 ? 0 : random.nextInt(maxSkewMillis);
 
     private final ServiceClock serviceClock =
-        new ServiceClock(
-            loop.clock(), () -> EPOCH_MILLIS + skewMillis + loop.clock().millis());
+        new ServiceClock(loop.clock(), () -> EPOCH_MILLIS + skewMillis + loop.clock().millis());
 
     private final CrashHistory history = new CrashHistory(QuarantineSettings.WITHOUT_ISOLATION);
     private final CrashReports reports =
--- a/runtime/src/test/java/org/hornbeamusher/quarantine/PathQuarantineTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/quarantine/PathQuarantineTest.java
@@ -55,8 +55,7 @@
     crash(part, 0, 3);
     crash(PATH, 0, 3);
     PromptPartQuarantine parts = new PromptPartQuarantine(3, history::openCrashes);
-    assertEquals(
-        Optional.of(part), parts.refusedPart(List.of(part), history.quarantined()));
+    assertEquals(Optional.of(part), parts.refusedPart(List.of(part), history.quarantined()));
   }
 
   /** Guards against a wrong verdict about what many requests share that does not end. */
