Responses without end are limited in memory and time

With a server that sends as fast as it can, 9 of 13 tests of the client failed before (EndlessResponseTest): a status line, a header or other bytes without end filled the heap ("OutOfMemoryError") and kept the only I/O thread, so that another request beside it had no response within a second; chunk sizes, chunk extensions and bodies took 220 MB to 1 GB before the timeout. At an entry four of six cases failed (EndlessResponsePathTest), with 259 OutOfMemoryErrors in the log.

Cause: Undertow's client buffers a head without a limit and reads on while bytes are available, and so did our reads of a body; collected bodies, events and the bodies of refusals had no limit.

- ResponseByteLimit counts the bytes of a connection that become neither a head nor a part of a body, and fails it after 128 KB: status line, headers, interim responses, chunk sizes and extensions, trailers.
The client takes no conduit, but a thread to connect with, so LimitedConnector adds it as the connection opens.
- A body is read for 5 ms at most before other connections of the thread get their turn.
- Collected responses fail after 1 MB (checks, look-ups, orders) or 8 MB (pages of a table).
- An event longer than 1 MB fails its attempt; a refusal is taken as such after 64 KB of its body.

A response body that is relayed while it arrives still ends at the deadline. Bytes after a complete response close the connection, as before. All 13 and 6 cases pass; the two that passed before were headers without number and refusals.

--- a/runtime/src/main/java/org/hornbeamusher/forwarding/Attempt.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/Attempt.java
@@ -19,6 +19,9 @@
   /** Covers a packet each way between availability zones and a busy peer. */
   private static final long CONNECT_MILLIS = 400;
 
+  /** The body of a refusal is a short text; one without end would delay the next attempt. */
+  private static final int MAX_REFUSAL_BYTES = 64 * 1024;
+
   /** A request that crashes its endpoint does so before it has been answered for this long. */
   private static final long CRASH_MILLIS = 1_000;
 
@@ -41,6 +44,9 @@
 
   private HttpHead refused;
 
+  /** Bytes of the body of a refusal, which is not relayed. */
+  private long refusalBytes;
+
   /** The status of the response; 0 before it arrives. */
   private int status;
 
@@ -159,7 +165,16 @@
 
   @Override
   public void data(byte[] bytes) {
-    if (!ended && refused == null) {
+    if (ended) {
+      return;
+    }
+    if (refused != null) {
+      refusalBytes += bytes.length;
+      if (refusalBytes > MAX_REFUSAL_BYTES) {
+        cancel();
+        listener.ended(this, new AttemptOutcome.Refused(refused.status()));
+      }
+    } else {
       statements.recordData(endpoint);
       long now = clock.millis();
       if (firstDataMillis < 0) {
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/BufferedRelay.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/BufferedRelay.java
@@ -98,6 +98,11 @@
     return OptionalLong.empty();
   }
 
+  @Override
+  public boolean isMalformed() {
+    return false;
+  }
+
   @Override
   public boolean canEnd() {
     return true;
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/EventSplitter.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/EventSplitter.java
@@ -22,6 +22,9 @@
   private static final String ID = "id:";
   private static final String COMMENT = ":";
 
+  /** An event contains a few tokens; the bound limits the memory in use. */
+  private static final int MAX_EVENT_BYTES = 1024 * 1024;
+
   private final ByteArrayOutputStream event = new ByteArrayOutputStream();
   private boolean lineEmpty = true;
 
@@ -43,6 +46,11 @@
     return complete;
   }
 
+  /** Returns whether an event is longer than any valid one. */
+  boolean eventTooLong() {
+    return event.size() > MAX_EVENT_BYTES;
+  }
+
   /** Returns the bytes of an incomplete event; empty at the end of a complete stream. */
   byte[] incompleteBytes() {
     return event.toByteArray();
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/EventStreamRelay.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/EventStreamRelay.java
@@ -141,6 +141,11 @@
     return lastEvent;
   }
 
+  @Override
+  public boolean isMalformed() {
+    return splitter.eventTooLong();
+  }
+
   /**
    * A stream that ends within an event is truncated, even if its HTTP framing is complete. So is
    * one that ends with its connection before its first event.
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
@@ -492,6 +492,11 @@
   @Override
   public void data(Attempt from, byte[] bytes) {
     relay.data(bytes);
+    if (relay.isMalformed()) {
+      from.cancel();
+      ended(from, new AttemptOutcome.Failed(FailureType.ENDPOINT_FAILED));
+      return;
+    }
     if (!answerRecorded && from.answeredForLong()) {
       answerRecorded = true;
       context.crashes().answered(suspects, response(from));
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ResponseRelay.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ResponseRelay.java
@@ -37,6 +37,9 @@
   /** Returns the id of the last complete event that the caller received. */
   OptionalLong lastEvent();
 
+  /** Returns whether the response received so far cannot be the begin of a valid one. */
+  boolean isMalformed();
+
   /** Returns whether the response received so far can be complete. */
   boolean canEnd();
 
--- a/runtime/src/main/java/org/hornbeamusher/http/ConnectionPool.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/ConnectionPool.java
@@ -13,6 +13,7 @@
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
+import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 
 /**
@@ -45,6 +46,13 @@
    */
   private final ConcurrentHashMap<String, AtomicInteger> open = new ConcurrentHashMap<>();
 
+  /** The limits of the open connections. */
+  private final ConcurrentHashMap<ClientConnection, ResponseByteLimit> limits =
+      new ConcurrentHashMap<>();
+
+  private final ConcurrentHashMap<XnioIoThread, LimitedConnector> connectors =
+      new ConcurrentHashMap<>();
+
   private UndertowClient client;
   private XnioWorker worker;
   private ByteBufferPool buffers;
@@ -75,15 +83,27 @@
       callback.failed(new ConnectionLimitException(uri.getAuthority(), maxConnections));
       return;
     }
-    client.connect(counted(callback, count), uri, worker, buffers, OPTIONS);
+    LimitedConnector connector =
+        connectors.computeIfAbsent(worker.getIoThread(), LimitedConnector::new);
+    client.connect(opened(callback, connector, count), uri, connector, buffers, OPTIONS);
+  }
+
+  /** Returns the limit on the bytes of an open connection that become no response. */
+  ResponseByteLimit limit(ClientConnection connection) {
+    return limits.get(connection);
   }
 
-  private static ClientCallback<ClientConnection> counted(
-      ClientCallback<ClientConnection> callback, AtomicInteger count) {
+  private ClientCallback<ClientConnection> opened(
+      ClientCallback<ClientConnection> callback, LimitedConnector connector, AtomicInteger count) {
     return new ClientCallback<>() {
       @Override
       public void completed(ClientConnection opened) {
-        opened.addCloseListener(closed -> count.decrementAndGet());
+        limits.put(opened, connector.opened());
+        opened.addCloseListener(
+            closed -> {
+              limits.remove(opened);
+              count.decrementAndGet();
+            });
         callback.completed(opened);
       }
 
--- a/runtime/src/main/java/org/hornbeamusher/http/HttpClient.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/HttpClient.java
@@ -29,6 +29,12 @@
 
   private static final int BUFFER_BYTES = 16 * 1024;
 
+  /** More than any status, report or result of an order. */
+  private static final int MAX_SMALL_BODY_BYTES = 1024 * 1024;
+
+  /** More than any page of a table. */
+  private static final int MAX_BODY_BYTES = 8 * 1024 * 1024;
+
   private final int ioThreads;
   private final ConnectionPool connections = new ConnectionPool();
   private XnioWorker worker;
@@ -134,7 +140,8 @@
   }
 
   /**
-   * Sends a request and collects its response, with one timeout for its start and for stalls.
+   * Sends a request and collects its response of at most 1 MB, with one timeout for its start and
+   * for stalls.
    *
    * @param call the request
    * @param timeoutMillis the timeout for the start of the response, and for each later stall
@@ -142,12 +149,12 @@
    *     CONNECTION_CLOSED} when the request may have arrived
    */
   public CompletableFuture<HttpResponse> send(HttpRequest call, long timeoutMillis) {
-    return send(call, new TransferTimeouts(timeoutMillis, timeoutMillis));
+    return send(call, new TransferTimeouts(timeoutMillis, timeoutMillis), MAX_SMALL_BODY_BYTES);
   }
 
   /**
-   * Sends a request and collects its response. The total time is not limited, so that a large
-   * response may take as long as its size requires.
+   * Sends a request and collects its response of at most 8 MB. The total time is not limited, so
+   * that a large response may take as long as its size requires.
    *
    * @param call the request
    * @param limits the timeouts for the start of the response and for a stall
@@ -155,13 +162,24 @@
    *     CONNECTION_CLOSED} when the request may have arrived
    */
   public CompletableFuture<HttpResponse> send(HttpRequest call, TransferTimeouts limits) {
+    return send(call, limits, MAX_BODY_BYTES);
+  }
+
+  private CompletableFuture<HttpResponse> send(
+      HttpRequest call, TransferTimeouts limits, int maxBodyBytes) {
     ResponseCollector collector =
-        new ResponseCollector(call.uri(), limits, MonotonicClock.INSTANCE);
+        new ResponseCollector(call.uri(), limits, maxBodyBytes, MonotonicClock.INSTANCE);
     HttpStream stream = stream(call, collector);
     scheduleProgressCheck(stream, collector, call.uri());
+    collector.future().exceptionally(failure -> cancel(stream));
     return collector.future();
   }
 
+  private static HttpResponse cancel(HttpStream stream) {
+    stream.cancel();
+    return null;
+  }
+
   /**
    * Schedules a check on an I/O thread; a timer of the JDK would wake another thread for each
    * request.
--- a/runtime/src/main/java/org/hornbeamusher/http/HttpExchange.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/HttpExchange.java
@@ -16,7 +16,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import org.hornbeamusher.clock.MonotonicClock;
 import org.hornbeamusher.failure.FailureType;
 import org.hornbeamusher.failure.HornbeamusherException;
 import org.hornbeamusher.failure.Outcome;
@@ -30,6 +32,11 @@
 
   private static final int READ_BYTES = 16 * 1024;
 
+  /** After this time without a pause other connections of the I/O thread get their turn. */
+  private static final long MAX_TURN_MILLIS = 5;
+
+  private static final long NEXT_TURN_MILLIS = 1;
+
   /**
    * One buffer per I/O thread. Most reads return an event of a few bytes, and a new buffer for each
    * read was two fifths of all allocations of the process. The bytes are copied before the listener
@@ -43,6 +50,10 @@
   private final ConnectionPool connections;
   private final AtomicBoolean ended = new AtomicBoolean();
   private volatile ClientConnection connection;
+
+  /** The limit on bytes of the connection that become no response. */
+  private volatile ResponseByteLimit limit;
+
   private volatile XnioExecutor.Key connectTimer;
   private volatile StreamSourceChannel source;
   private volatile boolean paused;
@@ -112,6 +123,7 @@
   }
 
   private void connected(ClientConnection opened) {
+    limit = connections.limit(opened);
     connection = opened;
     XnioExecutor.Key timer = connectTimer;
     if (timer != null) {
@@ -191,6 +203,7 @@
     if (ended.get()) {
       return;
     }
+    progressed();
     source = exchange.getResponseChannel();
     HttpHead head = headOf(exchange);
     usableMillis = KeepAlive.usableMillis(head);
@@ -205,11 +218,16 @@
   private void read(StreamSourceChannel channel) {
     try {
       ByteBuffer buffer = READ_BUFFER.get();
+      long turnEndMillis = MonotonicClock.INSTANCE.millis() + MAX_TURN_MILLIS;
       while (!ended.get()) {
         if (paused) {
           channel.suspendReads();
           return;
         }
+        if (MonotonicClock.INSTANCE.millis() > turnEndMillis) {
+          readLater(channel);
+          return;
+        }
         buffer.clear();
         int count = channel.read(buffer);
         if (count == 0) {
@@ -219,6 +237,7 @@
           finish();
           return;
         }
+        progressed();
         byte[] bytes = new byte[count];
         buffer.flip().get(bytes);
         listener.data(bytes);
@@ -228,6 +247,32 @@
     }
   }
 
+  /** A peer that sends as fast as this reads would otherwise occupy the I/O thread. */
+  private void readLater(StreamSourceChannel channel) {
+    channel.suspendReads();
+    try {
+      connection
+          .getIoThread()
+          .executeAfter(() -> resumeReads(channel), NEXT_TURN_MILLIS, TimeUnit.MILLISECONDS);
+    } catch (RejectedExecutionException e) {
+      // The client is being stopped.
+      fail(new IOException(e));
+    }
+  }
+
+  private void resumeReads(StreamSourceChannel channel) {
+    if (!ended.get() && !paused) {
+      channel.wakeupReads();
+    }
+  }
+
+  private void progressed() {
+    ResponseByteLimit current = limit;
+    if (current != null) {
+      current.progressed();
+    }
+  }
+
   private void finish() {
     if (ended.compareAndSet(false, true)) {
       releaseConnection();
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/http/LimitedConnector.java
@@ -0,0 +1,69 @@
+package org.hornbeamusher.http;
+
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+import org.xnio.ChannelListener;
+import org.xnio.IoFuture;
+import org.xnio.OptionMap;
+import org.xnio.StreamConnection;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+import org.xnio.channels.BoundChannel;
+
+/**
+ * Opens connections on an I/O thread and limits the bytes that are read from each of them. The
+ * client library accepts a thread to connect with, but no conduit. It is never started; everything
+ * runs on the I/O thread.
+ */
+final class LimitedConnector extends XnioIoThread {
+
+  private final XnioIoThread thread;
+
+  /** The limit of the connection that is being opened; read by the callback that receives it. */
+  private ResponseByteLimit opened;
+
+  LimitedConnector(XnioIoThread thread) {
+    super(thread.getWorker(), thread.getNumber());
+    this.thread = thread;
+  }
+
+  /** Returns the limit of the connection that was opened last. */
+  ResponseByteLimit opened() {
+    return opened;
+  }
+
+  @Override
+  protected IoFuture<StreamConnection> openTcpStreamConnection(
+      InetSocketAddress bindAddress,
+      InetSocketAddress destination,
+      ChannelListener<? super StreamConnection> openListener,
+      ChannelListener<? super BoundChannel> bindListener,
+      OptionMap options) {
+    return thread.openStreamConnection(
+        destination, connection -> opened(connection, openListener), bindListener, options);
+  }
+
+  private void opened(
+      StreamConnection connection, ChannelListener<? super StreamConnection> openListener) {
+    opened = new ResponseByteLimit(connection.getSourceChannel().getConduit());
+    connection.getSourceChannel().setConduit(opened);
+    @SuppressWarnings("unchecked")
+    ChannelListener<StreamConnection> listener = (ChannelListener<StreamConnection>) openListener;
+    listener.handleEvent(connection);
+  }
+
+  @Override
+  public void execute(Runnable command) {
+    thread.execute(command);
+  }
+
+  @Override
+  public XnioExecutor.Key executeAfter(Runnable command, long time, TimeUnit unit) {
+    return thread.executeAfter(command, time, unit);
+  }
+
+  @Override
+  public XnioExecutor.Key executeAtInterval(Runnable command, long time, TimeUnit unit) {
+    return thread.executeAtInterval(command, time, unit);
+  }
+}
--- a/runtime/src/main/java/org/hornbeamusher/http/ResponseCollector.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/ResponseCollector.java
@@ -16,6 +16,7 @@
 final class ResponseCollector implements HttpStreamListener {
 
   private final URI uri;
+  private final int maxBodyBytes;
   private final Clock clock;
   private final CompletableFuture<HttpResponse> future = new CompletableFuture<>();
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
@@ -27,8 +28,9 @@
   private Map<String, String> headers = Map.of();
 
   /** Creates a collector for the response to a request that is sent now. */
-  ResponseCollector(URI uri, TransferTimeouts limits, Clock clock) {
+  ResponseCollector(URI uri, TransferTimeouts limits, int maxBodyBytes, Clock clock) {
     this.uri = uri;
+    this.maxBodyBytes = maxBodyBytes;
     this.clock = clock;
     this.progress = new TransferProgress(limits, clock.millis());
   }
@@ -65,6 +67,10 @@
 
   @Override
   public void data(byte[] bytes) {
+    if (body.size() + bytes.length > maxBodyBytes) {
+      future.completeExceptionally(incomplete("longer than " + maxBodyBytes + " bytes", null));
+      return;
+    }
     body.writeBytes(bytes);
     synchronized (progress) {
       progress.bodyPartReceived(bytes.length, clock.millis());
