--- a/runtime/src/main/java/org/hornbeamusher/http/LimitedConnector.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/LimitedConnector.java
@@ -40,10 +40,10 @@
       ChannelListener<? super BoundChannel> bindListener,
       OptionMap options) {
     return thread.openStreamConnection(
-        destination, connection -> opened(connection, openListener), bindListener, options);
+        destination, connection -> limit(connection, openListener), bindListener, options);
   }
 
-  private void opened(
+  private void limit(
       StreamConnection connection, ChannelListener<? super StreamConnection> openListener) {
     opened = new ResponseByteLimit(connection.getSourceChannel().getConduit());
     connection.getSourceChannel().setConduit(opened);
