A response without end has a failure type of its own

On-call engineers could not tell a response that was cut off for its length from a lost connection: both ended an attempt as endpoint-lost, and the lost connection asked for a health check and counted towards a crash until that came back. A connection that delivers 128 KB without a head or a part of a body, and an event over 1 MB, now end with response-unbounded: in the line of the attempt, in that of the request and in the metrics. It may be retried elsewhere as before, and it is no loss of a connection.

Headers without number end as before, by the client library's own limit.

--- a/runtime/src/main/java/org/hornbeamusher/forwarding/BufferedRelay.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/BufferedRelay.java
@@ -99,7 +99,7 @@
   }
 
   @Override
-  public boolean isMalformed() {
+  public boolean isUnbounded() {
     return false;
   }
 
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/EventStreamRelay.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/EventStreamRelay.java
@@ -142,7 +142,7 @@
   }
 
   @Override
-  public boolean isMalformed() {
+  public boolean isUnbounded() {
     return splitter.eventTooLong();
   }
 
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
@@ -492,9 +492,9 @@
   @Override
   public void data(Attempt from, byte[] bytes) {
     relay.data(bytes);
-    if (relay.isMalformed()) {
+    if (relay.isUnbounded()) {
       from.cancel();
-      ended(from, new AttemptOutcome.Failed(FailureType.ENDPOINT_FAILED));
+      ended(from, new AttemptOutcome.Failed(FailureType.RESPONSE_UNBOUNDED));
       return;
     }
     if (!answerRecorded && from.answeredForLong()) {
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ResponseRelay.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ResponseRelay.java
@@ -37,8 +37,8 @@
   /** Returns the id of the last complete event that the caller received. */
   OptionalLong lastEvent();
 
-  /** Returns whether the response received so far cannot be the begin of a valid one. */
-  boolean isMalformed();
+  /** Returns whether a part of the response is longer than any valid one. */
+  boolean isUnbounded();
 
   /** Returns whether the response received so far can be complete. */
   boolean canEnd();
--- a/runtime/src/main/java/org/hornbeamusher/http/HttpExchange.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/HttpExchange.java
@@ -11,7 +11,6 @@
 import io.undertow.util.Protocols;
 import java.io.IOException;
 import java.net.SocketTimeoutException;
-import java.net.URI;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
@@ -116,12 +115,6 @@
     }
   }
 
-  static HornbeamusherException connectionLost(URI uri, Throwable cause) {
-    return HornbeamusherException.of(
-            FailureType.CONNECTION_CLOSED, Outcome.UNKNOWN, uri.getAuthority())
-        .causedBy(cause);
-  }
-
   private void connected(ClientConnection opened) {
     limit = connections.limit(opened);
     connection = opened;
@@ -308,7 +301,10 @@
   private void fail(IOException e) {
     if (ended.compareAndSet(false, true)) {
       closeConnection();
-      listener.failed(connectionLost(call.uri(), e));
+      boolean unbounded = limit != null && limit.isExceeded();
+      FailureType type = unbounded ? FailureType.RESPONSE_UNBOUNDED : FailureType.CONNECTION_CLOSED;
+      listener.failed(
+          HornbeamusherException.of(type, Outcome.UNKNOWN, call.uri().getAuthority()).causedBy(e));
     }
   }
 
--- a/runtime/src/main/java/org/hornbeamusher/http/ResponseByteLimit.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/ResponseByteLimit.java
@@ -29,6 +29,11 @@
     bytes = 0;
   }
 
+  /** Returns whether the connection failed for this reason. */
+  boolean isExceeded() {
+    return bytes > MAX_BYTES;
+  }
+
   @Override
   public int read(ByteBuffer target) throws IOException {
     return (int) counted(super.read(target));
@@ -47,7 +52,7 @@
 
   private long counted(long count) throws IOException {
     bytes += Math.max(0, count);
-    if (bytes > MAX_BYTES) {
+    if (isExceeded()) {
       throw new IOException("no response within " + MAX_BYTES + " bytes");
     }
     return count;
--- a/runtime/src/main/java/org/hornbeamusher/retry/RetryPolicy.java
+++ b/runtime/src/main/java/org/hornbeamusher/retry/RetryPolicy.java
@@ -99,6 +99,7 @@
           ENDPOINT_LOST,
           LOAD_FAILED,
           ANSWER_CUT,
+          RESPONSE_UNBOUNDED,
           DISPATCH_EXPIRED,
           ENDPOINT_LEAVING,
           WRONG_ADAPTER,
--- a/runtime/src/test/java/org/hornbeamusher/http/EndlessResponseTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/http/EndlessResponseTest.java
@@ -92,6 +92,39 @@
     }
   }
 
+  /**
+   * Guards against a response without end that looks like a lost connection to on-call engineers.
+   */
+  @Test
+  void failureTellsThatTheResponseHasNoEnd() throws Exception {
+    try (Server server = new Server(Endless.STATUS_LINE.once, Endless.STATUS_LINE.repeated)) {
+      CompletableFuture<Throwable> failed = new CompletableFuture<>();
+      client.stream(server.call(), new FailureListener(failed));
+      HornbeamusherException failure =
+          assertInstanceOf(
+              HornbeamusherException.class, failed.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+      assertEquals(FailureType.RESPONSE_UNBOUNDED, failure.type());
+    }
+  }
+
+  private record FailureListener(CompletableFuture<Throwable> failed)
+      implements HttpStreamListener {
+
+    @Override
+    public void head(HttpHead head) {}
+
+    @Override
+    public void data(byte[] bytes) {}
+
+    @Override
+    public void end() {}
+
+    @Override
+    public void failed(Throwable failure) {
+      failed.complete(failure);
+    }
+  }
+
   /** Guards against bytes after a complete response that are kept or read as the next response. */
   @Test
   void bytesAfterCompleteResponseCloseTheConnection() throws Exception {
