A crash record keeps 48 crashes, so that a fast series is not forgotten

Cause: a record keeps its newest 16 crashes, and of ends within 200 ms one counts. A part that crashes an endpoint every 21 ms has its 16 newest within some 350 ms: two or three that count, for a limit of three, so entries may forget a quarantine that they had. A record with 48 crashes is worked out as 7 KB. Both tests are unchanged.

--- a/runtime/src/main/java/org/hornbeamusher/quarantine/CrashRecord.java
+++ b/runtime/src/main/java/org/hornbeamusher/quarantine/CrashRecord.java
@@ -16,7 +16,7 @@
 public record CrashRecord(CrashSuspect suspect, List<Crash> crashes) {
 
   /** More than any limit; a suspect that many requests share would otherwise collect them all. */
-  static final int MAX_CRASHES = 16;
+  static final int MAX_CRASHES = 48;
 
   /**
    * The crash of one incarnation of an endpoint.
