--- a/runtime/src/main/java/org/hornbeamusher/forwarding/CallerRequest.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/CallerRequest.java
@@ -1,5 +1,6 @@
 package org.hornbeamusher.forwarding;
 
+import java.net.URI;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -26,11 +27,25 @@
     byte[] body,
     long arrivedMillis) {
 
+  /** Any host; only the path of the URI is used. */
+  private static final String ORIGIN = "http://host";
+
   String path() {
     int query = target.indexOf('?');
     return query < 0 ? target : target.substring(0, query);
   }
 
+  /** Returns the path without percent-encoding; unmodified if it cannot be decoded. */
+  String decodedPath() {
+    try {
+      String decoded = URI.create(ORIGIN + path()).getPath();
+      return decoded == null ? path() : decoded;
+    } catch (IllegalArgumentException e) {
+      // Not a valid path, but an endpoint may accept it.
+      return path();
+    }
+  }
+
   String hostName() {
     int port = host.indexOf(':');
     return port < 0 ? host : host.substring(0, port);
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/RequestSuspects.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/RequestSuspects.java
@@ -46,7 +46,8 @@
 
   PathContent pathContent() {
     if (pathContent == null) {
-      pathContent = PathContent.of(request.path(), account.map(AccountName::value), request.body());
+      pathContent =
+          PathContent.of(request.decodedPath(), account.map(AccountName::value), request.body());
     }
     return pathContent;
   }
--- a/runtime/src/main/java/org/hornbeamusher/quarantine/PathContent.java
+++ b/runtime/src/main/java/org/hornbeamusher/quarantine/PathContent.java
@@ -1,6 +1,5 @@
 package org.hornbeamusher.quarantine;
 
-import java.net.URI;
 import java.util.HexFormat;
 import java.util.Map;
 import java.util.Optional;
@@ -16,20 +15,17 @@
 
   private static final String PREFIX = "path-";
 
-  /** Any host; only the path of the URI is used. */
-  private static final String ORIGIN = "http://host";
-
   /**
    * Computes the identity of a request.
    *
-   * @param path the path without the query; one that is percent-encoded differently is the same
+   * @param path the path without the query, decoded
    * @param account name of the client account; empty for an anonymous caller
    * @param body the body
    * @return its identity
    */
   public static PathContent of(String path, Optional<String> account, byte[] body) {
     Map<String, String> caller = account.map(name -> Map.of("account", name)).orElse(Map.of());
-    return new PathContent(RequestFingerprint.of("", decoded(path), body, caller), body.length);
+    return new PathContent(RequestFingerprint.of("", path, body, caller), body.length);
   }
 
   /**
@@ -45,16 +41,6 @@
         : Optional.empty();
   }
 
-  private static String decoded(String path) {
-    try {
-      String decoded = URI.create(ORIGIN + path).getPath();
-      return decoded == null ? path : decoded;
-    } catch (IllegalArgumentException e) {
-      // Not a valid path, but an endpoint may accept it.
-      return path;
-    }
-  }
-
   @Override
   public String toString() {
     return PREFIX + HexFormat.of().toHexDigits(fingerprint) + '-' + bodyBytes;
