Ends of one time count once though entries estimate the clock differently

When all endpoints end at once, a sound request that several entries sent was quarantined at all of them.

Ruled out: another order of threads (simulated time, equal counts); the new path contents (the refused suspect is a content).

Change: the times of an end carry by which estimate they were taken. An entry keeps its estimate while it changes by at most 10 ms. Records without the field, of earlier releases or of ends that two processes noticed, compare with the margin.

--- a/runtime/src/main/java/org/hornbeamusher/forwarding/CrashReports.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/CrashReports.java
@@ -200,7 +200,8 @@
         suspects,
         loss.sentMillis(),
         loss.lostMillis() > 0 ? loss.runningMillis() : EndpointLiveness.NEVER,
-        loss.lostMillis());
+        loss.lostMillis(),
+        true);
   }
 
   /** Applies rows of the table that were read. */
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/LostRequest.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/LostRequest.java
@@ -24,13 +24,15 @@
  * @param runningMillis until when the endpoint ran, as far as is known without {@link
  *     EndpointLiveness}; before the send if nothing is known
  * @param lostMillis when the connection was lost
+ * @param relayed whether another entry took the times
  */
 record LostRequest(
     EndpointIncarnation endpoint,
     Set<CrashSuspect> suspects,
     long sentMillis,
     long runningMillis,
-    long lostMillis) {
+    long lostMillis,
+    boolean relayed) {
 
   /** Copies the set. */
   LostRequest {
@@ -56,22 +58,33 @@
   /** Returns this request with the knowledge of when the endpoint was last seen. */
   LostRequest withLastSeen(long lastSeenMillis) {
     return new LostRequest(
-        endpoint, suspects, sentMillis, Math.max(runningMillis, lastSeenMillis), lostMillis);
+        endpoint,
+        suspects,
+        sentMillis,
+        Math.max(runningMillis, lastSeenMillis),
+        lostMillis,
+        relayed);
   }
 
   /** Returns this request with times that count from another zero. */
   LostRequest withTimesShiftedBy(long millis) {
     return new LostRequest(
-        endpoint, suspects, sentMillis + millis, runningMillis + millis, lostMillis + millis);
+        endpoint,
+        suspects,
+        sentMillis + millis,
+        runningMillis + millis,
+        lostMillis + millis,
+        relayed);
   }
 
   /**
    * Returns the crash that counts for a suspect; all times are by the service clock.
    *
    * @param endMillis when the end of the endpoint was noticed
+   * @param estimate identifies this entry's estimate of the clock
    * @return empty if the endpoint is not known to have run after the send
    */
-  Optional<CrashRecord.Crash> crash(CrashSuspect suspect, long endMillis) {
+  Optional<CrashRecord.Crash> crash(CrashSuspect suspect, long endMillis, int estimate) {
     if (!mayBeCause()) {
       return Optional.empty();
     }
@@ -82,8 +95,11 @@
           case PromptPartId part -> runningMillis;
         };
     long beforeMillis = runningMillis > lostMillis ? endMillis : lostMillis;
-    return Optional.of(
-        new CrashRecord.Crash(
-            endpoint, false, new EndInterval(Math.max(0, afterMillis), Math.max(1, beforeMillis))));
+    EndInterval ended =
+        new EndInterval(
+            Math.max(0, afterMillis),
+            Math.max(1, beforeMillis),
+            relayed ? EndInterval.UNKNOWN_ESTIMATE : estimate);
+    return Optional.of(new CrashRecord.Crash(endpoint, false, ended));
   }
 }
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/RequestCrashes.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/RequestCrashes.java
@@ -6,7 +6,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Predicate;
 import org.hornbeamusher.clock.Clock;
 import org.hornbeamusher.events.EventLog;
@@ -80,6 +82,9 @@
 
   private static final int MAX_CANCELLED = 1_000;
 
+  /** Smaller changes of an estimate are ignored, as times by two of them compare less exactly. */
+  private static final long OFFSET_TOLERANCE_MILLIS = 10;
+
   private final CrashHistory history;
   private final PromptPartQuarantine partQuarantine;
   private final PathQuarantine pathQuarantine;
@@ -89,6 +94,13 @@
   private final EventLoop loop;
   private final Clock clock;
   private final Clock serviceClock;
+
+  /** Distinguishes the estimates of the service clock by which different processes take times. */
+  private final int processNumber = ThreadLocalRandom.current().nextInt();
+
+  /** The last estimate that differed by more than the tolerance from the one before. */
+  private long offsetMillis;
+
   private final Predicate<EndpointIncarnation> isListed;
   private final Map<EndpointIncarnation, EndpointLosses> losses = new HashMap<>();
   private final RelayedLosses relayed = new RelayedLosses(VERDICT_TIMEOUT_MILLIS);
@@ -226,9 +238,10 @@
   }
 
   private Optional<CrashRecord.Crash> crash(CrashSuspect suspect, LostRequest lost) {
+    long offset = serviceOffsetMillis();
     return withLastSeen(lost)
-        .withTimesShiftedBy(serviceOffsetMillis())
-        .crash(suspect, serviceClock.millis());
+        .withTimesShiftedBy(offset)
+        .crash(suspect, clock.millis() + offset, Objects.hash(processNumber, offset));
   }
 
   private LostRequest withLastSeen(LostRequest lost) {
@@ -237,7 +250,11 @@
 
   /** Returns the time of the service clock at the zero of the monotonic clock. */
   private long serviceOffsetMillis() {
-    return serviceClock.millis() - clock.millis();
+    long estimatedMillis = serviceClock.millis() - clock.millis();
+    if (Math.abs(estimatedMillis - offsetMillis) > OFFSET_TOLERANCE_MILLIS) {
+      offsetMillis = estimatedMillis;
+    }
+    return offsetMillis;
   }
 
   /** Called when a request lost its connection to an endpoint. */
@@ -278,7 +295,8 @@
         LostRequest.suspects(request, attempt.answered()),
         attempt.sentMillis(),
         attempt.endedByPeer() ? attempt.sentMillis() : EndpointLiveness.NEVER,
-        clock.millis());
+        clock.millis(),
+        false);
   }
 
   /** Handles a loss whose cause another entry did not find out before it ended. */
--- a/runtime/src/main/java/org/hornbeamusher/quarantine/IndependentCrashes.java
+++ b/runtime/src/main/java/org/hornbeamusher/quarantine/IndependentCrashes.java
@@ -17,13 +17,19 @@
  * <p>Endpoints that end for one cause do not end in the same millisecond. Many requests share a
  * part, or a path and a body, so one was probably sent in between, and the ends must lie further
  * apart. For a content it is counted from when the request was sent, so it must have been sent
- * again after the former end, which a retry may be within the same millisecond.
+ * again after the former end, which a retry may be within the same millisecond. Times that two
+ * processes took must differ by more than the error of their clocks as well. So whether two ends
+ * are independent depends on the pair, and the longest chain of ends is sought in which each is
+ * independent of the one before it, and thereby of all before it.
  */
 final class IndependentCrashes {
 
   /** The ends that one cause brings about are spread over about this time. */
   static final long SPREAD_MILLIS = 200;
 
+  /** More than estimates of the service's clock differ while its responses are not delayed. */
+  static final long CLOCK_ERROR_MILLIS = 50;
+
   private IndependentCrashes() {}
 
   /**
@@ -46,15 +52,30 @@
             .filter(EndInterval::isKnown)
             .sorted(Comparator.comparingLong(EndInterval::latestMillis))
             .toList();
-    int count = crashes.size() - known.size();
-    long lastMillis = -SPREAD_MILLIS;
-    for (EndInterval each : known) {
-      if (each.earliestMillis() - lastMillis >= minGapMillis) {
-        count++;
-        lastMillis = each.latestMillis();
+    return crashes.size() - known.size() + longestChain(known, minGapMillis);
+  }
+
+  private static int longestChain(List<EndInterval> ends, long minGapMillis) {
+    int[] lengths = new int[ends.size()];
+    int longest = 0;
+    for (int i = 0; i < lengths.length; i++) {
+      lengths[i] = 1;
+      for (int j = 0; j < i; j++) {
+        if (lengths[j] >= lengths[i] && isAfter(ends.get(i), ends.get(j), minGapMillis)) {
+          lengths[i] = lengths[j] + 1;
+        }
       }
+      longest = Math.max(longest, lengths[i]);
     }
-    return count;
+    return longest;
+  }
+
+  private static boolean isAfter(EndInterval end, EndInterval former, long minGapMillis) {
+    long gapMillis =
+        end.isComparableExactlyWith(former)
+            ? minGapMillis
+            : Math.max(minGapMillis, CLOCK_ERROR_MILLIS);
+    return end.earliestMillis() - former.latestMillis() >= gapMillis;
   }
 
   /**
--- a/runtime/src/main/java/org/hornbeamusher/suspects/CrashRecordCodec.java
+++ b/runtime/src/main/java/org/hornbeamusher/suspects/CrashRecordCodec.java
@@ -38,7 +38,8 @@
           .put("start_ms", crash.endpoint().startMillis())
           .put("cleared", crash.cleared())
           .put("ended_after_ms", crash.ended().afterMillis())
-          .put("ended_before_ms", crash.ended().beforeMillis());
+          .put("ended_before_ms", crash.ended().beforeMillis())
+          .put("clock", crash.ended().estimate());
     }
     return json.toString().getBytes(StandardCharsets.UTF_8);
   }
@@ -75,7 +76,9 @@
   private static EndInterval ended(JsonNode crash) {
     return crash.has("ended_after_ms") || crash.has("ended_before_ms")
         ? new EndInterval(
-            millis(crash.path("ended_after_ms")), millis(crash.path("ended_before_ms")))
+            millis(crash.path("ended_after_ms")),
+            millis(crash.path("ended_before_ms")),
+            crash.path("clock").asInt(EndInterval.UNKNOWN_ESTIMATE))
         : EndInterval.UNKNOWN;
   }
 
--- a/runtime/src/test/java/org/hornbeamusher/forwarding/RequestCrashesTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/forwarding/RequestCrashesTest.java
@@ -36,6 +36,7 @@
   private static final InetSocketAddress RELAY = InetSocketAddress.createUnresolved("relay", 1);
   private static final long EPOCH_MILLIS = 1_764_000_000_000L;
   private static final int LIMIT = QuarantineSettings.WITHOUT_ISOLATION.crashLimit();
+  private static final long CLOCK_ERROR_MILLIS = 20;
   private static final long RUN_MILLIS = 100;
   private static final long SECOND_MILLIS = 1_000;
   private static final AttemptResponse RESPONSE =
@@ -231,6 +232,42 @@
     assertFalse(first.crashes.isRefused(different()));
   }
 
+  /**
+   * Guards against retries at one entry that count once because its estimate of a clock changes.
+   */
+  @Test
+  void retriesCountEachThoughEstimateOfServiceClockChanges() {
+    Entry entry = new Entry();
+    for (int i = 0; i < LIMIT; i++) {
+      long sentMillis = loop.clock().millis();
+      pass(RUN_MILLIS);
+      entry.clockErrorMillis = -i;
+      crash(entry, sentMillis);
+    }
+    assertTrue(entry.crashes.isRefused(same()));
+  }
+
+  /** Guards against ends at one time that look like several because estimates of a clock differ. */
+  @Test
+  void endsAtOneTimeCountOnceThoughEstimatesOfServiceClockDiffer() {
+    Entry first = new Entry();
+    long sentMillis = loop.clock().millis();
+    pass(CLOCK_ERROR_MILLIS);
+    for (int i = 0; i < LIMIT; i++) {
+      Entry entry = new Entry();
+      entry.clockErrorMillis = i * CLOCK_ERROR_MILLIS;
+      crash(entry, sentMillis);
+      entry.sentReports().forEach(report -> first.reports.received(RELAY, report));
+    }
+    assertFalse(first.crashes.isRefused(same()));
+  }
+
+  private void crash(Entry entry, long sentMillis) {
+    EndpointView endpoint = endpoint();
+    entry.crashes.connectionLost(endpoint, same(), endedByPeer(sentMillis));
+    entry.crashes.incarnationEnded(endpoint.incarnation(), "not-seen");
+  }
+
   private Entry quarantiningEntry() {
     Entry entry = new Entry();
     for (int i = 0; i < LIMIT; i++) {
@@ -296,6 +333,9 @@
   /** One entry with a relay; health checks show nothing. */
   private final class Entry {
 
+    /** How far the estimate of the service clock is ahead. */
+    private long clockErrorMillis;
+
     private final List<Message> sent = new ArrayList<>();
     private final CrashHistory history = new CrashHistory(QuarantineSettings.WITHOUT_ISOLATION);
     private final CrashReports reports =
@@ -314,7 +354,7 @@
             new ForwardMetrics(new MetricRegistry()),
             loop,
             loop.clock(),
-            () -> EPOCH_MILLIS + loop.clock().millis());
+            () -> EPOCH_MILLIS + clockErrorMillis + loop.clock().millis());
 
     Entry() {
       reports.opened(RELAY);
--- a/runtime/src/test/java/org/hornbeamusher/quarantine/IndependentCrashesTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/quarantine/IndependentCrashesTest.java
@@ -22,6 +22,8 @@
   private static final PromptPartId PART = PromptPartId.of("5c1e07a2");
   private static final RequestContent CONTENT = new RequestContent(7, 20);
   private static final long START_MILLIS = 1_764_000_000_000L;
+  private static final int ESTIMATE = 1;
+  private static final int OTHER_ESTIMATE = 2;
 
   /** Guards against a quarantine because many endpoints lost power at one time. */
   @Test
@@ -50,6 +52,37 @@
     assertEquals(3, IndependentCrashes.count(PART, crashes));
   }
 
+  /** Guards against ends at one time that look like several because estimates of a clock differ. */
+  @Test
+  void endsNoticedByDifferentProcessesMustDifferByMoreThanTheClockError() {
+    long error = IndependentCrashes.CLOCK_ERROR_MILLIS;
+    CrashRecord.Crash first = crash(1, 0, 5, ESTIMATE);
+    CrashRecord.Crash tooEarly = crash(2, 5 + error - 1, 60, OTHER_ESTIMATE);
+    CrashRecord.Crash late = crash(2, 5 + error, 60, OTHER_ESTIMATE);
+    assertEquals(1, IndependentCrashes.count(CONTENT, List.of(first, tooEarly)));
+    assertEquals(2, IndependentCrashes.count(CONTENT, List.of(first, late)));
+  }
+
+  /** Guards against retries of one entry that count less because of a crash at another entry. */
+  @Test
+  void crashNoticedElsewhereDoesNotReduceTheCount() {
+    List<CrashRecord.Crash> retries =
+        List.of(crash(1, 0, 80), crash(2, 80, 160), crash(3, 160, 240));
+    List<CrashRecord.Crash> all = new ArrayList<>(retries);
+    all.add(crash(4, 0, 79, OTHER_ESTIMATE));
+    assertEquals(3, IndependentCrashes.count(CONTENT, retries));
+    assertEquals(3, IndependentCrashes.count(CONTENT, all));
+  }
+
+  /** Guards against times of two processes that compare exactly after a merge. */
+  @Test
+  void endNoticedByTwoProcessesHasNoCommonEstimate() {
+    CrashRecord merged =
+        new CrashRecord(CONTENT, List.of(crash(1, 0, 5), crash(2, 6, 10)))
+            .mergedWith(new CrashRecord(CONTENT, List.of(crash(1, 0, 5, OTHER_ESTIMATE))));
+    assertEquals(1, merged.independentCrashes());
+  }
+
   @Test
   void crashesAtUnknownTimesCountEach() {
     List<CrashRecord.Crash> crashes =
@@ -108,13 +141,17 @@
 
   @Test
   void negativeTimesAreRejected() {
-    assertThrows(IllegalArgumentException.class, () -> new EndInterval(-1, 0));
-    assertThrows(IllegalArgumentException.class, () -> new EndInterval(0, -1));
+    assertThrows(IllegalArgumentException.class, () -> new EndInterval(-1, 0, ESTIMATE));
+    assertThrows(IllegalArgumentException.class, () -> new EndInterval(0, -1, ESTIMATE));
   }
 
   private static CrashRecord.Crash crash(int endpoint, long after, long before) {
-    return new CrashRecord.Crash(
-        endpoint(endpoint), false, new EndInterval(START_MILLIS + after, START_MILLIS + before));
+    return crash(endpoint, after, before, ESTIMATE);
+  }
+
+  private static CrashRecord.Crash crash(int endpoint, long after, long before, int estimate) {
+    EndInterval ended = new EndInterval(START_MILLIS + after, START_MILLIS + before, estimate);
+    return new CrashRecord.Crash(endpoint(endpoint), false, ended);
   }
 
   private static EndpointIncarnation endpoint(int number) {
--- a/runtime/src/test/java/org/hornbeamusher/suspects/CrashRecordCodecTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/suspects/CrashRecordCodecTest.java
@@ -20,7 +20,7 @@
   /** Guards against rows and messages that lose when the endpoints ended. */
   @Test
   void recordKeepsTheTimesOfItsCrashes() {
-    EndInterval ended = new EndInterval(1_764_000_000_000L, 1_764_000_000_100L);
+    EndInterval ended = new EndInterval(1_764_000_000_000L, 1_764_000_000_100L, 7);
     CrashRecord record = record(new CrashRecord.Crash(ENDPOINT, false, ended));
     assertEquals(Optional.of(record), CrashRecordCodec.decode(CrashRecordCodec.encode(record)));
   }
