Hosts match routes in any case

What callers saw: a request whose Host header is written in capitals got 404, although its route is in force.

Cause: the routes are indexed by the host as the operator wrote it and looked up as the caller wrote it. Hosts are case-insensitive (RFC 9110, 4.2.3).

Change: both sides in lower case. The request goes on with its host unchanged.

--- a/runtime/src/main/java/org/hornbeamusher/routes/Configuration.java
+++ b/runtime/src/main/java/org/hornbeamusher/routes/Configuration.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import org.hornbeamusher.accounts.AccountDirectory;
@@ -45,7 +46,7 @@
     this.version = version;
     this.accounts = accounts;
     for (Route route : routes) {
-      routesByHost.computeIfAbsent(route.host(), host -> new ArrayList<>()).add(route);
+      routesByHost.computeIfAbsent(lowerCase(route.host()), host -> new ArrayList<>()).add(route);
     }
     Comparator<Route> longestFirst =
         Comparator.comparingInt((Route route) -> route.prefix().length()).reversed();
@@ -65,12 +66,12 @@
   /**
    * Finds the route of a request.
    *
-   * @param host the requested host, without a port
+   * @param host the requested host, without a port, in any case (RFC 9110, section 4.2.3)
    * @param path the path, without a query
    * @return the route of this host with the longest matching prefix
    */
   public Optional<Route> match(String host, String path) {
-    for (Route route : routesByHost.getOrDefault(host, List.of())) {
+    for (Route route : routesByHost.getOrDefault(lowerCase(host), List.of())) {
       if (path.startsWith(route.prefix())) {
         return Optional.of(route);
       }
@@ -78,6 +79,10 @@
     return Optional.empty();
   }
 
+  private static String lowerCase(String host) {
+    return host.toLowerCase(Locale.ROOT);
+  }
+
   /**
    * Finds a service.
    *
--- a/runtime/src/test/java/org/hornbeamusher/routes/ConfigurationTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/routes/ConfigurationTest.java
@@ -10,6 +10,8 @@
 
 class ConfigurationTest {
 
+  private static final WeightedTarget TARGET = new WeightedTarget("s", 1);
+
   @Test
   void longestPrefixWins() {
     Configuration configuration = configuration(1, route("/a/"), route("/a/b/"));
@@ -24,6 +26,15 @@
     assertEquals(Optional.empty(), configuration.match("h", "/ab"));
   }
 
+  /** Guards against a 404 because caller and operator write a host in different case. */
+  @Test
+  void hostsMatchInAnyCase() {
+    Configuration lower = configuration(1, route("/a/"));
+    assertEquals("/a/", prefix(lower, "H", "/a/x"));
+    Configuration upper = configuration(1, route("H", "/a/", List.of(TARGET)));
+    assertEquals("/a/", prefix(upper, "h", "/a/x"));
+  }
+
   /** Guards against a response that arrives out of order and restores a deleted route. */
   @Test
   void olderConfigurationIsNotRestored() {
@@ -84,27 +95,20 @@
   }
 
   private static Route route(String prefix) {
-    return route(prefix, List.of(new WeightedTarget("s", 1)));
+    return route(prefix, List.of(TARGET));
   }
 
   private static Route route(String prefix, List<WeightedTarget> targets) {
+    return route("h", prefix, targets);
+  }
+
+  private static Route route(String host, String prefix, List<WeightedTarget> targets) {
     return new Route(
-        "r", "h", prefix, RequestKind.IDEMPOTENT, 1_000, 100, 0, targets, 2, false, 2_000, false);
+        "r", host, prefix, RequestKind.IDEMPOTENT, 1_000, 100, 0, targets, 2, false, 2_000, false);
   }
 
   private static Route kind(RequestKind kind, boolean resumable) {
     return new Route(
-        "r",
-        "h",
-        "/",
-        kind,
-        1_000,
-        100,
-        0,
-        List.of(new WeightedTarget("s", 1)),
-        2,
-        resumable,
-        2_000,
-        false);
+        "r", "h", "/", kind, 1_000, 100, 0, List.of(TARGET), 2, resumable, 2_000, false);
   }
 }
