--- a/runtime/src/main/java/org/hornbeamusher/quarantine/PathQuarantine.java
+++ b/runtime/src/main/java/org/hornbeamusher/quarantine/PathQuarantine.java
@@ -9,7 +9,7 @@
  *
  * <p><b>Problem.</b> A request that crashes every endpoint comes back with another host, method,
  * query or header, so that no two tries have the same content. Other requests with the same path
- * and body may be sound; a query may be all that tells them apart.
+ * and body may be sound and differ from it only in the query.
  *
  * <p><b>Algorithm.</b> A crash counts for the path as well as for the content, and any response to
  * a request with the same path, account and body clears the path. A path at the crash limit is
