A complete read of the crash records does not decode unchanged rows again

What was seen: a record keeps up to 48 crashes since, and each complete read decodes all of them at every entry.

Change: a row with the revision and the hash of the value that were read last gives the record that it gave then. The hash is compared as well, since a table that was restored from a copy may repeat a revision. Merging an equal record and looking for cleared crashes where there are none end at once, and open crashes are counted without a stream.

CrashRecordTableTest: an unchanged row gives the same object; another value under a known revision is decoded; an unreadable row stays unreadable. CrashReportsTest, RequestCrashesTest, CrashHistoryTest, IndependentCrashesTest pass.

--- a/runtime/src/main/java/org/hornbeamusher/quarantine/CrashRecord.java
+++ b/runtime/src/main/java/org/hornbeamusher/quarantine/CrashRecord.java
@@ -56,7 +56,11 @@
    * @return the number of crashes that are not cleared
    */
   public int openCrashes() {
-    return (int) crashes.stream().filter(crash -> !crash.cleared()).count();
+    int count = 0;
+    for (Crash crash : crashes) {
+      count += crash.cleared() ? 0 : 1;
+    }
+    return count;
   }
 
   /**
@@ -87,15 +91,19 @@
 
   /** Returns whether a crash that is open in another record is cleared in this one. */
   boolean clearsAnyOf(CrashRecord other) {
-    return other.open().stream()
-        .anyMatch(
-            open ->
-                crashes.stream()
-                    .anyMatch(own -> own.cleared() && own.endpoint().maybeSameAs(open.endpoint())));
+    List<Crash> cleared = crashes.stream().filter(Crash::cleared).toList();
+    return !cleared.isEmpty()
+        && other.open().stream()
+            .anyMatch(
+                open ->
+                    cleared.stream().anyMatch(own -> own.endpoint().maybeSameAs(open.endpoint())));
   }
 
   /** Returns the crashes of both records; one that either has cleared is cleared. */
   CrashRecord mergedWith(CrashRecord other) {
+    if (crashes.equals(other.crashes)) {
+      return this;
+    }
     List<Crash> merged = new ArrayList<>(crashes);
     for (Crash crash : other.crashes) {
       int known = indexOf(merged, crash.endpoint());
--- a/runtime/src/main/java/org/hornbeamusher/suspects/CrashRecordTable.java
+++ b/runtime/src/main/java/org/hornbeamusher/suspects/CrashRecordTable.java
@@ -1,6 +1,7 @@
 package org.hornbeamusher.suspects;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -26,7 +27,7 @@
   public static final String NAME = "crashes";
 
   private final Table table;
-  private final Map<CrashSuspect, StoredRecord> rows = new HashMap<>();
+  private Map<CrashSuspect, StoredRecord> rows = new HashMap<>();
 
   /**
    * Creates a table of which nothing has been read.
@@ -44,8 +45,9 @@
    * @return what they contain
    */
   public Changes received(TableChanges changes) {
+    Map<CrashSuspect, StoredRecord> before = rows;
     if (changes.complete()) {
-      rows.clear();
+      rows = new HashMap<>();
     }
     List<CrashRecord> records = new ArrayList<>();
     List<CrashSuspect> deleted = new ArrayList<>();
@@ -53,15 +55,14 @@
     for (ChangedRow row : changes.rows()) {
       switch (row.content()) {
         case RowContent.Present present -> {
+          Optional<CrashSuspect> suspect = CrashSuspect.parse(row.key());
           Optional<CrashRecord> record =
-              CrashRecordCodec.decode(present.value())
-                  .filter(found -> found.suspect().toString().equals(row.key()));
+              suspect.flatMap(known -> record(row.key(), present, before.get(known)));
           record.ifPresentOrElse(records::add, () -> unreadable.add(row.key()));
           // The revision of an unreadable row is needed to replace it.
-          CrashSuspect.parse(row.key())
-              .map(suspect -> record.orElse(new CrashRecord(suspect, List.of())))
-              .ifPresent(
-                  found -> rows.put(found.suspect(), new StoredRecord(found, present.revision())));
+          suspect
+              .map(known -> record.orElse(new CrashRecord(known, List.of())))
+              .ifPresent(found -> rows.put(found.suspect(), new StoredRecord(found, present)));
         }
         case RowContent.Unreadable broken -> unreadable.add(row.key());
         case RowContent.Deleted gone -> {
@@ -74,6 +75,16 @@
     return new Changes(records, deleted, unreadable);
   }
 
+  /** Returns the record in a row, without decoding one that has not changed. */
+  private static Optional<CrashRecord> record(
+      String key, RowContent.Present row, StoredRecord before) {
+    if (before != null && before.isOf(row)) {
+      return before.isReadable() ? Optional.of(before.record()) : Optional.empty();
+    }
+    return CrashRecordCodec.decode(row.value())
+        .filter(found -> found.suspect().toString().equals(key));
+  }
+
   /**
    * Returns the row of a suspect as it was last read.
    *
@@ -135,5 +146,19 @@
     }
   }
 
-  private record StoredRecord(CrashRecord record, long revision) {}
+  private record StoredRecord(CrashRecord record, long revision, int valueHash) {
+
+    StoredRecord(CrashRecord record, RowContent.Present row) {
+      this(record, row.revision(), Arrays.hashCode(row.value()));
+    }
+
+    /** A table that was restored from a copy may repeat a revision with another value. */
+    boolean isOf(RowContent.Present row) {
+      return revision == row.revision() && valueHash == Arrays.hashCode(row.value());
+    }
+
+    boolean isReadable() {
+      return !record.crashes().isEmpty();
+    }
+  }
 }
