A stream at a leaving engine is not cut because its agent cannot reach it

Cause: an engine that leaves accepts no connections any more while it completes its streams. Its agent's call is refused, it reports the engine as unreachable, and every entry ended its attempts there at once, although data had arrived milliseconds before.

Change: where the endpoint is leaving or not listed any more, the report of its agent ends no attempt. The agent runs on the same machine, so the machine is there, and the end of the engine's process ends its connections. Ends that a later incarnation shows, and endpoints that are not leaving, as before.

Left: an engine that is not leaving and whose agent meets three time-outs in a row loses its streams as before.

--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
@@ -613,7 +613,7 @@
       apply(context.directory().agentReported(incarnation, address, clock.millis()));
     }
 
-    /** The requests running there are treated as lost; the incarnation may be seen again. */
+    /** The requests running there may be lost; the incarnation may be seen again. */
     @Override
     public void incarnationLost(EndpointIncarnation incarnation) {
       EndpointView view = context.placer().views().get(incarnation.id());
@@ -623,7 +623,7 @@
       context.directory().agentLost(incarnation.id());
       EndpointLog.ended(incarnation, "not-seen", context.directory().ageMillis(clock.millis()));
       context.crashes().incarnationEnded(incarnation, "not-seen");
-      List.copyOf(runs).forEach(run -> run.endpointLost(incarnation));
+      List.copyOf(runs).forEach(run -> run.endpointUnreachable(incarnation));
     }
 
     @Override
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
@@ -676,12 +676,23 @@
     fail(context.refusals().withRetryAfter(candidate(), refusal, now()));
   }
 
+  /**
+   * Called when the agent of an incarnation of an endpoint cannot reach it. One that leaves may
+   * accept no connections while it completes its requests, and ends their connections when it ends:
+   * the agent, which runs on the same machine, shows that the machine is not gone.
+   */
+  void endpointUnreachable(EndpointIncarnation incarnation) {
+    if (endpoint == null || !endpoint.isWithdrawn()) {
+      endpointLost(incarnation);
+    }
+  }
+
   /**
    * Called when an incarnation of an endpoint has ended or cannot be seen. If its machine is gone,
    * the connection may stay open and silent for as long as the caller waits. Whether the request
    * ran is unknown.
    */
-  void endpointLost(EndpointIncarnation incarnation) {
+  private void endpointLost(EndpointIncarnation incarnation) {
     if (attempt != null && isAt(incarnation)) {
       Attempt silent = attempt;
       silent.cancel();
--- a/runtime/src/main/java/org/hornbeamusher/placement/EndpointView.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/EndpointView.java
@@ -377,6 +377,15 @@
     return leaving || endpoint.leaving() || availability.leaving();
   }
 
+  /**
+   * Returns whether the endpoint was withdrawn, so that it only completes what it runs.
+   *
+   * @return true if it has stated that it leaves or is not listed any more
+   */
+  public boolean isWithdrawn() {
+    return removed || leaving();
+  }
+
   /**
    * Returns whether an adapter is being loaded.
    *
