--- a/review/lab-2/CaseEra.java
+++ b/review/lab-2/CaseEra.java
@@ -35,8 +35,11 @@
       store.put("op", "config", before);
       Lab.Machine first = lab.entry(11, "marka");
       Lab.Machine second = lab.entry(12, "marka");
-      lab.awaitReady(first, 20_000);
-      lab.awaitReady(second, 20_000);
+      Lab.Machine third = lab.entry(13, "marka");
+      List<Lab.Machine> entries = List.of(first, second, third);
+      for (Lab.Machine entry : entries) {
+        lab.awaitReady(entry, 20_000);
+      }
       Lab.sleep(5_000);
       if (Lab.trouble()) {
         Store.Copy copy = store.copy();
@@ -62,7 +65,7 @@
       int broken = 0;
       int ran = 0;
       for (int i = 0; i < REQUESTS; i++) {
-        for (Lab.Machine entry : List.of(first, second)) {
+        for (Lab.Machine entry : entries) {
           for (String route : List.of("/book/", "/gone/")) {
             String id = Caller.newId();
             long sent = Lab.millis();
@@ -77,13 +80,13 @@
           }
         }
       }
-      for (Lab.Machine entry : List.of(first, second)) {
+      for (Lab.Machine entry : entries) {
         entry.log().stream().filter(line -> line.contains("CONFIGURATION_IN_FORCE")).forEach(line -> lab.write(entry.name() + ": " + line));
       }
       if (ran == 0) {
         lab.exit(2, "nothing ran");
       }
-      lab.exit(broken > 0 ? 1 : 0, broken + " of " + 4 * REQUESTS + " requests were handled as only the older configuration allows");
+      lab.exit(broken > 0 ? 1 : 0, broken + " of " + 2 * entries.size() * REQUESTS + " requests were handled as only the older configuration allows");
     }
   }
 }
--- a/review/lab-2/CaseOrder.java
+++ b/review/lab-2/CaseOrder.java
@@ -8,23 +8,32 @@
 /** Streams while workers start again under their ids with another version of their software. */
 final class CaseOrder {
 
-  private static final int STREAMS = 16;
+  private static final int WORKERS = 4;
+
+  /** How many workers start again with the later software, one after the other. */
+  private static final int UPGRADED = 2;
+
+  private static final int STREAMS = 96;
   private static final long DEADLINE_MILLIS = 12_000;
 
   public static void main(String[] arguments) throws Exception {
     try (Lab lab = new Lab()) {
       Store store = new Store(lab.ip(1), Lab.STORE);
       List<Worker.Run> runs = Collections.synchronizedList(new ArrayList<>());
-      Worker first = new Worker(lab, store, "lm-dispatch", "marka", 21, Lab.APP, true, "i-a1", "v1", runs);
-      Worker second = new Worker(lab, store, "lm-dispatch", "marka", 22, Lab.APP, true, "i-b2", "v1", runs);
-      first.start();
-      second.start();
+      List<Worker> workers = new ArrayList<>();
+      for (int i = 0; i < WORKERS; i++) {
+        Worker worker = new Worker(lab, store, "lm-dispatch", "marka", 21 + i, Lab.APP, true, "i-w" + i, "v1", runs);
+        workers.add(worker);
+        worker.start();
+        Lab.sleep(150);
+      }
       store.put("op", "config", Configuration.of(3,
           Configuration.route("chat", "/chat/", "streaming", 12_000, 600, "lm-dispatch", 2, true),
           Configuration.ENGINE));
       List<Lab.Machine> entries = List.of(lab.entry(11, "marka"), lab.entry(12, "marka"));
-      lab.agent(21, "marka", "lm-dispatch");
-      lab.agent(22, "marka", "lm-dispatch");
+      for (int i = 0; i < WORKERS; i++) {
+        lab.agent(21 + i, "marka", "lm-dispatch");
+      }
       for (Lab.Machine entry : entries) {
         lab.awaitReady(entry, 20_000);
       }
@@ -40,13 +49,12 @@
       }
       Lab.sleep(1_500);
       if (Lab.trouble()) {
-        first.crash();
-        Lab.sleep(1_500);
-        first.startAgain("v2");
-        Lab.sleep(1_500);
-        second.crash();
-        Lab.sleep(1_500);
-        second.startAgain("v2");
+        for (int i = 0; i < UPGRADED; i++) {
+          workers.get(i).crash();
+          Lab.sleep(1_500);
+          workers.get(i).startAgain("v2");
+          Lab.sleep(1_500);
+        }
       }
       done.await();
       int mixed = 0;
--- a/review/lab-2/Worker.java
+++ b/review/lab-2/Worker.java
@@ -14,7 +14,7 @@
   static final String MODEL = "m0";
   private static final int ADAPTER_PLACES = 7;
   private static final long BEAT_MILLIS = 1_200;
-  private static final long EVENT_MILLIS = 150;
+  private volatile long eventMillis = 150;
 
   record Run(long at, String request, String path, String worker, String software, String headers) {}
 
@@ -35,6 +35,9 @@
   private volatile int events = 40;
   private volatile long workMillis = 30;
   private volatile boolean beating = true;
+  private volatile boolean endless;
+  private volatile String limit = "";
+  private final long[] linkFree = {0};
   private Http.Server server;
   private final AtomicInteger inFlight = new AtomicInteger();
   private Map<String, Long> adapters = new TreeMap<>();
@@ -65,10 +68,38 @@
     return address;
   }
 
+  void setEventMillis(long millis) {
+    eventMillis = millis;
+  }
+
   void setEvents(int count) {
     events = count;
   }
 
+  /** It is in need: it takes longer and names in its answers how many requests a second it takes. */
+  void inNeed(String perSecond, long answerMillis) {
+    limit = perSecond;
+    workMillis = answerMillis;
+  }
+
+  /** It is cut off from the store: its entry goes after three heartbeats, and is back with it. */
+  void cutFromStore(long millis) {
+    beating = false;
+    lab.write("worker " + id + " is cut off from the store");
+    Lab.sleep(3 * BEAT_MILLIS);
+    store.remove("servers", id);
+    lab.write("the entry of worker " + id + " is removed");
+    Lab.sleep(millis - 3 * BEAT_MILLIS);
+    beating = true;
+    register();
+    lab.write("worker " + id + " reaches the store again");
+  }
+
+  /** A model worker in trouble: its answers are failures, and their bodies have no end until the caller closes. */
+  void sendWithoutEnd() {
+    endless = true;
+  }
+
   /** Starts with nothing of before; an entry in the store is written at once. */
   synchronized void start() throws IOException {
     born = System.currentTimeMillis();
@@ -210,20 +241,48 @@
         stream(request, out, mark, mine);
       } else {
         Lab.sleep(workMillis);
-        out.send(200, mark + "Keep-Alive: timeout=30\r\n", "done by " + id + " for " + requestId);
+        out.send(200, mark + (limit.isEmpty() ? "" : "Server-Limit: " + limit + "\r\n") + "Keep-Alive: timeout=30\r\n", "done by " + id + " for " + requestId);
       }
     } finally {
       inFlight.decrementAndGet();
     }
   }
 
+  /** The machine's link takes 1,000 Mbit a second for all connections together. */
+  private void awaitLink(int bytes) {
+    long wait;
+    synchronized (linkFree) {
+      long now = System.nanoTime();
+      linkFree[0] = Math.max(now - 2_000_000, linkFree[0]) + bytes * 8L;
+      wait = linkFree[0] - now;
+    }
+    if (wait > 1_000_000) {
+      Lab.sleep(wait / 1_000_000);
+    }
+  }
+
   private void stream(Http.Request request, Http.Responder out, String mark, String mine) throws IOException {
     String last = request.header("Last-Event-Id");
     int from = last == null ? 0 : Integer.parseInt(last);
     long mineBorn = born;
+    String requestId = request.header("X-Attempt-Id");
+    if (endless) {
+      out.raw("HTTP/1.1 500 Failed\r\n" + mark + "Transfer-Encoding: chunked\r\n\r\n");
+      byte[] part = ("10000\r\n" + "a".repeat(0x10000) + "\r\n").getBytes();
+      long sent = 0;
+      try {
+        while (true) {
+          out.raw(part);
+          sent += part.length;
+          awaitLink(part.length);
+        }
+      } finally {
+        lab.write("worker " + id + " has sent " + sent + " bytes for " + requestId);
+      }
+    }
     out.raw("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + mark + "Transfer-Encoding: chunked\r\n\r\n");
     for (int event = from + 1; event <= events; event++) {
-      Lab.sleep(EVENT_MILLIS);
+      Lab.sleep(eventMillis);
       if (!up || born != mineBorn) {
         return;
       }
