--- a/review/lab-2/CaseOrder.java
+++ b/review/lab-2/CaseOrder.java
@@ -10,10 +10,13 @@
 
   private static final int WORKERS = 4;
 
-  /** How many workers start again with the later software, one after the other. */
+  /** How many workers crash and start again, one after the other. */
+  private static final int CRASHES = 3;
+
+  /** How many of them, the first ones, start again with the later software. */
   private static final int UPGRADED = 2;
 
-  private static final int STREAMS = 96;
+  private static final int STREAMS = 160;
   private static final long DEADLINE_MILLIS = 12_000;
 
   public static void main(String[] arguments) throws Exception {
@@ -24,6 +27,7 @@
       for (int i = 0; i < WORKERS; i++) {
         Worker worker = new Worker(lab, store, "lm-dispatch", "marka", 21 + i, Lab.APP, true, "i-w" + i, "v1", runs);
         workers.add(worker);
+        worker.setEvents(70);
         worker.start();
         Lab.sleep(150);
       }
@@ -45,15 +49,15 @@
         streams.add(tries);
         int number = i;
         Thread.ofVirtual().start(() -> { stream(lab, number, tries); done.countDown(); });
-        Lab.sleep(20);
+        Lab.sleep(25);
       }
-      Lab.sleep(1_500);
+      Lab.sleep(300);
       if (Lab.trouble()) {
-        for (int i = 0; i < UPGRADED; i++) {
+        for (int i = 0; i < CRASHES; i++) {
           workers.get(i).crash();
           Lab.sleep(1_500);
-          workers.get(i).startAgain("v2");
-          Lab.sleep(1_500);
+          workers.get(i).startAgain(i < UPGRADED ? "v2" : "v1");
+          Lab.sleep(1_000);
         }
       }
       done.await();
