--- a/review/lab-2/CaseEra.java
+++ b/review/lab-2/CaseEra.java
@@ -11,9 +11,14 @@
   /** What the rule leaves: contact_ms, config_apply_ms and outer_ms. */
   private static final long BOUND_MILLIS = 3_000 + 2_000 + 5_000;
 
+  private static String tenants(String keys) {
+    return ",\"tenants\":[{\"name\":\"depot\",\"api_keys\":[" + keys + "]}]";
+  }
+
   public static void main(String[] arguments) throws Exception {
     try (Lab lab = new Lab()) {
       Store store = new Store(lab.ip(1), Lab.STORE);
+      lab.addSettings("bounds.strict_revoke=true", "bounds.revoke_ms=5000");
       store.listenToo(lab.ip(2), Lab.STORE);
       lab.storeHosts.put(11, 2);
       List<Worker.Run> runs = Collections.synchronizedList(new ArrayList<>());
@@ -29,9 +34,9 @@
       String kept = Configuration.route("keep", "/keep/", "idempotent", 1_500, 193, "haul-api", 2, false);
       String before = Configuration.of(5, kept
           + "," + Configuration.route("book", "/book/", "non_idempotent", 1_500, 193, "haul-api", 1, false)
-          + "," + Configuration.route("gone", "/gone/", "non_idempotent", 1_500, 193, "haul-api", 1, false), services);
+          + "," + Configuration.route("gone", "/gone/", "non_idempotent", 1_500, 193, "haul-api", 1, false), services, tenants("\"key-one\",\"key-two\""));
       String after = Configuration.of(8, kept
-          + "," + Configuration.route("book", "/book/", "non_idempotent", 1_500, 193, "yard-api", 1, false), services);
+          + "," + Configuration.route("book", "/book/", "non_idempotent", 1_500, 193, "yard-api", 1, false), services, tenants("\"key-one\""));
       store.put("op", "config", before);
       Lab.Machine first = lab.entry(11, "marka");
       Lab.Machine second = lab.entry(12, "marka");
@@ -66,14 +71,16 @@
       int ran = 0;
       for (int i = 0; i < REQUESTS; i++) {
         for (Lab.Machine entry : entries) {
-          for (String route : List.of("/book/", "/gone/")) {
+          for (String route : List.of("/book/", "/gone/", "/keep/")) {
             String id = Caller.newId();
             long sent = Lab.millis();
-            Caller.Answer answer = Caller.send(lab.ip(entry.host), "POST", route + i, id, 1_500, "");
+            // The second key was taken away; it is sent where the route itself is still there.
+            String key = route.equals("/keep/") ? "key-two" : "key-one";
+            Caller.Answer answer = Caller.send(lab.ip(entry.host), "POST", route + i, id, 1_500, "Api-Key: " + key + "\r\n");
             String worker = runs.stream().filter(run -> run.request().equals(id)).map(Worker.Run::worker).findFirst().orElse("");
-            boolean old = route.equals("/gone/") ? !worker.isEmpty() : worker.startsWith("i-haul");
-            lab.write("%s%d sent %d ms after the acknowledgement to %s: %s, run by %s%s".formatted(
-                route, i, sent - acknowledged, entry.name(), answer.text(), worker.isEmpty() ? "nobody" : worker,
+            boolean old = route.equals("/book/") ? worker.startsWith("i-haul") : !worker.isEmpty();
+            lab.write("%s%d with %s sent %d ms after the acknowledgement to %s: %s, run by %s%s".formatted(
+                route, i, key, sent - acknowledged, entry.name(), answer.text(), worker.isEmpty() ? "nobody" : worker,
                 old ? " -- only configuration 5 allows this" : ""));
             broken += old ? 1 : 0;
             ran += worker.isEmpty() ? 0 : 1;
@@ -86,7 +93,7 @@
       if (ran == 0) {
         lab.exit(2, "nothing ran");
       }
-      lab.exit(broken > 0 ? 1 : 0, broken + " of " + 2 * entries.size() * REQUESTS + " requests were handled as only the older configuration allows");
+      lab.exit(broken > 0 ? 1 : 0, broken + " of " + 3 * entries.size() * REQUESTS + " requests were handled as only the older configuration allows");
     }
   }
 }
--- a/review/lab-2/Http.java
+++ b/review/lab-2/Http.java
@@ -48,6 +48,9 @@
     private final Socket socket;
     private boolean closed;
 
+    /** A second answer, sent where the next one is expected; null if there is none. */
+    String surplus;
+
     Responder(Socket socket) {
       this.socket = socket;
     }
--- a/review/lab-2/Worker.java
+++ b/review/lab-2/Worker.java
@@ -3,7 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -36,7 +36,9 @@
   private volatile long workMillis = 30;
   private volatile boolean beating = true;
   private volatile boolean endless;
-  private volatile String limit = "";
+  private volatile double shedShare;
+  private volatile int doubledEach = Integer.MAX_VALUE;
+  private final AtomicInteger sheds = new AtomicInteger();
   private final long[] linkFree = {0};
   private Http.Server server;
   private final AtomicInteger inFlight = new AtomicInteger();
@@ -76,23 +78,10 @@
     events = count;
   }
 
-  /** It is in need: it takes longer and names in its answers how many requests a second it takes. */
-  void inNeed(String perSecond, long answerMillis) {
-    limit = perSecond;
-    workMillis = answerMillis;
-  }
-
-  /** It is cut off from the store: its entry goes after three heartbeats, and is back with it. */
-  void cutFromStore(long millis) {
-    beating = false;
-    lab.write("worker " + id + " is cut off from the store");
-    Lab.sleep(3 * BEAT_MILLIS);
-    store.remove("servers", id);
-    lab.write("the entry of worker " + id + " is removed");
-    Lab.sleep(millis - 3 * BEAT_MILLIS);
-    beating = true;
-    register();
-    lab.write("worker " + id + " reaches the store again");
+  /** It turns a share of the requests away, and sends each so many-th of these answers twice. */
+  void shed(double share, int doubled) {
+    shedShare = share;
+    doubledEach = doubled;
   }
 
   /** A model worker in trouble: its answers are failures, and their bodies have no end until the caller closes. */
@@ -225,6 +214,18 @@
       out.send(421, "X-Not-Executed: 1\r\nX-Instance-Id: " + id + "\r\nX-Attempt-Id: " + requestId + "\r\n", "");
       return;
     }
+    if (out.surplus != null) {
+      lab.write("worker " + id + " sends its second answer to an earlier request where that to " + requestId + " is expected");
+      out.raw(out.surplus);
+      out.surplus = null;
+    }
+    if (ThreadLocalRandom.current().nextDouble() < shedShare) {
+      out.send(503, "X-Not-Executed: 1\r\n", "");
+      if (sheds.incrementAndGet() % doubledEach == 0) {
+        out.surplus = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+      }
+      return;
+    }
     String model = request.header("X-Model");
     synchronized (this) {
       boolean held = model == null || model.equals(MODEL) || adapters.containsKey(model.substring(MODEL.length() + 1));
@@ -241,7 +242,7 @@
         stream(request, out, mark, mine);
       } else {
         Lab.sleep(workMillis);
-        out.send(200, mark + (limit.isEmpty() ? "" : "Server-Limit: " + limit + "\r\n") + "Keep-Alive: timeout=30\r\n", "done by " + id + " for " + requestId);
+        out.send(200, mark + "Keep-Alive: timeout=30\r\n", "done by " + id + " for " + requestId);
       }
     } finally {
       inFlight.decrementAndGet();
