--- a/review/lab-2/CaseTwice.java
+++ b/review/lab-2/CaseTwice.java
@@ -43,9 +43,19 @@
       long start = Lab.millis();
       long end = start + RUN_MILLIS;
       long next = System.nanoTime();
+      Worker inTrouble = null;
+      int seen = 0;
       for (int i = 0; Lab.millis() < end; i++) {
-        boolean troubled = Lab.trouble() && (Lab.millis() - start) % EVERY_MILLIS < TROUBLE_MILLIS;
-        workers.get(0).shed(troubled ? SHED_SHARE : 0, DOUBLED_EACH);
+        boolean troubled = Lab.trouble() && (Lab.millis() - start) % EVERY_MILLIS >= EVERY_MILLIS - TROUBLE_MILLIS;
+        if (troubled && inTrouble == null) {
+          inTrouble = busiest(workers, runs, seen);
+          inTrouble.shed(SHED_SHARE, DOUBLED_EACH);
+          lab.write("worker " + inTrouble.id() + " is in trouble");
+        } else if (!troubled && inTrouble != null) {
+          inTrouble.shed(0, DOUBLED_EACH);
+          inTrouble = null;
+          seen = runs.size();
+        }
         String id = Caller.newId();
         String entry = lab.ip(11 + i % 2);
         Thread.ofVirtual().start(() -> answers.put(id, Caller.send(entry, "POST", "/book/b" + id, id, TIMEOUT_MILLIS, "")));
@@ -78,4 +88,19 @@
       lab.exit(twice + refused > 0 ? 1 : 0, twice + " bookings ran twice; " + refused + " ran and were answered as not run; " + served + " of " + answers.size() + " served");
     }
   }
+
+  /** Returns the worker that has run the most since a number of runs. */
+  private static Worker busiest(List<Worker> workers, List<Worker.Run> runs, int since) {
+    List<Worker.Run> recent = List.copyOf(runs);
+    Worker found = workers.get(0);
+    long most = -1;
+    for (Worker worker : workers) {
+      long count = recent.subList(since, recent.size()).stream().filter(run -> run.worker().equals(worker.id())).count();
+      if (count > most) {
+        most = count;
+        found = worker;
+      }
+    }
+    return found;
+  }
 }
--- a/review/lab-2/Worker.java
+++ b/review/lab-2/Worker.java
@@ -222,6 +222,7 @@
     if (ThreadLocalRandom.current().nextDouble() < shedShare) {
       out.send(503, "X-Not-Executed: 1\r\n", "");
       if (sheds.incrementAndGet() % doubledEach == 0) {
+        lab.write("worker " + id + " has turned " + sheds.get() + " requests away; this answer comes twice");
         out.surplus = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
       }
       return;
