--- a/runtime/src/main/java/org/hornbeamusher/forwarding/Attempt.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/Attempt.java
@@ -3,6 +3,7 @@
 import org.hornbeamusher.clock.Clock;
 import org.hornbeamusher.failure.FailureType;
 import org.hornbeamusher.failure.HornbeamusherException;
+import org.hornbeamusher.http.ConnectionUse;
 import org.hornbeamusher.http.HttpClient;
 import org.hornbeamusher.http.HttpHead;
 import org.hornbeamusher.http.HttpRequest;
@@ -52,6 +53,7 @@
 
   private boolean success;
   private ResponseMetadata metadata = ResponseMetadata.NONE;
+  private ConnectionUse connection = ConnectionUse.NONE;
   private boolean ended;
 
   /** Whether the endpoint's side ended the connection. */
@@ -88,6 +90,16 @@
     return metadata;
   }
 
+  /** Returns the use of the connection when the request was sent. */
+  ConnectionUse connection() {
+    return connection;
+  }
+
+  /** Returns whether the endpoint's side ended the exchange, and not this entry. */
+  boolean endedByPeer() {
+    return endedByPeer;
+  }
+
   /** Returns the time from the send to the first part of the body; -1 if none has arrived. */
   long firstDataAfterMillis() {
     return firstDataMillis < 0 ? -1 : firstDataMillis - sentMillis;
@@ -121,6 +133,11 @@
     }
   }
 
+  @Override
+  public void connected(ConnectionUse use) {
+    connection = use;
+  }
+
   @Override
   public boolean shouldSend() {
     boolean accepted = endpoint.takesRequests(clock.millis()) && listener.maySend();
@@ -137,12 +154,11 @@
     }
     status = head.status();
     success = head.isSuccess();
-    ResponseMetadata received = dialect.parseResponse(head);
-    if (received.requestId().isPresent() && !received.requestId().get().equals(requestId)) {
+    metadata = dialect.parseResponse(head);
+    if (metadata.requestId().isPresent() && !metadata.requestId().get().equals(requestId)) {
       breakOff(FailureType.FOREIGN_ANSWER);
       return;
     }
-    metadata = received;
     statements.recordResponse(
         endpoint, metadata, head.isSuccess() && metadata.sealPresent(), sentMillis);
     if (metadata.notRun()) {
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/RequestLog.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/RequestLog.java
@@ -210,6 +210,14 @@
         lost.map(request -> text(request.parts())).orElse(""),
         "status",
         attempt.status(),
+        "answered_id",
+        answeredId(attempt),
+        "earlier_requests",
+        attempt.connection().earlierRequests(),
+        "connection_age_ms",
+        attempt.connection().ageMillis(),
+        "ended_by_peer",
+        attempt.endedByPeer(),
         "caller_status",
         relay.started() ? relay.status() : 0,
         "took_ms",
@@ -228,6 +236,18 @@
         attempt.metadata().leaving());
   }
 
+  /** Returns which request the response names. */
+  private String answeredId(Attempt attempt) {
+    if (attempt.status() == 0) {
+      return "";
+    }
+    return attempt
+        .metadata()
+        .requestId()
+        .map(named -> named.equals(id) ? "own" : "other")
+        .orElse("none");
+  }
+
   /** Logs the decision of the retry budget about a further send, with what it was based on. */
   void retryDecided(
       String service, boolean granted, SharedRetryBudget.State state, AgentConnections agents) {
--- a/runtime/src/main/java/org/hornbeamusher/http/ConnectionPool.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/ConnectionPool.java
@@ -46,8 +46,7 @@
    */
   private final ConcurrentHashMap<String, AtomicInteger> open = new ConcurrentHashMap<>();
 
-  /** The limits of the open connections. */
-  private final ConcurrentHashMap<ClientConnection, ResponseByteLimit> limits =
+  private final ConcurrentHashMap<ClientConnection, OpenConnection> openConnections =
       new ConcurrentHashMap<>();
 
   private final ConcurrentHashMap<XnioIoThread, LimitedConnector> connectors =
@@ -88,9 +87,9 @@
     client.connect(opened(callback, connector, count), uri, connector, buffers, OPTIONS);
   }
 
-  /** Returns the limit on the bytes of an open connection that become no response. */
-  ResponseByteLimit limit(ClientConnection connection) {
-    return limits.get(connection);
+  /** Returns what is known of an open connection; null if it has been closed. */
+  OpenConnection state(ClientConnection connection) {
+    return openConnections.get(connection);
   }
 
   private ClientCallback<ClientConnection> opened(
@@ -98,10 +97,10 @@
     return new ClientCallback<>() {
       @Override
       public void completed(ClientConnection opened) {
-        limits.put(opened, connector.opened());
+        openConnections.put(opened, new OpenConnection(connector.opened()));
         opened.addCloseListener(
             closed -> {
-              limits.remove(opened);
+              openConnections.remove(opened);
               count.decrementAndGet();
             });
         callback.completed(opened);
--- a/runtime/src/main/java/org/hornbeamusher/http/HttpExchange.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/HttpExchange.java
@@ -50,8 +50,8 @@
   private final AtomicBoolean ended = new AtomicBoolean();
   private volatile ClientConnection connection;
 
-  /** The limit on bytes of the connection that become no response. */
-  private volatile ResponseByteLimit limit;
+  /** The state of the connection; null if it was closed before it was used. */
+  private volatile OpenConnection state;
 
   private volatile XnioExecutor.Key connectTimer;
   private volatile StreamSourceChannel source;
@@ -116,7 +116,7 @@
   }
 
   private void connected(ClientConnection opened) {
-    limit = connections.limit(opened);
+    state = connections.state(opened);
     connection = opened;
     XnioExecutor.Key timer = connectTimer;
     if (timer != null) {
@@ -130,6 +130,9 @@
   }
 
   private void send(ClientConnection opened) {
+    if (!ended.get()) {
+      listener.connected(state == null ? ConnectionUse.NONE : state.requestSent());
+    }
     if (!ended.get() && listener.shouldSend()) {
       opened.sendRequest(request(), callback(this::sendBody, this::fail));
       return;
@@ -260,9 +263,9 @@
   }
 
   private void progressed() {
-    ResponseByteLimit current = limit;
+    OpenConnection current = state;
     if (current != null) {
-      current.progressed();
+      current.limit().progressed();
     }
   }
 
@@ -301,7 +304,7 @@
   private void fail(IOException e) {
     if (ended.compareAndSet(false, true)) {
       closeConnection();
-      boolean unbounded = limit != null && limit.isExceeded();
+      boolean unbounded = state != null && state.limit().isExceeded();
       FailureType type = unbounded ? FailureType.RESPONSE_UNBOUNDED : FailureType.CONNECTION_CLOSED;
       listener.failed(
           HornbeamusherException.of(type, Outcome.UNKNOWN, call.uri().getAuthority()).causedBy(e));
--- a/runtime/src/main/java/org/hornbeamusher/http/HttpStreamListener.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/HttpStreamListener.java
@@ -6,6 +6,13 @@
  */
 public interface HttpStreamListener {
 
+  /**
+   * The connection of the exchange is open; called before {@link #shouldSend}.
+   *
+   * @param connection its use until now
+   */
+  default void connected(ConnectionUse connection) {}
+
   /**
    * Decides, immediately before the first byte is written, whether the request is sent.
    *
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/http/OpenConnection.java
@@ -0,0 +1,25 @@
+package org.hornbeamusher.http;
+
+import org.hornbeamusher.clock.MonotonicClock;
+
+/** What the pool knows of an open connection. */
+final class OpenConnection {
+
+  private final ResponseByteLimit limit;
+  private final long openedMillis = MonotonicClock.INSTANCE.millis();
+  private int requests;
+
+  OpenConnection(ResponseByteLimit limit) {
+    this.limit = limit;
+  }
+
+  /** Returns the limit on its bytes that become no response. */
+  ResponseByteLimit limit() {
+    return limit;
+  }
+
+  /** Counts a request that is sent next; called on the connection's I/O thread. */
+  ConnectionUse requestSent() {
+    return new ConnectionUse(requests++, MonotonicClock.INSTANCE.millis() - openedMillis);
+  }
+}
