--- a/runtime/src/main/java/org/hornbeamusher/forwarding/Attempt.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/Attempt.java
@@ -3,6 +3,7 @@
 import org.hornbeamusher.clock.Clock;
 import org.hornbeamusher.failure.FailureType;
 import org.hornbeamusher.failure.HornbeamusherException;
+import org.hornbeamusher.http.ConnectionOptions;
 import org.hornbeamusher.http.ConnectionUse;
 import org.hornbeamusher.http.HttpClient;
 import org.hornbeamusher.http.HttpHead;
@@ -31,6 +32,7 @@
   private final EndpointStateUpdater statements;
   private final Clock clock;
   private final String requestId;
+  private final boolean repeatable;
   private final Listener listener;
   private HttpStream stream;
   private long sentMillis;
@@ -59,23 +61,39 @@
   /** Whether the endpoint's side ended the connection. */
   private boolean endedByPeer;
 
-  Attempt(EndpointView endpoint, ForwardContext context, String requestId, Listener listener) {
+  Attempt(
+      EndpointView endpoint,
+      ForwardContext context,
+      String requestId,
+      boolean repeatable,
+      Listener listener) {
     this.endpoint = endpoint;
     this.dialect = context.headerCodec();
     this.statements = context.stateUpdater();
     this.clock = context.clock();
     this.requestId = requestId;
+    this.repeatable = repeatable;
     this.listener = listener;
   }
 
   void send(HttpClient http, HttpRequest call, int maxConnections) {
     sentMillis = clock.millis();
-    stream = http.stream(call, this, CONNECT_MILLIS, maxConnections);
+    stream = http.stream(call, this, connectionOptions(maxConnections));
     if (ended) {
       stream.cancel();
     }
   }
 
+  /**
+   * A refusal that may belong to an earlier request of its connection does not show that this one
+   * did not run. A request that may run only once is therefore sent on a new connection while its
+   * endpoint sends such responses.
+   */
+  private ConnectionOptions connectionOptions(int maxConnections) {
+    boolean reuse = repeatable || !endpoint.sendsSurplusResponses(sentMillis);
+    return new ConnectionOptions(CONNECT_MILLIS, maxConnections, reuse);
+  }
+
   EndpointView endpoint() {
     return endpoint;
   }
@@ -155,13 +173,18 @@
     status = head.status();
     success = head.isSuccess();
     metadata = dialect.parseResponse(head);
-    if (metadata.requestId().isPresent() && !metadata.requestId().get().equals(requestId)) {
+    if (!namesThisRequest()) {
+      endpoint.surplusResponse(clock.millis());
+    }
+    if (namesOtherRequest()) {
       breakOff(FailureType.FOREIGN_ANSWER);
       return;
     }
     statements.recordResponse(
         endpoint, metadata, head.isSuccess() && metadata.sealPresent(), sentMillis);
-    if (metadata.notRun()) {
+    if (!answersThisRequest()) {
+      breakOff(FailureType.FOREIGN_ANSWER);
+    } else if (metadata.notRun()) {
       refused = head;
     } else if (head.isSuccess() && !metadata.sealPresent()) {
       breakOff(FailureType.UNSIGNED_ANSWER);
@@ -174,6 +197,28 @@
     }
   }
 
+  private boolean namesThisRequest() {
+    return metadata.requestId().filter(requestId::equals).isPresent();
+  }
+
+  private boolean namesOtherRequest() {
+    return metadata.requestId().isPresent() && !namesThisRequest();
+  }
+
+  /**
+   * Returns whether the response can be attributed to this request. One that names none can be
+   * attributed only on a connection that has carried no other request. The refusal of a repeatable
+   * request is accepted nevertheless, because a second run of it does no harm.
+   */
+  private boolean answersThisRequest() {
+    return namesThisRequest() || connection.isFirst() || (repeatable && metadata.notRun());
+  }
+
+  @Override
+  public boolean mayReuseConnection() {
+    return namesThisRequest();
+  }
+
   private void breakOff(FailureType cause) {
     cancel();
     listener.ended(this, new AttemptOutcome.Failed(cause));
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/http/ConnectionOptions.java
@@ -0,0 +1,24 @@
+package org.hornbeamusher.http;
+
+/**
+ * How an exchange gets its connection.
+ *
+ * @param connectMillis the timeout for opening a new connection; {@link #NO_TIMEOUT} for none
+ * @param maxConnections the maximum number of open connections to the origin, including idle ones;
+ *     beyond it the exchange fails with {@code CONNECTIONS_IN_USE}
+ * @param reuse whether an idle connection may be used; otherwise one is closed to open a new one
+ *     within the maximum
+ */
+public record ConnectionOptions(long connectMillis, int maxConnections, boolean reuse) {
+
+  /** Stands for no timeout. */
+  public static final long NO_TIMEOUT = -1;
+
+  /** An idle connection, or a new one without a timeout and a maximum. */
+  public static final ConnectionOptions ANY =
+      new ConnectionOptions(NO_TIMEOUT, Integer.MAX_VALUE, true);
+
+  /** A new connection without a timeout and a maximum. */
+  public static final ConnectionOptions NEW =
+      new ConnectionOptions(NO_TIMEOUT, Integer.MAX_VALUE, false);
+}
--- a/runtime/src/main/java/org/hornbeamusher/http/ConnectionPool.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/ConnectionPool.java
@@ -68,18 +68,19 @@
 
   /**
    * Passes an idle or a new connection to the callback. Fails with {@link ConnectionLimitException}
-   * when the maximum number of connections is open.
+   * when the maximum number of connections is open and in use.
    */
-  void acquire(URI uri, int maxConnections, ClientCallback<ClientConnection> callback) {
-    ClientConnection pooled = pollOpen(uri.getAuthority());
+  void acquire(URI uri, ConnectionOptions options, ClientCallback<ClientConnection> callback) {
+    String origin = uri.getAuthority();
+    ClientConnection pooled = options.reuse() ? pollOpen(origin) : null;
     if (pooled != null) {
       callback.completed(pooled);
       return;
     }
-    AtomicInteger count = open.computeIfAbsent(uri.getAuthority(), key -> new AtomicInteger());
-    if (count.incrementAndGet() > maxConnections) {
+    AtomicInteger count = open.computeIfAbsent(origin, key -> new AtomicInteger());
+    if (count.incrementAndGet() > options.maxConnections() && !closeIdle(origin)) {
       count.decrementAndGet();
-      callback.failed(new ConnectionLimitException(uri.getAuthority(), maxConnections));
+      callback.failed(new ConnectionLimitException(origin, options.maxConnections()));
       return;
     }
     LimitedConnector connector =
@@ -135,6 +136,15 @@
     }
   }
 
+  private boolean closeIdle(String origin) {
+    ClientConnection connection = pollOpen(origin);
+    if (connection == null) {
+      return false;
+    }
+    IoUtils.safeClose(connection);
+    return true;
+  }
+
   private ClientConnection pollOpen(String origin) {
     ConcurrentLinkedDeque<IdleConnection> queue = queue(origin);
     long now = MonotonicClock.INSTANCE.millis();
--- a/runtime/src/main/java/org/hornbeamusher/http/HttpClient.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/HttpClient.java
@@ -111,30 +111,27 @@
    * @return controls the exchange
    */
   public HttpStream stream(HttpRequest call, HttpStreamListener listener) {
-    HttpExchange exchange = new HttpExchange(call, listener, connections);
-    exchange.begin(Integer.MAX_VALUE);
-    return exchange;
+    return stream(call, listener, ConnectionOptions.ANY);
   }
 
   /**
-   * Sends a request and streams its response; fails if no connection is opened in time.
+   * Sends a request and streams its response.
    *
    * @param call the request
    * @param listener receives the response
-   * @param connectMillis the timeout for opening a new connection
-   * @param maxConnections the maximum number of open connections to the origin, including idle
-   *     ones; beyond it the exchange fails with {@code CONNECTIONS_IN_USE}
+   * @param options how it gets its connection
    * @return controls the exchange
    */
   public HttpStream stream(
-      HttpRequest call, HttpStreamListener listener, long connectMillis, int maxConnections) {
+      HttpRequest call, HttpStreamListener listener, ConnectionOptions options) {
     HttpExchange exchange = new HttpExchange(call, listener, connections);
-    exchange.begin(maxConnections);
-    if (!exchange.hasConnection()) {
+    exchange.begin(options);
+    if (!exchange.hasConnection() && options.connectMillis() != ConnectionOptions.NO_TIMEOUT) {
       exchange.setConnectTimer(
           worker
               .getIoThread(0)
-              .executeAfter(exchange::checkConnectTimeout, connectMillis, TimeUnit.MILLISECONDS));
+              .executeAfter(
+                  exchange::checkConnectTimeout, options.connectMillis(), TimeUnit.MILLISECONDS));
     }
     return exchange;
   }
--- a/runtime/src/main/java/org/hornbeamusher/http/HttpExchange.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/HttpExchange.java
@@ -69,8 +69,8 @@
     this.connections = connections;
   }
 
-  void begin(int maxConnections) {
-    connections.acquire(call.uri(), maxConnections, callback(this::connected, this::connectFailed));
+  void begin(ConnectionOptions options) {
+    connections.acquire(call.uri(), options, callback(this::connected, this::connectFailed));
   }
 
   /** Fails the exchange if its connection is not open yet; an unreachable peer never responds. */
@@ -277,12 +277,13 @@
   }
 
   /**
-   * Returns the connection to the pool if the request was written completely, or else closes it. A
-   * peer may respond before it has read the whole request and keep the connection open. It then
-   * expects the rest of that request, so the connection cannot be used for another one.
+   * Returns the connection to the pool if the request was written completely and the listener
+   * allows it, or else closes it. A peer may respond before it has read the whole request and keep
+   * the connection open. It then expects the rest of that request, so the connection cannot be used
+   * for another one.
    */
   private void releaseConnection() {
-    if (bodySent) {
+    if (bodySent && listener.mayReuseConnection()) {
       connections.release(call.uri(), connection, usableMillis);
     } else {
       closeConnection();
--- a/runtime/src/main/java/org/hornbeamusher/http/HttpStreamListener.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/HttpStreamListener.java
@@ -39,6 +39,16 @@
    */
   void data(byte[] bytes);
 
+  /**
+   * Decides, when the response is complete, whether another request may use the connection. What
+   * follows a response that does not say which request it answers may be the response to this one.
+   *
+   * @return false to close the connection
+   */
+  default boolean mayReuseConnection() {
+    return true;
+  }
+
   /** The response is complete. */
   void end();
 
--- a/runtime/src/main/java/org/hornbeamusher/placement/EndpointView.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/EndpointView.java
@@ -39,6 +39,7 @@
   private final EndpointHealth health = new EndpointHealth();
   private final EndpointRateLimit limit = new EndpointRateLimit();
   private final EndpointAvailability availability;
+  private final SurplusResponses surplusResponses = new SurplusResponses();
   private final long hash;
 
   /** Versions of the adapters evicted from the engine's slots; the oldest eviction comes first. */
@@ -99,6 +100,25 @@
     this.prefixes = new PrefixCacheEstimate((long) (memoryTokens * PREFIX_MEMORY_FRACTION));
   }
 
+  /**
+   * Records a response that may belong to another request of its connection.
+   *
+   * @param now milliseconds
+   */
+  public void surplusResponse(long now) {
+    surplusResponses.record(now);
+  }
+
+  /**
+   * Returns whether a connection to the endpoint may deliver a response to another request.
+   *
+   * @param now milliseconds
+   * @return whether it has lately sent a response that may belong to another request
+   */
+  public boolean sendsSurplusResponses(long now) {
+    return surplusResponses.recent(now);
+  }
+
   /**
    * Applies the endpoint's current list entry.
    *
--- a/runtime/src/test/java/org/hornbeamusher/http/ConnectionLimitTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/http/ConnectionLimitTest.java
@@ -17,6 +17,7 @@
 class ConnectionLimitTest {
 
   private static final long CONNECT_MILLIS = 2_000;
+  private static final ConnectionOptions OPTIONS = new ConnectionOptions(CONNECT_MILLIS, 1, true);
   private static final int MAX_TRIES = 200;
 
   private final HttpClient client = new HttpClient(1);
@@ -51,7 +52,7 @@
    */
   @Test
   void exchangeBeyondTheLimitFailsUnsentUntilAnotherEnds() throws Exception {
-    HttpStream hanging = client.stream(call("/hang"), new OutcomeListener(), CONNECT_MILLIS, 1);
+    HttpStream hanging = client.stream(call("/hang"), new OutcomeListener(), OPTIONS);
     assertEquals("CONNECTIONS_IN_USE", outcome("/"));
     hanging.cancel();
     assertEquals("answered", eventually("answered"));
@@ -61,7 +62,7 @@
   @Test
   void idleConnectionCountsAndIsUsedAgain() throws Exception {
     assertEquals("answered", outcome("/"));
-    HttpStream hanging = client.stream(call("/hang"), new OutcomeListener(), CONNECT_MILLIS, 1);
+    HttpStream hanging = client.stream(call("/hang"), new OutcomeListener(), OPTIONS);
     assertEquals("CONNECTIONS_IN_USE", outcome("/"));
     hanging.cancel();
   }
@@ -73,7 +74,7 @@
     URI gone = URI.create("http://127.0.0.1:1/");
     for (int i = 0; i < 2; i++) {
       OutcomeListener outcome = new OutcomeListener();
-      client.stream(HttpRequest.get(gone), outcome, CONNECT_MILLIS, 1);
+      client.stream(HttpRequest.get(gone), outcome, OPTIONS);
       assertEquals("CONNECT_FAILED", outcome.result.get(CONNECT_MILLIS, TimeUnit.MILLISECONDS));
     }
   }
@@ -89,7 +90,7 @@
 
   private String outcome(String path) throws Exception {
     OutcomeListener outcome = new OutcomeListener();
-    client.stream(call(path), outcome, CONNECT_MILLIS, 1);
+    client.stream(call(path), outcome, OPTIONS);
     return outcome.result.get(CONNECT_MILLIS, TimeUnit.MILLISECONDS);
   }
 
