--- a/runtime/src/main/java/org/hornbeamusher/agent/AgentAttempt.java
+++ b/runtime/src/main/java/org/hornbeamusher/agent/AgentAttempt.java
@@ -167,6 +167,15 @@
     }
   }
 
+  /**
+   * An endpoint does not say which request it answers, so each request has its own connection and
+   * every response on it belongs to that request.
+   */
+  @Override
+  public boolean mayReuseConnection() {
+    return false;
+  }
+
   @Override
   public void end() {
     if (errorStatus != 0) {
--- a/runtime/src/main/java/org/hornbeamusher/agent/EndpointExecutor.java
+++ b/runtime/src/main/java/org/hornbeamusher/agent/EndpointExecutor.java
@@ -20,6 +20,7 @@
 import org.hornbeamusher.failure.FailureType;
 import org.hornbeamusher.failure.HornbeamusherException;
 import org.hornbeamusher.failure.Outcome;
+import org.hornbeamusher.http.ConnectionOptions;
 import org.hornbeamusher.http.HttpClient;
 import org.hornbeamusher.http.HttpRequest;
 import org.hornbeamusher.ids.AdapterRef;
@@ -336,7 +337,7 @@
     }
     HttpRequest call =
         new HttpRequest(d.method(), parameters.uri().resolve(d.path()), headers, d.body());
-    attempt.attach(http.stream(call, attempt));
+    attempt.attach(http.stream(call, attempt, ConnectionOptions.NEW));
   }
 
   private void returnUnstarted(AgentAttempt attempt, FailureType why) {
--- a/runtime/src/test/java/org/hornbeamusher/agent/EndpointExecutorFixture.java
+++ b/runtime/src/test/java/org/hornbeamusher/agent/EndpointExecutorFixture.java
@@ -117,6 +117,14 @@
         .toList();
   }
 
+  /** Returns the statuses of the responses that the entry has received. */
+  List<Integer> statuses() {
+    return sent.stream()
+        .filter(Message.Head.class::isInstance)
+        .map(one -> ((Message.Head) one).status())
+        .toList();
+  }
+
   /** Returns the number of requests that have ended at the entry. */
   long ended() {
     return sent.stream()
