--- a/runtime/src/main/java/org/hornbeamusher/directory/SoftwareHistory.java
+++ b/runtime/src/main/java/org/hornbeamusher/directory/SoftwareHistory.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import org.hornbeamusher.ids.EndpointId;
+import org.hornbeamusher.ids.EndpointIncarnation;
 import org.hornbeamusher.ids.SoftwareVersion;
 
 /**
@@ -26,13 +27,13 @@
 
   private static final int MAX_ENDPOINTS = 4_096;
 
-  /** The versions of endpoints by id; the oldest are evicted first. */
-  private final Map<EndpointId, SoftwareVersion> versions =
+  /** The last known version of each endpoint; the oldest are evicted first. */
+  private final Map<EndpointId, Known> versions =
       new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
 
         @Override
-        protected boolean removeEldestEntry(Map.Entry<EndpointId, SoftwareVersion> eldest) {
+        protected boolean removeEldestEntry(Map.Entry<EndpointId, Known> eldest) {
           return size() > MAX_ENDPOINTS;
         }
       };
@@ -55,17 +56,20 @@
 
   /**
    * Records an endpoint that is new or has changed. A later incarnation under the same id may have
-   * another version.
+   * another version, which is not known before the list contains it.
    *
    * @param endpoint the endpoint
    * @param now milliseconds
    */
   public void changed(Endpoint endpoint, long now) {
+    Known before = versions.get(endpoint.id());
+    if (before != null && !before.appliesTo(endpoint)) {
+      gone(endpoint.service(), before.version(), now);
+    }
     endpoint
         .software()
-        .map(version -> versions.put(endpoint.id(), version))
-        .filter(before -> !before.equals(endpoint.software().get()))
-        .ifPresent(before -> gone(endpoint.service(), before, now));
+        .ifPresent(
+            version -> versions.put(endpoint.id(), new Known(endpoint.incarnation(), version)));
   }
 
   /**
@@ -89,7 +93,7 @@
    * @return empty if the list has not contained it, or long ago
    */
   public Optional<SoftwareVersion> versionOf(EndpointId endpoint) {
-    return Optional.ofNullable(versions.get(endpoint));
+    return Optional.ofNullable(versions.get(endpoint)).map(Known::version);
   }
 
   /**
@@ -141,4 +145,13 @@
         .filter(endpoint -> endpoint.service().equals(service))
         .noneMatch(endpoint -> endpoint.software().isEmpty());
   }
+
+  /** The version of an incarnation. */
+  private record Known(EndpointIncarnation incarnation, SoftwareVersion version) {
+
+    boolean appliesTo(Endpoint endpoint) {
+      return incarnation.equals(endpoint.incarnation())
+          && endpoint.software().filter(other -> !other.equals(version)).isEmpty();
+    }
+  }
 }
--- a/runtime/src/test/java/org/hornbeamusher/directory/SoftwareHistoryTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/directory/SoftwareHistoryTest.java
@@ -53,6 +53,20 @@
     assertTrue(history.covers(AGE_MILLIS, AGE_MILLIS));
   }
 
+  /** Guards against forgetting the version of an endpoint that has restarted and is not listed. */
+  @Test
+  void versionBeforeRestartCountsWhileTheNextIncarnationIsNotListed() {
+    history.listReceived(0);
+    Endpoint restarted = endpoint("a", "v1");
+    Endpoint other = endpoint("b", "v2");
+    history.changed(restarted, 0);
+    history.changed(other, 0);
+    Endpoint next = restarted.restartedAt(5);
+    history.changed(next, 20_000);
+    assertEquals(
+        Set.of("v1", "v2"), history.versions("s", List.of(next, other), AGE_MILLIS, 20_000));
+  }
+
   @Test
   void versionOfUnlistedIncarnationIsNotKnown() {
     Endpoint listed = endpoint("a", "v1");
