--- a/runtime/src/main/java/org/hornbeamusher/directory/SoftwareHistory.java
+++ b/runtime/src/main/java/org/hornbeamusher/directory/SoftwareHistory.java
@@ -79,7 +79,7 @@
    * @param now milliseconds
    */
   public void removed(Endpoint endpoint, long now) {
-    versionOf(endpoint.id()).ifPresent(version -> gone(endpoint.service(), version, now));
+    versionOf(endpoint.incarnation()).ifPresent(version -> gone(endpoint.service(), version, now));
   }
 
   private void gone(String service, SoftwareVersion version, long now) {
@@ -87,13 +87,15 @@
   }
 
   /**
-   * Finds the version of an endpoint, which may be gone.
+   * Finds the version of an incarnation of an endpoint, which may be gone.
    *
-   * @param endpoint its id
-   * @return empty if the list has not contained it, or long ago
+   * @param incarnation the incarnation
+   * @return empty if the list has not contained it, or not as the last one under its id
    */
-  public Optional<SoftwareVersion> versionOf(EndpointId endpoint) {
-    return Optional.ofNullable(versions.get(endpoint)).map(Known::version);
+  public Optional<SoftwareVersion> versionOf(EndpointIncarnation incarnation) {
+    return Optional.ofNullable(versions.get(incarnation.id()))
+        .filter(known -> known.incarnation().equals(incarnation))
+        .map(Known::version);
   }
 
   /**
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/StreamContinuation.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/StreamContinuation.java
@@ -60,7 +60,7 @@
     }
     reported = true;
     if (origin == null) {
-      origin = new StreamOrigin(Optional.of(began.id()), began.software());
+      origin = new StreamOrigin(Optional.of(began.incarnation()), began.software());
     }
     if (route.resumable()) {
       streams.begun(metadata.id(), origin);
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/StreamOrigins.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/StreamOrigins.java
@@ -17,6 +17,7 @@
 import org.hornbeamusher.events.EventType;
 import org.hornbeamusher.failure.HornbeamusherException;
 import org.hornbeamusher.ids.EndpointId;
+import org.hornbeamusher.ids.EndpointIncarnation;
 import org.hornbeamusher.ids.SoftwareVersion;
 import org.hornbeamusher.loop.EventLoop;
 import org.hornbeamusher.wire.Message;
@@ -117,19 +118,24 @@
     Message report =
         new Message.StreamBegun(
             requestId,
-            origin.endpoint().map(EndpointId::value).orElse(""),
+            origin.endpoint().map(one -> one.id().value()).orElse(""),
             software(origin).map(SoftwareVersion::value).orElse(""),
-            software(origin).isPresent());
+            software(origin).isPresent(),
+            origin.endpoint().map(EndpointIncarnation::startMillis).orElse(0L));
     for (InetSocketAddress agent : agents.choose(requestId, AGENTS_PER_STREAM)) {
       agents.send(agent, report);
     }
   }
 
-  /** Returns whether a stream may continue at an endpoint. */
+  /**
+   * Returns whether a stream may continue at an endpoint: at the version that began it or, where a
+   * version is not known, at the incarnation that began it.
+   */
   boolean mayContinue(StreamOrigin origin, Endpoint endpoint) {
-    boolean same = origin.endpoint().filter(endpoint.id()::equals).isPresent();
-    return same
-        || (endpoint.software().isPresent() && endpoint.software().equals(software(origin)));
+    Optional<SoftwareVersion> began = software(origin);
+    return began.isPresent() && endpoint.software().isPresent()
+        ? began.equals(endpoint.software())
+        : origin.endpoint().filter(endpoint.incarnation()::equals).isPresent();
   }
 
   private Optional<SoftwareVersion> software(StreamOrigin origin) {
@@ -196,7 +202,7 @@
         "source",
         origin.isPresent() ? source : "unknown",
         "endpoint",
-        origin.flatMap(StreamOrigin::endpoint).map(EndpointId::value).orElse(""),
+        origin.flatMap(StreamOrigin::endpoint).map(one -> one.id().value()).orElse(""),
         "software",
         origin.flatMap(this::software).map(SoftwareVersion::value).orElse("unknown"),
         "took_ms",
@@ -230,10 +236,12 @@
           response.softwareKnown()
               ? Optional.of(new SoftwareVersion(response.software()))
               : Optional.empty();
-      Optional<EndpointId> endpoint =
+      Optional<EndpointIncarnation> endpoint =
           response.endpoint().isEmpty()
               ? Optional.empty()
-              : Optional.of(new EndpointId(response.endpoint()));
+              : Optional.of(
+                  new EndpointIncarnation(
+                      new EndpointId(response.endpoint()), response.startMillis()));
       complete(response.requestNumber(), Optional.of(new StreamOrigin(endpoint, software)));
     } else if (lookup.pending == 0) {
       complete(response.requestNumber(), Optional.empty());
--- a/runtime/src/main/java/org/hornbeamusher/sidecar/StreamOriginRegistry.java
+++ b/runtime/src/main/java/org/hornbeamusher/sidecar/StreamOriginRegistry.java
@@ -15,7 +15,7 @@
 
   private static final int MAX_STREAMS = 20_000;
 
-  private static final Message.StreamBegun UNKNOWN = new Message.StreamBegun("", "", "", false);
+  private static final Message.StreamBegun UNKNOWN = new Message.StreamBegun("", "", "", false, 0);
 
   /** The origins by the id of the first try, the oldest first. */
   private final Map<String, Entry> origins = new LinkedHashMap<>();
@@ -44,7 +44,11 @@
     Entry entry = origins.get(request.requestId());
     Message.StreamBegun known = entry == null ? UNKNOWN : entry.stream();
     return new Message.StreamOriginResponse(
-        request.requestNumber(), known.endpoint(), known.software(), known.softwareKnown());
+        request.requestNumber(),
+        known.endpoint(),
+        known.software(),
+        known.softwareKnown(),
+        known.startMillis());
   }
 
   private record Entry(Message.StreamBegun stream, long atMillis) {}
--- a/runtime/src/main/java/org/hornbeamusher/wire/Message.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/Message.java
@@ -301,8 +301,10 @@
    * @param endpoint the id of the endpoint
    * @param software the version of the endpoint's software; empty if it states none
    * @param softwareKnown whether the version is known
+   * @param startMillis the start of the endpoint's incarnation; 0 if it is not known
    */
-  record StreamBegun(String requestId, String endpoint, String software, boolean softwareKnown)
+  record StreamBegun(
+      String requestId, String endpoint, String software, boolean softwareKnown, long startMillis)
       implements Message {}
 
   /**
@@ -320,9 +322,10 @@
    * @param endpoint the id of the endpoint; empty if the agent does not know
    * @param software the version of the endpoint's software; empty if it states none
    * @param softwareKnown whether the version is known
+   * @param startMillis the start of the endpoint's incarnation; 0 if it is not known
    */
   record StreamOriginResponse(
-      long requestNumber, String endpoint, String software, boolean softwareKnown)
+      long requestNumber, String endpoint, String software, boolean softwareKnown, long startMillis)
       implements Message {}
 
   /**
--- a/runtime/src/main/java/org/hornbeamusher/wire/MessageCodec.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/MessageCodec.java
@@ -215,21 +215,23 @@
       case Message.RateLimitLifted m ->
           packHeader(p, RATE_LIMIT_LIFTED, 2).packString(m.endpoint()).packLong(m.sentAgoMillis());
       case Message.StreamBegun m ->
-          packHeader(p, STREAM_BEGUN, 4)
+          packHeader(p, STREAM_BEGUN, 5)
               .packString(m.requestId())
               .packString(m.endpoint())
               .packString(m.software())
-              .packBoolean(m.softwareKnown());
+              .packBoolean(m.softwareKnown())
+              .packLong(m.startMillis());
       case Message.StreamOriginRequest m ->
           packHeader(p, STREAM_ORIGIN_REQUEST, 2)
               .packLong(m.requestNumber())
               .packString(m.requestId());
       case Message.StreamOriginResponse m ->
-          packHeader(p, STREAM_ORIGIN_RESPONSE, 4)
+          packHeader(p, STREAM_ORIGIN_RESPONSE, 5)
               .packLong(m.requestNumber())
               .packString(m.endpoint())
               .packString(m.software())
-              .packBoolean(m.softwareKnown());
+              .packBoolean(m.softwareKnown())
+              .packLong(m.startMillis());
       case Message.CrashReport m -> packBytes(packHeader(p, CRASH_REPORT, 1), m.record());
       case Message.ConnectionLoss m -> {
         packHeader(p, CONNECTION_LOSS, 6).packString(m.endpoint()).packLong(m.startMillis());
@@ -394,11 +396,12 @@
           new Message.RatePermitResponse(r.readLong(), r.readBoolean(), r.readLong());
       case RATE_LIMIT_LIFTED -> new Message.RateLimitLifted(r.readString(), r.readLong());
       case STREAM_BEGUN ->
-          new Message.StreamBegun(r.readString(), r.readString(), r.readString(), r.readBoolean());
+          new Message.StreamBegun(
+              r.readString(), r.readString(), r.readString(), r.readBoolean(), r.readLong());
       case STREAM_ORIGIN_REQUEST -> new Message.StreamOriginRequest(r.readLong(), r.readString());
       case STREAM_ORIGIN_RESPONSE ->
           new Message.StreamOriginResponse(
-              r.readLong(), r.readString(), r.readString(), r.readBoolean());
+              r.readLong(), r.readString(), r.readString(), r.readBoolean(), r.readLong());
       case CRASH_REPORT -> new Message.CrashReport(r.readBytes());
       case CONNECTION_LOSS ->
           new Message.ConnectionLoss(
--- a/runtime/src/test/java/org/hornbeamusher/directory/SoftwareHistoryTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/directory/SoftwareHistoryTest.java
@@ -31,7 +31,7 @@
     List<Endpoint> current = List.of(latter);
     assertEquals(Set.of("v1", "v2"), history.versions("s", current, AGE_MILLIS, 29_999));
     assertEquals(Set.of("v2"), history.versions("s", current, AGE_MILLIS, 30_000));
-    assertEquals(Optional.of(new SoftwareVersion("v1")), history.versionOf(former.id()));
+    assertEquals(Optional.of(new SoftwareVersion("v1")), history.versionOf(former.incarnation()));
   }
 
   /** Guards against a version that an endpoint had before it restarted under the same id. */
