--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
@@ -152,7 +152,7 @@
   private void placeFirst() {
     RequestMetadata metadata = routed.metadata();
     if (route.kind() == RequestKind.STREAMING && metadata.lastEvent().isPresent()) {
-      context.streams().find(metadata, service, route.timeoutMillis(), this::originFound);
+      context.streams().find(metadata, service, this::originFound);
     } else {
       place();
     }
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/StreamOrigins.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/StreamOrigins.java
@@ -34,8 +34,8 @@
  *
  * <ol>
  *   <li>this entry, if it served that try;
- *   <li>the list, if every endpoint of the service had the same version for as long as a stream
- *       lasts;
+ *   <li>the list, if every endpoint of the service had the same version for longer than any stream
+ *       lasts, including the pauses between the tries of its caller;
  *   <li>two agents, chosen by rendezvous hashing of the try's id, to which the entry that served it
  *       reported the version with the first event;
  *   <li>the table, which contains the versions that have served lately, if it is a single one. It
@@ -147,14 +147,9 @@
    *
    * @param request the request that resumes it
    * @param service its service
-   * @param maxAgeMillis how long a stream of its route lasts
    * @param found called with the origin, now or later; empty if it is not known
    */
-  void find(
-      RequestMetadata request,
-      String service,
-      long maxAgeMillis,
-      Consumer<Optional<StreamOrigin>> found) {
+  void find(RequestMetadata request, String service, Consumer<Optional<StreamOrigin>> found) {
     long startMillis = clock.millis();
     StreamOrigin known = request.resumes().map(own::get).orElse(null);
     if (known != null) {
@@ -162,8 +157,10 @@
       return;
     }
     List<Endpoint> current = endpoints.get();
-    Set<String> served = history.versions(service, current, maxAgeMillis, startMillis);
-    boolean single = served.size() == 1 && history.covers(maxAgeMillis, startMillis);
+    Set<String> served =
+        history.versions(service, current, SoftwareHistory.RETENTION_MILLIS, startMillis);
+    boolean single =
+        served.size() == 1 && history.covers(SoftwareHistory.RETENTION_MILLIS, startMillis);
     Runnable fromList =
         () -> found.accept(finish(request, "list", Optional.of(origin(served)), startMillis));
     if (single && history.allKnown(service, current)) {
--- a/runtime/src/test/java/org/hornbeamusher/forwarding/StreamOriginsTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/forwarding/StreamOriginsTest.java
@@ -9,6 +9,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.hornbeamusher.directory.Endpoint;
 import org.hornbeamusher.directory.SoftwareHistory;
@@ -18,6 +19,7 @@
 import org.hornbeamusher.loop.SimulatedLoop;
 import org.hornbeamusher.table.InMemoryTable;
 import org.hornbeamusher.table.RowKey;
+import org.hornbeamusher.table.Transaction;
 import org.hornbeamusher.wire.Message;
 import org.junit.jupiter.api.Test;
 
@@ -73,6 +75,41 @@
     assertEquals("[\"v2\"]", stored());
   }
 
+  /**
+   * Guards against a list that shows one version and does not reach back to where a stream began.
+   */
+  @Test
+  void listDoesNotDecideBeforeItReachesBackToTheLongestStream() {
+    table.commit(put("[\"v1\",\"v2\"]")).join();
+    history.listReceived(0);
+    add("a", "v2");
+    loop.runUntil(20_000);
+    List<Optional<StreamOrigin>> found = new ArrayList<>();
+    origins.find(resumed("unknown"), "s", found::add);
+    loop.runUntil(21_000);
+    assertEquals(List.of(Optional.empty()), found);
+  }
+
+  private static Transaction put(String versions) {
+    byte[] value = versions.getBytes(StandardCharsets.UTF_8);
+    return new Transaction(List.of(), List.of(new Transaction.Write.Put(ROW, value)));
+  }
+
+  private static RequestMetadata resumed(String first) {
+    return new RequestMetadata(
+        "again",
+        OptionalLong.empty(),
+        Optional.empty(),
+        0,
+        0,
+        false,
+        List.of(),
+        OptionalLong.of(1),
+        Optional.of(first),
+        List.of(),
+        false);
+  }
+
   private void add(String id, String software) {
     Endpoint endpoint =
         new Endpoint(
