--- a/runtime/src/main/java/org/hornbeamusher/directory/SoftwareHistory.java
+++ b/runtime/src/main/java/org/hornbeamusher/directory/SoftwareHistory.java
@@ -25,6 +25,9 @@
   /** Longer than any stream lasts. */
   public static final long RETENTION_MILLIS = 60_000;
 
+  /** An endpoint stays listed for longer, even if it leaves at once. */
+  private static final long MAX_LIST_GAP_MILLIS = 2_000;
+
   private static final int MAX_ENDPOINTS = 4_096;
 
   /** The last known version of each endpoint; the oldest are evicted first. */
@@ -41,17 +44,26 @@
   /** For each service, the versions of endpoints that are gone and when the last of them went. */
   private final Map<String, Map<SoftwareVersion, Long>> gone = new HashMap<>();
 
+  /** When the first of the lists was received that have no gap between them; empty before it. */
   private OptionalLong firstListMillis = OptionalLong.empty();
 
+  private long lastListMillis;
+
   /**
    * Records that a list was received.
    *
    * @param now milliseconds
    */
   public void listReceived(long now) {
-    if (firstListMillis.isEmpty()) {
+    if (!isCurrent(now)) {
       firstListMillis = OptionalLong.of(now);
     }
+    lastListMillis = now;
+  }
+
+  /** Returns whether no endpoint can have come and gone since the last list. */
+  private boolean isCurrent(long now) {
+    return firstListMillis.isPresent() && now - lastListMillis <= MAX_LIST_GAP_MILLIS;
   }
 
   /**
@@ -124,14 +136,14 @@
   }
 
   /**
-   * Returns whether this history reaches back far enough.
+   * Returns whether this history reaches back far enough without a gap.
    *
    * @param ageMillis how far
    * @param now milliseconds
    * @return whether {@link #versions} contains every version that the list has shown in this time
    */
   public boolean covers(long ageMillis, long now) {
-    return firstListMillis.isPresent() && now - firstListMillis.getAsLong() >= ageMillis;
+    return isCurrent(now) && now - firstListMillis.getAsLong() >= ageMillis;
   }
 
   /**
