--- a/runtime/src/main/java/org/hornbeamusher/forwarding/Attempt.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/Attempt.java
@@ -85,12 +85,12 @@
   }
 
   /**
-   * A refusal that may belong to an earlier request of its connection does not show that this one
-   * did not run. A request that may run only once is therefore sent on a new connection while its
-   * endpoint sends such responses.
+   * A refusal that names no request and may belong to an earlier one of its connection does not
+   * show that this one did not run. A request that may run only once is therefore sent on a new
+   * connection while its endpoint sends such responses.
    */
   private ConnectionOptions connectionOptions(int maxConnections) {
-    boolean reuse = repeatable || !endpoint.sendsSurplusResponses(sentMillis);
+    boolean reuse = repeatable || !endpoint.sendsUnnamedResponses(sentMillis);
     return new ConnectionOptions(CONNECT_MILLIS, maxConnections, reuse);
   }
 
@@ -173,13 +173,13 @@
     status = head.status();
     success = head.isSuccess();
     metadata = dialect.parseResponse(head);
-    if (!namesThisRequest()) {
-      endpoint.surplusResponse(clock.millis());
-    }
     if (namesOtherRequest()) {
       breakOff(FailureType.FOREIGN_ANSWER);
       return;
     }
+    if (!namesThisRequest()) {
+      endpoint.unnamedResponse(clock.millis());
+    }
     statements.recordResponse(
         endpoint, metadata, head.isSuccess() && metadata.sealPresent(), sentMillis);
     if (!answersThisRequest()) {
@@ -197,7 +197,8 @@
     }
   }
 
-  private boolean namesThisRequest() {
+  /** Returns whether the response names the request that was sent. */
+  boolean namesThisRequest() {
     return metadata.requestId().filter(requestId::equals).isPresent();
   }
 
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
@@ -555,7 +555,13 @@
       case AttemptOutcome.NotSent notSent -> notSent(left);
       case AttemptOutcome.Withdrawn withdrawn -> withdrawn();
       case AttemptOutcome.NoConnection none -> noConnection(left);
-      case AttemptOutcome.Refused refused -> refused(left, refused.status());
+      case AttemptOutcome.Refused refused -> {
+        if (!from.namesThisRequest()) {
+          // Each such refusal costs a connection, so other endpoints are preferred.
+          left.failed(now());
+        }
+        refused(left, refused.status());
+      }
       case AttemptOutcome.Failed failed -> failed(left, failed.cause());
     }
   }
--- a/runtime/src/main/java/org/hornbeamusher/placement/EndpointView.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/EndpointView.java
@@ -39,7 +39,7 @@
   private final EndpointHealth health = new EndpointHealth();
   private final EndpointRateLimit limit = new EndpointRateLimit();
   private final EndpointAvailability availability;
-  private final SurplusResponses surplusResponses = new SurplusResponses();
+  private final UnnamedResponses unnamedResponses = new UnnamedResponses();
   private final long hash;
 
   /** Versions of the adapters evicted from the engine's slots; the oldest eviction comes first. */
@@ -101,22 +101,22 @@
   }
 
   /**
-   * Records a response that may belong to another request of its connection.
+   * Records a response that does not name the request that it answers.
    *
    * @param now milliseconds
    */
-  public void surplusResponse(long now) {
-    surplusResponses.record(now);
+  public void unnamedResponse(long now) {
+    unnamedResponses.record(now);
   }
 
   /**
-   * Returns whether a connection to the endpoint may deliver a response to another request.
+   * Returns whether the next response may not name its request either.
    *
    * @param now milliseconds
-   * @return whether it has lately sent a response that may belong to another request
+   * @return whether the endpoint has lately sent such a response
    */
-  public boolean sendsSurplusResponses(long now) {
-    return surplusResponses.recent(now);
+  public boolean sendsUnnamedResponses(long now) {
+    return unnamedResponses.recent(now);
   }
 
   /**
--- a/runtime/src/main/java/org/hornbeamusher/placement/UnnamedResponses.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/UnnamedResponses.java
@@ -1,12 +1,9 @@
 package org.hornbeamusher.placement;
 
-/**
- * Whether an endpoint has lately sent a response that may belong to another request of its
- * connection, because it names another request or none.
- */
-final class SurplusResponses {
+/** Whether an endpoint has lately sent a response that does not name the request it answers. */
+final class UnnamedResponses {
 
-  /** How long a connection to the endpoint may still deliver such a response. */
+  /** Longer than the pause between two phases in which an endpoint refuses requests. */
   private static final long RETENTION_MILLIS = 30_000;
 
   private static final long NEVER = Long.MIN_VALUE / 2;
