--- a/runtime/src/main/java/org/hornbeamusher/events/EventType.java
+++ b/runtime/src/main/java/org/hornbeamusher/events/EventType.java
@@ -88,6 +88,8 @@
       "An endpoint ended that is not known to have run after a request was sent there."),
   SOFTWARE_VERSIONS_UNWRITTEN(
       1322, Level.WARNING, "The software versions that serve could not be written yet."),
+  STREAM_ORIGINS_UNWRITTEN(
+      1325, Level.WARNING, "The versions that began streams could not be written yet."),
   CRASH_RECORDS_UNWRITTEN(1321, Level.WARNING, "Records of crashes could not be written yet."),
   // 1400: claims
   CLAIM_END_LOST(
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
@@ -171,6 +171,7 @@
             software,
             directory::endpoints,
             new SoftwareVersionTable(table),
+            new StreamOriginTable(table, incarnationName(settings), serviceClock),
             counts,
             loop,
             clock);
@@ -214,6 +215,11 @@
             settings, http.worker(), clock, loop, this::accept, this::hasInitialState, this::ready);
   }
 
+  private static String incarnationName(ForwardSettings settings) {
+    long start = ThreadLocalRandom.current().nextLong();
+    return settings.instance() + "." + Long.toHexString(start);
+  }
+
   private boolean sharesUsed() {
     return settings.features().uses(ServingFeature.FAIR_SHARES);
   }
@@ -239,6 +245,7 @@
   /** Starts the listeners. */
   public void start() {
     server.start();
+    context.streams().start();
     metrics.ifPresent(listener -> listener.startDelayed(loop));
     ForwardMetrics measured = context.metrics();
     measured.gauge("running", runs::size);
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
@@ -181,7 +181,7 @@
     route = routed.route();
     service = routed.service();
     suspects = new RequestSuspects(request, routed.accountName(), metadata.parts());
-    continuation = new StreamContinuation(context.streams(), metadata, route);
+    continuation = new StreamContinuation(context.streams(), metadata, route, service);
     placementRequest = routed.placementRequest();
     deadlineMillis = routed.deadlineMillis();
     relay =
@@ -596,6 +596,9 @@
       return;
     }
     relay.end();
+    if (!failed) {
+      continuation.completed();
+    }
     finish("answered", relay.status());
   }
 
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/StreamContinuation.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/StreamContinuation.java
@@ -17,16 +17,18 @@
   private final StreamOrigins streams;
   private final RequestMetadata metadata;
   private final Route route;
+  private final String service;
 
   /** Where the stream that the caller has events of began; null before the first event. */
   private StreamOrigin origin;
 
   private boolean reported;
 
-  StreamContinuation(StreamOrigins streams, RequestMetadata metadata, Route route) {
+  StreamContinuation(StreamOrigins streams, RequestMetadata metadata, Route route, String service) {
     this.streams = streams;
     this.metadata = metadata;
     this.route = route;
+    this.service = service;
   }
 
   /** Sets the origin of a stream that the caller resumes. */
@@ -63,8 +65,16 @@
       origin = new StreamOrigin(Optional.of(began.incarnation()), began.software());
     }
     if (route.resumable()) {
-      streams.begun(metadata.id(), origin);
-      metadata.resumes().ifPresent(first -> streams.begun(first, origin));
+      streams.begun(metadata.id(), service, origin);
+      metadata.resumes().ifPresent(first -> streams.begun(first, service, origin));
+    }
+  }
+
+  /** Records that the caller has received the stream completely. */
+  void completed() {
+    if (reported && route.resumable()) {
+      streams.completed(metadata.id());
+      metadata.resumes().ifPresent(streams::completed);
     }
   }
 }
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/StreamOrigins.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/StreamOrigins.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -38,8 +39,10 @@
  *       lasts, including the pauses between the tries of its caller;
  *   <li>two agents, chosen by rendezvous hashing of the try's id, to which the entry that served it
  *       reported the version with the first event;
- *   <li>the table, which contains the versions that have served lately, if it is a single one. It
- *       is needed when all processes have restarted.
+ *   <li>the table of versions, which contains those that have served lately, if it is a single one;
+ *   <li>the table of streams, to which the entries write the versions of their streams at intervals
+ *       while several versions serve. The tables are needed when the processes that knew the stream
+ *       have ended.
  * </ol>
  *
  * <p>The version of an incarnation that the list does not contain yet is not known. The list then
@@ -65,10 +68,17 @@
 
   private static final long WRITE_RETRY_MILLIS = 2_000;
 
+  /** Many streams are taken up at once when an entry has ended; they share a read of the table. */
+  private static final long STREAMS_READ_MILLIS = 300;
+
+  private static final long NEVER = Long.MIN_VALUE / 2;
+
   private final AgentConnections agents;
   private final SoftwareHistory history;
   private final Supplier<List<Endpoint>> endpoints;
   private final SoftwareVersionTable table;
+  private final StreamOriginTable streamTable;
+  private final StreamOriginRecorder recorder;
   private final ForwardMetrics metrics;
   private final EventLoop loop;
   private final Clock clock;
@@ -84,6 +94,12 @@
         }
       };
 
+  /** The last read of the table of streams. */
+  private CompletableFuture<Map<String, SoftwareVersion>> streamsRead =
+      CompletableFuture.completedFuture(Map.of());
+
+  private long streamsReadMillis = NEVER;
+
   private final Map<Long, Lookup> lookups = new HashMap<>();
   private long lastLookup;
 
@@ -100,6 +116,7 @@
       SoftwareHistory history,
       Supplier<List<Endpoint>> endpoints,
       SoftwareVersionTable table,
+      StreamOriginTable streamTable,
       ForwardMetrics metrics,
       EventLoop loop,
       Clock clock) {
@@ -107,14 +124,23 @@
     this.history = history;
     this.endpoints = endpoints;
     this.table = table;
+    this.streamTable = streamTable;
     this.metrics = metrics;
     this.loop = loop;
     this.clock = clock;
+    this.recorder =
+        new StreamOriginRecorder(
+            streamTable, this::hasSeveralVersions, this::software, agents::entries, loop, clock);
+  }
+
+  void start() {
+    recorder.start();
   }
 
   /** Records that a try has brought an event of a stream that can be resumed. */
-  void begun(String requestId, StreamOrigin origin) {
+  void begun(String requestId, String service, StreamOrigin origin) {
     own.put(requestId, origin);
+    recorder.begun(requestId, service, origin);
     Message report =
         new Message.StreamBegun(
             requestId,
@@ -127,6 +153,18 @@
     }
   }
 
+  /** Records that the caller of a try has received its stream completely. */
+  void completed(String requestId) {
+    recorder.completed(requestId);
+  }
+
+  private boolean hasSeveralVersions(String service) {
+    return history
+            .versions(service, endpoints.get(), SoftwareHistory.RETENTION_MILLIS, clock.millis())
+            .size()
+        > 1;
+  }
+
   /**
    * Returns whether a stream may continue at an endpoint: at the version that began it or, where a
    * version is not known, at the incarnation that began it.
@@ -177,6 +215,7 @@
           } else {
             requestFromTable(
                 service,
+                request.resumes(),
                 fromTable -> found.accept(finish(request, "table", fromTable, startMillis)));
           }
         });
@@ -252,11 +291,39 @@
     }
   }
 
-  private void requestFromTable(String service, Consumer<Optional<StreamOrigin>> found) {
+  private void requestFromTable(
+      String service, Optional<String> resumes, Consumer<Optional<StreamOrigin>> found) {
     table
         .read(service)
         .handle((versions, thrown) -> thrown == null ? versions : Optional.<Set<String>>empty())
-        .thenAccept(versions -> loop.execute(() -> found.accept(singleVersion(service, versions))));
+        .thenAccept(
+            versions ->
+                loop.execute(
+                    () -> {
+                      Optional<StreamOrigin> single = singleVersion(service, versions);
+                      if (single.isPresent() || resumes.isEmpty()) {
+                        found.accept(single);
+                      } else {
+                        requestFromStreamTable(resumes.get(), found);
+                      }
+                    }));
+  }
+
+  private void requestFromStreamTable(String resumes, Consumer<Optional<StreamOrigin>> found) {
+    long now = clock.millis();
+    if (streamsRead.isDone() && now - streamsReadMillis >= STREAMS_READ_MILLIS) {
+      streamsReadMillis = now;
+      streamsRead = streamTable.read().exceptionally(thrown -> Map.of());
+    }
+    streamsRead.thenAccept(
+        streams ->
+            loop.execute(
+                () ->
+                    found.accept(
+                        Optional.ofNullable(streams.get(resumes))
+                            .map(
+                                version ->
+                                    new StreamOrigin(Optional.empty(), Optional.of(version))))));
   }
 
   private Optional<StreamOrigin> singleVersion(String service, Optional<Set<String>> stored) {
@@ -273,6 +340,7 @@
         history.versions(
             service, endpoints.get(), SoftwareHistory.RETENTION_MILLIS, clock.millis());
     if (!served.equals(noticed.put(service, served))) {
+      recorder.versionsChanged(service);
       loop.after(ThreadLocalRandom.current().nextInt(MAX_WRITE_DELAY_MILLIS), () -> write(service));
     }
   }
--- a/runtime/src/test/java/org/hornbeamusher/forwarding/StreamOriginsTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/forwarding/StreamOriginsTest.java
@@ -1,6 +1,7 @@
 package org.hornbeamusher.forwarding;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.codahale.metrics.MetricRegistry;
 import java.net.URI;
@@ -18,6 +19,7 @@
 import org.hornbeamusher.ids.SoftwareVersion;
 import org.hornbeamusher.loop.SimulatedLoop;
 import org.hornbeamusher.table.InMemoryTable;
+import org.hornbeamusher.table.Row;
 import org.hornbeamusher.table.RowKey;
 import org.hornbeamusher.table.Transaction;
 import org.hornbeamusher.wire.Message;
@@ -31,20 +33,24 @@
   private final InMemoryTable table = new InMemoryTable();
   private final SoftwareHistory history = new SoftwareHistory();
   private final List<Endpoint> endpoints = new ArrayList<>();
-  private final StreamOrigins origins =
-      new StreamOrigins(
-          new AgentConnections(
-              new HashMap<>(),
-              new Message.Hello(1, 1, "entry", "e", 0, "z", "", ""),
-              null,
-              loop,
-              loop.clock()),
-          history,
-          () -> endpoints,
-          new SoftwareVersionTable(table),
-          new ForwardMetrics(new MetricRegistry()),
-          loop,
-          loop.clock());
+  private final StreamOrigins origins = entry("e1", history);
+
+  private StreamOrigins entry(String name, SoftwareHistory known) {
+    return new StreamOrigins(
+        new AgentConnections(
+            new HashMap<>(),
+            new Message.Hello(1, 1, "entry", name, 0, "z", "", ""),
+            null,
+            loop,
+            loop.clock()),
+        known,
+        () -> endpoints,
+        new SoftwareVersionTable(table),
+        new StreamOriginTable(table, name, loop.clock()),
+        new ForwardMetrics(new MetricRegistry()),
+        loop,
+        loop.clock());
+  }
 
   /** Guards against a version that is never written because the table was away when it came. */
   @Test
@@ -88,6 +94,69 @@
     assertEquals(List.of(Optional.empty()), found);
   }
 
+  /** Guards against refusing a stream when the entry and the agents that knew it have ended. */
+  @Test
+  void streamOfEndedEntryIsFoundInTable() {
+    add("a", "v1");
+    add("b", "v2");
+    origins.begun("first", "s", new StreamOrigin(Optional.empty(), version("v1")));
+    loop.runUntil(2_000);
+    List<Optional<StreamOrigin>> found = new ArrayList<>();
+    SoftwareHistory ofOther = new SoftwareHistory();
+    endpoints.forEach(endpoint -> ofOther.changed(endpoint, 2_000));
+    entry("e2", ofOther).find(resumed("first"), "s", found::add);
+    loop.runUntil(3_000);
+    assertEquals(List.of(Optional.of(new StreamOrigin(Optional.empty(), version("v1")))), found);
+  }
+
+  /** Guards against a stream that began before the second version and is written by nobody. */
+  @Test
+  void streamThatBeganBeforeTheSecondVersionIsWritten() {
+    add("a", "v1");
+    origins.begun("first", "s", new StreamOrigin(Optional.empty(), version("v1")));
+    loop.runUntil(2_000);
+    assertEquals(List.of(), streamRows());
+    add("b", "v2");
+    loop.runUntil(4_000);
+    assertEquals(1, streamRows().size());
+  }
+
+  /** Guards against rows of ended entries that stay for ever. */
+  @Test
+  void rowsOfEndedEntriesAreDeleted() {
+    add("a", "v1");
+    add("b", "v2");
+    origins.begun("first", "s", new StreamOrigin(Optional.empty(), version("v1")));
+    loop.runUntil(2_000);
+    assertEquals(1, streamRows().size());
+    entry("e2", new SoftwareHistory()).start();
+    loop.runUntil(2 * SoftwareHistory.RETENTION_MILLIS);
+    assertEquals(List.of(), streamRows());
+  }
+
+  /** Guards against one write for each stream. */
+  @Test
+  void writesDoNotDependOnTheNumberOfStreams() {
+    add("a", "v1");
+    add("b", "v2");
+    loop.runUntil(2_000);
+    int before = table.commits();
+    for (int i = 0; i < 1_000; i++) {
+      origins.begun("stream-" + i, "s", new StreamOrigin(Optional.empty(), version("v1")));
+      loop.runUntil(2_000 + 10 * i);
+    }
+    int writes = table.commits() - before;
+    assertTrue(writes <= 21, writes + " writes in 10 s");
+  }
+
+  private List<Row> streamRows() {
+    return table.scan("streams", "", "", 10).join();
+  }
+
+  private static Optional<SoftwareVersion> version(String version) {
+    return Optional.of(new SoftwareVersion(version));
+  }
+
   /** Runs the loop while the list is received every second. */
   private void runWithLists(long untilMillis) {
     for (long now = loop.clock().millis(); now < untilMillis; now = loop.clock().millis()) {
