--- a/runtime/src/main/java/org/hornbeamusher/http/HttpExchange.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/HttpExchange.java
@@ -16,7 +16,7 @@
 import java.util.List;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
 import org.hornbeamusher.clock.MonotonicClock;
 import org.hornbeamusher.failure.FailureType;
 import org.hornbeamusher.failure.HornbeamusherException;
@@ -47,7 +47,7 @@
   private final HttpRequest call;
   private final HttpStreamListener listener;
   private final ConnectionPool connections;
-  private final AtomicBoolean ended = new AtomicBoolean();
+  private final AtomicReference<Phase> phase = new AtomicReference<>(Phase.CONNECTING);
   private volatile ClientConnection connection;
 
   /** The state of the connection; null if it was closed before it was used. */
@@ -75,9 +75,7 @@
 
   /** Fails the exchange if its connection is not open yet; an unreachable peer never responds. */
   void checkConnectTimeout() {
-    if (connection == null) {
-      connectFailed(new SocketTimeoutException("connect timed out"));
-    }
+    connectFailed(new SocketTimeoutException("connect timed out"));
   }
 
   boolean hasConnection() {
@@ -96,7 +94,7 @@
 
   @Override
   public void cancel() {
-    if (ended.compareAndSet(false, true)) {
+    if (end()) {
       closeConnection();
     }
   }
@@ -122,7 +120,7 @@
     if (timer != null) {
       timer.remove();
     }
-    if (ended.get()) {
+    if (!phase.compareAndSet(Phase.CONNECTING, Phase.CONNECTED)) {
       IoUtils.safeClose(opened);
       return;
     }
@@ -130,15 +128,15 @@
   }
 
   private void send(ClientConnection opened) {
-    if (!ended.get()) {
+    if (!hasEnded()) {
       listener.connected(state == null ? ConnectionUse.NONE : state.requestSent());
     }
-    if (!ended.get() && listener.shouldSend()) {
+    if (!hasEnded() && listener.shouldSend()) {
       opened.sendRequest(request(), callback(this::sendBody, this::fail));
       return;
     }
     IoUtils.safeClose(opened);
-    if (ended.compareAndSet(false, true)) {
+    if (end()) {
       listener.failed(
           HornbeamusherException.notRun(FailureType.SEND_WITHDRAWN, call.uri().getAuthority()));
     }
@@ -196,7 +194,7 @@
   }
 
   private void head(ClientExchange exchange) {
-    if (ended.get()) {
+    if (hasEnded()) {
       return;
     }
     progressed();
@@ -206,7 +204,7 @@
     listener.head(head);
     source.getReadSetter().set(this::read);
     read(source);
-    if (!ended.get()) {
+    if (!hasEnded()) {
       source.resumeReads();
     }
   }
@@ -215,7 +213,7 @@
     try {
       ByteBuffer buffer = READ_BUFFER.get();
       long turnEndMillis = MonotonicClock.INSTANCE.millis() + MAX_TURN_MILLIS;
-      while (!ended.get()) {
+      while (!hasEnded()) {
         if (paused) {
           channel.suspendReads();
           return;
@@ -257,7 +255,7 @@
   }
 
   private void resumeReads(StreamSourceChannel channel) {
-    if (!ended.get() && !paused) {
+    if (!hasEnded() && !paused) {
       channel.wakeupReads();
     }
   }
@@ -270,7 +268,7 @@
   }
 
   private void finish() {
-    if (ended.compareAndSet(false, true)) {
+    if (end()) {
       releaseConnection();
       listener.end();
     }
@@ -290,8 +288,17 @@
     }
   }
 
+  private boolean hasEnded() {
+    return phase.get() == Phase.ENDED;
+  }
+
+  /** Ends the exchange; returns whether it had not ended before. */
+  private boolean end() {
+    return phase.getAndSet(Phase.ENDED) != Phase.ENDED;
+  }
+
   private void connectFailed(IOException e) {
-    if (ended.compareAndSet(false, true)) {
+    if (phase.compareAndSet(Phase.CONNECTING, Phase.ENDED)) {
       FailureType type =
           e instanceof ConnectionLimitException
               ? FailureType.CONNECTIONS_IN_USE
@@ -303,7 +310,7 @@
   }
 
   private void fail(IOException e) {
-    if (ended.compareAndSet(false, true)) {
+    if (end()) {
       closeConnection();
       boolean unbounded = state != null && state.limit().isExceeded();
       FailureType type = unbounded ? FailureType.RESPONSE_UNBOUNDED : FailureType.CONNECTION_CLOSED;
@@ -349,6 +356,16 @@
     return new HttpHead(exchange.getResponse().getResponseCode(), headers);
   }
 
+  /**
+   * The connect timeout and the connection may be handled by different threads. The timeout ends an
+   * exchange only while it is connecting, so that one that is reported as not sent is never sent.
+   */
+  private enum Phase {
+    CONNECTING,
+    CONNECTED,
+    ENDED
+  }
+
   private interface Handler<T> {
     void accept(T value);
   }
