Endpoints are read no faster than callers read; memory for requests is bounded

The process stayed up and answered nothing.

Cause: nothing stopped the reading from the endpoint. CallerResponse queued without a bound what its caller had not read; HttpExchange.pause existed and was not called on this path. The entry's log says OutOfMemoryError, after which an I/O thread is gone.

Change: an attempt is paused while more than 64 KB of its response is unwritten (4 KB while memory is scarce) and resumed once the caller has read them. MemoryBudget counts heads and bodies of requests and what is held of responses; a request that does not fit is refused at once with 503 memory-full, before its body is read. RequestBodyReader reserves a stated length first and a body without one as it arrives, and gives up a body that stalls for 10 s. Both interfaces use it. A response whose caller reads nothing for 30 s after its end is discarded. The drain waits until responses are written, not only until endpoints have answered.

--- a/runtime/src/main/java/org/hornbeamusher/entry/CallerApi.java
+++ b/runtime/src/main/java/org/hornbeamusher/entry/CallerApi.java
@@ -3,11 +3,11 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.undertow.io.Receiver;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.RequestTooBigException;
 import io.undertow.util.Headers;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.Comparator;
 import java.util.Map;
@@ -22,9 +22,12 @@
 import org.hornbeamusher.ids.InvalidIdentifierException;
 import org.hornbeamusher.ids.RequestId;
 import org.hornbeamusher.ids.ServiceName;
+import org.hornbeamusher.memory.MemoryBudget;
+import org.hornbeamusher.memory.MemoryReservation;
 import org.hornbeamusher.quarantine.RequestFingerprint;
 import org.hornbeamusher.security.Identity;
 import org.hornbeamusher.security.TokenDirectory;
+import org.hornbeamusher.server.RequestBodyReader;
 
 /**
  * Serves the callers' HTTP API: completions, chat completions, the list of models, and the plain
@@ -83,6 +86,7 @@
   private final Clock clock;
   private final int bodyBytes;
   private final long stallTimeoutMillis;
+  private final MemoryBudget memory = MemoryBudget.ofHeap();
 
   CallerApi(
       Host host,
@@ -105,14 +109,10 @@
   @Override
   public void handleRequest(HttpServerExchange exchange) {
     exchange.setMaxEntitySize(bodyBytes);
-    exchange
-        .getRequestReceiver()
-        .receiveFullBytes(
-            (received, body) -> received.dispatch(executor, () -> serve(received, body)),
-            (broken, e) -> broken.dispatch(executor, () -> refuseBody(broken, e)));
+    RequestBodyReader.read(exchange, memory, new BodyListener(exchange));
   }
 
-  private void serve(HttpServerExchange exchange, byte[] body) {
+  private void serve(HttpServerExchange exchange, byte[] body, MemoryReservation held) {
     RequestId id = ids.next();
     exchange.getResponseHeaders().put(CallerHeaders.REQUEST_ID, id.value());
     CallerSink sink = new CallerSink(exchange, stallTimeoutMillis);
@@ -135,16 +135,12 @@
       writeFailure(exchange, sink, id, HornbeamusherException.from(e));
     } finally {
       host.adjustInFlight(-1);
+      held.release();
     }
   }
 
-  private void refuseBody(HttpServerExchange exchange, Exception e) {
-    RequestId id = ids.next();
-    HornbeamusherException failure =
-        e instanceof Receiver.RequestToLargeException || e instanceof RequestTooBigException
-            ? HornbeamusherException.notRun(FailureType.BODY_TOO_LARGE, bodyBytes)
-            : HornbeamusherException.notRun(FailureType.SLOW_CALLER).causedBy(e);
-    writeFailure(exchange, new CallerSink(exchange, stallTimeoutMillis), id, failure);
+  private void refuse(HttpServerExchange exchange, HornbeamusherException failure) {
+    writeFailure(exchange, new CallerSink(exchange, stallTimeoutMillis), ids.next(), failure);
   }
 
   private void route(HttpServerExchange exchange, byte[] body, RequestId id, CallerSink sink)
@@ -368,4 +364,37 @@
       sink.abort();
     }
   }
+
+  /** Serves a request on a virtual thread once its body is complete, or refuses it. */
+  private final class BodyListener implements RequestBodyReader.Listener {
+
+    private final HttpServerExchange exchange;
+
+    BodyListener(HttpServerExchange exchange) {
+      this.exchange = exchange;
+    }
+
+    @Override
+    public void received(byte[] body, MemoryReservation held) {
+      exchange.dispatch(executor, () -> serve(exchange, body, held));
+    }
+
+    @Override
+    public void memoryFull() {
+      refuseLater(
+          HornbeamusherException.notRun(FailureType.MEMORY_FULL).retryAfter(FULL_RETRY_MILLIS));
+    }
+
+    @Override
+    public void failed(IOException cause) {
+      refuseLater(
+          cause instanceof RequestTooBigException
+              ? HornbeamusherException.notRun(FailureType.BODY_TOO_LARGE, bodyBytes)
+              : HornbeamusherException.notRun(FailureType.SLOW_CALLER).causedBy(cause));
+    }
+
+    private void refuseLater(HornbeamusherException failure) {
+      exchange.dispatch(executor, () -> refuse(exchange, failure));
+    }
+  }
 }
--- a/runtime/src/main/java/org/hornbeamusher/failure/FailureType.java
+++ b/runtime/src/main/java/org/hornbeamusher/failure/FailureType.java
@@ -39,6 +39,7 @@
   STREAM_VERSION_UNKNOWN(
       128, 503, Severity.WARNING, "The software version that began the stream is not known."),
   SHARE_EXCEEDED(129, 429, Severity.INFO, "The client account %s is beyond its fair share."),
+  MEMORY_FULL(130, 503, Severity.WARNING, "This instance has no memory for more requests."),
   // 200: endpoints and agents
   ENDPOINT_FAILED(201, 502, Severity.WARNING, "The endpoint %s failed: %s."),
   ENDPOINT_LOST(202, 502, Severity.WARNING, "The connection to endpoint %s was lost."),
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/Attempt.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/Attempt.java
@@ -57,6 +57,8 @@
   private ResponseMetadata metadata = ResponseMetadata.NONE;
   private ConnectionUse connection = ConnectionUse.NONE;
   private boolean ended;
+  private boolean paused;
+  private int pauses;
 
   /** Whether the endpoint's side ended the connection. */
   private boolean endedByPeer;
@@ -143,6 +145,28 @@
     return new AttemptEvidence(sentMillis, endedByPeer, answeredForLong());
   }
 
+  /** Stops reading the response until {@link #resumeReading}. */
+  void pauseReading() {
+    if (!paused && !ended) {
+      paused = true;
+      pauses++;
+      stream.pause();
+    }
+  }
+
+  /** Resumes reading if it is paused. */
+  void resumeReading() {
+    if (paused) {
+      paused = false;
+      stream.resume();
+    }
+  }
+
+  /** Returns how often reading was paused because the caller read more slowly. */
+  int pauses() {
+    return pauses;
+  }
+
   /** Cancels the attempt; the listener is not called any more. */
   void cancel() {
     ended = true;
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/BufferedRelay.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/BufferedRelay.java
@@ -18,10 +18,13 @@
   /** Responses of plain services have a few kilobytes; the bound limits the memory in use. */
   private static final int MAX_BUFFERED_BYTES = 128 * 1024;
 
+  /** The bound while the memory of the process is scarce. */
+  private static final int MAX_BUFFERED_BYTES_WHEN_SCARCE = 16 * 1024;
+
   private static final String LENGTH = "Content-Length";
 
   private final CallerResponse caller;
-  private final ByteArrayOutputStream buffer = new ByteArrayOutputStream();
+  private ByteArrayOutputStream buffer = new ByteArrayOutputStream();
   private List<HttpHeader> headers = List.of();
   private OptionalLong length = OptionalLong.empty();
   private int status;
@@ -64,15 +67,21 @@
       return;
     }
     buffer.writeBytes(bytes);
-    if (buffer.size() > MAX_BUFFERED_BYTES) {
+    if (buffer.size() > maxBufferedBytes()) {
       start(length);
     }
   }
 
+  private int maxBufferedBytes() {
+    return caller.isMemoryScarce() ? MAX_BUFFERED_BYTES_WHEN_SCARCE : MAX_BUFFERED_BYTES;
+  }
+
   private void start(OptionalLong announced) {
     started = true;
     caller.head(status, headers, announced);
-    caller.write(buffer.toByteArray());
+    byte[] buffered = buffer.toByteArray();
+    buffer = new ByteArrayOutputStream();
+    caller.write(buffered);
   }
 
   @Override
@@ -98,6 +107,11 @@
     return OptionalLong.empty();
   }
 
+  @Override
+  public long bufferedBytes() {
+    return buffer.size();
+  }
+
   @Override
   public boolean isUnbounded() {
     return false;
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/CallerResponse.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/CallerResponse.java
@@ -13,10 +13,14 @@
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.hornbeamusher.clock.MonotonicClock;
 import org.hornbeamusher.failure.HornbeamusherException;
 import org.hornbeamusher.failure.Outcome;
 import org.hornbeamusher.http.HttpHeader;
+import org.hornbeamusher.memory.MemoryReservation;
 import org.xnio.IoUtils;
+import org.xnio.XnioExecutor;
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.conduits.StreamSourceConduit;
 
@@ -42,21 +46,43 @@
           StatusCodes.TOO_MANY_REQUESTS,
           StatusCodes.SERVICE_UNAVAILABLE);
 
+  /** Enough for the network path of any caller; more only waits in memory. */
+  private static final int MAX_UNWRITTEN_BYTES = 64 * 1024;
+
+  /** Several events; the bound while the memory of the process is scarce. */
+  private static final int MAX_UNWRITTEN_BYTES_WHEN_SCARCE = 4 * 1024;
+
+  /** The rest of a response that its caller does not read is discarded after this time. */
+  private static final long UNREAD_TIMEOUT_MILLIS = 30_000;
+
   private final HttpServerExchange exchange;
+  private final MemoryReservation memory;
   private final ArrayDeque<ByteBuffer> unwritten = new ArrayDeque<>();
+  private long unwrittenBytes;
+
+  /** Bytes that the relay holds back. */
+  private long bufferedBytes;
+
   private Runnable disconnectTask = () -> {};
+  private Runnable drainedTask = () -> {};
   private StreamSinkChannel sink;
+
+  /** When bytes were last written while the end of the response waits for its caller. */
+  private long lastWriteMillis;
+
+  private XnioExecutor.Key unreadTimer;
   private boolean ending;
   private boolean ended;
 
-  CallerResponse(HttpServerExchange exchange) {
+  CallerResponse(HttpServerExchange exchange, MemoryReservation memory) {
     this.exchange = exchange;
+    this.memory = memory;
+    exchange.getConnection().addCloseListener(connection -> disconnected());
   }
 
   /** Runs a task, at most once, if the caller disconnects before the response is complete. */
   void onDisconnect(Runnable task) {
     disconnectTask = task;
-    exchange.getConnection().addCloseListener(connection -> disconnected());
     if (exchange.getConnection() instanceof HttpServerConnection connection) {
       StreamSourceConduit source = connection.getOriginalSourceConduit();
       connection.getChannel().getSourceChannel().setReadListener(c -> readable(connection, source));
@@ -107,12 +133,47 @@
 
   private void disconnected() {
     if (!ended) {
-      ended = true;
-      unwritten.clear();
+      release();
       disconnectTask.run();
     }
   }
 
+  /** Ends the response and releases everything that is held for the request. */
+  private void release() {
+    ended = true;
+    unwritten.clear();
+    unwrittenBytes = 0;
+    memory.release();
+    if (unreadTimer != null) {
+      unreadTimer.remove();
+    }
+  }
+
+  /** Runs a task after writes that leave {@link #isCongested} false. */
+  void onDrained(Runnable task) {
+    drainedTask = task;
+  }
+
+  /**
+   * Returns whether the caller reads more slowly than the response arrives. The endpoint is then
+   * not read until {@link #onDrained}, so that TCP flow control stops it.
+   */
+  boolean isCongested() {
+    return unwrittenBytes
+        > (memory.isScarce() ? MAX_UNWRITTEN_BYTES_WHEN_SCARCE : MAX_UNWRITTEN_BYTES);
+  }
+
+  /** Returns whether the memory of the process is scarce. */
+  boolean isMemoryScarce() {
+    return memory.isScarce();
+  }
+
+  /** Sets how many bytes of the response are held back by the relay. */
+  void setBufferedBytes(long bytes) {
+    bufferedBytes = bytes;
+    memory.setResponseBytes(bufferedBytes + unwrittenBytes);
+  }
+
   /** Returns whether nothing more can be written. */
   boolean ended() {
     return ended;
@@ -186,6 +247,7 @@
       return;
     }
     unwritten.add(ByteBuffer.wrap(bytes));
+    unwrittenBytes += bytes.length;
     flush();
   }
 
@@ -193,14 +255,17 @@
   void end() {
     if (!ended) {
       ending = true;
+      lastWriteMillis = MonotonicClock.INSTANCE.millis();
       flush();
     }
+    if (!ended) {
+      scheduleUnreadCheck(UNREAD_TIMEOUT_MILLIS);
+    }
   }
 
   /** Closes the connection, so that a partial response cannot be taken for a complete one. */
   void abort() {
-    ended = true;
-    unwritten.clear();
+    release();
     IoUtils.safeClose(exchange.getConnection());
   }
 
@@ -210,17 +275,9 @@
         sink = exchange.getResponseChannel();
         sink.getWriteSetter().set(channel -> flush());
       }
-      while (!unwritten.isEmpty()) {
-        ByteBuffer first = unwritten.peek();
-        if (first.hasRemaining() && sink.write(first) == 0) {
-          sink.resumeWrites();
-          return;
-        }
-        if (!first.hasRemaining()) {
-          unwritten.poll();
-        }
-      }
-      if (ending) {
+      if (!writeAll()) {
+        sink.resumeWrites();
+      } else if (ending) {
         finish();
       } else if (!sink.flush()) {
         sink.resumeWrites();
@@ -234,8 +291,46 @@
     }
   }
 
+  /** Writes until the caller's connection accepts no more; returns whether all is written. */
+  private boolean writeAll() throws IOException {
+    boolean accepted = true;
+    while (accepted && !unwritten.isEmpty()) {
+      ByteBuffer first = unwritten.peek();
+      int count = first.hasRemaining() ? sink.write(first) : 0;
+      unwrittenBytes -= count;
+      accepted = count > 0 || !first.hasRemaining();
+      if (!first.hasRemaining()) {
+        unwritten.poll();
+      }
+      lastWriteMillis = count > 0 ? MonotonicClock.INSTANCE.millis() : lastWriteMillis;
+    }
+    memory.setResponseBytes(bufferedBytes + unwrittenBytes);
+    if (!isCongested()) {
+      drainedTask.run();
+    }
+    return unwritten.isEmpty();
+  }
+
+  private void scheduleUnreadCheck(long afterMillis) {
+    unreadTimer =
+        exchange.getIoThread().executeAfter(this::checkUnread, afterMillis, TimeUnit.MILLISECONDS);
+  }
+
+  /** Closes the connection of a caller that has stopped reading. */
+  private void checkUnread() {
+    long unreadMillis = MonotonicClock.INSTANCE.millis() - lastWriteMillis;
+    if (ended) {
+      return;
+    }
+    if (unreadMillis >= UNREAD_TIMEOUT_MILLIS) {
+      abort();
+    } else {
+      scheduleUnreadCheck(UNREAD_TIMEOUT_MILLIS - unreadMillis);
+    }
+  }
+
   private void finish() throws IOException {
-    ended = true;
+    release();
     sink.suspendWrites();
     sink.getWriteSetter().set(null);
     exchange.endExchange();
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/EventSplitter.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/EventSplitter.java
@@ -25,7 +25,12 @@
   /** An event contains a few tokens; the bound limits the memory in use. */
   private static final int MAX_EVENT_BYTES = 1024 * 1024;
 
-  private final ByteArrayOutputStream event = new ByteArrayOutputStream();
+  /** The bound while the memory of the process is scarce. */
+  private static final int MAX_EVENT_BYTES_WHEN_SCARCE = 64 * 1024;
+
+  private static final int INITIAL_EVENT_BYTES = 512;
+
+  private ByteArrayOutputStream event = new ByteArrayOutputStream(INITIAL_EVENT_BYTES);
   private boolean lineEmpty = true;
 
   /** Adds bytes and returns the events that they complete. */
@@ -36,7 +41,7 @@
       if (next == LINE_FEED) {
         if (lineEmpty) {
           complete.add(event(event.toByteArray()));
-          event.reset();
+          resetEvent();
         }
         lineEmpty = true;
       } else if (next != CARRIAGE_RETURN) {
@@ -46,9 +51,23 @@
     return complete;
   }
 
+  /** Releases the buffer of a long event, which the stream would otherwise keep. */
+  private void resetEvent() {
+    if (event.size() > INITIAL_EVENT_BYTES) {
+      event = new ByteArrayOutputStream(INITIAL_EVENT_BYTES);
+    } else {
+      event.reset();
+    }
+  }
+
   /** Returns whether an event is longer than any valid one. */
-  boolean eventTooLong() {
-    return event.size() > MAX_EVENT_BYTES;
+  boolean eventTooLong(boolean memoryScarce) {
+    return event.size() > (memoryScarce ? MAX_EVENT_BYTES_WHEN_SCARCE : MAX_EVENT_BYTES);
+  }
+
+  /** Returns the length of an incomplete event; 0 at the end of a complete stream. */
+  int incompleteLength() {
+    return event.size();
   }
 
   /** Returns the bytes of an incomplete event; empty at the end of a complete stream. */
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/EventStreamRelay.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/EventStreamRelay.java
@@ -141,9 +141,14 @@
     return lastEvent;
   }
 
+  @Override
+  public long bufferedBytes() {
+    return splitter.incompleteLength() + (failure == null ? 0 : failure.bufferedBytes());
+  }
+
   @Override
   public boolean isUnbounded() {
-    return splitter.eventTooLong();
+    return splitter.eventTooLong(caller.isMemoryScarce());
   }
 
   /**
@@ -153,7 +158,7 @@
   @Override
   public boolean canEnd() {
     boolean endedBeforeItBegan = unframed && !started && lastEvent.isEmpty();
-    return failure != null || (splitter.incompleteBytes().length == 0 && !endedBeforeItBegan);
+    return failure != null || (splitter.incompleteLength() == 0 && !endedBeforeItBegan);
   }
 
   @Override
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
@@ -26,6 +26,7 @@
 import org.hornbeamusher.ids.EndpointId;
 import org.hornbeamusher.ids.EndpointIncarnation;
 import org.hornbeamusher.loop.EventLoop;
+import org.hornbeamusher.memory.MemoryBudget;
 import org.hornbeamusher.placement.EndpointView;
 import org.hornbeamusher.placement.PlacementSettings;
 import org.hornbeamusher.placement.Placer;
@@ -80,6 +81,7 @@
   private final QuotaMeter<InetSocketAddress> meter;
   private final FairShares<InetSocketAddress> shares;
   private final UsageExchange usage;
+  private final MemoryBudget memory = MemoryBudget.ofHeap();
   private final SoftwareHistory software = new SoftwareHistory();
   private final CrashHistory crashHistory;
   private final CrashReports crashReports;
@@ -212,7 +214,14 @@
         settings.metricsAddress().map(at -> new MetricsListener(at, http.worker(), registry));
     this.server =
         new ForwardServer(
-            settings, http.worker(), clock, loop, this::accept, this::hasInitialState, this::ready);
+            settings,
+            http.worker(),
+            clock,
+            loop,
+            memory,
+            this::accept,
+            this::hasInitialState,
+            this::ready);
   }
 
   private static String incarnationName(ForwardSettings settings) {
@@ -249,6 +258,8 @@
     metrics.ifPresent(listener -> listener.startDelayed(loop));
     ForwardMetrics measured = context.metrics();
     measured.gauge("running", runs::size);
+    measured.gauge("memory_used", memory::usedBytes);
+    measured.gauge("memory_capacity", memory::capacityBytes);
     measured.gauge("endpoints", context.placer().views()::size);
     measured.gauge("limited_endpoints", context.placer()::limitedEndpoints);
     measured.gauge("backoff_endpoints", () -> context.placer().backoffEndpoints(clock.millis()));
@@ -591,7 +602,7 @@
     if (late) {
       Set.copyOf(runs).forEach(ForwardedRequest::abort);
     }
-    boolean finished = runs.isEmpty() && !crashReports.hasUnwritten();
+    boolean finished = runs.isEmpty() && memory.usedBytes() == 0 && !crashReports.hasUnwritten();
     if (late || (finished && since >= MIN_DRAIN_MILLIS)) {
       EventLog.log(EventType.PROCESS_STOPPED, "role", "entry", "after_ms", since);
       context.agents().notifyLeaving();
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardServer.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardServer.java
@@ -8,16 +8,25 @@
 import io.undertow.util.Headers;
 import io.undertow.util.SameThreadExecutor;
 import io.undertow.util.StatusCodes;
+import java.io.IOException;
+import java.net.SocketTimeoutException;
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.List;
+import java.util.Map;
 import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 import org.hornbeamusher.clock.Clock;
 import org.hornbeamusher.events.EventLog;
 import org.hornbeamusher.events.EventType;
 import org.hornbeamusher.failure.FailureType;
+import org.hornbeamusher.failure.HornbeamusherException;
 import org.hornbeamusher.http.HttpHeader;
 import org.hornbeamusher.loop.EventLoop;
+import org.hornbeamusher.memory.MemoryBudget;
+import org.hornbeamusher.memory.MemoryReservation;
+import org.hornbeamusher.server.RequestBodyReader;
+import org.xnio.IoUtils;
 import org.xnio.Options;
 import org.xnio.XnioWorker;
 
@@ -49,14 +58,15 @@
   private final BooleanSupplier configured;
   private final BooleanSupplier ready;
   private final EventLoop loop;
+  private final MemoryBudget memory;
 
   /** Whether callers are accepted; stays true once set. */
   private boolean open;
 
   private long openedMillis;
 
-  /** Number of refused requests that are not logged yet. */
-  private int unloggedRefusals;
+  /** Numbers of unread requests that were refused and are not logged yet, by cause. */
+  private final Map<FailureType, Integer> unloggedRefusals = new EnumMap<>(FailureType.class);
 
   private Undertow callerListener;
   private Undertow readinessListener;
@@ -66,6 +76,7 @@
       XnioWorker worker,
       Clock clock,
       EventLoop loop,
+      MemoryBudget memory,
       BiConsumer<CallerRequest, CallerResponse> accept,
       BooleanSupplier configured,
       BooleanSupplier ready) {
@@ -73,6 +84,7 @@
     this.worker = worker;
     this.clock = clock;
     this.loop = loop;
+    this.memory = memory;
     this.accept = accept;
     this.configured = configured;
     this.ready = ready;
@@ -146,33 +158,38 @@
       exchange.endExchange();
       return;
     }
-    exchange
-        .getRequestReceiver()
-        .receiveFullBytes(
-            (whole, body) ->
-                whole.dispatch(SameThreadExecutor.INSTANCE, () -> serve(whole, body, arrived)),
-            (broken, e) -> {
-              broken.setPersistent(false);
-              broken.setStatusCode(StatusCodes.REQUEST_ENTITY_TOO_LARGE);
-              broken.endExchange();
-            });
+    RequestBodyReader.read(exchange, memory, new BodyListener(exchange, arrived));
   }
 
   /** Refuses a request without parsing it, to leave time for reading the configuration. */
   private void refuseNotReady(HttpServerExchange exchange) {
-    if (unloggedRefusals == 0) {
-      loop.after(REFUSAL_LOG_MILLIS, this::logRefusals);
-    }
-    unloggedRefusals++;
+    countRefusal(FailureType.NOT_READY);
     exchange.setStatusCode(StatusCodes.SERVICE_UNAVAILABLE);
     exchange.getResponseHeaders().put(Headers.RETRY_AFTER, RETRY_AFTER);
     exchange.endExchange();
   }
 
+  private void countRefusal(FailureType cause) {
+    if (unloggedRefusals.isEmpty()) {
+      loop.after(REFUSAL_LOG_MILLIS, this::logRefusals);
+    }
+    unloggedRefusals.merge(cause, 1, Integer::sum);
+  }
+
   private void logRefusals() {
-    EventLog.log(
-        EventType.REQUESTS_TURNED_AWAY, "cause", "not-ready", "requests", unloggedRefusals);
-    unloggedRefusals = 0;
+    unloggedRefusals.forEach(
+        (cause, requests) ->
+            EventLog.log(
+                EventType.REQUESTS_TURNED_AWAY,
+                "cause",
+                cause.label(),
+                "requests",
+                requests,
+                "memory_used",
+                memory.usedBytes(),
+                "memory_capacity",
+                memory.capacityBytes()));
+    unloggedRefusals.clear();
   }
 
   /**
@@ -185,7 +202,8 @@
     return lengths != null && (lengths.size() > 1 || chunked);
   }
 
-  private void serve(HttpServerExchange exchange, byte[] body, long arrived) {
+  private void serve(
+      HttpServerExchange exchange, byte[] body, MemoryReservation held, long arrived) {
     CallerRequest request =
         new CallerRequest(
             exchange.getRequestMethod().toString(),
@@ -194,7 +212,7 @@
             headersOf(exchange.getRequestHeaders()),
             body,
             arrived);
-    CallerResponse caller = new CallerResponse(exchange);
+    CallerResponse caller = new CallerResponse(exchange, held);
     boolean mayHaveBeenHeld = arrived - openedMillis < HELD_REQUESTS_MILLIS;
     if (!mayHaveBeenHeld || !caller.hasDisconnected()) {
       accept.accept(request, caller);
@@ -220,4 +238,44 @@
     }
     return headers;
   }
+
+  /** Serves a request once its body is complete. */
+  private final class BodyListener implements RequestBodyReader.Listener {
+
+    private final HttpServerExchange exchange;
+    private final long arrivedMillis;
+
+    BodyListener(HttpServerExchange exchange, long arrivedMillis) {
+      this.exchange = exchange;
+      this.arrivedMillis = arrivedMillis;
+    }
+
+    @Override
+    public void received(byte[] body, MemoryReservation held) {
+      exchange.dispatch(
+          SameThreadExecutor.INSTANCE, () -> serve(exchange, body, held, arrivedMillis));
+    }
+
+    /** The body need not have arrived for the response to be written. */
+    @Override
+    public void memoryFull() {
+      countRefusal(FailureType.MEMORY_FULL);
+      HornbeamusherException refusal =
+          HornbeamusherException.notRun(FailureType.MEMORY_FULL)
+              .retryAfter(RetryAfterPolicy.OTHER_ENTRY_MILLIS);
+      new CallerResponse(exchange, memory.reserveNothing()).refuse(refusal, false);
+    }
+
+    @Override
+    public void failed(IOException cause) {
+      if (cause instanceof SocketTimeoutException) {
+        // A response would wait until the rest of the body has been read.
+        IoUtils.safeClose(exchange.getConnection());
+        return;
+      }
+      exchange.setPersistent(false);
+      exchange.setStatusCode(StatusCodes.REQUEST_ENTITY_TOO_LARGE);
+      exchange.endExchange();
+    }
+  }
 }
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
@@ -144,6 +144,7 @@
       return;
     }
     caller.onDisconnect(this::callerDisconnected);
+    caller.onDrained(this::callerDrained);
     deadlineTimer = context.loop().after(deadlineMillis - now(), this::deadlinePassed);
     crashRefusal().ifPresentOrElse(this::giveUp, this::placeFirst);
   }
@@ -492,6 +493,10 @@
   @Override
   public void data(Attempt from, byte[] bytes) {
     relay.data(bytes);
+    caller.setBufferedBytes(relay.bufferedBytes());
+    if (caller.isCongested()) {
+      from.pauseReading();
+    }
     if (relay.isUnbounded()) {
       from.cancel();
       ended(from, new AttemptOutcome.Failed(FailureType.RESPONSE_UNBOUNDED));
@@ -538,6 +543,7 @@
                 new RequestLog.LostRequest(
                     suspects.content(), suspects.pathContent(), routed.metadata().parts()))
             : Optional.empty();
+    caller.setBufferedBytes(relay.bufferedBytes());
     log.attemptEnded(from, outcome.label(), lost, relay, now() - sentMillis);
     context.metrics().attemptEnded(outcome.label(), now() - sentMillis);
     EndpointView left = endpoint;
@@ -744,6 +750,12 @@
     }
   }
 
+  private void callerDrained() {
+    if (attempt != null) {
+      attempt.resumeReading();
+    }
+  }
+
   private void callerDisconnected() {
     if (finished) {
       return;
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/RequestLog.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/RequestLog.java
@@ -226,6 +226,8 @@
         attempt.firstDataAfterMillis(),
         "longest_pause_ms",
         attempt.longestPauseMillis(),
+        "reading_pauses",
+        attempt.pauses(),
         "last_event",
         relay.lastEvent().orElse(-1),
         "stated_limit_per_s",
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ResponseRelay.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ResponseRelay.java
@@ -37,6 +37,9 @@
   /** Returns the id of the last complete event that the caller received. */
   OptionalLong lastEvent();
 
+  /** Returns how many bytes are held back until more of the response has arrived. */
+  long bufferedBytes();
+
   /** Returns whether a part of the response is longer than any valid one. */
   boolean isUnbounded();
 
--- a/runtime/src/main/java/org/hornbeamusher/http/HttpExchange.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/HttpExchange.java
@@ -109,7 +109,7 @@
     paused = false;
     StreamSourceChannel channel = source;
     if (channel != null) {
-      connection.getIoThread().execute(channel::resumeReads);
+      connection.getIoThread().execute(() -> resumeReads(channel));
     }
   }
 
