A caller's connection keeps nothing of requests that have ended

Change: ConnectionCloseTask adds one listener for each connection, which runs the task of the current request.

--- a/runtime/src/main/java/org/hornbeamusher/entry/CallerSink.java
+++ b/runtime/src/main/java/org/hornbeamusher/entry/CallerSink.java
@@ -11,6 +11,7 @@
 import org.hornbeamusher.failure.FailureType;
 import org.hornbeamusher.failure.HornbeamusherException;
 import org.hornbeamusher.failure.Outcome;
+import org.hornbeamusher.server.ConnectionCloseTask;
 import org.xnio.IoUtils;
 import org.xnio.channels.StreamSinkChannel;
 
@@ -60,6 +61,7 @@
       open();
       channel.shutdownWrites();
       flush();
+      ConnectionCloseTask.clear(exchange.getConnection());
       exchange.endExchange();
     } catch (IOException e) {
       throw callerGone(e);
@@ -74,7 +76,7 @@
   private void open() {
     if (channel == null) {
       channel = exchange.getResponseChannel();
-      exchange.getConnection().addCloseListener(connection -> connectionClosed());
+      ConnectionCloseTask.set(exchange.getConnection(), this::connectionClosed);
     }
   }
 
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/CallerResponse.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/CallerResponse.java
@@ -19,6 +19,7 @@
 import org.hornbeamusher.failure.Outcome;
 import org.hornbeamusher.http.HttpHeader;
 import org.hornbeamusher.memory.MemoryReservation;
+import org.hornbeamusher.server.ConnectionCloseTask;
 import org.xnio.IoUtils;
 import org.xnio.XnioExecutor;
 import org.xnio.channels.StreamSinkChannel;
@@ -77,7 +78,7 @@
   CallerResponse(HttpServerExchange exchange, MemoryReservation memory) {
     this.exchange = exchange;
     this.memory = memory;
-    exchange.getConnection().addCloseListener(connection -> disconnected());
+    ConnectionCloseTask.set(exchange.getConnection(), this::disconnected);
   }
 
   /** Runs a task, at most once, if the caller disconnects before the response is complete. */
@@ -143,6 +144,7 @@
     ended = true;
     unwritten.clear();
     unwrittenBytes = 0;
+    ConnectionCloseTask.clear(exchange.getConnection());
     memory.release();
     if (unreadTimer != null) {
       unreadTimer.remove();
