--- a/runtime/src/main/java/org/hornbeamusher/events/EventType.java
+++ b/runtime/src/main/java/org/hornbeamusher/events/EventType.java
@@ -14,6 +14,7 @@
   PROCESS_STARTED(1001, Level.INFO, "A process has started and is listening."),
   PROCESS_STOPPING(1002, Level.INFO, "A process drains and takes no new requests."),
   PROCESS_STOPPED(1003, Level.INFO, "A process has finished draining and stops."),
+  PROCESS_FAILED(1005, Level.SEVERE, "A thread ended with an error; the process ends with it."),
   TASK_FAILED(1004, Level.SEVERE, "A periodic task failed and will be retried."),
   // 1100: requests
   REQUEST_REFUSED(1101, Level.FINE, "A request was refused."),
--- a/tool/src/main/java/org/hornbeamusher/tool/DaemonRun.java
+++ b/tool/src/main/java/org/hornbeamusher/tool/DaemonRun.java
@@ -5,6 +5,7 @@
 import java.util.logging.Level;
 import org.apache.commons.cli.CommandLine;
 import org.hornbeamusher.events.LogSetup;
+import org.hornbeamusher.process.FatalErrors;
 import org.hornbeamusher.security.ReloadingTlsContext;
 import org.hornbeamusher.settings.TlsSettings;
 import org.hornbeamusher.wire.WireSockets;
@@ -33,6 +34,7 @@
   static void setUpLogging(CommandLine line) {
     String level = line.getOptionValue("events", "info").toUpperCase(Locale.ROOT);
     LogSetup.toStandardError(Level.parse(level));
+    FatalErrors.endProcess();
   }
 
   /**
