A store that was restored from a copy is read anew; its versions are of an era

Cause: the store gives out its row versions again after a restore. The entry went on from the version that it had read before; what was written between the copy and that version was never delivered, and no 410 says so once the store has passed it. Store-Era, which rises with each restore, was not read. Ruled out: the version of the configuration itself (8 after 5) and the list.

Of two configurations with one version, the one written later counts; a lower one is that of the copy and is not restored. Rows of software versions and streams are written again; open crash records were already, after a complete read.

--- a/runtime/src/main/java/org/hornbeamusher/events/EventType.java
+++ b/runtime/src/main/java/org/hornbeamusher/events/EventType.java
@@ -109,6 +109,8 @@
       1603, Level.WARNING, "A read of a table failed; the data received is discarded."),
   TABLE_STALE(1604, Level.WARNING, "The local copy of a table is older than allowed."),
   TABLE_CURRENT(1605, Level.INFO, "The local copy of a table is recent enough again."),
+  STORE_RESTORED(
+      1606, Level.WARNING, "The store was restored from a copy; its tables are read again."),
   // 1700: settings and operators
   DRAIN_ORDERED(1701, Level.INFO, "An operator ordered this process to drain."),
   OPERATOR_REFUSED(1702, Level.WARNING, "An operator's token does not allow the request."),
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
@@ -296,11 +296,12 @@
    * Applies a configuration that was read.
    *
    * @param configuration any version; ignored if older than the current one
+   * @param revision the revision of its row
    * @param transfer size and duration of the transfer
    */
-  public void onConfiguration(Configuration configuration, TransferStats transfer) {
+  public void onConfiguration(Configuration configuration, long revision, TransferStats transfer) {
     freshness.read();
-    if (context.configuration().offer(configuration)) {
+    if (context.configuration().offer(configuration, revision)) {
       EventLog.log(
           EventType.CONFIGURATION_IN_FORCE,
           "version",
@@ -319,6 +320,11 @@
     }
   }
 
+  /** Writes again what this entry wrote: the table service was restored from a copy. */
+  public void onStoreRestored() {
+    loop.execute(context.streams()::tablesRestored);
+  }
+
   /** Records that the newest configuration cannot be parsed; the current one is kept. */
   public void configurationUnreadable() {
     freshness.superseded();
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/StreamOriginRecorder.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/StreamOriginRecorder.java
@@ -121,6 +121,13 @@
     }
   }
 
+  /** Writes the streams again: the table was restored from a copy. */
+  void tableRestored() {
+    if (!streams.isEmpty()) {
+      schedule();
+    }
+  }
+
   private void schedule() {
     if (!scheduled) {
       scheduled = true;
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/StreamOrigins.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/StreamOrigins.java
@@ -334,6 +334,13 @@
     return single ? Optional.of(origin(served)) : Optional.empty();
   }
 
+  /** Writes the tables again, which were restored from a copy. */
+  void tablesRestored() {
+    written.clear();
+    noticed.keySet().forEach(this::writeLater);
+    recorder.tableRestored();
+  }
+
   /** Called when endpoints of a service have changed; writes the versions that serve. */
   void endpointsChanged(String service) {
     Set<String> served =
@@ -341,10 +348,15 @@
             service, endpoints.get(), SoftwareHistory.RETENTION_MILLIS, clock.millis());
     if (!served.equals(noticed.put(service, served))) {
       recorder.versionsChanged(service);
-      loop.after(ThreadLocalRandom.current().nextInt(MAX_WRITE_DELAY_MILLIS), () -> write(service));
+      writeLater(service);
     }
   }
 
+  /** Avoids that all entries write at the same time. */
+  private void writeLater(String service) {
+    loop.after(ThreadLocalRandom.current().nextInt(MAX_WRITE_DELAY_MILLIS), () -> write(service));
+  }
+
   private void write(String service) {
     long now = clock.millis();
     List<Endpoint> current = endpoints.get();
--- a/runtime/src/main/java/org/hornbeamusher/watch/ChangeFeed.java
+++ b/runtime/src/main/java/org/hornbeamusher/watch/ChangeFeed.java
@@ -24,7 +24,8 @@
    * @param revision the revision of the last response
    * @param waitMillis how long the service may wait for a change
    * @param failures number of failed reads in a row; retries get longer timeouts
-   * @return the changes, possibly none; empty if the history no longer contains the revision
+   * @return the changes, possibly none; empty if the history no longer contains the revision, or if
+   *     the service was restored from a copy since that revision was read
    */
   CompletableFuture<Optional<TableChanges>> since(
       String table, long revision, long waitMillis, int failures);
--- a/runtime/src/main/java/org/hornbeamusher/watch/PagedRead.java
+++ b/runtime/src/main/java/org/hornbeamusher/watch/PagedRead.java
@@ -18,15 +18,22 @@
   private final List<ChangedRow> rows = new ArrayList<>();
   private TransferStats transfer = TransferStats.NONE;
   private long revision;
+  private long era;
   private int pages;
   private boolean more = true;
 
   private long requestedMillis;
 
+  /** Returns whether a page can be added: all pages must be from one era of the service. */
+  boolean accepts(TablePage page) {
+    return pages == 0 || page.era() == era;
+  }
+
   /** Adds the next page, which was requested at the given time. */
   void add(TablePage page, long pageRequestedMillis) {
     if (pages == 0) {
       revision = page.revision();
+      era = page.era();
       requestedMillis = pageRequestedMillis;
     }
     pages++;
--- a/runtime/src/main/java/org/hornbeamusher/watch/TableWatch.java
+++ b/runtime/src/main/java/org/hornbeamusher/watch/TableWatch.java
@@ -16,7 +16,8 @@
  * such a request until there is a change, so that a change arrives within milliseconds and few
  * calls are needed. The hold time is short, because a connection may go silent without being
  * closed, and only the end of the hold time reveals that. If the history no longer contains the
- * last revision, the table is read again.
+ * last revision, the table is read again. So it is when the service was restored from a copy: its
+ * revisions are then given out again for other changes.
  *
  * <p>A table that changes constantly is better read completely at fixed intervals; a wait time of 0
  * selects that.
@@ -215,6 +216,11 @@
   }
 
   private void pageReceived(TablePage page, long requestedMillis) {
+    if (!pagedRead.accepts(page)) {
+      pagedRead = null;
+      sendRequest();
+      return;
+    }
     pagedRead.add(page, requestedMillis);
     if (!pagedRead.isComplete()) {
       sendRequest();
--- a/runtime/src/test/java/org/hornbeamusher/routes/ConfigurationTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/routes/ConfigurationTest.java
@@ -39,13 +39,23 @@
   @Test
   void olderConfigurationIsNotRestored() {
     CurrentConfiguration inForce = new CurrentConfiguration();
-    assertTrue(inForce.offer(configuration(7)));
-    assertFalse(inForce.offer(configuration(5)));
-    assertFalse(inForce.offer(configuration(7)));
-    assertTrue(inForce.offer(configuration(12)));
+    assertTrue(inForce.offer(configuration(7), 20));
+    assertFalse(inForce.offer(configuration(5), 21));
+    assertFalse(inForce.offer(configuration(7), 20));
+    assertFalse(inForce.offer(configuration(7), 19));
+    assertTrue(inForce.offer(configuration(12), 22));
     assertEquals(12, inForce.current().orElseThrow().version());
   }
 
+  /** Guards against a version that is given out again after a restore and is taken for the old. */
+  @Test
+  void sameVersionWrittenLaterIsNewer() {
+    CurrentConfiguration inForce = new CurrentConfiguration();
+    assertTrue(inForce.offer(configuration(7, route("/a/")), 20));
+    assertTrue(inForce.offer(configuration(7, route("/b/")), 21));
+    assertEquals("/b/", prefix(inForce.current().orElseThrow(), "h", "/b/x"));
+  }
+
   @Test
   void adapterVersionsDoNotDecrease() {
     LatestAdapterVersions versions = new LatestAdapterVersions();
