Each attempt runs on the newest version of its adapter

Cause: the version was chosen once, when the request was admitted, and every later attempt was placed, reserved and sent with it. Ruled out: version 2 arriving late (VERSION_IN_FORCE is milliseconds after the acknowledgement).

Change: a request is placed for the newest known version each time, and one whose version was superseded since is placed anew: while it waits, before it is sent, and right before its first byte.

--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
@@ -36,6 +36,9 @@
  *   <li>it may have run and is not repeatable: the caller is told that its outcome is unknown.
  * </ul>
  *
+ * <p>Each attempt runs on the newest version of its adapter that is known when it is sent, so that
+ * a stream which goes on at another endpoint does not begin there on an older one.
+ *
  * <p>Every further send to a service uses the retry budget, unless the one before did not reach the
  * endpoint. A status that guarantees "not run" is returned only if every send was refused or did
  * not reach an endpoint.
@@ -201,6 +204,7 @@
 
   private void place() {
     long now = now();
+    placementRequest = context.admission().atNewestVersion(placementRequest);
     Placement placement = context.placer().place(service, placementRequest, excluded(), now);
     switch (placement) {
       case Placement.Unplaceable nowhere when !connectionsInUse.isEmpty() -> awaitConnection();
@@ -374,7 +378,7 @@
     AdapterVersion adapter = placementRequest.adapter().orElseThrow();
     // The agent may not have been connected when the request was placed, so it has no reservation.
     boolean unknown = reservation == EngineReservation.NONE && endpoint.agentConnected();
-    if (unknown || !endpoint.takesRequests(now())) {
+    if (unknown || !endpoint.takesRequests(now()) || isSuperseded()) {
       placeAgain();
       return;
     }
@@ -429,7 +433,7 @@
       giveUp(refusal.get());
       return;
     }
-    if (!endpoint.takesRequests(now()) || !continuation.mayRunAt(endpoint)) {
+    if (!endpoint.takesRequests(now()) || !continuation.mayRunAt(endpoint) || isSuperseded()) {
       placeAgain();
       return;
     }
@@ -465,7 +469,12 @@
 
   @Override
   public boolean maySend() {
-    return !context.crashes().isRefused(suspects);
+    return !context.crashes().isRefused(suspects) && !isSuperseded();
+  }
+
+  /** Returns whether a newer version of the adapter is known than the request was placed for. */
+  private boolean isSuperseded() {
+    return context.admission().isSuperseded(placementRequest);
   }
 
   @Override
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/RequestAdmission.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/RequestAdmission.java
@@ -13,6 +13,7 @@
 import org.hornbeamusher.quota.QuotaCharge;
 import org.hornbeamusher.quota.QuotaDecision;
 import org.hornbeamusher.quota.QuotaMeter;
+import org.hornbeamusher.routes.AdapterKey;
 import org.hornbeamusher.routes.Configuration;
 import org.hornbeamusher.routes.CurrentConfiguration;
 import org.hornbeamusher.routes.LatestAdapterVersions;
@@ -91,6 +92,26 @@
             metadata.parts()));
   }
 
+  /**
+   * Returns whether a newer version of a request's adapter is known than the one it was placed for.
+   */
+  boolean isSuperseded(PlacementRequest request) {
+    return request
+        .adapter()
+        .filter(adapter -> adapter.version() < versions.of(adapter.key()))
+        .isPresent();
+  }
+
+  /** Returns the inputs of placement with the newest known version of the adapter. */
+  PlacementRequest atNewestVersion(PlacementRequest request) {
+    return isSuperseded(request) ? request.withAdapter(newest(request)) : request;
+  }
+
+  private AdapterVersion newest(PlacementRequest request) {
+    AdapterKey key = request.adapter().orElseThrow().key();
+    return new AdapterVersion(key, versions.of(key));
+  }
+
   /** Checks a request again before it is sent; returns empty if it may be sent. */
   Optional<HornbeamusherException> refusal(RoutedRequest request) {
     Optional<HornbeamusherException> refusal =
--- a/runtime/src/main/java/org/hornbeamusher/placement/PlacementRequest.java
+++ b/runtime/src/main/java/org/hornbeamusher/placement/PlacementRequest.java
@@ -26,4 +26,15 @@
   public PlacementRequest {
     parts = List.copyOf(parts);
   }
+
+  /**
+   * Returns the same request for another version of its adapter.
+   *
+   * @param version the adapter with the version
+   * @return a request that differs in the adapter only
+   */
+  public PlacementRequest withAdapter(AdapterVersion version) {
+    return new PlacementRequest(
+        hash, Optional.of(version), promptTokens, outputTokens, bytes, parts);
+  }
 }
