Interim responses are not taken for the final one

Reported: an endpoint stopped in the head of its response and closed; callers got 200 with an empty or short body that looked complete. That was not reproduced: with a head cut after each byte HttpClient fails each time, and through an entry no caller gets 200, on the old code too (CutHeadTest.responseThatEndsInItsHeadFails, CutHeadPathTest; both pass before).

Found beside it: any interim response but 100 was reported as a complete response without a body, whether the final one came or not, and the connection went back to the pool with the final response still to come. Under the product's own interface a status other than 200 means that an engine did not run the attempt.

Cause: the client library handles 100 only. InterimResponseFilter removes interim responses below it. A final status below 200, as an unrequested 101, fails the exchange.

CutHeadTest on: interimResponseIsNotFinal (cut at byte 40: a response), nextRequestOnTheConnectionGetsItsOwnResponse ("" instead of "one!") and unrequestedUpgradeFails fail; all pass now.

--- a/runtime/src/main/java/org/hornbeamusher/http/ConnectionPool.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/ConnectionPool.java
@@ -98,7 +98,8 @@
     return new ClientCallback<>() {
       @Override
       public void completed(ClientConnection opened) {
-        openConnections.put(opened, new OpenConnection(connector.opened()));
+        openConnections.put(
+            opened, new OpenConnection(connector.opened(), connector.openedFilter()));
         opened.addCloseListener(
             closed -> {
               openConnections.remove(opened);
--- a/runtime/src/main/java/org/hornbeamusher/http/HttpExchange.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/HttpExchange.java
@@ -31,6 +31,8 @@
 
   private static final int READ_BYTES = 16 * 1024;
 
+  private static final int MIN_FINAL_STATUS = 200;
+
   /** After this time without a pause other connections of the I/O thread get their turn. */
   private static final long MAX_TURN_MILLIS = 5;
 
@@ -198,8 +200,12 @@
       return;
     }
     progressed();
-    source = exchange.getResponseChannel();
     HttpHead head = headOf(exchange);
+    if (head.status() < MIN_FINAL_STATUS) {
+      fail(new IOException("status " + head.status() + " without a request for an upgrade"));
+      return;
+    }
+    source = exchange.getResponseChannel();
     usableMillis = KeepAlive.usableMillis(head);
     listener.head(head);
     source.getReadSetter().set(this::read);
--- a/runtime/src/main/java/org/hornbeamusher/http/LimitedConnector.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/LimitedConnector.java
@@ -11,9 +11,9 @@
 import org.xnio.channels.BoundChannel;
 
 /**
- * Opens connections on an I/O thread and limits the bytes that are read from each of them. The
- * client library accepts a thread to connect with, but no conduit. It is never started; everything
- * runs on the I/O thread.
+ * Opens connections on an I/O thread, limits the bytes that are read from each of them and removes
+ * interim responses. The client library accepts a thread to connect with, but no conduit. It is
+ * never started; everything runs on the I/O thread.
  */
 final class LimitedConnector extends XnioIoThread {
 
@@ -22,6 +22,8 @@
   /** The limit of the connection that is being opened; read by the callback that receives it. */
   private ResponseByteLimit opened;
 
+  private InterimResponseFilter openedFilter;
+
   LimitedConnector(XnioIoThread thread) {
     super(thread.getWorker(), thread.getNumber());
     this.thread = thread;
@@ -32,6 +34,11 @@
     return opened;
   }
 
+  /** Returns the filter of the connection that was opened last. */
+  InterimResponseFilter openedFilter() {
+    return openedFilter;
+  }
+
   @Override
   protected IoFuture<StreamConnection> openTcpStreamConnection(
       InetSocketAddress bindAddress,
@@ -46,7 +53,8 @@
   private void limit(
       StreamConnection connection, ChannelListener<? super StreamConnection> openListener) {
     opened = new ResponseByteLimit(connection.getSourceChannel().getConduit());
-    connection.getSourceChannel().setConduit(opened);
+    openedFilter = new InterimResponseFilter(opened);
+    connection.getSourceChannel().setConduit(openedFilter);
     @SuppressWarnings("unchecked")
     ChannelListener<StreamConnection> listener = (ChannelListener<StreamConnection>) openListener;
     listener.handleEvent(connection);
--- a/runtime/src/main/java/org/hornbeamusher/http/OpenConnection.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/OpenConnection.java
@@ -6,11 +6,13 @@
 final class OpenConnection {
 
   private final ResponseByteLimit limit;
+  private final InterimResponseFilter filter;
   private final long openedMillis = MonotonicClock.INSTANCE.millis();
   private int requests;
 
-  OpenConnection(ResponseByteLimit limit) {
+  OpenConnection(ResponseByteLimit limit, InterimResponseFilter filter) {
     this.limit = limit;
+    this.filter = filter;
   }
 
   /** Returns the limit on its bytes that become no response. */
@@ -20,6 +22,7 @@
 
   /** Counts a request that is sent next; called on the connection's I/O thread. */
   ConnectionUse requestSent() {
+    filter.awaitResponse();
     return new ConnectionUse(requests++, MonotonicClock.INSTANCE.millis() - openedMillis);
   }
 }
