--- a/runtime/src/test/java/org/hornbeamusher/forwarding/StreamOriginsTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/forwarding/StreamOriginsTest.java
@@ -121,6 +121,23 @@
     assertEquals(1, streamRows().size());
   }
 
+  /** Guards against rows that are lost with a restore of the table and that nobody writes again. */
+  @Test
+  void rowsAreWrittenAgainAfterRestore() {
+    add("a", "v1");
+    add("b", "v2");
+    origins.begun("first", "s", new StreamOrigin(Optional.empty(), version("v1")));
+    loop.runUntil(4_000);
+    List<Transaction.Write> deletions = new ArrayList<>();
+    deletions.add(new Transaction.Write.Delete(ROW));
+    streamRows().forEach(row -> deletions.add(new Transaction.Write.Delete(row.key())));
+    table.commit(new Transaction(List.of(), deletions)).join();
+    origins.tablesRestored();
+    loop.runUntil(8_000);
+    assertEquals("[\"v1\",\"v2\"]", stored());
+    assertEquals(1, streamRows().size());
+  }
+
   /** Guards against rows of ended entries that stay for ever. */
   @Test
   void rowsOfEndedEntriesAreDeleted() {
