The connection of a large body is not half-closed

Cause: a body that does not fit into the socket's buffer is written in several turns. With its last byte the library may give the output back to the connection, and shutdownWrites then ends it. Ruled out: the entry's new reader of bodies (Undertow's own shows it as well; callers on plain sockets do not).

Change: the output is not shut down on that path; the connection is closed after the response instead of reused.

--- a/runtime/src/main/java/org/hornbeamusher/http/HttpExchange.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/HttpExchange.java
@@ -164,7 +164,11 @@
     StreamSinkChannel sink = exchange.getRequestChannel();
     ByteBuffer body = ByteBuffer.wrap(call.body());
     try {
-      if (!writeAll(sink, body)) {
+      if (writeAll(sink, body)) {
+        sink.shutdownWrites();
+        bodySent = sink.flush();
+      }
+      if (!bodySent) {
         sink.getWriteSetter().set(channel -> continueBody(channel, body));
         sink.resumeWrites();
       }
@@ -173,9 +177,15 @@
     }
   }
 
+  /**
+   * Writes the rest of a body that did not fit at once. With the last byte the library may have
+   * returned the connection's output; a shutdown would then end it, which the peer takes for a
+   * caller that has gone. Without one the library does not take another request, so the connection
+   * is not reused.
+   */
   private void continueBody(StreamSinkChannel sink, ByteBuffer body) {
     try {
-      if (writeAll(sink, body)) {
+      if (writeAll(sink, body) && sink.flush()) {
         sink.suspendWrites();
       }
     } catch (IOException e) {
@@ -183,6 +193,7 @@
     }
   }
 
+  /** Writes until the connection accepts no more; returns whether the body is written. */
   private boolean writeAll(StreamSinkChannel sink, ByteBuffer body) throws IOException {
     while (body.hasRemaining()) {
       if (sink.write(body) == 0) {
@@ -190,9 +201,7 @@
       }
       listener.requestPartSent();
     }
-    sink.shutdownWrites();
-    bodySent = sink.flush();
-    return bodySent;
+    return true;
   }
 
   private void head(ClientExchange exchange) {
