--- a/runtime/src/main/java/org/hornbeamusher/http/InterimResponseFilter.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/InterimResponseFilter.java
@@ -25,6 +25,10 @@
   private static final int STATUS_END = 12;
 
   private static final int STATUS_BEGIN = 9;
+
+  /** The first digit of the status of an interim response. */
+  private static final byte INTERIM_CLASS = '1';
+
   private static final String SWITCHING_PROTOCOLS = "101";
 
   /** Bytes of a status line whose status has not arrived completely. */
@@ -49,15 +53,24 @@
   @Override
   public int read(ByteBuffer target) throws IOException {
     while (position != Position.FINAL_RESPONSE) {
-      ByteBuffer part = ByteBuffer.allocate(target.remaining() - heldBytes);
-      int count = super.read(part);
+      int begin = target.position();
+      int end = target.limit();
+      target.limit(end - heldBytes);
+      int count = super.read(target);
+      target.limit(end);
       if (count < 0 && heldBytes > 0) {
         return release(target, ByteBuffer.allocate(0));
       }
       if (count <= 0) {
         return count;
       }
-      part.flip();
+      if (beginsFinalResponse(target, begin, count)) {
+        position = Position.FINAL_RESPONSE;
+        return count;
+      }
+      ByteBuffer part = ByteBuffer.allocate(count);
+      part.put(target.flip().position(begin)).flip();
+      target.limit(end).position(begin);
       skip(part);
       if (position == Position.FINAL_RESPONSE) {
         return release(target, part);
@@ -66,6 +79,14 @@
     return super.read(target);
   }
 
+  /** Recognises nearly all responses without a copy. */
+  private boolean beginsFinalResponse(ByteBuffer target, int begin, int count) {
+    return position == Position.STATUS_LINE
+        && heldBytes == 0
+        && count > STATUS_BEGIN
+        && target.get(begin + STATUS_BEGIN) != INTERIM_CLASS;
+  }
+
   @Override
   public long read(ByteBuffer[] targets, int offset, int length) throws IOException {
     if (position == Position.FINAL_RESPONSE) {
@@ -117,7 +138,7 @@
       return held[last] == VERSION[last];
     }
     if (last == STATUS_BEGIN) {
-      return held[last] == '1';
+      return held[last] == INTERIM_CLASS;
     }
     return heldBytes < STATUS_END
         || !new String(held, StandardCharsets.US_ASCII).endsWith(SWITCHING_PROTOCOLS);
