--- a/runtime/src/main/java/org/hornbeamusher/http/InterimResponseFilter.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/InterimResponseFilter.java
@@ -53,8 +53,8 @@
   @Override
   public int read(ByteBuffer target) throws IOException {
     while (position != Position.FINAL_RESPONSE) {
-      int begin = target.position();
-      int end = target.limit();
+      final int begin = target.position();
+      final int end = target.limit();
       target.limit(end - heldBytes);
       int count = super.read(target);
       target.limit(end);
@@ -79,14 +79,6 @@
     return super.read(target);
   }
 
-  /** Recognises nearly all responses without a copy. */
-  private boolean beginsFinalResponse(ByteBuffer target, int begin, int count) {
-    return position == Position.STATUS_LINE
-        && heldBytes == 0
-        && count > STATUS_BEGIN
-        && target.get(begin + STATUS_BEGIN) != INTERIM_CLASS;
-  }
-
   @Override
   public long read(ByteBuffer[] targets, int offset, int length) throws IOException {
     if (position == Position.FINAL_RESPONSE) {
@@ -100,6 +92,14 @@
     return 0;
   }
 
+  /** Recognises nearly all responses without a copy. */
+  private boolean beginsFinalResponse(ByteBuffer target, int begin, int count) {
+    return position == Position.STATUS_LINE
+        && heldBytes == 0
+        && count > STATUS_BEGIN
+        && target.get(begin + STATUS_BEGIN) != INTERIM_CLASS;
+  }
+
   /** Passes on the bytes that were held and those of a part. */
   private int release(ByteBuffer target, ByteBuffer part) {
     position = Position.FINAL_RESPONSE;
