A waiting request keeps the version it was placed for for half of the bound

Each publication sent every waiting request of the adapter to the end of a queue, which waits until the engine has replaced it.

Change: a placement takes the newest version, as before; a request that waits may still begin on its version until half of the bound has passed since the first newer one was received.

--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
@@ -82,6 +82,7 @@
   private final FairShares<InetSocketAddress> shares;
   private final UsageExchange usage;
   private final MemoryBudget memory = MemoryBudget.ofHeap();
+  private final SupersededVersions superseded;
   private final SoftwareHistory software = new SoftwareHistory();
   private final CrashHistory crashHistory;
   private final CrashReports crashReports;
@@ -130,6 +131,7 @@
     this.clock = clock;
     this.loop = http.loop();
     this.freshness = new ConfigurationFreshness(elapsed);
+    this.superseded = new SupersededVersions(settings.versionGraceMillis());
     this.meter = new QuotaMeter<>(QuotaSettings.DEFAULT, settings.quotas());
     this.accounts = new AccountCheck(freshness, settings.revocation());
     Placer placer = new Placer(PlacementSettings.DEFAULT, settings.zone());
@@ -184,6 +186,7 @@
             new RequestAdmission(
                 configuration,
                 versions,
+                superseded,
                 accounts,
                 meter,
                 usage,
@@ -354,6 +357,7 @@
    */
   public void onAdapterVersion(AdapterKey adapter, long version) {
     if (context.versions().offer(adapter, version)) {
+      superseded.received(adapter, version, clock.millis());
       EventLog.log(EventType.VERSION_IN_FORCE, "adapter", adapter, "version", version);
     }
   }
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardSettings.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardSettings.java
@@ -19,6 +19,8 @@
  * @param drainMillis maximum duration of a drain
  * @param list settings for reading the list of endpoints
  * @param maxStartupHoldMillis longest time that callers wait for the configuration at startup
+ * @param versionGraceMillis how long a request that waits may still begin on a version of its
+ *     adapter after a newer one was received
  * @param retries limits of retries
  * @param revocation how soon a revoked key is refused
  * @param quotas tolerated overshoot of the quotas of client accounts
@@ -34,6 +36,7 @@
     long drainMillis,
     EndpointListSettings list,
     long maxStartupHoldMillis,
+    long versionGraceMillis,
     ServiceRetrySettings retries,
     RevocationBounds revocation,
     QuotaTolerance quotas,
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
@@ -36,8 +36,9 @@
  *   <li>it may have run and is not repeatable: the caller is told that its outcome is unknown.
  * </ul>
  *
- * <p>Each attempt runs on the newest version of its adapter that is known when it is sent, so that
- * a stream which goes on at another endpoint does not begin there on an older one.
+ * <p>Each attempt is placed for the newest known version of its adapter, so that a stream which
+ * goes on at another endpoint does not begin there on an older one. {@link SupersededVersions}
+ * decides for how long one that waits may still begin on that version.
  *
  * <p>Every further send to a service uses the retry budget, unless the one before did not reach the
  * endpoint. A status that guarantees "not run" is returned only if every send was refused or did
@@ -378,7 +379,7 @@
     AdapterVersion adapter = placementRequest.adapter().orElseThrow();
     // The agent may not have been connected when the request was placed, so it has no reservation.
     boolean unknown = reservation == EngineReservation.NONE && endpoint.agentConnected();
-    if (unknown || !endpoint.takesRequests(now()) || isSuperseded()) {
+    if (unknown || !endpoint.takesRequests(now()) || isVersionExpired()) {
       placeAgain();
       return;
     }
@@ -433,7 +434,7 @@
       giveUp(refusal.get());
       return;
     }
-    if (!endpoint.takesRequests(now()) || !continuation.mayRunAt(endpoint) || isSuperseded()) {
+    if (!endpoint.takesRequests(now()) || !continuation.mayRunAt(endpoint) || isVersionExpired()) {
       placeAgain();
       return;
     }
@@ -469,12 +470,11 @@
 
   @Override
   public boolean maySend() {
-    return !context.crashes().isRefused(suspects) && !isSuperseded();
+    return !context.crashes().isRefused(suspects) && !isVersionExpired();
   }
 
-  /** Returns whether a newer version of the adapter is known than the request was placed for. */
-  private boolean isSuperseded() {
-    return context.admission().isSuperseded(placementRequest);
+  private boolean isVersionExpired() {
+    return context.admission().isVersionExpired(placementRequest);
   }
 
   @Override
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/RequestAdmission.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/RequestAdmission.java
@@ -13,7 +13,6 @@
 import org.hornbeamusher.quota.QuotaCharge;
 import org.hornbeamusher.quota.QuotaDecision;
 import org.hornbeamusher.quota.QuotaMeter;
-import org.hornbeamusher.routes.AdapterKey;
 import org.hornbeamusher.routes.Configuration;
 import org.hornbeamusher.routes.CurrentConfiguration;
 import org.hornbeamusher.routes.LatestAdapterVersions;
@@ -29,6 +28,7 @@
 
   private final CurrentConfiguration configuration;
   private final LatestAdapterVersions versions;
+  private final SupersededVersions superseded;
   private final AccountCheck accounts;
   private final QuotaMeter<?> meter;
   private final UsageExchange usage;
@@ -38,6 +38,7 @@
   RequestAdmission(
       CurrentConfiguration configuration,
       LatestAdapterVersions versions,
+      SupersededVersions superseded,
       AccountCheck accounts,
       QuotaMeter<?> meter,
       UsageExchange usage,
@@ -45,6 +46,7 @@
       Clock clock) {
     this.configuration = configuration;
     this.versions = versions;
+    this.superseded = superseded;
     this.accounts = accounts;
     this.meter = meter;
     this.usage = usage;
@@ -92,24 +94,22 @@
             metadata.parts()));
   }
 
-  /**
-   * Returns whether a newer version of a request's adapter is known than the one it was placed for.
-   */
-  boolean isSuperseded(PlacementRequest request) {
+  /** Returns whether a request may no longer begin on the version that it was placed for. */
+  boolean isVersionExpired(PlacementRequest request) {
     return request
         .adapter()
-        .filter(adapter -> adapter.version() < versions.of(adapter.key()))
+        .filter(adapter -> superseded.isExpired(adapter, clock.millis()))
         .isPresent();
   }
 
   /** Returns the inputs of placement with the newest known version of the adapter. */
   PlacementRequest atNewestVersion(PlacementRequest request) {
-    return isSuperseded(request) ? request.withAdapter(newest(request)) : request;
-  }
-
-  private AdapterVersion newest(PlacementRequest request) {
-    AdapterKey key = request.adapter().orElseThrow().key();
-    return new AdapterVersion(key, versions.of(key));
+    return request
+        .adapter()
+        .map(adapter -> new AdapterVersion(adapter.key(), versions.of(adapter.key())))
+        .filter(newest -> newest.version() > request.adapter().get().version())
+        .map(request::withAdapter)
+        .orElse(request);
   }
 
   /** Checks a request again before it is sent; returns empty if it may be sent. */
--- a/runtime/src/main/java/org/hornbeamusher/holdings/AdapterSlots.java
+++ b/runtime/src/main/java/org/hornbeamusher/holdings/AdapterSlots.java
@@ -32,8 +32,8 @@
  *       entries are notified that it is no longer held, and it is unloaded only after {@link
  *       #WITHDRAWAL_MILLIS}. A request that an entry sent in the meantime comes with a reservation,
  *       which cancels the withdrawal.
- *   <li>An adapter for which a newer version was published is not reported to entries as held and
- *       not granted to waiting requests; it is replaced once its last reservation has ended.
+ *   <li>An adapter for which a newer version was published is not reported to entries as held; it
+ *       is replaced once its last reservation has ended.
  * </ul>
  *
  * <p>Example with two slots, both occupied: A has a reservation, B has none, and C is wanted. B is
@@ -284,12 +284,7 @@
       return true;
     }
     Long version = report.adapters().get(adapter.key());
-    return version != null && version >= required(adapter) && !isReplacing(adapter.key());
-  }
-
-  /** An entry may not have received the newest version when it sent its reservation. */
-  private long required(AdapterVersion adapter) {
-    return Math.max(adapter.version(), versions.of(adapter.key()));
+    return version != null && version >= adapter.version() && !isReplacing(adapter.key());
   }
 
   private boolean isReplacing(AdapterKey key) {
