--- a/runtime/src/main/java/org/hornbeamusher/forwarding/CallerResponse.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/CallerResponse.java
@@ -13,15 +13,13 @@
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
-import org.hornbeamusher.clock.MonotonicClock;
 import org.hornbeamusher.failure.HornbeamusherException;
 import org.hornbeamusher.failure.Outcome;
 import org.hornbeamusher.http.HttpHeader;
 import org.hornbeamusher.memory.MemoryReservation;
 import org.hornbeamusher.server.ConnectionCloseTask;
+import org.hornbeamusher.server.StallTimer;
 import org.xnio.IoUtils;
-import org.xnio.XnioExecutor;
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.conduits.StreamSourceConduit;
 
@@ -68,16 +66,16 @@
   private Runnable drainedTask = () -> {};
   private StreamSinkChannel sink;
 
-  /** When bytes were last written while the end of the response waits for its caller. */
-  private long lastWriteMillis;
+  /** Runs while the end of the response waits for its caller. */
+  private final StallTimer unreadTimer;
 
-  private XnioExecutor.Key unreadTimer;
   private boolean ending;
   private boolean ended;
 
   CallerResponse(HttpServerExchange exchange, MemoryReservation memory) {
     this.exchange = exchange;
     this.memory = memory;
+    this.unreadTimer = new StallTimer(exchange.getIoThread(), UNREAD_TIMEOUT_MILLIS, this::abort);
     ConnectionCloseTask.set(exchange.getConnection(), this::disconnected);
   }
 
@@ -146,9 +144,7 @@
     unwrittenBytes = 0;
     ConnectionCloseTask.clear(exchange.getConnection());
     memory.release();
-    if (unreadTimer != null) {
-      unreadTimer.remove();
-    }
+    unreadTimer.stop();
   }
 
   /** Runs a task after writes that leave {@link #isCongested} false. */
@@ -257,11 +253,10 @@
   void end() {
     if (!ended) {
       ending = true;
-      lastWriteMillis = MonotonicClock.INSTANCE.millis();
       flush();
     }
     if (!ended) {
-      scheduleUnreadCheck(UNREAD_TIMEOUT_MILLIS);
+      unreadTimer.start();
     }
   }
 
@@ -304,7 +299,9 @@
       if (!first.hasRemaining()) {
         unwritten.poll();
       }
-      lastWriteMillis = count > 0 ? MonotonicClock.INSTANCE.millis() : lastWriteMillis;
+    }
+    if (ending) {
+      unreadTimer.progressed();
     }
     memory.setResponseBytes(bufferedBytes + unwrittenBytes);
     if (!isCongested()) {
@@ -313,24 +310,6 @@
     return unwritten.isEmpty();
   }
 
-  private void scheduleUnreadCheck(long afterMillis) {
-    unreadTimer =
-        exchange.getIoThread().executeAfter(this::checkUnread, afterMillis, TimeUnit.MILLISECONDS);
-  }
-
-  /** Closes the connection of a caller that has stopped reading. */
-  private void checkUnread() {
-    long unreadMillis = MonotonicClock.INSTANCE.millis() - lastWriteMillis;
-    if (ended) {
-      return;
-    }
-    if (unreadMillis >= UNREAD_TIMEOUT_MILLIS) {
-      abort();
-    } else {
-      scheduleUnreadCheck(UNREAD_TIMEOUT_MILLIS - unreadMillis);
-    }
-  }
-
   private void finish() throws IOException {
     release();
     sink.suspendWrites();
--- a/runtime/src/main/java/org/hornbeamusher/memory/MemoryReservation.java
+++ b/runtime/src/main/java/org/hornbeamusher/memory/MemoryReservation.java
@@ -33,7 +33,7 @@
    * @param bytes buffered or unwritten bytes
    */
   public void setResponseBytes(long bytes) {
-    if (!released) {
+    if (!released && bytes != responseBytes) {
       budget.add(bytes - responseBytes);
       responseBytes = bytes;
     }
--- a/runtime/src/main/java/org/hornbeamusher/process/FatalErrors.java
+++ b/runtime/src/main/java/org/hornbeamusher/process/FatalErrors.java
@@ -12,7 +12,7 @@
  */
 public final class FatalErrors {
 
-  private static final int EXIT_STATUS = 71;
+  static final int EXIT_STATUS = 71;
 
   /** Lines are written by a thread of their own, for which a stalled reader must not be awaited. */
   private static final long LOG_MILLIS = 200;
--- a/runtime/src/main/java/org/hornbeamusher/server/RequestBodyReader.java
+++ b/runtime/src/main/java/org/hornbeamusher/server/RequestBodyReader.java
@@ -7,11 +7,8 @@
 import java.net.SocketTimeoutException;
 import java.nio.ByteBuffer;
 import java.nio.channels.ClosedChannelException;
-import java.util.concurrent.TimeUnit;
-import org.hornbeamusher.clock.MonotonicClock;
 import org.hornbeamusher.memory.MemoryBudget;
 import org.hornbeamusher.memory.MemoryReservation;
-import org.xnio.XnioExecutor;
 import org.xnio.channels.StreamSourceChannel;
 
 /**
@@ -45,8 +42,7 @@
   private final ByteBuffer sized;
 
   private final ByteArrayOutputStream unsized = new ByteArrayOutputStream();
-  private long lastReadMillis = MonotonicClock.INSTANCE.millis();
-  private XnioExecutor.Key stallTimer;
+  private final StallTimer stallTimer;
   private boolean ended;
 
   private RequestBodyReader(
@@ -54,6 +50,7 @@
     this.exchange = exchange;
     this.memory = memory;
     this.listener = listener;
+    this.stallTimer = new StallTimer(exchange.getIoThread(), STALL_TIMEOUT_MILLIS, this::stalled);
     this.sized = length < 0 ? null : ByteBuffer.allocate(length);
   }
 
@@ -120,7 +117,7 @@
     StreamSourceChannel channel = exchange.getRequestChannel();
     channel.getReadSetter().set(this::readAvailable);
     if (readAvailable(channel)) {
-      scheduleStallCheck(STALL_TIMEOUT_MILLIS);
+      stallTimer.start();
       channel.resumeReads();
     }
   }
@@ -139,7 +136,7 @@
           complete();
           return false;
         }
-        lastReadMillis = MonotonicClock.INSTANCE.millis();
+        stallTimer.progressed();
       }
     } catch (IOException e) {
       fail(e);
@@ -195,26 +192,11 @@
     }
     ended = true;
     ConnectionCloseTask.clear(exchange.getConnection());
-    if (stallTimer != null) {
-      stallTimer.remove();
-    }
+    stallTimer.stop();
     return true;
   }
 
-  private void scheduleStallCheck(long afterMillis) {
-    stallTimer =
-        exchange.getIoThread().executeAfter(this::checkStall, afterMillis, TimeUnit.MILLISECONDS);
-  }
-
-  private void checkStall() {
-    long silentMillis = MonotonicClock.INSTANCE.millis() - lastReadMillis;
-    if (ended) {
-      return;
-    }
-    if (silentMillis >= STALL_TIMEOUT_MILLIS) {
-      fail(new SocketTimeoutException("no part of the body within " + silentMillis + " ms"));
-    } else {
-      scheduleStallCheck(STALL_TIMEOUT_MILLIS - silentMillis);
-    }
+  private void stalled() {
+    fail(new SocketTimeoutException("no part of the body within " + STALL_TIMEOUT_MILLIS + " ms"));
   }
 }
