A Store-Era that cannot be read is logged

It was taken for the known era without a line, so nobody could tell from the log why a restore went unnoticed. No test of its own: the decision is as before.

--- a/runtime/src/main/java/org/hornbeamusher/events/EventType.java
+++ b/runtime/src/main/java/org/hornbeamusher/events/EventType.java
@@ -111,6 +111,8 @@
   TABLE_CURRENT(1605, Level.INFO, "The local copy of a table is recent enough again."),
   STORE_RESTORED(
       1606, Level.WARNING, "The store was restored from a copy; its tables are read again."),
+  STORE_ERA_UNREADABLE(
+      1607, Level.WARNING, "The era of the store is no number; it is taken for the known one."),
   // 1700: settings and operators
   DRAIN_ORDERED(1701, Level.INFO, "An operator ordered this process to drain."),
   OPERATOR_REFUSED(1702, Level.WARNING, "An operator's token does not allow the request."),
