Logs: the sums that a quota decision was based on, refunds and decreases

A client account got more than its quota, and no line says by which sums an entry admitted, that a charge was returned and how long after it was made, or that the known usage of the other entries went down. So the three hypotheses of the incident leave the same lines.

QUOTA_CHARGED (at most one line a second for each account, from half of its limit on), QUOTA_REFUNDED, QUOTA_USAGE_DECREASED, and the sums in ACCOUNT_REFUSED. No decision changes.

--- a/runtime/src/main/java/org/hornbeamusher/events/EventType.java
+++ b/runtime/src/main/java/org/hornbeamusher/events/EventType.java
@@ -44,6 +44,13 @@
       1116, Level.INFO, "A request beyond its account's fair share was ranked down or refused."),
   CRASHES_CLEARED(
       1117, Level.INFO, "A response cleared the crashes recorded for a content or a part."),
+  QUOTA_CHARGED(
+      1118,
+      Level.INFO,
+      "A request of an account near its quota was admitted; at most one line a second for each."),
+  QUOTA_REFUNDED(1119, Level.INFO, "The quota charge of a request that did not run was returned."),
+  QUOTA_USAGE_DECREASED(
+      1123, Level.INFO, "The known usage of an account at the other entries has decreased."),
   FORECAST_REFUSED(
       1120, Level.INFO, "A request was refused because of the forecast of its first event."),
   RETURN_PLANNED(1121, Level.INFO, "A refused caller was told when capacity is expected."),
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/QuotaLog.java
@@ -0,0 +1,124 @@
+package org.hornbeamusher.forwarding;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.hornbeamusher.accounts.AccountName;
+import org.hornbeamusher.accounts.ClientAccount;
+import org.hornbeamusher.events.EventLog;
+import org.hornbeamusher.events.EventType;
+import org.hornbeamusher.failure.FailureType;
+import org.hornbeamusher.quota.QuotaCharge;
+import org.hornbeamusher.quota.QuotaDecision;
+import org.hornbeamusher.quota.QuotaState;
+
+/** Logs how the quotas of client accounts were applied. Confined to the event loop. */
+final class QuotaLog {
+
+  /** Shortest time between two lines about the admitted requests of one account. */
+  private static final long ADMITTED_INTERVAL_MILLIS = 1_000;
+
+  private static final int MAX_ACCOUNTS = 10_000;
+
+  /** When a line about admitted requests was last written, by account. */
+  private final Map<AccountName, Long> admitted =
+      new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<AccountName, Long> eldest) {
+          return size() > MAX_ACCOUNTS;
+        }
+      };
+
+  /** Logs what an admission was based on if its account is near its limit. */
+  void admitted(String id, QuotaDecision.Admitted decision, long configuration, long now) {
+    AccountName account = decision.charge().account();
+    QuotaState state = decision.state();
+    if (!state.isNearLimit()
+        || now - admitted.getOrDefault(account, now - ADMITTED_INTERVAL_MILLIS)
+            < ADMITTED_INTERVAL_MILLIS) {
+      return;
+    }
+    admitted.put(account, now);
+    EventLog.log(
+        EventType.QUOTA_CHARGED,
+        "id",
+        id,
+        "account",
+        account,
+        "configuration",
+        configuration,
+        "cost",
+        decision.charge().units(),
+        "local_units",
+        state.localUnits(),
+        "remote_units",
+        state.remoteUnits(),
+        "limit_units",
+        state.limitUnits(),
+        "level",
+        state.level(),
+        "reachable",
+        state.reachable(),
+        "entries",
+        state.entries(),
+        "update_age_ms",
+        state.updateAgeMillis());
+  }
+
+  void refused(
+      String id,
+      ClientAccount account,
+      long cost,
+      QuotaDecision.Exceeded decision,
+      long configuration) {
+    QuotaState state = decision.state();
+    EventLog.log(
+        EventType.ACCOUNT_REFUSED,
+        "id",
+        id,
+        "account",
+        account.name(),
+        "cause",
+        FailureType.QUOTA_EXCEEDED.label(),
+        "configuration",
+        configuration,
+        "cost",
+        cost,
+        "level",
+        state.level(),
+        "rate_per_s",
+        account.quota().ratePerSecond(),
+        "local_units",
+        state.localUnits(),
+        "remote_units",
+        state.remoteUnits(),
+        "limit_units",
+        state.limitUnits(),
+        "reachable",
+        state.reachable(),
+        "entries",
+        state.entries(),
+        "update_age_ms",
+        state.updateAgeMillis(),
+        "retry_after_ms",
+        decision.retryAfterMillis());
+  }
+
+  void refunded(String id, QuotaCharge charge, long now) {
+    EventLog.log(
+        EventType.QUOTA_REFUNDED,
+        "id",
+        id,
+        "account",
+        charge.account(),
+        "units",
+        charge.units(),
+        "charged_ms",
+        now - charge.chargedMillis());
+  }
+
+  /** Logs that the usage of the other entries, as far as known here, has decreased. */
+  static void remoteUsageDecreased(AccountName account, Object relay, long units) {
+    EventLog.log(
+        EventType.QUOTA_USAGE_DECREASED, "account", account, "relay", relay, "units", units);
+  }
+}
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/RequestAdmission.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/RequestAdmission.java
@@ -34,6 +34,7 @@
   private final UsageExchange usage;
   private final RequestShares shares;
   private final Clock clock;
+  private final QuotaLog quotaLog = new QuotaLog();
 
   RequestAdmission(
       CurrentConfiguration configuration,
@@ -146,7 +147,16 @@
 
   /** Refunds the quota charge of a request that did not run. */
   void refund(RoutedRequest request) {
-    request.charge().ifPresent(charge -> meter.refund(charge, clock.millis()));
+    request
+        .charge()
+        .filter(charge -> charge.units() > 0)
+        .ifPresent(charge -> refund(request.metadata().id(), charge));
+  }
+
+  private void refund(String id, QuotaCharge charge) {
+    long now = clock.millis();
+    meter.refund(charge, now);
+    quotaLog.refunded(id, charge, now);
   }
 
   private Optional<ClientAccount> identify(
@@ -164,34 +174,15 @@
   private QuotaCharge charge(
       ClientAccount account, RequestMetadata metadata, Configuration current) {
     long cost = account.quota().cost(metadata.tokens());
-    return switch (meter.admit(account.name(), cost, clock.millis())) {
+    long now = clock.millis();
+    return switch (meter.admit(account.name(), cost, now)) {
       case QuotaDecision.Admitted admitted -> {
+        quotaLog.admitted(metadata.id(), admitted, current.version(), now);
         usage.changed(account.name());
         yield admitted.charge();
       }
       case QuotaDecision.Exceeded exceeded -> {
-        EventLog.log(
-            EventType.ACCOUNT_REFUSED,
-            "id",
-            metadata.id(),
-            "account",
-            account.name(),
-            "cause",
-            FailureType.QUOTA_EXCEEDED.label(),
-            "configuration",
-            current.version(),
-            "cost",
-            cost,
-            "level",
-            exceeded.level(),
-            "rate_per_s",
-            account.quota().ratePerSecond(),
-            "reachable",
-            exceeded.reachable(),
-            "entries",
-            exceeded.entries(),
-            "retry_after_ms",
-            exceeded.retryAfterMillis());
+        quotaLog.refused(metadata.id(), account, cost, exceeded, current.version());
         throw HornbeamusherException.notRun(FailureType.QUOTA_EXCEEDED, account.name())
             .retryAfter(exceeded.retryAfterMillis());
       }
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/UsageExchange.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/UsageExchange.java
@@ -84,7 +84,9 @@
     Map<String, Long> demand = new HashMap<>(update.increments());
     demand.keySet().removeAll(quotas.keySet());
     long now = clock.millis();
-    meter.usageReported(agent, quotas, update.reachableEntryCount(), update.entryCount(), now);
+    meter
+        .usageReported(agent, quotas, update.reachableEntryCount(), update.entryCount(), now)
+        .forEach((account, units) -> QuotaLog.remoteUsageDecreased(account, agent, units));
     shares.usageReported(agent, demand, now);
   }
 
--- a/runtime/src/main/java/org/hornbeamusher/quota/QuotaBucket.java
+++ b/runtime/src/main/java/org/hornbeamusher/quota/QuotaBucket.java
@@ -52,8 +52,15 @@
     level = Math.min(level, next.burst());
   }
 
-  double level() {
-    return level;
+  QuotaState state(int reachable, int entries, long updateAgeMillis, long now) {
+    return new QuotaState(
+        localUsage.total(now),
+        remoteUsage.total(now),
+        Math.round(windowLimit(reachable, entries)),
+        Math.round(level),
+        reachable,
+        entries,
+        updateAgeMillis);
   }
 
   /** Refills the bucket for the time since the last call. */
--- a/runtime/src/main/java/org/hornbeamusher/quota/QuotaMeter.java
+++ b/runtime/src/main/java/org/hornbeamusher/quota/QuotaMeter.java
@@ -49,6 +49,8 @@
    */
   private static final long ENTRY_COUNT_WINDOW_MILLIS = 30_000;
 
+  private static final QuotaState UNLIMITED = new QuotaState(0, 0, 0, 0, 1, 1, -1);
+
   private final QuotaSettings settings;
   private final QuotaTolerance tolerance;
   private final Map<AccountName, QuotaBucket> buckets = new HashMap<>();
@@ -125,21 +127,18 @@
   public QuotaDecision admit(AccountName account, long cost, long now) {
     QuotaBucket bucket = buckets.get(account);
     if (bucket == null) {
-      return new QuotaDecision.Admitted(new QuotaCharge(account, 0, now));
+      return new QuotaDecision.Admitted(new QuotaCharge(account, 0, now), UNLIMITED);
     }
     refill(bucket, now);
     int entries = entryCount();
     int reachable = reachableEntryCount(now);
+    QuotaState state = bucket.state(reachable, entries, updateAgeMillis(now), now);
     if (!bucket.mayAdmit(reachable, entries, now)) {
-      return new QuotaDecision.Exceeded(
-          bucket.retryAfterMillis(reachable, entries, now),
-          Math.round(bucket.level()),
-          reachable,
-          entries);
+      return new QuotaDecision.Exceeded(bucket.retryAfterMillis(reachable, entries, now), state);
     }
     bucket.charge(cost, now);
     totals.add(account, cost);
-    return new QuotaDecision.Admitted(new QuotaCharge(account, cost, now));
+    return new QuotaDecision.Admitted(new QuotaCharge(account, cost, now), state);
   }
 
   /**
@@ -210,12 +209,14 @@
    * @param reachable number of entries that report to the relay
    * @param entries number of entries that share the quotas, as counted by the relay
    * @param now milliseconds
+   * @return by how many units the known usage of others has decreased, by account; empty if it has
+   *     not
    */
-  public void usageReported(
+  public Map<AccountName, Long> usageReported(
       R relay, Map<String, Long> increments, int reachable, int entries, long now) {
     RelayState from = relays.get(relay);
     if (from == null) {
-      return;
+      return Map.of();
     }
     from.reachable = reachable;
     from.reportedMillis = now;
@@ -223,8 +224,15 @@
     Map<AccountName, Long> byAccount = new HashMap<>();
     increments.forEach((account, units) -> byAccount.put(new AccountName(account), units));
     totals.receive(relay, byAccount);
-    byAccount.keySet().forEach(account -> applyRemoteUsage(account, now));
+    Map<AccountName, Long> decreases = new HashMap<>();
+    for (AccountName account : byAccount.keySet()) {
+      long change = applyRemoteUsage(account, now);
+      if (change < 0) {
+        decreases.put(account, -change);
+      }
+    }
     buckets.values().forEach(bucket -> remoteUsageUpdated(bucket, now));
+    return decreases;
   }
 
   private void remoteUsageUpdated(QuotaBucket bucket, long now) {
@@ -232,12 +240,16 @@
     bucket.remoteUsageUpdated();
   }
 
-  private void applyRemoteUsage(AccountName account, long now) {
+  /** Returns by how many units the known usage of others has changed. */
+  private long applyRemoteUsage(AccountName account, long now) {
     QuotaBucket bucket = buckets.get(account);
-    if (bucket != null) {
-      refill(bucket, now);
-      bucket.chargeRemote(totals.takeRemoteChange(account), now);
+    if (bucket == null) {
+      return 0;
     }
+    refill(bucket, now);
+    long change = totals.takeRemoteChange(account);
+    bucket.chargeRemote(change, now);
+    return change;
   }
 
   private void refill(QuotaBucket bucket, long now) {
@@ -270,10 +282,25 @@
     return max;
   }
 
+  /** Returns the time since the last report of a connected relay, or -1 if there is none. */
+  private long updateAgeMillis(long now) {
+    return relays.values().stream()
+        .filter(RelayState::hasReported)
+        .mapToLong(relay -> now - relay.reportedMillis)
+        .min()
+        .orElse(-1);
+  }
+
   /** What a relay reported last. */
   private static final class RelayState {
 
+    private static final long NEVER = Long.MIN_VALUE / 2;
+
     private int reachable = 1;
-    private long reportedMillis = Long.MIN_VALUE / 2;
+    private long reportedMillis = NEVER;
+
+    private boolean hasReported() {
+      return reportedMillis != NEVER;
+    }
   }
 }
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/quota/QuotaState.java
@@ -0,0 +1,33 @@
+package org.hornbeamusher.quota;
+
+/**
+ * What an entry knew of the usage of a client account when it decided on a request.
+ *
+ * @param localUnits units charged at this entry in the window
+ * @param remoteUnits units charged at the other entries in the window, as far as known
+ * @param limitUnits units that may be charged in the window by the entries that reach each other
+ * @param level units that are left in the bucket; negative if more was charged than it held
+ * @param reachable number of entries whose usage is known, including this one
+ * @param entries number of entries that share the quota
+ * @param updateAgeMillis time since the last update of the usage of the others; -1 before the first
+ */
+public record QuotaState(
+    long localUnits,
+    long remoteUnits,
+    long limitUnits,
+    long level,
+    int reachable,
+    int entries,
+    long updateAgeMillis) {
+
+  private static final double NEAR_LIMIT_FRACTION = 0.5;
+
+  /**
+   * Returns whether the account has used much of what its quota allows.
+   *
+   * @return whether the known usage in the window is above half of the limit
+   */
+  public boolean isNearLimit() {
+    return localUnits + remoteUnits > NEAR_LIMIT_FRACTION * limitUnits;
+  }
+}
--- a/runtime/src/test/java/org/hornbeamusher/quota/QuotaMeterTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/quota/QuotaMeterTest.java
@@ -193,6 +193,26 @@
     admitted(meter, 10, 1_000 + exceeded.retryAfterMillis());
   }
 
+  /** Guards against an excess whose inputs no log line shows. */
+  @Test
+  void decisionNamesTheUsageItWasBasedOn() {
+    QuotaMeter<String> meter = meter(1_000, 1_000);
+    admitted(meter, 300, 1_000);
+    meter.usageReported("self", Map.of("a", 200L), 1, 1, 1_010);
+    assertEquals(
+        new QuotaState(300, 200, 11_000, 522, 1, 1, 10), admitted(meter, 1, 1_020).state());
+  }
+
+  /** Guards against known usage that decreases without a log line. */
+  @Test
+  void decreaseOfKnownUsageIsReturned() {
+    QuotaMeter<String> meter = meter(1_000, 1_000);
+    assertEquals(Map.of(), meter.usageReported("self", Map.of("a", 500L), 1, 1, 1_010));
+    assertEquals(
+        Map.of(QuotaSimulation.ACCOUNT, 200L),
+        meter.usageReported("self", Map.of("a", -200L), 1, 1, 1_020));
+  }
+
   @Test
   void unlimitedAccountIsNeverRefused() {
     QuotaMeter<String> meter = new QuotaMeter<>(QuotaSettings.DEFAULT, QuotaTolerance.NONE);
