--- a/runtime/src/test/java/org/hornbeamusher/quota/QuotaMeterTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/quota/QuotaMeterTest.java
@@ -8,6 +8,7 @@
 import java.util.OptionalInt;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import net.jqwik.api.Tag;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.LongRange;
 import org.hornbeamusher.accounts.AccountName;
@@ -145,6 +146,108 @@
     assertWithin(all, after, changed + WINDOW_MILLIS);
   }
 
+  /**
+   * Guards against late refunds that count at once while their charges leave with their own time.
+   */
+  @Tag("known-red")
+  @Property(tries = 20, seed = "20261205")
+  void requestsRefusedAfterTheyWaitedDoNotRaiseTheQuota(
+      @ForAll @LongRange(min = 29_000, max = 300_000) long rate,
+      @ForAll @IntRange(min = 20, max = 80) int refusedPercent,
+      @ForAll @LongRange(min = 1_000, max = 12_000) long wait,
+      @ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
+    QuotaSimulation all =
+        new QuotaSimulation(
+            ENTRIES, QuotaSimulation.tokens(rate, 2 * rate), true, 3, seed, TOLERANCE);
+    all.run(4_000, rate / 1.8, LONG_PROMPT, 1);
+    all.refuseAfterCharge(refusedPercent / 100.0, wait);
+    all.run(wait + 4_000, rate * 6.0, LONG_PROMPT, 1);
+    all.refuseAfterCharge(0, 0);
+    all.run(wait + WINDOW_MILLIS, rate * 6.0, LONG_PROMPT, 1);
+    assertWithin(all, rate, 2 * rate, 0);
+  }
+
+  /** Guards against usage of ended entries that new relays do not know. */
+  @Tag("known-red")
+  @Property(tries = 20, seed = "20261205")
+  void lossOfRelaysDoesNotHideUsageOfRestartedEntries(
+      @ForAll @LongRange(min = 29_000, max = 300_000) long rate,
+      @ForAll @IntRange(min = 1, max = 5) int restarted,
+      @ForAll @LongRange(min = 0, max = 20_000) long betweenMillis,
+      @ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
+    QuotaSimulation all =
+        new QuotaSimulation(
+            ENTRIES, QuotaSimulation.tokens(rate, 2 * rate), true, 3, seed, TOLERANCE);
+    all.run(10_000, rate * 6.0, LONG_PROMPT, 1);
+    for (int i = 0; i < restarted; i++) {
+      all.restart(i);
+    }
+    all.run(betweenMillis, rate * 6.0, LONG_PROMPT, 1);
+    all.loseRelays();
+    all.run(12_000, rate * 6.0, LONG_PROMPT, 1);
+    assertWithin(all, rate, 2 * rate, 0);
+  }
+
+  /** Guards against a burst that is granted before and again after a restart of all entries. */
+  @Tag("known-red")
+  @Property(tries = 20, seed = "20261205")
+  void restartOfAllEntriesSoonAfterBurstDoesNotRaiseTheQuota(
+      @ForAll @LongRange(min = 29_000, max = 300_000) long rate,
+      @ForAll @LongRange(min = 500, max = 8_000) long beforeMillis,
+      @ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
+    QuotaSimulation all =
+        new QuotaSimulation(
+            ENTRIES, QuotaSimulation.tokens(rate, 2 * rate), true, 3, seed, TOLERANCE);
+    all.run(10_000, 0, LONG_PROMPT, 1);
+    all.run(beforeMillis, rate * 6.0, LONG_PROMPT, 1);
+    for (int i = 0; i < ENTRIES; i++) {
+      all.restart(i);
+    }
+    all.run(WINDOW_MILLIS, rate * 6.0, LONG_PROMPT, 1);
+    assertWithin(all, rate, 2 * rate, 0);
+  }
+
+  /** Guards against an account that gets its quota anew when it returns to the configuration. */
+  @Tag("known-red")
+  @Property(tries = 20, seed = "20261205")
+  void accountThatReturnsWithinTheWindowDoesNotGetItsQuotaAnew(
+      @ForAll @LongRange(min = 29_000, max = 300_000) long rate,
+      @ForAll @LongRange(min = 0, max = 5_000) long awayMillis,
+      @ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
+    Quota quota = QuotaSimulation.tokens(rate, 2 * rate);
+    QuotaSimulation all = new QuotaSimulation(ENTRIES, quota, true, 3, seed, TOLERANCE);
+    all.run(10_000, 0, LONG_PROMPT, 1);
+    all.run(5_000, rate * 6.0, LONG_PROMPT, 1);
+    all.removeAccount();
+    all.run(awayMillis, 0, LONG_PROMPT, 1);
+    all.configure(quota);
+    all.run(WINDOW_MILLIS, rate * 6.0, LONG_PROMPT, 1);
+    assertWithin(all, rate, 2 * rate, 0);
+  }
+
+  /** Guards against isolated entries that use their share on top of what all have used before. */
+  @Tag("known-red")
+  @Property(tries = 20, seed = "20261205")
+  void entriesThatLoseAllRelaysDoNotAddTheirShareToPastUsage(
+      @ForAll @LongRange(min = 29_000, max = 300_000) long rate,
+      @ForAll @IntRange(min = 1, max = ENTRIES) int isolated,
+      @ForAll @LongRange(min = 500, max = 8_000) long isolatedMillis,
+      @ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
+    QuotaSimulation all =
+        new QuotaSimulation(
+            ENTRIES, QuotaSimulation.tokens(rate, 2 * rate), true, 3, seed, TOLERANCE);
+    all.run(10_000, rate * 6.0, LONG_PROMPT, 1);
+    for (int i = 0; i < isolated; i++) {
+      all.setPartitionDetected(i, true);
+    }
+    all.run(isolatedMillis, rate * 6.0, LONG_PROMPT, 1);
+    for (int i = 0; i < isolated; i++) {
+      all.setPartitionDetected(i, false);
+    }
+    all.run(10_000, rate * 6.0, LONG_PROMPT, 1);
+    assertWithin(all, rate, 2 * rate, 0);
+  }
+
   /** Guards against a permanently lost relay that hides what entries admitted. */
   @Test
   void secondRelayReportsUsageThatTheFirstMissed() {
@@ -244,7 +347,11 @@
   }
 
   private static void assertWithin(QuotaSimulation all, long rate, long since) {
-    long allowed = Math.round((rate * WINDOW_MILLIS / 1_000 + rate) * OVERSHOOT) + SLACK;
+    assertWithin(all, rate, rate, since);
+  }
+
+  private static void assertWithin(QuotaSimulation all, long rate, long burst, long since) {
+    long allowed = Math.round((rate * WINDOW_MILLIS / 1_000 + burst) * OVERSHOOT) + SLACK;
     long max = all.maxInWindow(WINDOW_MILLIS, since);
     assertTrue(max <= allowed, "admitted " + max + " units in a window, allowed " + allowed);
   }
--- a/runtime/src/test/java/org/hornbeamusher/quota/QuotaSimulation.java
+++ b/runtime/src/test/java/org/hornbeamusher/quota/QuotaSimulation.java
@@ -13,13 +13,15 @@
 import org.hornbeamusher.accounts.QuotaUnit;
 
 /**
- * Simulation of entries that share the quota of one account through two relays: messages are
- * delayed, entries are cut off and restarted, and callers reach the entries unevenly.
+ * Simulation of entries that share the quota of one account through two of four agents: messages
+ * are delayed, entries are cut off and restarted, agents are lost, requests are refused after they
+ * were charged, and callers reach the entries unevenly.
  */
 final class QuotaSimulation {
 
   static final AccountName ACCOUNT = new AccountName("a");
   private static final long STEP_MILLIS = 5;
+  private static final int AGENTS = 4;
   private static final int RELAYS = 2;
 
   private final QuotaSettings settings;
@@ -29,10 +31,15 @@
   private final long delayMillis;
   private final List<Entry> entries = new ArrayList<>();
   private final List<UsageRelay<Integer>> relays = new ArrayList<>();
-  private final long[] relayDueMillis = new long[RELAYS];
+  private final long[] relayDueMillis = new long[AGENTS];
+  private int lostAgents;
   private final PriorityQueue<Delivery> network =
       new PriorityQueue<>((a, b) -> Long.compare(a.atMillis, b.atMillis));
   private final List<long[]> admitted = new ArrayList<>();
+  private final PriorityQueue<Refusal> refusals =
+      new PriorityQueue<>((a, b) -> Long.compare(a.atMillis, b.atMillis));
+  private double refusedAfterChargeFraction;
+  private long refusedAfterMillis;
   private Quota quota;
   private long now = 1_000;
   private double idealLevel;
@@ -71,7 +78,7 @@
     this.quota = quota;
     this.delayMillis = delayMillis;
     this.random = new Random(seed);
-    for (int i = 0; i < RELAYS; i++) {
+    for (int i = 0; i < AGENTS; i++) {
       relays.add(new UsageRelay<>(settings));
     }
     for (int i = 0; i < count; i++) {
@@ -87,13 +94,42 @@
     restarted.generation++;
     restarted.dueMillis = now;
     configure(restarted);
-    for (int relay = 0; exchanging && relay < RELAYS; relay++) {
+    for (int relay = lostAgents; exchanging && relay < AGENTS; relay++) {
       relays.get(relay).entryDisconnected(entry, now);
       relays.get(relay).entryConnected(entry, "e" + entry);
       restarted.meter.relayConnected(relay);
     }
   }
 
+  /** Loses the two agents that relay usage; the entries choose the next two. */
+  void loseRelays() {
+    for (int relay = lostAgents; relay < lostAgents + RELAYS; relay++) {
+      for (Entry entry : entries) {
+        entry.meter.relayDisconnected(relay);
+      }
+    }
+    lostAgents += RELAYS;
+    for (Entry entry : entries) {
+      entry.generation++;
+    }
+  }
+
+  /**
+   * Lets endpoints refuse a fraction of the requests from now on, after they were charged.
+   *
+   * @param fraction of the admitted requests
+   * @param afterMillis how long a request waits until it is refused and its charge is returned
+   */
+  void refuseAfterCharge(double fraction, long afterMillis) {
+    refusedAfterChargeFraction = fraction;
+    refusedAfterMillis = afterMillis;
+  }
+
+  /** Takes the account out of the configuration of all entries. */
+  void removeAccount() {
+    entries.forEach(entry -> entry.meter.updateAccounts(Map.of(), now));
+  }
+
   void configure(Quota next) {
     quota = next;
     entries.forEach(this::configure);
@@ -116,7 +152,7 @@
     Entry changed = entries.get(entry);
     changed.generation++;
     changed.partitionDetected = partitioned;
-    for (int relay = 0; relay < RELAYS; relay++) {
+    for (int relay = lostAgents; relay < AGENTS; relay++) {
       if (partitioned) {
         relays.get(relay).entryDisconnected(entry, now);
         changed.meter.relayDisconnected(relay);
@@ -138,6 +174,7 @@
     double[] shares = shares(uneven);
     for (long end = now + millis; now < end; now += STEP_MILLIS) {
       deliver();
+      refund();
       for (int i = 0; i < entries.size(); i++) {
         double expected = perSecond * shares[i] * STEP_MILLIS / 1_000 / cost;
         for (double left = expected; left > 0; left--) {
@@ -175,8 +212,12 @@
       requestedUnits += cost;
     }
     Entry at = entries.get(entry);
-    if (at.meter.admit(ACCOUNT, cost, now) instanceof QuotaDecision.Admitted) {
-      admitted.add(new long[] {now, cost});
+    if (at.meter.admit(ACCOUNT, cost, now) instanceof QuotaDecision.Admitted decision) {
+      if (refusedAfterChargeFraction > 0 && random.nextDouble() < refusedAfterChargeFraction) {
+        refusals.add(new Refusal(now + refusedAfterMillis, entry, decision.charge()));
+      } else {
+        admitted.add(new long[] {now, cost});
+      }
       if (at.meter.reportUrgent(ACCOUNT, now)) {
         at.dueMillis = Math.min(at.dueMillis, now + settings.urgentMillis());
       }
@@ -185,6 +226,13 @@
     }
   }
 
+  private void refund() {
+    while (!refusals.isEmpty() && refusals.peek().atMillis <= now) {
+      Refusal refusal = refusals.poll();
+      entries.get(refusal.entry).meter.refund(refusal.charge, now);
+    }
+  }
+
   private void report(int number) {
     Entry entry = entries.get(number);
     if (!exchanging || entry.partitionDetected || now < entry.dueMillis) {
@@ -192,7 +240,7 @@
     }
     entry.dueMillis = now + settings.intervalMillis(entry.meter.entryCount());
     int generation = entry.generation;
-    for (int i = 0; i < RELAYS; i++) {
+    for (int i = lostAgents; i < lostAgents + RELAYS; i++) {
       UsageRelay<Integer> to = relays.get(i);
       Map<String, Long> increments = entry.meter.takeIncrements(i);
       int relay = i;
@@ -211,7 +259,7 @@
   }
 
   private void relay() {
-    for (int i = 0; i < RELAYS; i++) {
+    for (int i = lostAgents; i < lostAgents + RELAYS; i++) {
       if (exchanging && now >= relayDueMillis[i]) {
         UsageRelay<Integer> from = relays.get(i);
         relayDueMillis[i] = now + settings.intervalMillis(entries.size());
@@ -311,5 +359,7 @@
     private boolean partitionDetected;
   }
 
+  private record Refusal(long atMillis, int entry, QuotaCharge charge) {}
+
   private record Delivery(long atMillis, int entry, Runnable arrival) {}
 }
