A foreign row among the claims does not stop the deletion of expired ones

The cleaner parsed the key of every row and failed at the first one that is no claim, on each run, so expired rows stayed for good. Before: ClaimStoreTest.cleanerPassesOverRowsThatAreNoClaims failed with InvalidIdentifierException.

--- a/runtime/src/main/java/org/hornbeamusher/claims/ClaimCleaner.java
+++ b/runtime/src/main/java/org/hornbeamusher/claims/ClaimCleaner.java
@@ -10,6 +10,7 @@
 import java.util.random.RandomGenerator;
 import org.hornbeamusher.clock.Clock;
 import org.hornbeamusher.ids.IdempotencyKey;
+import org.hornbeamusher.ids.InvalidIdentifierException;
 import org.hornbeamusher.table.Row;
 import org.hornbeamusher.table.Table;
 import org.hornbeamusher.table.Transaction;
@@ -115,9 +116,20 @@
 
   private static boolean createdBefore(Row row, long before) {
     String rowKey = row.key().key();
-    Optional<ClaimKey> parsed =
-        ClaimKey.of(new IdempotencyKey(rowKey.substring(0, rowKey.indexOf('/'))));
-    return parsed.filter(claimKey -> claimKey.createdMillis() < before).isPresent();
+    int end = rowKey.indexOf('/');
+    return end > 0
+        && claimKey(rowKey.substring(0, end))
+            .filter(claimKey -> claimKey.createdMillis() < before)
+            .isPresent();
+  }
+
+  /** Returns empty for the key of a row that another program wrote. */
+  private static Optional<ClaimKey> claimKey(String key) {
+    try {
+      return ClaimKey.of(new IdempotencyKey(key));
+    } catch (InvalidIdentifierException e) {
+      return Optional.empty();
+    }
   }
 
   private void schedule() {
--- a/runtime/src/test/java/org/hornbeamusher/claims/ClaimStoreTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/claims/ClaimStoreTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Optional;
 import java.util.Random;
 import org.hornbeamusher.clock.ManualClock;
@@ -15,6 +16,8 @@
 import org.hornbeamusher.ids.IdempotencyKey;
 import org.hornbeamusher.ids.ServiceName;
 import org.hornbeamusher.table.InMemoryTable;
+import org.hornbeamusher.table.RowKey;
+import org.hornbeamusher.table.Transaction;
 import org.junit.jupiter.api.Test;
 
 class ClaimStoreTest {
@@ -298,6 +301,21 @@
     assertEquals(800_000, cleaner.intervalMillis());
   }
 
+  /** Guards against a foreign row that keeps expired rows from being deleted. */
+  @Test
+  void cleanerPassesOverRowsThatAreNoClaims() {
+    for (String foreign : List.of("", "no separator", "\u0000/x", "/", "x".repeat(150) + "/y")) {
+      Transaction.Write put =
+          new Transaction.Write.Put(new RowKey(ClaimKey.TABLE, foreign), new byte[0]);
+      table.commit(new Transaction(List.of(), List.of(put))).join();
+    }
+    acquire(firstEntry);
+    ClaimCleaner cleaner =
+        new ClaimCleaner(table, ClaimSettings.DEFAULT, clock, () -> 400, new Random(1));
+    clock.advance(ClaimSettings.DEFAULT.retentionMillis() + 2 * 3_600_000L + 1);
+    assertEquals(1, cleaner.deleteExpired().join());
+  }
+
   private ClaimStore keeper() {
     return new ClaimStore(
         table, ClaimSettings.DEFAULT, clock, () -> new ClaimToken("token-" + ++tokenCount));
