A list from before a stream was taken up does not tell where it began

Reported by other operators: streams of a new software version that broke were taken up at an entry that was out of step, and went on at another version. Such an entry had a list up to two seconds old which showed one version only, and decided by it at once, without asking the agents. The table of versions, written up to a second after a version joins, had the same fault, and the history was dated by the receipt of a list instead of its request.

Agents are asked first. The list and the table of versions decide only with a list that was requested after the caller came back; it is requested at once, at most every 100 ms for all that wait. Without one the stream's own record decides, or the request is refused as before.

Ruled out: asking agents first alone, since an entry that is cut off from them decides by its list again after their timeout.

--- a/runtime/src/main/java/org/hornbeamusher/directory/SoftwareHistory.java
+++ b/runtime/src/main/java/org/hornbeamusher/directory/SoftwareHistory.java
@@ -44,7 +44,7 @@
   /** For each service, the versions of endpoints that are gone and when the last of them went. */
   private final Map<String, Map<SoftwareVersion, Long>> gone = new HashMap<>();
 
-  /** When the first of the lists was received that have no gap between them; empty before it. */
+  /** When the first of the lists was requested that have no gap between them; empty before it. */
   private OptionalLong firstListMillis = OptionalLong.empty();
 
   private long lastListMillis;
@@ -52,13 +52,23 @@
   /**
    * Records that a list was received.
    *
-   * @param now milliseconds
+   * @param askedMillis when it was requested: what came later may be missing
    */
-  public void listReceived(long now) {
-    if (!isCurrent(now)) {
-      firstListMillis = OptionalLong.of(now);
+  public void listReceived(long askedMillis) {
+    if (!isCurrent(askedMillis)) {
+      firstListMillis = OptionalLong.of(askedMillis);
     }
-    lastListMillis = now;
+    lastListMillis = askedMillis;
+  }
+
+  /**
+   * Returns whether a list was received that was requested at a time or later.
+   *
+   * @param millis the time
+   * @return whether what was listed at that time is known
+   */
+  public boolean isListedSince(long millis) {
+    return firstListMillis.isPresent() && lastListMillis >= millis;
   }
 
   /** Returns whether no endpoint can have come and gone since the last list. */
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
@@ -369,10 +369,11 @@
    * @param askedMillis when the list was requested, by the monotonic clock
    */
   public void onEndpointList(List<? extends ListedEntry> entries, long askedMillis) {
-    software.listReceived(clock.millis());
+    software.listReceived(askedMillis);
     EndpointDirectory.Change change =
         context.directory().listReceived(entries, askedMillis, clock.millis());
     apply(change);
+    context.streams().listReceived(askedMillis);
     long keptMillis = change.missing().keptMillis();
     if (keptMillis > 0) {
       loop.after(Math.max(0, keptMillis - LIST_REFRESH_LEAD_MILLIS), listRefresh);
@@ -388,6 +389,7 @@
    */
   public void setListRefresh(Runnable refresh) {
     listRefresh = refresh;
+    context.streams().setListRefresh(refresh);
   }
 
   /**
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/StreamOrigins.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/StreamOrigins.java
@@ -1,6 +1,8 @@
 package org.hornbeamusher.forwarding;
 
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -35,18 +37,20 @@
  *
  * <ol>
  *   <li>this entry, if it served that try;
- *   <li>the list, if every endpoint of the service had the same version for longer than any stream
- *       lasts, including the pauses between the tries of its caller;
  *   <li>two agents, chosen by rendezvous hashing of the try's id, to which the entry that served it
  *       reported the version with the first event;
+ *   <li>the list, if every endpoint of the service had the same version for longer than any stream
+ *       lasts, including the pauses between the tries of its caller;
  *   <li>the table of versions, which contains those that have served lately, if it is a single one;
  *   <li>the table of streams, to which the entries write the versions of their streams at intervals
  *       while several versions serve. The tables are needed when the processes that knew the stream
  *       have ended.
  * </ol>
  *
- * <p>The version of an incarnation that the list does not contain yet is not known. The list then
- * decides only after the agents, which would know of a stream that began there.
+ * <p>The list and the table of versions decide only with a list that was requested after the caller
+ * came back. An entry that was cut off or stood still has an older one, and the stream may have
+ * begun at a version that has joined since then. The list is then requested at once, for all
+ * callers that wait for it.
  *
  * <p>If none of them knows, the request is refused, because a stream of two versions is useless to
  * its caller.
@@ -68,6 +72,12 @@
 
   private static final long WRITE_RETRY_MILLIS = 2_000;
 
+  /** How long a caller waits for a list; a read takes some tens of milliseconds. */
+  private static final long LIST_TIMEOUT_MILLIS = 400;
+
+  /** Shortest time between two requests for the list. */
+  private static final long LIST_REFRESH_INTERVAL_MILLIS = 100;
+
   /** Many streams are taken up at once when an entry has ended; they share a read of the table. */
   private static final long STREAMS_READ_MILLIS = 300;
 
@@ -100,6 +110,12 @@
 
   private long streamsReadMillis = NEVER;
 
+  /** The callers that wait for a list, in the order of their arrival. */
+  private final Deque<ListWaiter> listWaiters = new ArrayDeque<>();
+
+  private Runnable listRefresh = () -> {};
+  private long listRefreshMillis = NEVER;
+
   private final Map<Long, Lookup> lookups = new HashMap<>();
   private long lastLookup;
 
@@ -137,6 +153,15 @@
     recorder.start();
   }
 
+  /**
+   * Sets how to request a list ahead of schedule.
+   *
+   * @param refresh requests a list at once
+   */
+  void setListRefresh(Runnable refresh) {
+    listRefresh = refresh;
+  }
+
   /** Records that a try has brought an event of a stream that can be resumed. */
   void begun(String requestId, String service, StreamOrigin origin) {
     own.put(requestId, origin);
@@ -194,33 +219,86 @@
       found.accept(finish(request, "own", Optional.of(known), startMillis));
       return;
     }
-    List<Endpoint> current = endpoints.get();
-    Set<String> served =
-        history.versions(service, current, SoftwareHistory.RETENTION_MILLIS, startMillis);
-    boolean single =
-        served.size() == 1 && history.covers(SoftwareHistory.RETENTION_MILLIS, startMillis);
-    Runnable fromList =
-        () -> found.accept(finish(request, "list", Optional.of(origin(served)), startMillis));
-    if (single && history.allKnown(service, current)) {
-      fromList.run();
-      return;
-    }
+    Consumer<Optional<StreamOrigin>> fromTable =
+        origin -> found.accept(finish(request, "table", origin, startMillis));
     requestFromAgents(
         request.resumes(),
         fromAgents -> {
           if (fromAgents.isPresent()) {
             found.accept(finish(request, "agent", fromAgents, startMillis));
-          } else if (single) {
-            fromList.run();
           } else {
-            requestFromTable(
-                service,
-                request.resumes(),
-                fromTable -> found.accept(finish(request, "table", fromTable, startMillis)));
+            awaitList(
+                startMillis,
+                received -> {
+                  Optional<StreamOrigin> listed = received ? fromList(service) : Optional.empty();
+                  if (listed.isPresent()) {
+                    found.accept(finish(request, "list", listed, startMillis));
+                  } else if (received) {
+                    requestFromTable(service, request.resumes(), fromTable);
+                  } else {
+                    requestFromStreamTable(request.resumes(), fromTable);
+                  }
+                });
+          }
+        });
+  }
+
+  /** Returns the only version of the service in the time that a stream may last. */
+  private Optional<StreamOrigin> fromList(String service) {
+    long now = clock.millis();
+    Set<String> served =
+        history.versions(service, endpoints.get(), SoftwareHistory.RETENTION_MILLIS, now);
+    return served.size() == 1 && history.covers(SoftwareHistory.RETENTION_MILLIS, now)
+        ? Optional.of(origin(served))
+        : Optional.empty();
+  }
+
+  /** Waits for a list that was requested at a time or later; calls back with whether it came. */
+  private void awaitList(long sinceMillis, Consumer<Boolean> received) {
+    if (history.isListedSince(sinceMillis)) {
+      received.accept(true);
+      return;
+    }
+    ListWaiter waiter = new ListWaiter(sinceMillis, received);
+    listWaiters.add(waiter);
+    refreshList();
+    loop.after(
+        LIST_TIMEOUT_MILLIS,
+        () -> {
+          if (listWaiters.remove(waiter)) {
+            received.accept(false);
           }
         });
   }
 
+  private void refreshList() {
+    long now = clock.millis();
+    if (now - listRefreshMillis >= LIST_REFRESH_INTERVAL_MILLIS) {
+      listRefreshMillis = now;
+      listRefresh.run();
+    }
+  }
+
+  /**
+   * Decides for the callers that waited for a list.
+   *
+   * @param askedMillis when the list was requested
+   */
+  void listReceived(long askedMillis) {
+    while (!listWaiters.isEmpty() && listWaiters.peek().sinceMillis() <= askedMillis) {
+      listWaiters.poll().received().accept(true);
+    }
+    if (!listWaiters.isEmpty()) {
+      loop.after(LIST_REFRESH_INTERVAL_MILLIS, this::refreshListIfAwaited);
+    }
+  }
+
+  private void refreshListIfAwaited() {
+    if (!listWaiters.isEmpty()) {
+      refreshList();
+    }
+  }
+
   private static StreamOrigin origin(Set<String> single) {
     return new StreamOrigin(
         Optional.empty(), Optional.of(new SoftwareVersion(single.iterator().next())));
@@ -301,15 +379,20 @@
                 loop.execute(
                     () -> {
                       Optional<StreamOrigin> single = singleVersion(service, versions);
-                      if (single.isPresent() || resumes.isEmpty()) {
+                      if (single.isPresent()) {
                         found.accept(single);
                       } else {
-                        requestFromStreamTable(resumes.get(), found);
+                        requestFromStreamTable(resumes, found);
                       }
                     }));
   }
 
-  private void requestFromStreamTable(String resumes, Consumer<Optional<StreamOrigin>> found) {
+  private void requestFromStreamTable(
+      Optional<String> resumes, Consumer<Optional<StreamOrigin>> found) {
+    if (resumes.isEmpty()) {
+      found.accept(Optional.empty());
+      return;
+    }
     long now = clock.millis();
     if (streamsRead.isDone() && now - streamsReadMillis >= STREAMS_READ_MILLIS) {
       streamsReadMillis = now;
@@ -320,7 +403,7 @@
             loop.execute(
                 () ->
                     found.accept(
-                        Optional.ofNullable(streams.get(resumes))
+                        Optional.ofNullable(streams.get(resumes.get()))
                             .map(
                                 version ->
                                     new StreamOrigin(Optional.empty(), Optional.of(version))))));
@@ -403,6 +486,14 @@
     }
   }
 
+  /**
+   * A caller that waits for a list.
+   *
+   * @param sinceMillis when the list must have been requested at the earliest
+   * @param received called with whether such a list was received
+   */
+  private record ListWaiter(long sinceMillis, Consumer<Boolean> received) {}
+
   /** A request to agents. */
   private static final class Lookup {
 
--- a/runtime/src/test/java/org/hornbeamusher/forwarding/StreamOriginsTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/forwarding/StreamOriginsTest.java
@@ -94,6 +94,77 @@
     assertEquals(List.of(Optional.empty()), found);
   }
 
+  /** Guards against a list that an entry out of step received before a new version began. */
+  @Test
+  void listFromBeforeTheResumptionDoesNotDecide() {
+    add("a", "v1");
+    runWithLists(70_000);
+    loop.runUntil(70_900);
+    List<Optional<StreamOrigin>> found = new ArrayList<>();
+    origins.find(resumed("unknown"), "s", found::add);
+    loop.runUntil(70_950);
+    assertEquals(List.of(), found);
+    add("b", "v2");
+    receiveList(70_940);
+    loop.runUntil(72_000);
+    assertEquals(List.of(Optional.empty()), found);
+  }
+
+  /** Guards against refusing streams that began at the only version of the last minute. */
+  @Test
+  void listRequestedAfterTheResumptionDecides() {
+    add("a", "v1");
+    runWithLists(70_000);
+    loop.runUntil(70_900);
+    List<Optional<StreamOrigin>> found = new ArrayList<>();
+    origins.find(resumed("unknown"), "s", found::add);
+    receiveList(70_890);
+    loop.runUntil(70_950);
+    assertEquals(List.of(), found);
+    receiveList(70_910);
+    loop.runUntil(71_000);
+    assertEquals(List.of(Optional.of(new StreamOrigin(Optional.empty(), version("v1")))), found);
+  }
+
+  /** Guards against a table of versions that was written before a new version began. */
+  @Test
+  void tableOfVersionsDoesNotDecideWithoutNewList() {
+    add("a", "v1");
+    loop.runUntil(5_000);
+    assertEquals("[\"v1\"]", stored());
+    List<Optional<StreamOrigin>> found = new ArrayList<>();
+    origins.find(resumed("unknown"), "s", found::add);
+    loop.runUntil(8_000);
+    assertEquals(List.of(Optional.empty()), found);
+  }
+
+  /** Guards against a caller that waits for a list while the store is away. */
+  @Test
+  void resumptionIsRefusedSoonIfNoListArrives() {
+    add("a", "v1");
+    runWithLists(70_000);
+    table.down(true);
+    List<Optional<StreamOrigin>> found = new ArrayList<>();
+    origins.find(resumed("unknown"), "s", found::add);
+    loop.runUntil(70_600);
+    assertEquals(List.of(Optional.empty()), found);
+  }
+
+  /** Guards against a read of the list for each of the streams that are taken up at once. */
+  @Test
+  void resumptionsShareReadsOfTheList() {
+    add("a", "v1");
+    List<Long> refreshes = new ArrayList<>();
+    origins.setListRefresh(() -> refreshes.add(loop.clock().millis()));
+    loop.runUntil(1_000);
+    for (int i = 0; i < 50; i++) {
+      origins.find(resumed("unknown"), "s", unused -> {});
+      loop.runUntil(1_000 + 10 * i);
+    }
+    loop.runUntil(2_000);
+    assertTrue(refreshes.size() <= 11, refreshes.size() + " reads in a second");
+  }
+
   /** Guards against refusing a stream when the entry and the agents that knew it have ended. */
   @Test
   void streamOfEndedEntryIsFoundInTable() {
@@ -174,10 +245,16 @@
     return Optional.of(new SoftwareVersion(version));
   }
 
+  /** Receives the list that was requested at a time. */
+  private void receiveList(long askedMillis) {
+    history.listReceived(askedMillis);
+    origins.listReceived(askedMillis);
+  }
+
   /** Runs the loop while the list is received every second. */
   private void runWithLists(long untilMillis) {
     for (long now = loop.clock().millis(); now < untilMillis; now = loop.clock().millis()) {
-      history.listReceived(now);
+      receiveList(now);
       loop.runUntil(Math.min(now + 1_000, untilMillis));
     }
   }
