Quotas hold when usage updates are late

An update counted as new when it was received, however long it had waited on a link or at a busy process.

An update states which report of the entry it answers, so that its age is known; from twice the time after which a silent relay is unreachable, it counts as none and the entry keeps to its share (and its level is no longer charged for others' usage while it refills its share alone). And the copies of an exhausted account no longer all admit in the moment in which units become available: requests are refused at random, the fewer units are available the more (random early detection), until the account has recovered its burst. So entries together follow the refill rate, not the demand.

QuotaMeterTest.updatesThatWaitOnSlowLinksDoNotCountAsCurrent failed before.

--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
@@ -132,7 +132,11 @@
     this.loop = http.loop();
     this.freshness = new ConfigurationFreshness(elapsed);
     this.superseded = new SupersededVersions(settings.versionGraceMillis());
-    this.meter = new QuotaMeter<>(QuotaSettings.DEFAULT, settings.quotas());
+    this.meter =
+        new QuotaMeter<>(
+            QuotaSettings.DEFAULT,
+            settings.quotas(),
+            () -> ThreadLocalRandom.current().nextDouble());
     this.accounts = new AccountCheck(freshness, settings.revocation());
     Placer placer = new Placer(PlacementSettings.DEFAULT, settings.zone());
     AgentConnections agents =
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/UsageExchange.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/UsageExchange.java
@@ -13,7 +13,6 @@
 import org.hornbeamusher.quota.RelayStatus;
 import org.hornbeamusher.quota.UsageAtStep;
 import org.hornbeamusher.quota.UsageNames;
-import org.hornbeamusher.quota.UsageSteps;
 import org.hornbeamusher.shares.FairShares;
 import org.hornbeamusher.wire.Message;
 
@@ -95,7 +94,10 @@
             update.step(),
             byShare.get(false),
             new RelayStatus(
-                update.knownMillis(), update.reachableEntryCount(), update.entryCount()),
+                update.answeredMillis(),
+                update.knownMillis(),
+                update.reachableEntryCount(),
+                update.entryCount()),
             now)
         .forEach((account, units) -> QuotaLog.remoteUsageDecreased(account, agent, units));
     shares.usageReported(agent, update.step(), byShare.get(true), now);
@@ -124,8 +126,7 @@
     for (InetSocketAddress relay : selection.relays()) {
       List<UsageAtStep> usage = new ArrayList<>(meter.takeReport(relay, now));
       usage.addAll(shares.takeReport(relay, now));
-      transport.send(
-          relay, new Message.UsageReport(meter.windowMillis(), UsageSteps.stepOf(now), usage));
+      transport.send(relay, new Message.UsageReport(meter.windowMillis(), now, usage));
     }
   }
 }
--- a/runtime/src/main/java/org/hornbeamusher/quota/QuotaBucket.java
+++ b/runtime/src/main/java/org/hornbeamusher/quota/QuotaBucket.java
@@ -9,6 +9,12 @@
  * Within that, a token bucket with the account's burst spreads the rest of the window evenly, so
  * that an account that requests many times its quota gets it at a steady rate.
  *
+ * <p>The copies of an account that has exhausted its quota would all admit requests in the moment
+ * in which units become available, and together far more than these, as each learns of the others'
+ * usage some time later. So requests are then refused at random, the fewer units are available the
+ * more of them (random early detection, Floyd and Jacobson 1993). The rate at which the entries
+ * admit follows the refill rate, not the demand.
+ *
  * <p>The level of the bucket decreases immediately by what this entry admits, and by what other
  * entries admit as soon as that is reported; it may become negative. An unreachable entry keeps its
  * even share of both limits.
@@ -37,6 +43,9 @@
 
   private long lastRefillMillis;
 
+  /** Whether the account has exhausted its quota and has not recovered since. */
+  private boolean exhausted;
+
   QuotaBucket(QuotaSettings settings, QuotaTolerance tolerance, Quota quota, long now) {
     this.settings = settings;
     this.tolerance = tolerance;
@@ -88,12 +97,27 @@
    * Returns whether a request may be admitted; one that costs more than the level makes it
    * negative.
    */
-  boolean mayAdmit(WindowSum remoteUsage, KnownEntries known, long now) {
+  boolean mayAdmit(WindowSum remoteUsage, KnownEntries known, double random, long now) {
     boolean unconfirmedLimitReached =
         unconfirmedUnits > 0 && unconfirmedUnits >= maxUnconfirmedUnits(known.entries());
-    return level > 0
-        && (known.isAlone() || !unconfirmedLimitReached)
-        && usedInWindow(remoteUsage, known, now) < windowLimit(known);
+    double left = windowLimit(known) - usedInWindow(remoteUsage, known, now);
+    double available = Math.min(level, left);
+    if (available <= 0) {
+      exhausted = true;
+    } else if (available >= burst(known)) {
+      exhausted = false;
+    }
+    return available > random * reservedUnits(known)
+        && (known.isAlone() || !unconfirmedLimitReached);
+  }
+
+  private double burst(KnownEntries known) {
+    return quota.burst() * known.reachableFraction();
+  }
+
+  /** Units below which some requests are refused, so that entries do not use the same units. */
+  private double reservedUnits(KnownEntries known) {
+    return exhausted && !known.isAlone() ? burst(known) : 0;
   }
 
   /** An entry that reaches no other has its own share, whatever the others used before. */
@@ -138,8 +162,9 @@
 
   /** Returns after how long a request may be admitted again if nothing is charged until then. */
   long retryAfterMillis(WindowSum remoteUsage, KnownEntries known, long now) {
-    double refillMillis = Math.max(0, -level) / refillRate(known) * MILLIS_PER_SECOND;
-    double limit = windowLimit(known);
+    double reserved = reservedUnits(known);
+    double refillMillis = Math.max(0, reserved - level) / refillRate(known) * MILLIS_PER_SECOND;
+    double limit = windowLimit(known) - reserved;
     long windowMillis =
         known.isAlone()
             ? localUsage.millisUntilBelow(limit, new WindowSum(tolerance.windowMillis()), now)
--- a/runtime/src/main/java/org/hornbeamusher/quota/QuotaMeter.java
+++ b/runtime/src/main/java/org/hornbeamusher/quota/QuotaMeter.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.DoubleSupplier;
 import org.hornbeamusher.accounts.AccountName;
 import org.hornbeamusher.accounts.ClientAccount;
 import org.hornbeamusher.membership.RecentMaximumPeerCount;
@@ -20,6 +21,8 @@
  *       what the others admitted; that lowers the copies of the other entries. Usage that two
  *       entries admitted at the same time makes the level negative and must be refilled before the
  *       next request is admitted.
+ *   <li>An update is as old as the report of this entry that it answers. One that is too old counts
+ *       as none.
  *   <li>An entry that reports to no relay counts as using its even share of the rate, and an entry
  *       that no relay reaches limits itself to its own even share. So the sum stays within the
  *       limit when entries cannot reach each other.
@@ -55,6 +58,7 @@
 
   private final QuotaSettings settings;
   private final QuotaTolerance tolerance;
+  private final DoubleSupplier random;
   private final Map<AccountName, QuotaBucket> buckets = new HashMap<>();
 
   /** The buckets of accounts that have no limit any more, until their usage has left the window. */
@@ -70,8 +74,10 @@
    *
    * @param settings how entries share quotas
    * @param tolerance the tolerance with which operators check quotas
+   * @param random returns numbers from 0 to 1
    */
-  public QuotaMeter(QuotaSettings settings, QuotaTolerance tolerance) {
+  public QuotaMeter(QuotaSettings settings, QuotaTolerance tolerance, DoubleSupplier random) {
+    this.random = random;
     this.settings = settings;
     this.tolerance = tolerance;
     this.usage = new WindowedUsage<>(tolerance.windowMillis(), AccountName::value);
@@ -136,7 +142,7 @@
     KnownEntries known = knownEntries(now);
     WindowSum remote = usage.remote(account, now);
     QuotaState state = bucket.state(remote, known, updateAgeMillis(now), now);
-    if (!bucket.mayAdmit(remote, known, now)) {
+    if (!bucket.mayAdmit(remote, known, random.getAsDouble(), now)) {
       return new QuotaDecision.Exceeded(bucket.retryAfterMillis(remote, known, now), state);
     }
     bucket.charge(cost, now);
@@ -231,11 +237,15 @@
     from.status = status;
     from.reportedMillis = now;
     entryCounts.record(status.entries(), now);
+    // An entry that keeps to its share refills that share alone.
+    boolean charging = !knownEntries(now).isAlone();
     Map<AccountName, Long> decreases = new HashMap<>();
     for (UsageAtStep one : reported) {
       AccountName account = new AccountName(one.name());
       long change = usage.receive(relay, account, one.step(), step, one.units(), now);
-      chargeRemote(account, change, now);
+      if (charging) {
+        chargeRemote(account, change, now);
+      }
       if (change < 0) {
         decreases.merge(account, -change, Long::sum);
       }
@@ -272,7 +282,9 @@
   }
 
   private boolean isCurrent(RelayState relay, long now) {
-    return now - relay.reportedMillis <= settings.unreachableAfterMillis(entryCount());
+    int entries = entryCount();
+    return now - relay.reportedMillis <= settings.unreachableAfterMillis(entries)
+        && now - relay.status.answeredMillis() <= settings.staleAfterMillis(entries);
   }
 
   /**
@@ -300,11 +312,11 @@
     return max;
   }
 
-  /** Returns the time since the last report of a connected relay, or -1 if there is none. */
+  /** Returns the age of the newest update of a connected relay, or -1 if there is none. */
   private long updateAgeMillis(long now) {
     return relays.values().stream()
         .filter(RelayState::hasReported)
-        .mapToLong(relay -> now - relay.reportedMillis)
+        .mapToLong(relay -> now - relay.status.answeredMillis())
         .min()
         .orElse(-1);
   }
@@ -314,7 +326,7 @@
 
     private static final long NEVER = Long.MIN_VALUE / 2;
 
-    private RelayStatus status = new RelayStatus(0, 1, 1);
+    private RelayStatus status = new RelayStatus(NEVER, 0, 1, 1);
     private long reportedMillis = NEVER;
 
     private boolean hasReported() {
--- a/runtime/src/main/java/org/hornbeamusher/quota/QuotaSettings.java
+++ b/runtime/src/main/java/org/hornbeamusher/quota/QuotaSettings.java
@@ -22,6 +22,8 @@
     int assumedEntries,
     double burstShareFactor) {
 
+  private static final int STALE_FACTOR = 2;
+
   /** The settings of entries and agents. */
   public static final QuotaSettings DEFAULT = new QuotaSettings(100, 2, 20, 2, 20, 4);
 
@@ -35,6 +37,17 @@
     return reportIntervalMillis + intervalPerEntryMillis * entries;
   }
 
+  /**
+   * Returns the age from which an update is too old to decide by, also if others arrive regularly:
+   * it has waited somewhere. The round trip of a report and an update takes two intervals at most.
+   *
+   * @param entries the number of entries
+   * @return milliseconds since the entry sent the report that the update answers
+   */
+  public long staleAfterMillis(int entries) {
+    return STALE_FACTOR * unreachableAfterMillis(entries);
+  }
+
   /**
    * Returns the time without a report after which an entry, or a relay, counts as unreachable.
    *
--- a/runtime/src/main/java/org/hornbeamusher/quota/QuotaState.java
+++ b/runtime/src/main/java/org/hornbeamusher/quota/QuotaState.java
@@ -9,7 +9,7 @@
  * @param level units that are left in the bucket; negative if more was charged than it held
  * @param reachable number of entries whose usage is known, including this one
  * @param entries number of entries that share the quota
- * @param updateAgeMillis time since the last update of the usage of the others; -1 before the first
+ * @param updateAgeMillis age of the last update of the usage of the others; -1 before the first
  */
 public record QuotaState(
     long localUnits,
--- a/runtime/src/main/java/org/hornbeamusher/quota/UsageRelay.java
+++ b/runtime/src/main/java/org/hornbeamusher/quota/UsageRelay.java
@@ -4,7 +4,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.BiConsumer;
 
 /**
  * Adds up, at an agent, the usage of client accounts that entries report, of their quotas and of
@@ -117,12 +116,12 @@
    *
    * @param entry its connection
    * @param windowMillis for how long usage of quotas counts at the entry
-   * @param currentStep the entry's step when it made the report
+   * @param sentMillis when the entry sent the report, by its own clock
    * @param usage the steps that have changed since its last report
    * @param now milliseconds
    */
   public void recordReport(
-      E entry, long windowMillis, long currentStep, List<UsageAtStep> usage, long now) {
+      E entry, long windowMillis, long sentMillis, List<UsageAtStep> usage, long now) {
     Entry from = entries.get(entry);
     if (from == null) {
       return;
@@ -131,6 +130,8 @@
       reportedSinceMillis = now;
     }
     from.reportedMillis = now;
+    from.reportSentMillis = sentMillis;
+    long currentStep = UsageSteps.stepOf(sentMillis);
     quotas.extendWindow(Math.min(windowMillis, MAX_WINDOW_MILLIS));
     for (UsageAtStep one : usage) {
       if (UsageNames.isShare(one.name())) {
@@ -178,18 +179,36 @@
    * @param now milliseconds
    * @param send sends the changed steps to one entry; also called if there are none
    */
-  public void forwardUsage(long now, BiConsumer<E, List<UsageAtStep>> send) {
+  public void forwardUsage(long now, Forwarding<E> send) {
     changed = false;
     quotas.removeIdle(now);
     shares.removeIdle(now);
     entries.forEach(
         (connection, entry) -> {
           if (entry.isReporting(now)) {
-            send.accept(connection, entry.takeChanges(now));
+            send.forward(connection, entry.takeChanges(now), entry.reportSentMillis);
           }
         });
   }
 
+  /**
+   * Sends an update to an entry.
+   *
+   * @param <E> identifies an entry's connection
+   */
+  @FunctionalInterface
+  public interface Forwarding<E> {
+
+    /**
+     * Sends an update to an entry.
+     *
+     * @param entry its connection
+     * @param usage the steps in which the usage of others has changed
+     * @param answeredMillis when the entry sent its last report, by its own clock
+     */
+    void forward(E entry, List<UsageAtStep> usage, long answeredMillis);
+  }
+
   /**
    * Counts the entries that reported recently.
    *
@@ -213,6 +232,9 @@
     private boolean leaving;
     private long reportedMillis = Long.MIN_VALUE / 2;
 
+    /** When the last report was sent, by the clock of the entry. */
+    private long reportSentMillis;
+
     Entry(String name, long incarnation) {
       this.name = name;
       this.incarnation = new RelayedUsage.EntryIncarnation(name, incarnation);
--- a/runtime/src/main/java/org/hornbeamusher/sidecar/UsageRelayService.java
+++ b/runtime/src/main/java/org/hornbeamusher/sidecar/UsageRelayService.java
@@ -45,7 +45,8 @@
   }
 
   void received(WireConnection entry, Message.UsageReport report) {
-    relay.recordReport(entry, report.windowMillis(), report.step(), report.usage(), clock.millis());
+    relay.recordReport(
+        entry, report.windowMillis(), report.sentMillis(), report.usage(), clock.millis());
     if (relay.hasUnforwardedUsage() && !updateScheduled) {
       updateScheduled = true;
       loop.after(
@@ -76,9 +77,14 @@
     int entries = relay.entryCount(now);
     relay.forwardUsage(
         now,
-        (entry, usage) ->
+        (entry, usage, answeredMillis) ->
             entry.send(
                 new Message.UsageUpdate(
-                    UsageSteps.stepOf(now), usage, relay.knownMillis(now), reachable, entries)));
+                    UsageSteps.stepOf(now),
+                    usage,
+                    answeredMillis,
+                    relay.knownMillis(now),
+                    reachable,
+                    entries)));
   }
 }
--- a/runtime/src/main/java/org/hornbeamusher/wire/Message.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/Message.java
@@ -422,23 +422,31 @@
    * agent).
    *
    * @param windowMillis for how long usage of quotas counts
-   * @param step the entry's current step of time
+   * @param sentMillis the entry's time when it sent the report
    * @param usage the steps that have changed since the last report on this connection
    */
-  record UsageReport(long windowMillis, long step, List<UsageAtStep> usage) implements Message {}
+  record UsageReport(long windowMillis, long sentMillis, List<UsageAtStep> usage)
+      implements Message {}
 
   /**
    * The usage of client accounts at the other entries (agent to entry).
    *
    * @param step the agent's current step of time
    * @param usage the steps that have changed since the last update on this connection
+   * @param answeredMillis the time of the last report of the entry that the agent had received, by
+   *     the entry's clock
    * @param knownMillis for how long the agent has added up usage
    * @param reachableEntryCount the number of entries that report to the agent, including the
    *     receiver
    * @param entryCount the number of entries that are connected to the agent
    */
   record UsageUpdate(
-      long step, List<UsageAtStep> usage, long knownMillis, int reachableEntryCount, int entryCount)
+      long step,
+      List<UsageAtStep> usage,
+      long answeredMillis,
+      long knownMillis,
+      int reachableEntryCount,
+      int entryCount)
       implements Message {}
 
   /**
--- a/runtime/src/main/java/org/hornbeamusher/wire/MessageCodec.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/MessageCodec.java
@@ -6,6 +6,7 @@
 import org.hornbeamusher.failure.FailureType;
 import org.hornbeamusher.failure.HornbeamusherException;
 import org.hornbeamusher.quota.UsageAtStep;
+import org.hornbeamusher.quota.UsageSteps;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
@@ -201,12 +202,15 @@
               .packLong(m.slotWaitMillis())
               .packInt(m.cachedAdapters());
       case Message.UsageReport m -> {
-        packHeader(p, USAGE_REPORT, 3).packLong(m.windowMillis()).packLong(m.step());
-        packUsage(p, m.step(), m.usage());
+        packHeader(p, USAGE_REPORT, 3).packLong(m.windowMillis()).packLong(m.sentMillis());
+        packUsage(p, UsageSteps.stepOf(m.sentMillis()), m.usage());
       }
       case Message.UsageUpdate m -> {
-        packUsage(packHeader(p, USAGE_UPDATE, 5).packLong(m.step()), m.step(), m.usage());
-        p.packLong(m.knownMillis()).packInt(m.reachableEntryCount()).packInt(m.entryCount());
+        packUsage(packHeader(p, USAGE_UPDATE, 6).packLong(m.step()), m.step(), m.usage());
+        p.packLong(m.answeredMillis())
+            .packLong(m.knownMillis())
+            .packInt(m.reachableEntryCount())
+            .packInt(m.entryCount());
       }
       case Message.RatePermitRequest m ->
           packHeader(p, RATE_PERMIT_REQUEST, 5)
@@ -321,14 +325,20 @@
 
   private static Message readUsageReport(FieldReader r) throws IOException {
     long windowMillis = r.readLong();
-    long step = r.readLong();
-    return new Message.UsageReport(windowMillis, step, r.readUsage(step, USAGE_FIELDS));
+    long sentMillis = r.readLong();
+    return new Message.UsageReport(
+        windowMillis, sentMillis, r.readUsage(UsageSteps.stepOf(sentMillis), USAGE_FIELDS));
   }
 
   private static Message readUsageUpdate(FieldReader r) throws IOException {
     long step = r.readLong();
     return new Message.UsageUpdate(
-        step, r.readUsage(step, USAGE_FIELDS), r.readLong(), r.readInt(), r.readInt());
+        step,
+        r.readUsage(step, USAGE_FIELDS),
+        r.readLong(),
+        r.readLong(),
+        r.readInt(),
+        r.readInt());
   }
 
   private static void packHoldings(MessagePacker p, Message.Holdings m) throws IOException {
--- a/runtime/src/test/java/org/hornbeamusher/quota/QuotaBucketTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/quota/QuotaBucketTest.java
@@ -41,11 +41,11 @@
       }
     }
     drawn.remoteUsageUpdated();
-    if (!drawn.mayAdmit(remote, ENTRIES, now)) {
+    if (!drawn.mayAdmit(remote, ENTRIES, 1, now)) {
       long back = now + drawn.retryAfterMillis(remote, ENTRIES, now);
       drawn.refill(ENTRIES, back);
       assertTrue(
-          drawn.mayAdmit(remote, ENTRIES, back),
+          drawn.mayAdmit(remote, ENTRIES, 1, back),
           "request not admitted after the stated time, at " + back);
     }
   }
--- a/runtime/src/test/java/org/hornbeamusher/quota/QuotaMeterTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/quota/QuotaMeterTest.java
@@ -243,6 +243,23 @@
     assertWithin(all, rate, 2 * rate, 0);
   }
 
+  /** Guards against updates that arrive regularly, but late, and count as current. */
+  @Property(tries = 20, seed = "20261205")
+  void updatesThatWaitOnSlowLinksDoNotCountAsCurrent(
+      @ForAll @LongRange(min = 29_000, max = 300_000) long rate,
+      @ForAll @LongRange(min = 50, max = 2_000) long delayMillis,
+      @ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
+    QuotaSimulation all =
+        new QuotaSimulation(
+            ENTRIES, QuotaSimulation.tokens(rate, rate), true, delayMillis, seed, TOLERANCE);
+    all.run(10_000, rate / 1.8, LONG_PROMPT, 1);
+    all.run(12_000, rate * 6.0, LONG_PROMPT, 1);
+    assertWithin(all, rate, 0);
+    assertTrue(
+        all.admittedSince(all.now() - 8_000) >= 0.5 * 8 * rate,
+        "admitted " + all.admittedSince(all.now() - 8_000) + " of " + 8 * rate);
+  }
+
   /** Guards against a permanently lost relay that hides what entries admitted. */
   @Test
   void secondRelayReportsUsageThatTheFirstMissed() {
@@ -297,9 +314,9 @@
   void decisionNamesTheUsageItWasBasedOn() {
     QuotaMeter<String> meter = meter(1_000, 1_000);
     admitted(meter, 300, 1_000);
-    report(meter, "self", 200, 1, 1, 1_010);
+    report(meter, "self", 200, 2, 2, 1_010);
     assertEquals(
-        new QuotaState(300, 200, 11_000, 522, 1, 1, 10), admitted(meter, 1, 1_020).state());
+        new QuotaState(300, 200, 11_000, 522, 2, 2, 10), admitted(meter, 1, 1_020).state());
   }
 
   /** Guards against known usage that decreases without a log line. */
@@ -312,7 +329,8 @@
 
   @Test
   void unlimitedAccountIsNeverRefused() {
-    QuotaMeter<String> meter = new QuotaMeter<>(QuotaSettings.DEFAULT, QuotaTolerance.NONE);
+    QuotaMeter<String> meter =
+        new QuotaMeter<>(QuotaSettings.DEFAULT, QuotaTolerance.NONE, () -> 0.5);
     AccountName name = new AccountName("free");
     meter.updateAccounts(
         Map.of(name, new ClientAccount(name, OptionalInt.empty(), Quota.UNLIMITED)), 0);
@@ -322,7 +340,8 @@
 
   /** Creates the meter of a single entry, which may use the whole quota. */
   private static QuotaMeter<String> meter(long rate, long burst) {
-    QuotaMeter<String> meter = new QuotaMeter<>(QuotaSettings.DEFAULT, QuotaTolerance.NONE);
+    QuotaMeter<String> meter =
+        new QuotaMeter<>(QuotaSettings.DEFAULT, QuotaTolerance.NONE, () -> 0.5);
     meter.updateAccounts(
         Map.of(
             QuotaSimulation.ACCOUNT,
@@ -341,7 +360,7 @@
     long step = UsageSteps.stepOf(now);
     List<UsageAtStep> usage = units == 0 ? List.of() : List.of(new UsageAtStep("a", step, units));
     return meter.usageReported(
-        relay, step, usage, new RelayStatus(WINDOW_MILLIS, reachable, entries), now);
+        relay, step, usage, new RelayStatus(now, WINDOW_MILLIS, reachable, entries), now);
   }
 
   private static QuotaDecision.Admitted admitted(QuotaMeter<String> meter, long cost, long now) {
--- a/runtime/src/test/java/org/hornbeamusher/quota/QuotaSimulation.java
+++ b/runtime/src/test/java/org/hornbeamusher/quota/QuotaSimulation.java
@@ -1,7 +1,6 @@
 package org.hornbeamusher.quota;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalInt;
@@ -28,6 +27,7 @@
   private final QuotaTolerance tolerance;
   private final boolean exchanging;
   private final Random random;
+  private final Random draws;
   private final long delayMillis;
   private final List<Entry> entries = new ArrayList<>();
   private final List<UsageRelay<Integer>> relays = new ArrayList<>();
@@ -79,6 +79,7 @@
     this.quota = quota;
     this.delayMillis = delayMillis;
     this.random = new Random(seed);
+    this.draws = new Random(~seed);
     for (int i = 0; i < AGENTS; i++) {
       relays.add(new UsageRelay<>(settings));
     }
@@ -91,7 +92,7 @@
   /** Restarts an entry, which loses its state. */
   void restart(int entry) {
     Entry restarted = entries.get(entry);
-    restarted.meter = new QuotaMeter<>(settings, tolerance);
+    restarted.meter = new QuotaMeter<>(settings, tolerance, draws::nextDouble);
     restarted.generation++;
     restarted.incarnation = ++incarnations;
     restarted.dueMillis = now;
@@ -244,14 +245,14 @@
     int generation = entry.generation;
     for (int i = lostAgents; i < lostAgents + RELAYS; i++) {
       UsageRelay<Integer> to = relays.get(i);
-      long step = UsageSteps.stepOf(now);
+      long sentMillis = now;
       List<UsageAtStep> usage = entry.meter.takeReport(i, now);
       int relay = i;
       send(
           number,
           () -> {
             if (entries.get(number).generation == generation) {
-              to.recordReport(number, tolerance.windowMillis(), step, usage, now);
+              to.recordReport(number, tolerance.windowMillis(), sentMillis, usage, now);
               if (to.hasUnforwardedUsage()) {
                 relayDueMillis[relay] =
                     Math.min(relayDueMillis[relay], now + settings.urgentMillis());
@@ -270,10 +271,9 @@
         int relay = i;
         long step = UsageSteps.stepOf(now);
         long knownMillis = from.knownMillis(now);
-        Map<Integer, List<UsageAtStep>> out = new HashMap<>();
-        from.forwardUsage(now, out::put);
-        out.forEach(
-            (number, usage) -> {
+        from.forwardUsage(
+            now,
+            (number, usage, answeredMillis) -> {
               int generation = entries.get(number).generation;
               send(
                   number,
@@ -286,7 +286,8 @@
                               relay,
                               step,
                               usage,
-                              new RelayStatus(knownMillis, reachable, from.entryCount(now)),
+                              new RelayStatus(
+                                  answeredMillis, knownMillis, reachable, from.entryCount(now)),
                               now);
                     }
                   });
--- a/runtime/src/test/java/org/hornbeamusher/quota/WindowedUsageTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/quota/WindowedUsageTest.java
@@ -159,15 +159,14 @@
 
   /** Returns by how many units the known usage at the other entry has changed. */
   private long exchange(String relay, long now) {
-    long step = UsageSteps.stepOf(now);
     long relayMillis = now + RELAY_CLOCK_OFFSET_MILLIS;
     UsageRelay<String> at = relays.get(relay);
-    at.recordReport("using", WINDOW_MILLIS, step, using.takeReport(relay, now), relayMillis);
-    at.recordReport("other", WINDOW_MILLIS, step, other.takeReport(relay, now), relayMillis);
+    at.recordReport("using", WINDOW_MILLIS, now, using.takeReport(relay, now), relayMillis);
+    at.recordReport("other", WINDOW_MILLIS, now, other.takeReport(relay, now), relayMillis);
     long[] change = new long[1];
     at.forwardUsage(
         relayMillis,
-        (entry, usage) -> {
+        (entry, usage, answeredMillis) -> {
           if (entry.equals("other")) {
             for (UsageAtStep one : usage) {
               change[0] +=
--- a/runtime/src/test/java/org/hornbeamusher/wire/MessageCodecTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/wire/MessageCodecTest.java
@@ -45,8 +45,11 @@
           new Message.Holdings("i-1", List.of("m/a@1"), List.of("m/b@2"), 3, true, 1_764_000L),
           new Message.EngineCosts(250, 30, 40, 84),
           new Message.UsageReport(
-              8_000, 70, List.of(new UsageAtStep("depot", 70, 9_200), new UsageAtStep("a", 2, 0))),
-          new Message.UsageUpdate(90, List.of(new UsageAtStep("depot", 88, 18_400)), 8_000, 20, 21),
+              8_000,
+              7_050,
+              List.of(new UsageAtStep("depot", 70, 9_200), new UsageAtStep("a", 2, 0))),
+          new Message.UsageUpdate(
+              90, List.of(new UsageAtStep("depot", 88, 18_400)), 9_010, 8_000, 20, 21),
           new Message.RatePermitRequest(5, "i-1", 1.7, 40, 600),
           new Message.RatePermitResponse(5, true, 120),
           new Message.RateLimitLifted("i-1", 80),
