--- a/runtime/src/main/java/org/hornbeamusher/events/EventType.java
+++ b/runtime/src/main/java/org/hornbeamusher/events/EventType.java
@@ -50,7 +50,9 @@
       "A request of an account near its quota was admitted; at most one line a second for each."),
   QUOTA_REFUNDED(1119, Level.INFO, "The quota charge of a request that did not run was returned."),
   QUOTA_USAGE_DECREASED(
-      1123, Level.INFO, "The known usage of an account at the other entries has decreased."),
+      1123,
+      Level.INFO,
+      "The known usage of an account at the other entries has decreased; once a second at most."),
   FORECAST_REFUSED(
       1120, Level.INFO, "A request was refused because of the forecast of its first event."),
   RETURN_PLANNED(1121, Level.INFO, "A refused caller was told when capacity is expected."),
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/QuotaLog.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/QuotaLog.java
@@ -14,27 +14,23 @@
 /** Logs how the quotas of client accounts were applied. Confined to the event loop. */
 final class QuotaLog {
 
-  /** Shortest time between two lines about the admitted requests of one account. */
-  private static final long ADMITTED_INTERVAL_MILLIS = 1_000;
+  /** Shortest time between two lines of one kind about one account. */
+  private static final long INTERVAL_MILLIS = 1_000;
 
   private static final int MAX_ACCOUNTS = 10_000;
 
-  /** When a line about admitted requests was last written, by account. */
-  private final Map<AccountName, Long> admitted =
-      new LinkedHashMap<>() {
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<AccountName, Long> eldest) {
-          return size() > MAX_ACCOUNTS;
-        }
-      };
+  /** When a line about admitted requests was last written. */
+  private final Map<AccountName, Long> admitted = new LatestAccounts<>();
+
+  /** What was not written yet of the decreases of an account. */
+  private final Map<AccountName, Decrease> decreases = new LatestAccounts<>();
 
   /** Logs what an admission was based on if its account is near its limit. */
   void admitted(String id, QuotaDecision.Admitted decision, long configuration, long now) {
     AccountName account = decision.charge().account();
     QuotaState state = decision.state();
     if (!state.isNearLimit()
-        || now - admitted.getOrDefault(account, now - ADMITTED_INTERVAL_MILLIS)
-            < ADMITTED_INTERVAL_MILLIS) {
+        || now - admitted.getOrDefault(account, now - INTERVAL_MILLIS) < INTERVAL_MILLIS) {
       return;
     }
     admitted.put(account, now);
@@ -116,9 +112,41 @@
         now - charge.chargedMillis());
   }
 
-  /** Logs that the usage of the other entries, as far as known here, has decreased. */
-  static void remoteUsageDecreased(AccountName account, Object relay, long units) {
-    EventLog.log(
-        EventType.QUOTA_USAGE_DECREASED, "account", account, "relay", relay, "units", units);
+  /**
+   * Logs that the usage of the other entries, as far as known here, has decreased; decreases in one
+   * second are added up.
+   */
+  void remoteUsageDecreased(AccountName account, Object relay, long units, long now) {
+    Decrease decrease = decreases.computeIfAbsent(account, unused -> new Decrease());
+    decrease.units += units;
+    if (now - decrease.loggedMillis >= INTERVAL_MILLIS) {
+      EventLog.log(
+          EventType.QUOTA_USAGE_DECREASED,
+          "account",
+          account,
+          "relay",
+          relay,
+          "units",
+          decrease.units);
+      decrease.units = 0;
+      decrease.loggedMillis = now;
+    }
+  }
+
+  private static final class Decrease {
+
+    private long units;
+    private long loggedMillis = Long.MIN_VALUE / 2;
+  }
+
+  /** Keeps the accounts that were added last. */
+  private static final class LatestAccounts<V> extends LinkedHashMap<AccountName, V> {
+
+    private static final long serialVersionUID = 1L;
+
+    @Override
+    protected boolean removeEldestEntry(Map.Entry<AccountName, V> eldest) {
+      return size() > MAX_ACCOUNTS;
+    }
   }
 }
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/UsageExchange.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/UsageExchange.java
@@ -29,6 +29,7 @@
   private final Transport transport;
   private final EventLoop loop;
   private final Clock clock;
+  private final QuotaLog log = new QuotaLog();
   private final RelaySelection selection = new RelaySelection();
   private boolean started;
   private boolean reportingSoon;
@@ -99,7 +100,7 @@
                 update.reachableEntryCount(),
                 update.entryCount()),
             now)
-        .forEach((account, units) -> QuotaLog.remoteUsageDecreased(account, agent, units));
+        .forEach((account, units) -> log.remoteUsageDecreased(account, agent, units, now));
     shares.usageReported(agent, update.step(), byShare.get(true), now);
   }
 
