--- a/runtime/src/main/java/org/hornbeamusher/quota/UsageRelay.java
+++ b/runtime/src/main/java/org/hornbeamusher/quota/UsageRelay.java
@@ -9,8 +9,8 @@
  * Adds up, at an agent, the usage of client accounts that entries report, of their quotas and of
  * the capacity that they share, and forwards to each entry the usage of the others.
  *
- * <p>It keeps the usage of a window, no limits: entries report the whole window to a relay that they
- * choose anew. See {@link WindowedUsage}.
+ * <p>It keeps the usage of a window, no limits: entries report the whole window to a relay that
+ * they choose anew. See {@link WindowedUsage}.
  *
  * <p>Usage of an entry that has ended remains until it has left the window.
  *
