Each run of a request is charged to the quota of its account

Cause: a request was charged when it was admitted, and a send after one that may have run was charged to nobody, though it takes the same tokens again.

RequestCharge holds the charges of one request: that of its admission and one for each send after one that may have run. A send that did not run returns its charge to the next one. A further send is charged even if the quota is exhausted: the request was admitted, and what it takes is missing to the account's next ones. FURTHER_RUN_CHARGED says so. Ruled out: asking the quota before a further send, which would lose an admitted request for the sake of one that is not.

--- a/runtime/src/main/java/org/hornbeamusher/events/EventType.java
+++ b/runtime/src/main/java/org/hornbeamusher/events/EventType.java
@@ -49,6 +49,7 @@
       Level.INFO,
       "A request of an account near its quota was admitted; at most one line a second for each."),
   QUOTA_REFUNDED(1119, Level.INFO, "The quota charge of a request that did not run was returned."),
+  FURTHER_RUN_CHARGED(1124, Level.INFO, "An account was charged for a further run of a request."),
   QUOTA_USAGE_DECREASED(
       1123,
       Level.INFO,
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
@@ -111,9 +111,6 @@
   private boolean promptPending;
   private int sends;
 
-  /** Sends that may have run; if there is any, the account is charged for the request once. */
-  private int possibleRuns;
-
   /** Whether a retry was granted that has not been sent. */
   private boolean retryUnsent;
 
@@ -445,14 +442,14 @@
     cancel(placementTimer);
     reservation.requestSent();
     sentMillis = now();
-    chargeAgeMillis = routed.chargeAgeMillis(sentMillis);
+    chargeAgeMillis = routed.charge().ageMillis();
+    routed.charge().sent();
     context.refusals().sent(candidate(), !placedPresent, sentMillis);
     endpointPromptTokens = endpoint.pendingPromptTokens();
     if (sends == 0) {
       context.admission().started(routed);
     }
     sends++;
-    possibleRuns++;
     AttemptMetadata sent =
         new AttemptMetadata(
             endpoint.id(),
@@ -558,7 +555,8 @@
                     suspects.content(), suspects.pathContent(), routed.metadata().parts()))
             : Optional.empty();
     caller.setBufferedBytes(relay.bufferedBytes());
-    log.attemptEnded(from, outcome, lost, possibleRuns - 1, chargeAgeMillis, relay, now());
+    log.attemptEnded(
+        from, outcome, lost, routed.charge().possibleRuns() - 1, chargeAgeMillis, relay, now());
     context.metrics().attemptEnded(outcome.label(), now() - sentMillis);
     EndpointView left = endpoint;
     if (outcome.connectionLost()) {
@@ -625,7 +623,7 @@
 
   private void notSent(EndpointView left) {
     sends--;
-    possibleRuns--;
+    routed.charge().lastSendDidNotRun();
     unsent++;
     left.failed(now());
     tried.add(left.incarnation());
@@ -639,7 +637,7 @@
   /** Nothing was sent, which does not count as a failure of the endpoint. */
   private void withdrawn() {
     sends--;
-    possibleRuns--;
+    routed.charge().lastSendDidNotRun();
     place();
   }
 
@@ -649,7 +647,7 @@
   }
 
   private void refused(EndpointView left, int status) {
-    possibleRuns--;
+    routed.charge().lastSendDidNotRun();
     refusals++;
     if (status == MISDIRECTED) {
       left.misdirected(now());
@@ -840,8 +838,8 @@
     if (retryUnsent) {
       context.retryBudget().retryUnused(service);
     }
-    if (routed != null && possibleRuns == 0) {
-      context.admission().refund(routed);
+    if (routed != null) {
+      routed.charge().ended();
     }
     cancel(deadlineTimer);
     cancel(placementTimer);
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/RequestAdmission.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/RequestAdmission.java
@@ -77,7 +77,13 @@
     long hash = RendezvousHash.hash(metadata.id());
     long budget = Math.min(route.timeoutMillis(), metadata.budgetMillis().orElse(Long.MAX_VALUE));
     String service = route.service(hash);
-    Optional<QuotaCharge> charge = account.map(holder -> charge(holder, metadata, current));
+    RequestCharge charge =
+        new RequestCharge(
+            metadata.id(),
+            account.map(holder -> charge(holder, metadata, current)),
+            meter,
+            quotaLog,
+            clock);
     return new RoutedRequest(
         metadata,
         route,
@@ -145,20 +151,6 @@
     shares.completed(request.route(), tookMillis);
   }
 
-  /** Refunds the quota charge of a request that did not run. */
-  void refund(RoutedRequest request) {
-    request
-        .charge()
-        .filter(charge -> charge.units() > 0)
-        .ifPresent(charge -> refund(request.metadata().id(), charge));
-  }
-
-  private void refund(String id, QuotaCharge charge) {
-    long now = clock.millis();
-    meter.refund(charge, now);
-    quotaLog.refunded(id, charge, now);
-  }
-
   private Optional<ClientAccount> identify(
       Configuration current, Route route, RequestMetadata metadata) {
     try {
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/RoutedRequest.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/RoutedRequest.java
@@ -4,7 +4,6 @@
 import org.hornbeamusher.accounts.AccountName;
 import org.hornbeamusher.accounts.ClientAccount;
 import org.hornbeamusher.placement.PlacementRequest;
-import org.hornbeamusher.quota.QuotaCharge;
 import org.hornbeamusher.routes.Route;
 
 /**
@@ -14,7 +13,7 @@
  * @param route its route
  * @param service the service that runs it
  * @param account its client account; empty if no key is required
- * @param charge its charge on the account's quota
+ * @param charge what its account is charged
  * @param share what it counts against of the service's capacity
  * @param deadlineMillis time after which a response is useless
  * @param placementRequest the inputs of placement
@@ -24,7 +23,7 @@
     Route route,
     String service,
     Optional<ClientAccount> account,
-    Optional<QuotaCharge> charge,
+    RequestCharge charge,
     RequestShare share,
     long deadlineMillis,
     PlacementRequest placementRequest) {
@@ -34,11 +33,6 @@
     return share.rank();
   }
 
-  /** Returns how long ago its account was charged; -1 if it was not. */
-  long chargeAgeMillis(long now) {
-    return charge.map(made -> now - made.chargedMillis()).orElse(-1L);
-  }
-
   Optional<AccountName> accountName() {
     return account.map(ClientAccount::name);
   }
--- a/runtime/src/main/java/org/hornbeamusher/quota/QuotaMeter.java
+++ b/runtime/src/main/java/org/hornbeamusher/quota/QuotaMeter.java
@@ -145,9 +145,26 @@
     if (!bucket.mayAdmit(remote, known, random.getAsDouble(), now)) {
       return new QuotaDecision.Exceeded(bucket.retryAfterMillis(remote, known, now), state);
     }
+    return new QuotaDecision.Admitted(charge(account, cost, now), state);
+  }
+
+  /**
+   * Charges an account whether or not it is within its quota.
+   *
+   * @param account the account
+   * @param cost units of the account's quota
+   * @param now milliseconds
+   * @return the charge; of 0 units if the account has no limit
+   */
+  public QuotaCharge charge(AccountName account, long cost, long now) {
+    QuotaBucket bucket = buckets.get(account);
+    if (bucket == null) {
+      return new QuotaCharge(account, 0, now);
+    }
+    refill(bucket, now);
     bucket.charge(cost, now);
     usage.add(account, cost, now, now);
-    return new QuotaDecision.Admitted(new QuotaCharge(account, cost, now), state);
+    return new QuotaCharge(account, cost, now);
   }
 
   /**
