A request that waited counts against the quota when it is sent

Cause: a quota limits what runs in a window, but a charge was dated when the request was admitted. A request may wait up to 15 s for a slot or a load, longer than the window of 8 s. Its charge left the window meanwhile, others were admitted in its place, and then both ran.

The charge of a request that waits is renewed (QuotaMeter.renew: out of its step, into the current one) each eighth of a window and at the send, so what waits counts as used, and a window never holds more runs than admissions allowed. Other entries see both steps change in one update; a decrease is logged only if the sum of an update decreases. Cost: an account at its limit is admitted less by what of it waits. Ruled out: a second limit at the send, where a request that was admitted would be refused late.

--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
@@ -206,6 +206,7 @@
 
   private void place() {
     long now = now();
+    routed.charge().waiting();
     placementRequest = context.admission().atNewestVersion(placementRequest);
     Placement placement = context.placer().place(service, placementRequest, excluded(), now);
     switch (placement) {
@@ -377,6 +378,7 @@
     if (finished || attempt != null) {
       return;
     }
+    routed.charge().waiting();
     AdapterVersion adapter = placementRequest.adapter().orElseThrow();
     // The agent may not have been connected when the request was placed, so it has no reservation.
     boolean unknown = reservation == EngineReservation.NONE && endpoint.agentConnected();
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/RequestCharge.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/RequestCharge.java
@@ -11,6 +11,9 @@
  * What the client account of one request is charged: the admission, and each further send after one
  * that may have run. Confined to the event loop.
  *
+ * <p>A quota limits what runs in a window, and a request may wait for longer than a window before
+ * it is sent. Its charge is therefore renewed while it waits, and dated at the send.
+ *
  * <p>A further send is charged although the account may have exhausted its quota by then. It takes
  * from what the account's later requests may use, so that the total stays within the quota, and a
  * request that was admitted is not lost to its caller.
@@ -45,13 +48,22 @@
 
   /** Called when the request is sent. */
   void sent() {
-    if (used) {
-      latest = latest.map(this::chargeAgain);
-    }
+    latest = latest.map(used ? this::chargeAgain : this::renew);
     used = true;
     possibleRuns++;
   }
 
+  /** Called repeatedly while the request waits to be sent. */
+  void waiting() {
+    if (!used && ageMillis() >= meter.renewalMillis()) {
+      latest = latest.map(this::renew);
+    }
+  }
+
+  private QuotaCharge renew(QuotaCharge charge) {
+    return meter.renew(charge, clock.millis());
+  }
+
   private QuotaCharge chargeAgain(QuotaCharge before) {
     QuotaCharge further = meter.charge(before.account(), before.units(), clock.millis());
     if (further.units() > 0) {
--- a/runtime/src/main/java/org/hornbeamusher/quota/QuotaBucket.java
+++ b/runtime/src/main/java/org/hornbeamusher/quota/QuotaBucket.java
@@ -149,6 +149,12 @@
     localUsage.add(-units, chargedMillis, now);
   }
 
+  /** Dates a charge now; the level is not changed. */
+  void renew(long units, long chargedMillis, long now) {
+    localUsage.add(-units, chargedMillis, now);
+    localUsage.add(units, now, now);
+  }
+
   /** Records that the usage of the other entries is known up to now. */
   void remoteUsageUpdated() {
     unconfirmedUnits = 0;
--- a/runtime/src/main/java/org/hornbeamusher/quota/QuotaMeter.java
+++ b/runtime/src/main/java/org/hornbeamusher/quota/QuotaMeter.java
@@ -54,6 +54,8 @@
    */
   private static final long ENTRY_COUNT_WINDOW_MILLIS = 30_000;
 
+  private static final long RENEWALS_PER_WINDOW = 8;
+
   private static final QuotaState UNLIMITED = new QuotaState(0, 0, 0, 0, 1, 1, -1);
 
   private final QuotaSettings settings;
@@ -167,6 +169,37 @@
     return new QuotaCharge(account, cost, now);
   }
 
+  /**
+   * Dates a charge now, so that it counts for a whole window from now on.
+   *
+   * @param charge the charge of a request that has not been sent
+   * @param now milliseconds
+   * @return the charge as it is now
+   */
+  public QuotaCharge renew(QuotaCharge charge, long now) {
+    QuotaBucket bucket = bucket(charge.account());
+    if (bucket == null || charge.units() == 0) {
+      return charge;
+    }
+    bucket.renew(charge.units(), charge.chargedMillis(), now);
+    usage.add(charge.account(), -charge.units(), charge.chargedMillis(), now);
+    usage.add(charge.account(), charge.units(), now, now);
+    return new QuotaCharge(charge.account(), charge.units(), now);
+  }
+
+  /**
+   * Returns after how long the charge of a request that waits must be renewed.
+   *
+   * @return milliseconds, well below the window
+   */
+  public long renewalMillis() {
+    return tolerance.windowMillis() / RENEWALS_PER_WINDOW;
+  }
+
+  private QuotaBucket bucket(AccountName account) {
+    return buckets.getOrDefault(account, retired.get(account));
+  }
+
   /**
    * Refunds the charge of a request that has not run and will not run.
    *
@@ -174,7 +207,7 @@
    * @param now milliseconds
    */
   public void refund(QuotaCharge charge, long now) {
-    QuotaBucket bucket = buckets.getOrDefault(charge.account(), retired.get(charge.account()));
+    QuotaBucket bucket = bucket(charge.account());
     if (bucket != null && charge.units() > 0) {
       bucket.refund(charge.units(), charge.chargedMillis(), now);
       usage.add(charge.account(), -charge.units(), charge.chargedMillis(), now);
@@ -256,18 +289,23 @@
     entryCounts.record(status.entries(), now);
     // An entry that keeps to its share refills that share alone.
     boolean charging = !knownEntries(now).isAlone();
-    Map<AccountName, Long> decreases = new HashMap<>();
+    Map<AccountName, Long> changes = new HashMap<>();
     for (UsageAtStep one : reported) {
       AccountName account = new AccountName(one.name());
       long change = usage.receive(relay, account, one.step(), step, one.units(), now);
       if (charging) {
         chargeRemote(account, change, now);
       }
-      if (change < 0) {
-        decreases.merge(account, -change, Long::sum);
-      }
+      changes.merge(account, change, Long::sum);
     }
     buckets.values().forEach(bucket -> remoteUsageUpdated(bucket, now));
+    Map<AccountName, Long> decreases = new HashMap<>();
+    changes.forEach(
+        (account, change) -> {
+          if (change < 0) {
+            decreases.put(account, -change);
+          }
+        });
     return decreases;
   }
 
--- a/runtime/src/test/java/org/hornbeamusher/quota/QuotaMeterTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/quota/QuotaMeterTest.java
@@ -166,6 +166,38 @@
     assertWithin(all, rate, 2 * rate, 0);
   }
 
+  /** Guards against requests that run after their charge has left the window. */
+  @Property(tries = 20, seed = "20261205")
+  void requestsThatWaitedDoNotRaiseTheQuota(
+      @ForAll @LongRange(min = 29_000, max = 300_000) long rate,
+      @ForAll @LongRange(min = 500, max = 15_000) long wait,
+      @ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
+    QuotaSimulation all =
+        new QuotaSimulation(
+            ENTRIES, QuotaSimulation.tokens(rate, 2 * rate), true, 3, seed, TOLERANCE);
+    all.run(10_000, rate / 1.8, LONG_PROMPT, 1);
+    all.waitBeforeRun(wait);
+    all.run(wait, rate * 6.0, LONG_PROMPT, 1);
+    all.waitBeforeRun(0);
+    all.run(wait + WINDOW_MILLIS, rate * 6.0, LONG_PROMPT, 1);
+    assertWithin(all, rate, 2 * rate, 0);
+  }
+
+  /** Guards against second runs that are charged to nobody. */
+  @Property(tries = 20, seed = "20261205")
+  void secondRunsDoNotRaiseTheQuota(
+      @ForAll @LongRange(min = 29_000, max = 300_000) long rate,
+      @ForAll @IntRange(min = 5, max = 60) int againPercent,
+      @ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
+    QuotaSimulation all =
+        new QuotaSimulation(
+            ENTRIES, QuotaSimulation.tokens(rate, 2 * rate), true, 3, seed, TOLERANCE);
+    all.runAgain(againPercent / 100.0);
+    all.run(10_000, rate / 1.8, LONG_PROMPT, 1);
+    all.run(16_000, rate * 6.0, LONG_PROMPT, 1);
+    assertWithin(all, rate, 2 * rate, 0);
+  }
+
   /** Guards against usage of ended entries that new relays do not know. */
   @Property(tries = 20, seed = "20261205")
   void lossOfRelaysDoesNotHideUsageOfRestartedEntries(
--- a/runtime/src/test/java/org/hornbeamusher/quota/QuotaSimulation.java
+++ b/runtime/src/test/java/org/hornbeamusher/quota/QuotaSimulation.java
@@ -41,6 +41,10 @@
       new PriorityQueue<>((a, b) -> Long.compare(a.atMillis, b.atMillis));
   private double refusedAfterChargeFraction;
   private long refusedAfterMillis;
+  private final PriorityQueue<Waiting> waiting =
+      new PriorityQueue<>((a, b) -> Long.compare(a.dueMillis, b.dueMillis));
+  private long waitMillis;
+  private double runAgainFraction;
   private Quota quota;
   private long now = 1_000;
   private double idealLevel;
@@ -128,6 +132,24 @@
     refusedAfterMillis = afterMillis;
   }
 
+  /**
+   * Lets admitted requests wait from now on before they run.
+   *
+   * @param millis how long; those that wait already are not changed
+   */
+  void waitBeforeRun(long millis) {
+    waitMillis = millis;
+  }
+
+  /**
+   * Lets a fraction of the requests run a second time from now on, at another endpoint.
+   *
+   * @param fraction of the admitted requests
+   */
+  void runAgain(double fraction) {
+    runAgainFraction = fraction;
+  }
+
   /** Takes the account out of the configuration of all entries. */
   void removeAccount() {
     entries.forEach(entry -> entry.meter.updateAccounts(Map.of(), now));
@@ -178,6 +200,7 @@
     for (long end = now + millis; now < end; now += STEP_MILLIS) {
       deliver();
       refund();
+      serveWaiting();
       for (int i = 0; i < entries.size(); i++) {
         double expected = perSecond * shares[i] * STEP_MILLIS / 1_000 / cost;
         for (double left = expected; left > 0; left--) {
@@ -218,8 +241,10 @@
     if (at.meter.admit(ACCOUNT, cost, now) instanceof QuotaDecision.Admitted decision) {
       if (refusedAfterChargeFraction > 0 && random.nextDouble() < refusedAfterChargeFraction) {
         refusals.add(new Refusal(now + refusedAfterMillis, entry, decision.charge()));
+      } else if (waitMillis > 0) {
+        waiting.add(Waiting.of(now, now + waitMillis, at.meter, decision.charge()));
       } else {
-        admitted.add(new long[] {now, cost});
+        ran(at.meter, cost);
       }
       if (at.meter.reportUrgent(ACCOUNT, now)) {
         at.dueMillis = Math.min(at.dueMillis, now + settings.urgentMillis());
@@ -229,6 +254,27 @@
     }
   }
 
+  private void ran(QuotaMeter<Integer> meter, long cost) {
+    admitted.add(new long[] {now, cost});
+    if (runAgainFraction > 0 && random.nextDouble() < runAgainFraction) {
+      meter.charge(ACCOUNT, cost, now);
+      admitted.add(new long[] {now, cost});
+    }
+  }
+
+  /** Lets requests wait on, or run if their time has come. */
+  private void serveWaiting() {
+    while (!waiting.isEmpty() && waiting.peek().dueMillis <= now) {
+      Waiting next = waiting.poll();
+      QuotaCharge renewed = next.meter.renew(next.charge, now);
+      if (next.runMillis <= now) {
+        ran(next.meter, renewed.units());
+      } else {
+        waiting.add(Waiting.of(now, next.runMillis, next.meter, renewed));
+      }
+    }
+  }
+
   private void refund() {
     while (!refusals.isEmpty() && refusals.peek().atMillis <= now) {
       Refusal refusal = refusals.poll();
@@ -373,5 +419,15 @@
 
   private record Refusal(long atMillis, int entry, QuotaCharge charge) {}
 
+  private record Waiting(
+      long dueMillis, long runMillis, QuotaMeter<Integer> meter, QuotaCharge charge) {
+
+    private static Waiting of(
+        long now, long runMillis, QuotaMeter<Integer> meter, QuotaCharge charge) {
+      return new Waiting(
+          Math.min(runMillis, now + meter.renewalMillis()), runMillis, meter, charge);
+    }
+  }
+
   private record Delivery(long atMillis, int entry, Runnable arrival) {}
 }
