Requests stay at an engine that only its agent cannot reach

Cause: when the calls of an agent failed, every entry cancelled its requests at that engine and sent them elsewhere, also those whose own connection was open and delivered events. An engine at its limit of connections resets the agent's calls while it serves; an agent without processor time misses its own timeouts. Ruled out: a connect timeout of the agent as the single failure that counts; its calls have none, so CONNECT_FAILED there is a refused connection.

UnseenEngines decides for all requests of an entry. What arrived from the engine since the agent's calls began to fail shows that it runs; otherwise the entry checks it over a new connection. It is checked again until the agent sees it or no request is there. New requests still go elsewhere. A loss counts as a crash only once the entry does not reach the engine either.

--- a/runtime/src/main/java/org/hornbeamusher/events/EventType.java
+++ b/runtime/src/main/java/org/hornbeamusher/events/EventType.java
@@ -89,6 +89,8 @@
   ENDPOINTS_MISSING(
       1317, Level.INFO, "Endpoints are missing from a list; they are kept for a while."),
   ENDPOINT_CRASHED(1318, Level.WARNING, "An endpoint ended while it ran requests of this entry."),
+  UNSEEN_ENGINE_CHECKED(
+      1326, Level.WARNING, "An entry has checked an engine that its agent cannot reach."),
   ENDPOINT_ALIVE(1319, Level.INFO, "An endpoint that lost connections has not ended."),
   CRASH_RECORD_UNREADABLE(1320, Level.WARNING, "A record of crashes cannot be read."),
   CONNECTION_LOSS_RELAYED(
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/AttemptOutcome.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/AttemptOutcome.java
@@ -49,8 +49,8 @@
 
   /** Why an entry ends an attempt at an endpoint that has not ended the connection. */
   enum LeaveReason {
-    /** The endpoint's agent cannot reach it. */
-    AGENT_UNREACHABLE("agent-unreachable"),
+    /** Neither the endpoint's agent nor this entry reaches it. */
+    UNREACHABLE("unreachable"),
     /** The next incarnation of the endpoint runs. */
     RESTARTED("restarted");
 
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardDaemon.java
@@ -75,6 +75,7 @@
   private final Clock clock;
   private final EventLoop loop;
   private final ForwardContext context;
+  private final UnseenEngines unseenEngines;
   private final AvailabilityRegistry availability = new AvailabilityRegistry();
   private final ConfigurationFreshness freshness;
   private final AccountCheck accounts;
@@ -216,6 +217,12 @@
             counts,
             loop,
             clock);
+    this.unseenEngines =
+        new UnseenEngines(
+            new EngineReachabilityCheck(settings.engineCheckPath(), dialect, http, loop),
+            new UnreachableEngines(),
+            loop,
+            clock);
     context.agents().setIncarnationListener(new IncarnationUpdates());
     this.metrics =
         settings.metricsAddress().map(at -> new MetricsListener(at, http.worker(), registry));
@@ -272,6 +279,7 @@
     measured.gauge("backoff_endpoints", () -> context.placer().backoffEndpoints(clock.millis()));
     measured.gauge("leaving_endpoints", context.placer()::leavingEndpoints);
     measured.gauge("missing_endpoints", context.directory()::missingEndpoints);
+    measured.gauge("unseen_engines", unseenEngines::size);
     measured.gauge("unusable_entries", context.directory()::unusableEntries);
     measured.gauge("quarantined_contents", () -> crashHistory.quarantined().size());
     measured.gauge("store_loads", loads::loadsInProgress);
@@ -635,6 +643,31 @@
     context.agents().stop();
   }
 
+  private boolean isAffected(EndpointView engine) {
+    EndpointIncarnation incarnation = engine.incarnation();
+    return context.crashes().hasLosses(incarnation)
+        || runs.stream().anyMatch(run -> run.isRunningAt(incarnation));
+  }
+
+  private void unreachable(EndpointIncarnation incarnation) {
+    context.crashes().incarnationEnded(incarnation, "not-seen");
+    List.copyOf(runs).forEach(run -> run.endpointUnreachable(incarnation));
+  }
+
+  /** Applies the decisions about engines that their agents cannot reach. */
+  private final class UnreachableEngines implements UnseenEngines.Listener {
+
+    @Override
+    public boolean isAffected(EndpointView engine) {
+      return ForwardDaemon.this.isAffected(engine);
+    }
+
+    @Override
+    public void unreachable(EndpointView engine) {
+      ForwardDaemon.this.unreachable(engine.incarnation());
+    }
+  }
+
   /** Applies what agents report about the incarnations of their engines. */
   private final class IncarnationUpdates implements AgentConnections.IncarnationListener {
 
@@ -644,6 +677,7 @@
       if (view != null && view.incarnation().maybeSameAs(incarnation)) {
         context.crashes().seen(view.incarnation());
       }
+      unseenEngines.seen(incarnation);
       apply(context.directory().agentReported(incarnation, address, clock.millis()));
     }
 
@@ -651,13 +685,17 @@
     @Override
     public void incarnationLost(EndpointIncarnation incarnation) {
       EndpointView view = context.placer().views().get(incarnation.id());
-      if (view != null && view.incarnation().maybeSameAs(incarnation)) {
+      boolean known = view != null && view.incarnation().maybeSameAs(incarnation);
+      if (known) {
         view.markEndedByAgent();
       }
       context.directory().agentLost(incarnation.id());
       EndpointLog.ended(incarnation, "not-seen", context.directory().ageMillis(clock.millis()));
-      context.crashes().incarnationEnded(incarnation, "not-seen");
-      List.copyOf(runs).forEach(run -> run.endpointUnreachable(incarnation));
+      if (known && isAffected(view)) {
+        unseenEngines.unseen(view);
+      } else {
+        unreachable(incarnation);
+      }
     }
 
     @Override
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardSettings.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardSettings.java
@@ -16,6 +16,7 @@
  * @param readinessAddress address of the readiness check
  * @param metricsAddress address of the metrics listener; empty for none
  * @param agentPort the port of every agent
+ * @param engineCheckPath path that an engine answers at once, without a free slot
  * @param drainMillis maximum duration of a drain
  * @param list settings for reading the list of endpoints
  * @param maxStartupHoldMillis longest time that callers wait for the configuration at startup
@@ -33,6 +34,7 @@
     InetSocketAddress readinessAddress,
     Optional<InetSocketAddress> metricsAddress,
     int agentPort,
+    String engineCheckPath,
     long drainMillis,
     EndpointListSettings list,
     long maxStartupHoldMillis,
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
@@ -707,13 +707,14 @@
   }
 
   /**
-   * Called when the agent of an incarnation of an endpoint cannot reach it. One that leaves may
-   * accept no connections while it completes its requests, and ends their connections when it ends:
-   * the agent, which runs on the same machine, shows that the machine is not gone.
+   * Called when neither the agent of an incarnation of an endpoint nor this entry reaches it. One
+   * that leaves may accept no connections while it completes its requests, and ends their
+   * connections when it ends: the agent, which runs on the same machine, shows that the machine is
+   * not gone.
    */
   void endpointUnreachable(EndpointIncarnation incarnation) {
     if (endpoint == null || !endpoint.isWithdrawn()) {
-      leave(incarnation, AttemptOutcome.LeaveReason.AGENT_UNREACHABLE);
+      leave(incarnation, AttemptOutcome.LeaveReason.UNREACHABLE);
     }
   }
 
@@ -723,7 +724,7 @@
    * ran is unknown.
    */
   private void leave(EndpointIncarnation incarnation, AttemptOutcome.LeaveReason reason) {
-    if (attempt != null && isAt(incarnation)) {
+    if (isRunningAt(incarnation)) {
       Attempt silent = attempt;
       silent.cancel();
       ended(silent, new AttemptOutcome.Left(reason));
@@ -741,6 +742,11 @@
     }
   }
 
+  /** Returns whether the request was sent to an incarnation of an endpoint and may run there. */
+  boolean isRunningAt(EndpointIncarnation incarnation) {
+    return attempt != null && isAt(incarnation);
+  }
+
   private boolean isAt(EndpointIncarnation incarnation) {
     return !finished && endpoint != null && endpoint.incarnation().maybeSameAs(incarnation);
   }
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/RequestCrashes.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/RequestCrashes.java
@@ -399,6 +399,11 @@
     relayed.responded(incarnation, sentMillis);
   }
 
+  /** Returns whether it is undecided if an incarnation ended under lost requests. */
+  boolean hasLosses(EndpointIncarnation incarnation) {
+    return losses.keySet().stream().anyMatch(incarnation::maybeSameAs);
+  }
+
   /** Called when data of a response or an agent shows that an incarnation runs. */
   void seen(EndpointIncarnation incarnation) {
     liveness.seen(incarnation, clock.millis());
