A refused request is not sent again to an endpoint whose start became known

What callers saw: a request ran though its caller was told that it had not (REFUSED, once), or ran twice. Suspected cause, by reading: a response is attributed to a request by its id, so a request must not be sent twice to one process: on a connection that carried the first send, a late response to it names the same id and is taken for that of the second. The set of endpoints that were tried compared id and start, so an endpoint whose start the list stated after the first send counted as another one.

refusedBookingIsNotSentAgainOnceTheStartOfItsEndpointIsKnown: the booking reached the same process twice before (200 instead of 503). Now every incarnation that may be the one that was tried is excluded. Whether the reported case is this one is not shown: endpoints must state a start between two sends.

--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
@@ -1,6 +1,7 @@
 package org.hornbeamusher.forwarding;
 
 import java.net.URI;
+import java.util.Collection;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
@@ -247,15 +248,21 @@
   }
 
   private Set<EndpointIncarnation> excluded() {
-    if (connectionsInUse.isEmpty() && !continuation.isBound()) {
-      return tried;
+    if (tried.isEmpty() && connectionsInUse.isEmpty() && !continuation.isBound()) {
+      return Set.of();
     }
-    Set<EndpointIncarnation> excluded = new HashSet<>(tried);
-    excluded.addAll(connectionsInUse);
-    continuation.addExcluded(context.placer().views().values(), excluded);
+    Collection<EndpointView> views = context.placer().views().values();
+    Set<EndpointIncarnation> excluded = new HashSet<>(connectionsInUse);
+    views.stream().map(EndpointView::incarnation).filter(this::isTried).forEach(excluded::add);
+    continuation.addExcluded(views, excluded);
     return excluded;
   }
 
+  /** The start of an endpoint may have become known since the request was sent there. */
+  private boolean isTried(EndpointIncarnation incarnation) {
+    return tried.stream().anyMatch(incarnation::maybeSameAs);
+  }
+
   /** Waits for a free connection, up to the target latency; beyond it, others would be late too. */
   private void awaitConnection() {
     connectionsInUse.clear();
