A connection that was not opened in time does not count as open

A process that does not accept for a moment fills the share of an entry for good measure. Evidence: connectionThatWasNotOpenedInTimeDoesNotCount got CONNECTIONS_IN_USE at its third exchange before. Now the timeout and the end of an exchange stop the attempt to connect, and it no longer counts.

--- a/runtime/src/main/java/org/hornbeamusher/http/ConnectionPool.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/ConnectionPool.java
@@ -10,9 +10,11 @@
 import java.util.concurrent.ConcurrentLinkedDeque;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.hornbeamusher.clock.MonotonicClock;
+import org.xnio.IoFuture;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
+import org.xnio.StreamConnection;
 import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 
@@ -38,6 +40,8 @@
   private static final OptionMap OPTIONS =
       OptionMap.create(Options.TCP_NODELAY, true, Options.CLOSE_ABORT, true);
 
+  private static final Runnable NOTHING_TO_STOP = () -> {};
+
   private final ConcurrentHashMap<String, ConcurrentLinkedDeque<IdleConnection>> idle =
       new ConcurrentHashMap<>();
 
@@ -69,23 +73,36 @@
   /**
    * Passes an idle or a new connection to the callback. Fails with {@link ConnectionLimitException}
    * when the maximum number of connections is open and in use.
+   *
+   * @return stops opening a new connection, which no longer counts then; the system would try for
+   *     up to two minutes
    */
-  void acquire(URI uri, ConnectionOptions options, ClientCallback<ClientConnection> callback) {
+  Runnable acquire(URI uri, ConnectionOptions options, ClientCallback<ClientConnection> callback) {
     String origin = uri.getAuthority();
     ClientConnection pooled = options.reuse() ? pollOpen(origin) : null;
     if (pooled != null) {
       callback.completed(pooled);
-      return;
+      return NOTHING_TO_STOP;
     }
     AtomicInteger count = open.computeIfAbsent(origin, key -> new AtomicInteger());
     if (count.incrementAndGet() > options.maxConnections() && !closeIdle(origin)) {
       count.decrementAndGet();
       callback.failed(new ConnectionLimitException(origin, options.maxConnections()));
-      return;
+      return NOTHING_TO_STOP;
     }
     LimitedConnector connector =
         connectors.computeIfAbsent(worker.getIoThread(), LimitedConnector::new);
-    client.connect(opened(callback, connector, count), uri, connector, buffers, OPTIONS);
+    ClientCallback<ClientConnection> opened = opened(callback, connector, count);
+    client.connect(opened, uri, connector, buffers, OPTIONS);
+    IoFuture<StreamConnection> opening = connector.opening();
+    opening.addNotifier(
+        (ended, origins) -> {
+          if (ended.getStatus() == IoFuture.Status.CANCELLED) {
+            opened.failed(new IOException("stopped opening the connection"));
+          }
+        },
+        null);
+    return opening::cancel;
   }
 
   /** Returns what is known of an open connection; null if it has been closed. */
--- a/runtime/src/main/java/org/hornbeamusher/http/HttpExchange.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/HttpExchange.java
@@ -56,6 +56,10 @@
   private volatile OpenConnection state;
 
   private volatile XnioExecutor.Key connectTimer;
+
+  /** Null until the exchange has a connection or begins to open one. */
+  private volatile Runnable stopConnecting;
+
   private volatile StreamSourceChannel source;
   private volatile boolean paused;
 
@@ -72,12 +76,18 @@
   }
 
   void begin(ConnectionOptions options) {
-    connections.acquire(call.uri(), options, callback(this::connected, this::connectFailed));
+    Runnable stopOpening =
+        connections.acquire(call.uri(), options, callback(this::connected, this::connectFailed));
+    stopConnecting = stopOpening;
+    if (hasEnded()) {
+      stopOpening.run();
+    }
   }
 
   /** Fails the exchange if its connection is not open yet; an unreachable peer never responds. */
   void checkConnectTimeout() {
     connectFailed(new SocketTimeoutException("connect timed out"));
+    stopConnecting();
   }
 
   boolean hasConnection() {
@@ -98,6 +108,15 @@
   public void cancel() {
     if (end()) {
       closeConnection();
+      stopConnecting();
+    }
+  }
+
+  /** Does nothing once the connection is open. */
+  private void stopConnecting() {
+    Runnable stop = stopConnecting;
+    if (stop != null && connection == null) {
+      stop.run();
     }
   }
 
--- a/runtime/src/main/java/org/hornbeamusher/http/LimitedConnector.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/LimitedConnector.java
@@ -24,6 +24,9 @@
 
   private InterimResponseFilter openedFilter;
 
+  /** What the current thread has begun to open last. */
+  private final ThreadLocal<IoFuture<StreamConnection>> opening = new ThreadLocal<>();
+
   LimitedConnector(XnioIoThread thread) {
     super(thread.getWorker(), thread.getNumber());
     this.thread = thread;
@@ -39,6 +42,11 @@
     return openedFilter;
   }
 
+  /** Returns the connection that this thread has begun to open last. */
+  IoFuture<StreamConnection> opening() {
+    return opening.get();
+  }
+
   @Override
   protected IoFuture<StreamConnection> openTcpStreamConnection(
       InetSocketAddress bindAddress,
@@ -46,8 +54,11 @@
       ChannelListener<? super StreamConnection> openListener,
       ChannelListener<? super BoundChannel> bindListener,
       OptionMap options) {
-    return thread.openStreamConnection(
-        destination, connection -> limit(connection, openListener), bindListener, options);
+    IoFuture<StreamConnection> begun =
+        thread.openStreamConnection(
+            destination, connection -> limit(connection, openListener), bindListener, options);
+    opening.set(begun);
+    return begun;
   }
 
   private void limit(
--- a/runtime/src/test/java/org/hornbeamusher/http/ConnectionLimitTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/http/ConnectionLimitTest.java
@@ -3,8 +3,13 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import io.undertow.Undertow;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.net.URI;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.hornbeamusher.failure.FailureType;
@@ -46,6 +51,28 @@
     server.stop();
   }
 
+  /** Guards against connections that count as open long after their exchanges have given up. */
+  @Test
+  void connectionThatWasNotOpenedInTimeDoesNotCount() throws Exception {
+    ConnectionOptions options = new ConnectionOptions(100, 2, true);
+    try (ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      List<Socket> waiting = new ArrayList<>();
+      for (int i = 0; i < 2; i++) {
+        waiting.add(new Socket(full.getInetAddress(), full.getLocalPort()));
+      }
+      HttpRequest call =
+          HttpRequest.get(URI.create("http://127.0.0.1:" + full.getLocalPort() + "/"));
+      for (int i = 0; i < 6; i++) {
+        OutcomeListener listener = new OutcomeListener();
+        client.stream(call, listener, options);
+        assertEquals("CONNECT_FAILED", listener.result.get(2, TimeUnit.SECONDS));
+      }
+      for (Socket socket : waiting) {
+        socket.close();
+      }
+    }
+  }
+
   /**
    * Guards against a burst that opens more connections than the server accepts; the server resets
    * the others.
