--- a/runtime/src/main/java/org/hornbeamusher/forwarding/UnseenEngines.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/UnseenEngines.java
@@ -100,7 +100,7 @@
     switch (result) {
       case ALIVE -> alive(unseen, "checked");
       case ENDED -> gone(unseen, "ended");
-      case UNKNOWN -> {
+      default -> {
         if (clock.millis() - sentMillis <= MAX_CHECK_MILLIS) {
           gone(unseen, "unanswered");
         } else {
