--- a/runtime/src/main/java/org/hornbeamusher/forwarding/EngineReachabilityCheck.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/EngineReachabilityCheck.java
@@ -1,6 +1,8 @@
 package org.hornbeamusher.forwarding;
 
 import java.net.ConnectException;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import org.hornbeamusher.http.ConnectionOptions;
 import org.hornbeamusher.http.ConnectionUse;
@@ -15,13 +17,17 @@
 
 /**
  * Checks over a new connection whether an engine still runs. An engine at its limit of connections
- * ends the connection, which also shows that it runs.
+ * ends the connection, which also shows that it runs. The check names the engine, so that another
+ * endpoint that uses its address by now refuses it.
  */
 final class EngineReachabilityCheck implements EndpointCheck {
 
   /** Covers a packet each way between availability zones and a busy peer. */
   static final long TIMEOUT_MILLIS = 300;
 
+  /** Another endpoint uses the address. */
+  private static final int MISDIRECTED = 421;
+
   private final String path;
   private final HeaderCodec headerCodec;
   private final HttpClient http;
@@ -47,7 +53,7 @@
     ResultListener listener = new ResultListener(endpoint.id());
     HttpStream stream =
         http.stream(
-            HttpRequest.get(endpoint.endpoint().uri().resolve(path)),
+            request(endpoint),
             listener,
             new ConnectionOptions(TIMEOUT_MILLIS, Integer.MAX_VALUE, false));
     EventLoop.Timer timeout =
@@ -60,6 +66,20 @@
     return listener.result;
   }
 
+  private HttpRequest request(EndpointView endpoint) {
+    AttemptMetadata metadata =
+        new AttemptMetadata(
+            endpoint.id(), TIMEOUT_MILLIS, 0, Optional.empty(), OptionalLong.empty());
+    HttpRequest plain = HttpRequest.get(endpoint.endpoint().uri().resolve(path));
+    return new HttpRequest(
+        plain.method(),
+        plain.uri(),
+        plain.host(),
+        plain.target(),
+        headerCodec.toEndpoint(plain.headers(), metadata),
+        plain.body());
+  }
+
   private final class ResultListener implements HttpStreamListener {
 
     private final EndpointId expected;
@@ -78,11 +98,12 @@
     @Override
     public void head(HttpHead head) {
       boolean other =
-          headerCodec
-              .parseResponse(head)
-              .endpoint()
-              .filter(found -> !found.equals(expected))
-              .isPresent();
+          head.status() == MISDIRECTED
+              || headerCodec
+                  .parseResponse(head)
+                  .endpoint()
+                  .filter(found -> !found.equals(expected))
+                  .isPresent();
       result.complete(other ? Result.ENDED : Result.ALIVE);
     }
 
