An unseen engine is still checked once its start is known

Found on the last read: unseen engines were kept by incarnation, which changes when the list states the start of an engine that had none. They are kept by id now. engineIsStillCheckedOnceItsStartIsKnown failed before. Also: the thread no longer holds the last connection it opened.

--- a/runtime/src/main/java/org/hornbeamusher/forwarding/UnseenEngines.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/UnseenEngines.java
@@ -5,6 +5,7 @@
 import org.hornbeamusher.clock.Clock;
 import org.hornbeamusher.events.EventLog;
 import org.hornbeamusher.events.EventType;
+import org.hornbeamusher.ids.EndpointId;
 import org.hornbeamusher.ids.EndpointIncarnation;
 import org.hornbeamusher.loop.EventLoop;
 import org.hornbeamusher.placement.EndpointView;
@@ -21,7 +22,7 @@
  *
  * <ol>
  *   <li>An engine from which something has arrived within the last {@value #CHECK_INTERVAL_MILLIS}
- *       ms runs. The agent's calls failed for longer than that.
+ *       ms counts as running.
  *   <li>Otherwise this entry checks the engine over a new connection of its own. If no process
  *       listens, or another endpoint answers, it has ended, and the requests leave at once.
  *   <li>If the check times out, neither the agent nor this entry reaches the engine, and the
@@ -34,7 +35,7 @@
  */
 final class UnseenEngines {
 
-  /** Shorter than the time for which an agent's calls fail before it reports that. */
+  /** Bounds how long the end of an engine that was found to run goes unnoticed. */
   static final long CHECK_INTERVAL_MILLIS = 400;
 
   /** A check that takes longer timed out because this process had no processor time. */
@@ -44,7 +45,7 @@
   private final Listener listener;
   private final EventLoop loop;
   private final Clock clock;
-  private final Map<EndpointIncarnation, Unseen> engines = new HashMap<>();
+  private final Map<EndpointId, Unseen> engines = new HashMap<>();
 
   UnseenEngines(EndpointCheck check, Listener listener, EventLoop loop, Clock clock) {
     this.check = check;
@@ -56,13 +57,13 @@
   /** Called when the agent of an engine reports that it cannot reach it. */
   void unseen(EndpointView engine) {
     Unseen unseen = new Unseen(engine, clock.millis());
-    engines.put(engine.incarnation(), unseen);
+    engines.put(engine.id(), unseen);
     check(unseen);
   }
 
   /** Called when the agent sees an incarnation of its engine, this one or the next. */
   void seen(EndpointIncarnation incarnation) {
-    engines.keySet().removeIf(unseen -> unseen.id().equals(incarnation.id()));
+    engines.remove(incarnation.id());
   }
 
   /** Returns the number of engines that are checked. */
@@ -71,7 +72,7 @@
   }
 
   private boolean isCurrent(Unseen unseen) {
-    return engines.get(unseen.engine.incarnation()) == unseen;
+    return engines.get(unseen.engine.id()) == unseen;
   }
 
   private void check(Unseen unseen) {
@@ -79,7 +80,7 @@
       return;
     }
     if (!listener.isAffected(unseen.engine)) {
-      engines.remove(unseen.engine.incarnation());
+      engines.remove(unseen.engine.id());
       return;
     }
     long silentMillis = unseen.engine.silentMillis(clock.millis());
@@ -119,7 +120,7 @@
   }
 
   private void gone(Unseen unseen, String evidence) {
-    engines.remove(unseen.engine.incarnation());
+    engines.remove(unseen.engine.id());
     log(unseen, false, evidence);
     listener.unreachable(unseen.engine);
   }
--- a/runtime/src/main/java/org/hornbeamusher/http/ConnectionPool.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/ConnectionPool.java
@@ -94,7 +94,7 @@
         connectors.computeIfAbsent(worker.getIoThread(), LimitedConnector::new);
     ClientCallback<ClientConnection> opened = opened(callback, connector, count);
     client.connect(opened, uri, connector, buffers, OPTIONS);
-    IoFuture<StreamConnection> opening = connector.opening();
+    IoFuture<StreamConnection> opening = connector.takeOpening();
     opening.addNotifier(
         (ended, origins) -> {
           if (ended.getStatus() == IoFuture.Status.CANCELLED) {
--- a/runtime/src/main/java/org/hornbeamusher/http/LimitedConnector.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/LimitedConnector.java
@@ -42,9 +42,11 @@
     return openedFilter;
   }
 
-  /** Returns the connection that this thread has begun to open last. */
-  IoFuture<StreamConnection> opening() {
-    return opening.get();
+  /** Returns the connection that this thread has begun to open last, once. */
+  IoFuture<StreamConnection> takeOpening() {
+    IoFuture<StreamConnection> begun = opening.get();
+    opening.remove();
+    return begun;
   }
 
   @Override
--- a/runtime/src/test/java/org/hornbeamusher/forwarding/UnseenEnginesTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/forwarding/UnseenEnginesTest.java
@@ -22,7 +22,7 @@
   private static final long CHECK_MILLIS = 50;
 
   private final SimulatedLoop loop = new SimulatedLoop();
-  private final EndpointView engine = engine();
+  private final EndpointView engine = engine(7);
   private final List<EndpointView> left = new ArrayList<>();
   private EndpointCheck.Result result = EndpointCheck.Result.ALIVE;
   private boolean affected = true;
@@ -95,6 +95,18 @@
     assertEquals(List.of(engine), left);
   }
 
+  /** Guards against an engine that is no longer checked because its start became known. */
+  @Test
+  void engineIsStillCheckedOnceItsStartIsKnown() {
+    EndpointView unknownStart = engine(EndpointIncarnation.UNKNOWN_START);
+    unseen.unseen(unknownStart);
+    pass(1_000);
+    unknownStart.updateFromList(engine(7).endpoint(), loop.clock().millis());
+    result = EndpointCheck.Result.ENDED;
+    pass(1_000);
+    assertEquals(List.of(unknownStart), left);
+  }
+
   /** Guards against checks without end. */
   @Test
   void engineIsNotCheckedWithoutRequestsOrOnceItsAgentSeesIt() {
@@ -111,10 +123,10 @@
     assertEquals(0, unseen.size());
   }
 
-  private static EndpointView engine() {
+  private static EndpointView engine(long startMillis) {
     Endpoint endpoint =
         new Endpoint(
-            new EndpointIncarnation(new EndpointId("e"), 7),
+            new EndpointIncarnation(new EndpointId("e"), startMillis),
             "s",
             URI.create("http://127.0.0.1:1"),
             "z",
