Logs: the address of the endpoint of each send

Two identities at one address could not be recognised in the logs: a row that is stale names another id than the one that took its place. ATTEMPT_ENDED states the address; with the number of the connection, which it states already, it tells two sends of a request over one connection from two sends to one address, and both from sends to different places. No logic has changed.

--- a/runtime/src/main/java/org/hornbeamusher/forwarding/RequestLog.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/RequestLog.java
@@ -200,6 +200,8 @@
         id,
         "endpoint",
         attempt.endpoint().id(),
+        "address",
+        attempt.endpoint().endpoint().address(),
         "start_ms",
         attempt.endpoint().incarnation().startMillis(),
         "software",
