A connection never carries the same request twice

Callers saw that a request ran twice that must run once, or were told that it had not run although it had.

Cause: a response was attributed to a send by the id that it names. Two sends of one request over one connection have the same id, so the copy of the first refusal was taken for the response to the second send. What keeps the sends apart was the set of tried endpoints, which holds declared identities, while the pool holds connections by address: a restarted endpoint with a new id, or a stale row beside the right one, got the second send over the connection of the first.

Change: each connection remembers the ids that it has carried, and the pool does not choose it for a request that it has carried, also when the request comes again from its caller.

Why it works: a response that names a request, on a connection that has carried it once, belongs to that send. It holds whatever ids, starts and rows say about an endpoint.

--- a/runtime/src/main/java/org/hornbeamusher/forwarding/Attempt.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/Attempt.java
@@ -1,10 +1,12 @@
 package org.hornbeamusher.forwarding;
 
+import java.util.Optional;
 import org.hornbeamusher.clock.Clock;
 import org.hornbeamusher.failure.FailureType;
 import org.hornbeamusher.failure.HornbeamusherException;
 import org.hornbeamusher.http.ConnectionOptions;
 import org.hornbeamusher.http.ConnectionUse;
+import org.hornbeamusher.http.EchoedId;
 import org.hornbeamusher.http.HttpClient;
 import org.hornbeamusher.http.HttpHead;
 import org.hornbeamusher.http.HttpRequest;
@@ -32,6 +34,7 @@
   private final EndpointStateUpdater statements;
   private final Clock clock;
   private final String requestId;
+  private final Optional<EchoedId> id;
   private final boolean repeatable;
   private final Listener listener;
   private HttpStream stream;
@@ -66,14 +69,15 @@
   Attempt(
       EndpointView endpoint,
       ForwardContext context,
-      String requestId,
+      RequestMetadata request,
       boolean repeatable,
       Listener listener) {
     this.endpoint = endpoint;
     this.dialect = context.headerCodec();
     this.statements = context.stateUpdater();
     this.clock = context.clock();
-    this.requestId = requestId;
+    this.requestId = request.id();
+    this.id = dialect.echoedId(request);
     this.repeatable = repeatable;
     this.listener = listener;
   }
@@ -93,7 +97,7 @@
    */
   private ConnectionOptions connectionOptions(int maxConnections) {
     boolean reuse = repeatable || !endpoint.sendsUnnamedResponses(sentMillis);
-    return new ConnectionOptions(CONNECT_MILLIS, maxConnections, reuse);
+    return new ConnectionOptions(CONNECT_MILLIS, maxConnections, reuse, id);
   }
 
   EndpointView endpoint() {
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
@@ -475,7 +475,7 @@
             request.target(),
             context.headerCodec().toEndpoint(request.headers(), sent),
             request.body());
-    attempt = new Attempt(endpoint, context, routed.metadata().id(), route.repeatable(), this);
+    attempt = new Attempt(endpoint, context, routed.metadata(), route.repeatable(), this);
     attempt.send(context.http(), call, context.maxConnections(service));
   }
 
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/HeaderCodec.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/HeaderCodec.java
@@ -1,6 +1,8 @@
 package org.hornbeamusher.forwarding;
 
 import java.util.List;
+import java.util.Optional;
+import org.hornbeamusher.http.EchoedId;
 import org.hornbeamusher.http.HttpHead;
 import org.hornbeamusher.http.HttpHeader;
 
@@ -26,6 +28,14 @@
    */
   List<HttpHeader> toEndpoint(List<HttpHeader> headers, AttemptMetadata metadata);
 
+  /**
+   * Returns the id of a request, which endpoints repeat in their responses.
+   *
+   * @param metadata the metadata of the request
+   * @return empty if its caller gave it none
+   */
+  Optional<EchoedId> echoedId(RequestMetadata metadata);
+
   /**
    * Parses the head of a response.
    *
--- a/runtime/src/main/java/org/hornbeamusher/http/ConnectionOptions.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/ConnectionOptions.java
@@ -1,5 +1,7 @@
 package org.hornbeamusher.http;
 
+import java.util.Optional;
+
 /**
  * How an exchange gets its connection.
  *
@@ -8,8 +10,11 @@
  *     beyond it the exchange fails with {@code CONNECTIONS_IN_USE}
  * @param reuse whether an idle connection may be used; otherwise one is closed to open a new one
  *     within the maximum
+ * @param id the id of the request, if the server repeats it; an idle connection that has carried it
+ *     is not used, because a late copy of a response could not be told from the response
  */
-public record ConnectionOptions(long connectMillis, int maxConnections, boolean reuse) {
+public record ConnectionOptions(
+    long connectMillis, int maxConnections, boolean reuse, Optional<EchoedId> id) {
 
   /** Stands for no timeout. */
   public static final long NO_TIMEOUT = -1;
@@ -21,4 +26,15 @@
   /** A new connection without a timeout and a maximum. */
   public static final ConnectionOptions NEW =
       new ConnectionOptions(NO_TIMEOUT, Integer.MAX_VALUE, false);
+
+  /**
+   * Options for a request without an id.
+   *
+   * @param connectMillis as for the record
+   * @param maxConnections as for the record
+   * @param reuse as for the record
+   */
+  public ConnectionOptions(long connectMillis, int maxConnections, boolean reuse) {
+    this(connectMillis, maxConnections, reuse, Optional.empty());
+  }
 }
--- a/runtime/src/main/java/org/hornbeamusher/http/ConnectionPool.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/ConnectionPool.java
@@ -6,6 +6,7 @@
 import io.undertow.connector.ByteBufferPool;
 import java.io.IOException;
 import java.net.URI;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedDeque;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -25,6 +26,8 @@
  * <p>A server closes a connection after its idle timeout. A request sent at the moment of this
  * close fails with a reset, and whether it ran is unknown. So a connection is not reused once it
  * was idle for most of the timeout that its server stated.
+ *
+ * <p>A connection carries a request at most once, see {@link CarriedRequests}.
  */
 final class ConnectionPool {
 
@@ -79,7 +82,7 @@
    */
   Runnable acquire(URI uri, ConnectionOptions options, ClientCallback<ClientConnection> callback) {
     String origin = uri.getAuthority();
-    ClientConnection pooled = options.reuse() ? pollOpen(origin) : null;
+    ClientConnection pooled = options.reuse() ? pollOpen(origin, options.id()) : null;
     if (pooled != null) {
       callback.completed(pooled);
       return NOTHING_TO_STOP;
@@ -139,7 +142,9 @@
    */
   void release(URI uri, ClientConnection connection, long usableMillis) {
     ConcurrentLinkedDeque<IdleConnection> queue = queue(uri.getAuthority());
-    if (!connection.isOpen() || usableMillis <= 0 || queue.size() >= MAX_IDLE) {
+    OpenConnection state = state(connection);
+    boolean reusable = state != null && state.mayBeReused() && usableMillis > 0;
+    if (!connection.isOpen() || !reusable || queue.size() >= MAX_IDLE) {
       IoUtils.safeClose(connection);
       return;
     }
@@ -155,7 +160,7 @@
   }
 
   private boolean closeIdle(String origin) {
-    ClientConnection connection = pollOpen(origin);
+    ClientConnection connection = pollOpen(origin, Optional.empty());
     if (connection == null) {
       return false;
     }
@@ -163,20 +168,28 @@
     return true;
   }
 
-  private ClientConnection pollOpen(String origin) {
+  /** Takes an idle connection that may carry this request; null if there is none. */
+  private ClientConnection pollOpen(String origin, Optional<EchoedId> id) {
     ConcurrentLinkedDeque<IdleConnection> queue = queue(origin);
     long now = MonotonicClock.INSTANCE.millis();
-    IdleConnection candidate = queue.pollFirst();
-    while (candidate != null) {
-      if (candidate.connection().isOpen() && now < candidate.usableUntilMillis()) {
+    for (IdleConnection candidate : queue) {
+      boolean usable = candidate.connection().isOpen() && now < candidate.usableUntilMillis();
+      if ((usable && !mayCarry(candidate.connection(), id)) || !queue.remove(candidate)) {
+        continue;
+      }
+      if (usable) {
         return candidate.connection();
       }
       IoUtils.safeClose(candidate.connection());
-      candidate = queue.pollFirst();
     }
     return null;
   }
 
+  private boolean mayCarry(ClientConnection connection, Optional<EchoedId> id) {
+    OpenConnection state = state(connection);
+    return state == null || state.mayCarry(id);
+  }
+
   private ConcurrentLinkedDeque<IdleConnection> queue(String origin) {
     return idle.computeIfAbsent(origin, key -> new ConcurrentLinkedDeque<>());
   }
--- a/runtime/src/main/java/org/hornbeamusher/http/HttpExchange.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/HttpExchange.java
@@ -14,6 +14,7 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
@@ -50,6 +51,7 @@
   private final HttpStreamListener listener;
   private final ConnectionPool connections;
   private final AtomicReference<Phase> phase = new AtomicReference<>(Phase.CONNECTING);
+  private volatile Optional<EchoedId> id = Optional.empty();
   private volatile ClientConnection connection;
 
   /** The state of the connection; null if it was closed before it was used. */
@@ -76,6 +78,7 @@
   }
 
   void begin(ConnectionOptions options) {
+    id = options.id();
     Runnable stopOpening =
         connections.acquire(call.uri(), options, callback(this::connected, this::connectFailed));
     stopConnecting = stopOpening;
@@ -150,7 +153,7 @@
 
   private void send(ClientConnection opened) {
     if (!hasEnded()) {
-      listener.connected(state == null ? ConnectionUse.NONE : state.requestSent());
+      listener.connected(state == null ? ConnectionUse.NONE : state.requestSent(id));
     }
     if (!hasEnded() && listener.shouldSend()) {
       opened.sendRequest(request(), callback(this::sendBody, this::fail));
--- a/runtime/src/main/java/org/hornbeamusher/http/OpenConnection.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/OpenConnection.java
@@ -1,5 +1,6 @@
 package org.hornbeamusher.http;
 
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
 import org.hornbeamusher.clock.MonotonicClock;
 
@@ -12,6 +13,7 @@
   private final ResponseByteLimit limit;
   private final InterimResponseFilter filter;
   private final long openedMillis = MonotonicClock.INSTANCE.millis();
+  private final CarriedRequests carried = new CarriedRequests();
   private int requests;
 
   OpenConnection(ResponseByteLimit limit, InterimResponseFilter filter) {
@@ -24,9 +26,20 @@
     return limit;
   }
 
+  /** Returns whether it may carry this request; called while the connection is idle. */
+  boolean mayCarry(Optional<EchoedId> id) {
+    return id.isEmpty() || !carried.contains(id.get().value());
+  }
+
+  /** Returns whether it may carry another request. */
+  boolean mayBeReused() {
+    return !carried.isFull();
+  }
+
   /** Counts a request that is sent next; called on the connection's I/O thread. */
-  ConnectionUse requestSent() {
+  ConnectionUse requestSent(Optional<EchoedId> id) {
     filter.awaitResponse();
+    id.ifPresent(sent -> carried.add(sent.value()));
     return new ConnectionUse(number, requests++, MonotonicClock.INSTANCE.millis() - openedMillis);
   }
 }
--- a/runtime/src/test/java/org/hornbeamusher/forwarding/EngineReachabilityCheckTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/forwarding/EngineReachabilityCheckTest.java
@@ -7,10 +7,12 @@
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.hornbeamusher.availability.EndpointAvailability;
 import org.hornbeamusher.directory.Endpoint;
+import org.hornbeamusher.http.EchoedId;
 import org.hornbeamusher.http.HttpClient;
 import org.hornbeamusher.http.HttpHead;
 import org.hornbeamusher.http.HttpHeader;
@@ -115,6 +117,11 @@
       return List.of(new HttpHeader(EXPECTED, metadata.endpoint().value()));
     }
 
+    @Override
+    public Optional<EchoedId> echoedId(RequestMetadata metadata) {
+      return Optional.empty();
+    }
+
     @Override
     public ResponseMetadata parseResponse(HttpHead head) {
       return ResponseMetadata.NONE;
