Copies of earlier responses are skipped

Callers saw 502 for a request that may run only once although it ran and its own response followed; a repeatable request went on at a second endpoint while the first worked on it.

Cause: a response that names another request ended the attempt.

Change: a filter between the connection and the library reads the head of each response on a connection that has carried other requests. One that names a request of this connection is skipped with its body; what follows has to be a response again. A response that names none of its requests still ends the attempt: waiting for another one could take until the deadline. Statements in a copy (Retry-After, limits, leaving) are skipped with it. ATTEMPT_ENDED states skipped_responses.

Why it works: the connection knows which ids it has carried, so a copy is told from an answer that is wrong. What is skipped is bounded by the limit on bytes that become no response; a copy that is shorter than it states leaves no status line behind it and fails the request with an unknown outcome.

--- a/runtime/src/main/java/org/hornbeamusher/forwarding/Attempt.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/Attempt.java
@@ -124,6 +124,11 @@
     return connection;
   }
 
+  /** Returns how many copies of responses to earlier requests arrived before the response. */
+  int skippedResponses() {
+    return stream == null ? 0 : stream.skippedResponses();
+  }
+
   /** Returns whether the endpoint's side ended the exchange, and not this entry. */
   boolean endedByPeer() {
     return endedByPeer;
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/RequestLog.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/RequestLog.java
@@ -222,6 +222,8 @@
         attempt.connection().number(),
         "earlier_requests",
         attempt.connection().earlierRequests(),
+        "skipped_responses",
+        attempt.skippedResponses(),
         "connection_age_ms",
         attempt.connection().ageMillis(),
         "ended_by_peer",
--- a/runtime/src/main/java/org/hornbeamusher/http/ConnectionPool.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/ConnectionPool.java
@@ -118,8 +118,7 @@
     return new ClientCallback<>() {
       @Override
       public void completed(ClientConnection opened) {
-        openConnections.put(
-            opened, new OpenConnection(connector.opened(), connector.openedFilter()));
+        openConnections.put(opened, connector.opened());
         opened.addCloseListener(
             closed -> {
               openConnections.remove(opened);
--- a/runtime/src/main/java/org/hornbeamusher/http/HttpExchange.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/HttpExchange.java
@@ -137,6 +137,12 @@
     }
   }
 
+  @Override
+  public int skippedResponses() {
+    OpenConnection current = state;
+    return current == null ? 0 : current.skippedResponses();
+  }
+
   private void connected(ClientConnection opened) {
     state = connections.state(opened);
     connection = opened;
--- a/runtime/src/main/java/org/hornbeamusher/http/HttpStream.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/HttpStream.java
@@ -11,4 +11,11 @@
 
   /** Resumes reading after {@link #pause}. */
   void resume();
+
+  /**
+   * Returns how many copies of responses to earlier requests of the connection were skipped.
+   *
+   * @return their number until now
+   */
+  int skippedResponses();
 }
--- a/runtime/src/main/java/org/hornbeamusher/http/LimitedConnector.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/LimitedConnector.java
@@ -12,17 +12,15 @@
 
 /**
  * Opens connections on an I/O thread, limits the bytes that are read from each of them and removes
- * interim responses. The client library accepts a thread to connect with, but no conduit. It is
- * never started; everything runs on the I/O thread.
+ * interim responses and copies of earlier ones. The client library accepts a thread to connect
+ * with, but no conduit. It is never started; everything runs on the I/O thread.
  */
 final class LimitedConnector extends XnioIoThread {
 
   private final XnioIoThread thread;
 
-  /** The limit of the connection that is being opened; read by the callback that receives it. */
-  private ResponseByteLimit opened;
-
-  private InterimResponseFilter openedFilter;
+  /** The connection that is being opened; read by the callback that receives it. */
+  private OpenConnection opened;
 
   /** What the current thread has begun to open last. */
   private final ThreadLocal<IoFuture<StreamConnection>> opening = new ThreadLocal<>();
@@ -32,16 +30,11 @@
     this.thread = thread;
   }
 
-  /** Returns the limit of the connection that was opened last. */
-  ResponseByteLimit opened() {
+  /** Returns the connection that was opened last. */
+  OpenConnection opened() {
     return opened;
   }
 
-  /** Returns the filter of the connection that was opened last. */
-  InterimResponseFilter openedFilter() {
-    return openedFilter;
-  }
-
   /** Returns the connection that this thread has begun to open last, once. */
   IoFuture<StreamConnection> takeOpening() {
     IoFuture<StreamConnection> begun = opening.get();
@@ -58,16 +51,19 @@
       OptionMap options) {
     IoFuture<StreamConnection> begun =
         thread.openStreamConnection(
-            destination, connection -> limit(connection, openListener), bindListener, options);
+            destination, connection -> filter(connection, openListener), bindListener, options);
     opening.set(begun);
     return begun;
   }
 
-  private void limit(
+  private void filter(
       StreamConnection connection, ChannelListener<? super StreamConnection> openListener) {
-    opened = new ResponseByteLimit(connection.getSourceChannel().getConduit());
-    openedFilter = new InterimResponseFilter(opened);
-    connection.getSourceChannel().setConduit(openedFilter);
+    CarriedRequests carried = new CarriedRequests();
+    ResponseByteLimit limit = new ResponseByteLimit(connection.getSourceChannel().getConduit());
+    InterimResponseFilter interim = new InterimResponseFilter(limit);
+    EarlierResponseFilter earlier = new EarlierResponseFilter(interim, carried);
+    connection.getSourceChannel().setConduit(earlier);
+    opened = new OpenConnection(limit, interim, earlier, carried);
     @SuppressWarnings("unchecked")
     ChannelListener<StreamConnection> listener = (ChannelListener<StreamConnection>) openListener;
     listener.handleEvent(connection);
--- a/runtime/src/main/java/org/hornbeamusher/http/OpenConnection.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/OpenConnection.java
@@ -11,14 +11,21 @@
 
   private final long number = LAST_NUMBER.incrementAndGet();
   private final ResponseByteLimit limit;
-  private final InterimResponseFilter filter;
+  private final InterimResponseFilter interim;
+  private final EarlierResponseFilter earlier;
   private final long openedMillis = MonotonicClock.INSTANCE.millis();
-  private final CarriedRequests carried = new CarriedRequests();
+  private final CarriedRequests carried;
   private int requests;
 
-  OpenConnection(ResponseByteLimit limit, InterimResponseFilter filter) {
+  OpenConnection(
+      ResponseByteLimit limit,
+      InterimResponseFilter interim,
+      EarlierResponseFilter earlier,
+      CarriedRequests carried) {
     this.limit = limit;
-    this.filter = filter;
+    this.interim = interim;
+    this.earlier = earlier;
+    this.carried = carried;
   }
 
   /** Returns the limit on its bytes that become no response. */
@@ -33,12 +40,18 @@
 
   /** Returns whether it may carry another request. */
   boolean mayBeReused() {
-    return !carried.isFull();
+    return !carried.isFull() && !earlier.holdsBytes();
+  }
+
+  /** Returns how many copies of earlier responses arrived since the last request was sent. */
+  int skippedResponses() {
+    return earlier.skipped();
   }
 
   /** Counts a request that is sent next; called on the connection's I/O thread. */
   ConnectionUse requestSent(Optional<EchoedId> id) {
-    filter.awaitResponse();
+    interim.awaitResponse();
+    earlier.awaitResponse(id, requests == 0);
     id.ifPresent(sent -> carried.add(sent.value()));
     return new ConnectionUse(number, requests++, MonotonicClock.INSTANCE.millis() - openedMillis);
   }
--- a/runtime/src/test/java/org/hornbeamusher/http/EarlierResponseTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/http/EarlierResponseTest.java
@@ -30,6 +30,7 @@
   private static final long TIMEOUT_MILLIS = 5_000;
   private static final int REQUEST_BYTES = 4 * 1024;
   private static final String ID = "Request-Id";
+  private static final String INTERIM = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
 
   private final HttpClient client = new HttpClient(1);
 
@@ -82,19 +83,79 @@
         List.copyOf(connections));
   }
 
-  static String response(int status, String id, String body) {
+  /** Guards against a request that is given up although its own response follows a copy. */
+  @Test
+  void copyOfAnEarlierResponseIsSkippedWhereverItIsSplit() {
+    String copy = response(503, "a", "refused");
+    String own = response(200, "b", "own");
+    String both = copy + INTERIM + own;
+    for (int split = 1; split < both.length(); split++) {
+      responses.add(response(200, "a", "first"));
+      responses.add(both.substring(0, split) + "|" + both.substring(split));
+      assertEquals("first", send("a"));
+      assertEquals("own", send("b"), "split at " + split);
+      client.purge(uri());
+    }
+  }
+
+  /** Guards against a copy whose end is not recognised and that hides the response behind it. */
+  @Test
+  void copiesOfEveryFramingAreSkipped() {
+    responses.add(response(200, "a", "first"));
+    responses.add(
+        chunked("a", "4;x=y\r\nfour\r\n1\r\n.\r\n0\r\nTrailer: x\r\n\r\n")
+            + response(503, "a", "")
+            + "HTTP/1.1 204 x\r\n%s: a\r\n\r\n".formatted(ID)
+            + response(200, "b", "own"));
+    assertEquals("first", send("a"));
+    assertEquals("own", send("b"));
+  }
+
+  /** Guards against waiting for a response that a server sent under an id of its own making. */
+  @Test
+  void responseThatNamesNoRequestOfTheConnectionIsPassedOn() {
+    responses.add(response(200, "a", "first"));
+    responses.add(response(200, "unknown", "foreign"));
+    assertEquals("first", send("a"));
+    assertEquals("foreign", send("b"));
+  }
+
+  /** Guards against a copy without an end that holds a request until its deadline. */
+  @Test
+  void copyWithoutEndFailsTheRequest() {
+    responses.add(response(200, "a", "first"));
+    responses.add(chunked("a", "ffffff\r\n" + "x".repeat(2 * ResponseByteLimit.MAX_BYTES)));
+    assertEquals("first", send("a"));
+    assertEquals("CONNECTION_CLOSED", send("b"));
+  }
+
+  /** Guards against a copy that ends early and takes the begin of the next response with it. */
+  @Test
+  void responseBehindACutCopyIsNotTakenForASuccess() {
+    responses.add(response(200, "a", "first"));
+    responses.add(
+        response(503, "a", "refused").replace("refused", "ref") + response(200, "b", "own"));
+    assertEquals("first", send("a"));
+    assertEquals("CONNECTION_CLOSED", send("b"));
+  }
+
+  private static String chunked(String id, String body) {
+    return "HTTP/1.1 503 x\r\n%s: %s\r\nTransfer-Encoding: chunked\r\n\r\n%s"
+        .formatted(ID, id, body);
+  }
+
+  private static String response(int status, String id, String body) {
     return "HTTP/1.1 %d x\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s"
         .formatted(status, ID, id, body.length(), body);
   }
 
   /** Returns the body of the response, or the type of the failure. */
   private String send(String id) {
-    URI uri = URI.create("http://127.0.0.1:" + server.getLocalPort() + "/x");
     HttpRequest call =
-        new HttpRequest("POST", uri, "h", "/x", List.of(new HttpHeader(ID, id)), new byte[1]);
+        new HttpRequest("POST", uri(), "h", "/x", List.of(new HttpHeader(ID, id)), new byte[1]);
     TransferTimeouts limits = new TransferTimeouts(TIMEOUT_MILLIS, TIMEOUT_MILLIS);
     ResponseCollector collector =
-        new ResponseCollector(uri, limits, REQUEST_BYTES * 16, MonotonicClock.INSTANCE);
+        new ResponseCollector(uri(), limits, REQUEST_BYTES * 16, MonotonicClock.INSTANCE);
     ConnectionOptions options =
         new ConnectionOptions(
             ConnectionOptions.NO_TIMEOUT, Integer.MAX_VALUE, true, EchoedId.of(ID, id));
@@ -109,6 +170,10 @@
         .join();
   }
 
+  private URI uri() {
+    return URI.create("http://127.0.0.1:" + server.getLocalPort() + "/x");
+  }
+
   private void accept() {
     try {
       while (true) {
