A connection on which more than the response arrived is not reused

A copy that arrives together with a response stood in the connection's buffer when the connection was handed to the next request, which then failed with the connection: 502 for a request that may run only once.

Cause: the connection was returned to the pool before the client library had looked at what follows the response.

Change: an exchange ends one turn of the event loop after the end of its response; by then the library has closed a connection with more bytes. Calls that carry no id (orders, reports, health checks of agents) are thereby spared copies that arrive before the next call is sent.

Evidence: EarlierResponseTest.connectionOnWhichMoreThanTheResponseArrivedIsNotReused: CONNECTION_CLOSED before, the own response over a new connection after.

--- a/runtime/src/main/java/org/hornbeamusher/http/HttpExchange.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/HttpExchange.java
@@ -310,11 +310,25 @@
     }
   }
 
+  /**
+   * Ends the exchange after a turn of the event loop. Until then the client library has closed the
+   * connection if more than the response has arrived on it.
+   */
   private void finish() {
-    if (end()) {
-      releaseConnection();
-      listener.end();
+    if (!end()) {
+      return;
     }
+    try {
+      connection.getIoThread().execute(this::finished);
+    } catch (RejectedExecutionException e) {
+      // The client is being stopped and its threads accept no more tasks.
+      finished();
+    }
+  }
+
+  private void finished() {
+    releaseConnection();
+    listener.end();
   }
 
   /**
--- a/runtime/src/test/java/org/hornbeamusher/http/EarlierResponseTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/http/EarlierResponseTest.java
@@ -139,6 +139,16 @@
     assertEquals("CONNECTION_CLOSED", send("b"));
   }
 
+  /** Guards against a connection that is reused with a copy that arrived with its response. */
+  @Test
+  void connectionOnWhichMoreThanTheResponseArrivedIsNotReused() {
+    responses.add(response(200, "a", "first") + response(503, "a", ""));
+    responses.add(response(200, "b", "own"));
+    assertEquals("first", send("a"));
+    assertEquals("own", send("b"));
+    assertEquals(List.of(1, 2), List.copyOf(connections));
+  }
+
   private static String chunked(String id, String body) {
     return "HTTP/1.1 503 x\r\n%s: %s\r\nTransfer-Encoding: chunked\r\n\r\n%s"
         .formatted(ID, id, body);
