What a response states counts only if the response is attributed to a send

Callers got 503 for seconds although their endpoint had refused nothing: the copy of a refusal without an id, on a connection that had carried other requests, bore a Retry-After, and its endpoint was backed off from. A copy without a limit likewise lifted a limit that the endpoint still stated.

Cause: the statements of a response (limit, Retry-After, leaving, that the endpoint runs) were applied before it was decided whether the response belongs to the send. A copy is older than the response that is due, by an unknown time.

Change: the decision comes first. An endpoint that names no requests states the same on the connection of its own that such requests get next.

Evidence: SurplusResponsePathTest.surplusRefusalKeepsNoBookingsFromItsEndpoint: 503 before, 200 after.

--- a/runtime/src/main/java/org/hornbeamusher/forwarding/Attempt.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/Attempt.java
@@ -218,11 +218,13 @@
     if (!namesThisRequest()) {
       endpoint.unnamedResponse(clock.millis());
     }
-    statements.recordResponse(
-        endpoint, metadata, head.isSuccess() && metadata.sealPresent(), sentMillis);
     if (!answersThisRequest()) {
       breakOff(FailureType.FOREIGN_ANSWER);
-    } else if (metadata.notRun()) {
+      return;
+    }
+    statements.recordResponse(
+        endpoint, metadata, head.isSuccess() && metadata.sealPresent(), sentMillis);
+    if (metadata.notRun()) {
       refused = head;
     } else if (head.isSuccess() && !metadata.sealPresent()) {
       breakOff(FailureType.UNSIGNED_ANSWER);
