--- a/runtime/src/main/java/org/hornbeamusher/http/ConnectionPool.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/ConnectionPool.java
@@ -172,7 +172,7 @@
     ConcurrentLinkedDeque<IdleConnection> queue = queue(origin);
     long now = MonotonicClock.INSTANCE.millis();
     for (IdleConnection candidate : queue) {
-      boolean usable = candidate.connection().isOpen() && now < candidate.usableUntilMillis();
+      boolean usable = candidate.isUsable(now);
       if ((usable && !mayCarry(candidate.connection(), id)) || !queue.remove(candidate)) {
         continue;
       }
@@ -193,5 +193,23 @@
     return idle.computeIfAbsent(origin, key -> new ConcurrentLinkedDeque<>());
   }
 
-  private record IdleConnection(ClientConnection connection, long usableUntilMillis) {}
+  /** Compared by identity: one that another thread took and returned meanwhile is another one. */
+  private static final class IdleConnection {
+
+    private final ClientConnection connection;
+    private final long usableUntilMillis;
+
+    private IdleConnection(ClientConnection connection, long usableUntilMillis) {
+      this.connection = connection;
+      this.usableUntilMillis = usableUntilMillis;
+    }
+
+    private ClientConnection connection() {
+      return connection;
+    }
+
+    private boolean isUsable(long nowMillis) {
+      return connection.isOpen() && nowMillis < usableUntilMillis;
+    }
+  }
 }
