A refusal that is not attributed is no promise that a repeatable request did not run

Callers of repeatable requests got 503, which says that the request did not run and never will, although its endpoint ran it.

Cause: the refusal of a repeatable request is accepted without an id, because a second run does no harm, and it was then also taken as proof that the request had not run: for the status to the caller, for its quota charge, and for what the refusal states.

Change: such a refusal still sends the request on, but the send counts as one that may have run: the caller gets 502 if nothing else answers, the charge stays, and limit, Retry-After and leaving in it are not believed.

--- a/runtime/src/main/java/org/hornbeamusher/forwarding/Attempt.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/Attempt.java
@@ -222,8 +222,10 @@
       breakOff(FailureType.FOREIGN_ANSWER);
       return;
     }
-    statements.recordResponse(
-        endpoint, metadata, head.isSuccess() && metadata.sealPresent(), sentMillis);
+    if (isAttributed()) {
+      statements.recordResponse(
+          endpoint, metadata, head.isSuccess() && metadata.sealPresent(), sentMillis);
+    }
     if (metadata.notRun()) {
       refused = head;
     } else if (head.isSuccess() && !metadata.sealPresent()) {
@@ -247,12 +249,20 @@
   }
 
   /**
-   * Returns whether the response can be attributed to this request. One that names none can be
-   * attributed only on a connection that has carried no other request. The refusal of a repeatable
-   * request is accepted nevertheless, because a second run of it does no harm.
+   * Returns whether the response is certainly that to this send. One that names no request can
+   * belong to any request that its connection has carried; one that names this request belongs to
+   * this send because a connection carries a request once.
+   */
+  boolean isAttributed() {
+    return namesThisRequest() || connection.isFirst();
+  }
+
+  /**
+   * Returns whether the response is handled as that to this send. The refusal of a repeatable
+   * request is, because a second run of it does no harm; it does not show that it did not run.
    */
   private boolean answersThisRequest() {
-    return namesThisRequest() || connection.isFirst() || (repeatable && metadata.notRun());
+    return isAttributed() || (repeatable && metadata.notRun());
   }
 
   @Override
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
@@ -587,7 +587,7 @@
           // Each such refusal costs a connection, so other endpoints are preferred.
           left.failed(now());
         }
-        refused(left, refused.status());
+        refused(left, refused.status(), from.isAttributed());
       }
       case AttemptOutcome.Failed failed -> failed(left, failed.cause());
       case AttemptOutcome.Left gone -> failed(left, FailureType.ENDPOINT_LOST);
@@ -655,8 +655,12 @@
     withdrawn();
   }
 
-  private void refused(EndpointView left, int status) {
-    routed.charge().lastSendDidNotRun();
+  private void refused(EndpointView left, int status, boolean attributed) {
+    if (attributed) {
+      routed.charge().lastSendDidNotRun();
+    } else {
+      mayHaveRun = true;
+    }
     refusals++;
     if (status == MISDIRECTED) {
       left.misdirected(now());
