An error response of an engine without end rejects its attempt

Callers saw nothing until their deadline: an engine that answered with an error status and a body without end kept the attempt, its slot in the batch and the connection. The agent discarded the bytes beyond 4 KB and read on at full speed.

Cause: AgentAttempt waited for the end of an error response, of which it keeps 4 KB. The path through the entry bounds the body of a refusal by itself; the agent's own path did not.

Evidence: AgentEndlessErrorTest failed before with a timeout after 5 s (attempt not ended, connection open) and passes with the change; AgentSurplusResponseTest, AgentBackoffTest and AgentDrainTest pass.

Change: an error that has reached the 4 KB that are kept ends the attempt as rejected and closes its connection. The status decides what is done next, so nothing is lost with the rest. A request that is sent again forgets its former stream first, so that the new response never cancels the former one in its place.

--- a/runtime/src/main/java/org/hornbeamusher/agent/AgentAttempt.java
+++ b/runtime/src/main/java/org/hornbeamusher/agent/AgentAttempt.java
@@ -97,6 +97,7 @@
   }
 
   int requeue() {
+    stream = null;
     errorStatus = 0;
     error.reset();
     return ++requeued;
@@ -142,7 +143,7 @@
   @Override
   public void data(byte[] bytes) {
     if (errorStatus != 0) {
-      error.write(bytes, 0, Math.min(bytes.length, MAX_ERROR_BYTES - error.size()));
+      errorData(bytes);
       return;
     }
     checksum.update(bytes);
@@ -152,6 +153,16 @@
     }
   }
 
+  /** Rejects the attempt as soon as the error has its maximum length: its body may have no end. */
+  private void errorData(byte[] bytes) {
+    error.write(bytes, 0, Math.min(bytes.length, MAX_ERROR_BYTES - error.size()));
+    HttpStream open = stream;
+    if (error.size() == MAX_ERROR_BYTES && open != null) {
+      open.cancel();
+      end();
+    }
+  }
+
   /**
    * Pauses the stream unless credit has arrived in the meantime. Without the second check, credit
    * that arrives between the deduction and the pause would be missed and the response would hang.
