--- a/runtime/src/test/java/org/hornbeamusher/http/EarlierResponseTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/http/EarlierResponseTest.java
@@ -1,6 +1,7 @@
 package org.hornbeamusher.http;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.io.InputStream;
@@ -18,11 +19,14 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.IntStream;
 import org.hornbeamusher.clock.MonotonicClock;
+import org.hornbeamusher.failure.FailureType;
 import org.hornbeamusher.failure.HornbeamusherException;
 import org.hornbeamusher.transfer.TransferTimeouts;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests of servers that send a response to an earlier request of a connection once more. */
 class EarlierResponseTest {
@@ -129,6 +133,29 @@
     assertEquals("CONNECTION_CLOSED", send("b"));
   }
 
+  /** Guards against a copy whose framing has no end and that fills the memory. */
+  @ParameterizedTest
+  @ValueSource(strings = {"0", "1;x", "0\r\na: b"})
+  void copyWithFramingWithoutEndFailsTheRequest(String begin) {
+    responses.add(response(200, "a", "first"));
+    String last = begin.substring(begin.length() - 1);
+    responses.add(chunked("a", begin + last.repeat(2 * ResponseByteLimit.MAX_BYTES)));
+    assertEquals("first", send("a"));
+    assertTrue(isUnbounded("b"));
+  }
+
+  /** Guards against a head behind a copy that is held without a limit. */
+  @Test
+  void headWithoutEndBehindCopyFailsTheRequest() {
+    responses.add(response(200, "a", "first"));
+    responses.add(
+        response(503, "a", "")
+            + "HTTP/1.1 200 x\r\n"
+            + "a: b\r\n".repeat(ResponseByteLimit.MAX_BYTES));
+    assertEquals("first", send("a"));
+    assertTrue(isUnbounded("b"));
+  }
+
   /** Guards against a copy that ends early and takes the begin of the next response with it. */
   @Test
   void responseBehindACutCopyIsNotTakenForASuccess() {
@@ -161,6 +188,29 @@
 
   /** Returns the body of the response, or the type of the failure. */
   private String send(String id) {
+    return response(id)
+        .handle(
+            (done, failure) ->
+                failure == null
+                    ? new String(done.body(), StandardCharsets.US_ASCII)
+                    : HornbeamusherException.from(failure).type().toString())
+        .join();
+  }
+
+  /** Sends a request; returns whether it fails because its response has no end. */
+  private boolean isUnbounded(String id) {
+    Throwable cause = response(id).handle((done, failure) -> failure).join();
+    while (cause != null) {
+      if (cause instanceof HornbeamusherException typed
+          && typed.type() == FailureType.RESPONSE_UNBOUNDED) {
+        return true;
+      }
+      cause = cause.getCause();
+    }
+    return false;
+  }
+
+  private CompletableFuture<HttpResponse> response(String id) {
     HttpRequest call =
         new HttpRequest("POST", uri(), "h", "/x", List.of(new HttpHeader(ID, id)), new byte[1]);
     TransferTimeouts limits = new TransferTimeouts(TIMEOUT_MILLIS, TIMEOUT_MILLIS);
@@ -170,14 +220,7 @@
         new ConnectionOptions(
             ConnectionOptions.NO_TIMEOUT, Integer.MAX_VALUE, true, EchoedId.of(ID, id));
     client.stream(call, collector, options);
-    CompletableFuture<HttpResponse> response = collector.future();
-    return response
-        .handle(
-            (done, failure) ->
-                failure == null
-                    ? new String(done.body(), StandardCharsets.US_ASCII)
-                    : HornbeamusherException.from(failure).type().toString())
-        .join();
+    return collector.future();
   }
 
   private URI uri() {
--- a/runtime/src/test/java/org/hornbeamusher/http/EndlessResponseTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/http/EndlessResponseTest.java
@@ -16,8 +16,10 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import org.hornbeamusher.clock.MonotonicClock;
 import org.hornbeamusher.failure.FailureType;
 import org.hornbeamusher.failure.HornbeamusherException;
+import org.hornbeamusher.transfer.TransferTimeouts;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -136,24 +138,104 @@
     }
   }
 
+  /** What a server sends without end before it has read a request, or after a response. */
+  private enum Unrequested {
+    NO_RESPONSE("", "x"),
+    RESPONSES("", HEAD + "Content-Length: 0\r\n\r\n"),
+    INTERIM_RESPONSES("", "HTTP/1.1 103 x\r\n\r\n"),
+    INTERIM_HEAD("HTTP/1.1 103 x\r\n", "a: b\r\n");
+
+    private final String once;
+    private final String repeated;
+
+    Unrequested(String once, String repeated) {
+      this.once = once;
+      this.repeated = repeated;
+    }
+  }
+
+  /** Guards against a server that fills the memory before it has read a request. */
+  @ParameterizedTest
+  @EnumSource
+  void bytesBeforeTheRequestCloseTheConnection(Unrequested endless) throws Exception {
+    try (Server server = new Server(SendsAfter.CONNECT, endless.once, endless.repeated);
+        Server other = new Server(HEAD + "Content-Length: 2\r\n\r\nok", "")) {
+      CompletableFuture<HttpResponse> response = client.send(server.call(), TIMEOUT_MILLIS);
+      server.sending.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+      HttpResponse beside = client.send(other.call(), TIMEOUT_MILLIS).get(1, TimeUnit.SECONDS);
+      assertEquals("ok", new String(beside.body(), StandardCharsets.US_ASCII));
+      response.handle((done, failure) -> null).get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+      server.closed.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+      assertTrue(server.sent.get() < MAX_SENT_BYTES, server.sent + " bytes were sent");
+    }
+  }
+
+  /** Guards against an idle connection of the pool that fills the memory. */
+  @ParameterizedTest
+  @EnumSource
+  void bytesOnIdleConnectionCloseIt(Unrequested endless) throws Exception {
+    try (Server server = new Server(SendsAfter.TWO_RESPONSES, endless.once, endless.repeated)) {
+      assertEquals("ok", sendWithId(server, "a"));
+      assertEquals("ok", sendWithId(server, "b"));
+      server.closed.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+      assertTrue(server.sent.get() < MAX_SENT_BYTES, server.sent + " bytes were sent");
+    }
+  }
+
+  private String sendWithId(Server server, String id) throws Exception {
+    TransferTimeouts limits = new TransferTimeouts(TIMEOUT_MILLIS, TIMEOUT_MILLIS);
+    HttpRequest call = server.call();
+    ResponseCollector collector =
+        new ResponseCollector(call.uri(), limits, 1_000, MonotonicClock.INSTANCE);
+    client.stream(
+        call,
+        collector,
+        new ConnectionOptions(
+            ConnectionOptions.NO_TIMEOUT, Integer.MAX_VALUE, true, EchoedId.of("Request-Id", id)));
+    byte[] body = collector.future().get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS).body();
+    return new String(body, StandardCharsets.US_ASCII);
+  }
+
+  /** When a server begins to send without end. */
+  private enum SendsAfter {
+    CONNECT,
+    REQUEST,
+    TWO_RESPONSES
+  }
+
   /** Sends some bytes once and others until its connection is closed. */
   private static final class Server implements AutoCloseable {
 
     private static final int REPEATS = 8 * 1024;
 
+    /** Long enough for the client to return the connection to its pool. */
+    private static final long IDLE_MILLIS = 100;
+
     private final ServerSocket socket = new ServerSocket(0, 8, InetAddress.getLoopbackAddress());
     private final AtomicLong sent = new AtomicLong();
     private final CompletableFuture<Void> sending = new CompletableFuture<>();
     private final CompletableFuture<Void> closed = new CompletableFuture<>();
 
     Server(String once, String repeated) throws IOException {
-      Thread.ofVirtual().start(() -> serve(once, repeated));
+      this(SendsAfter.REQUEST, once, repeated);
     }
 
-    private void serve(String once, String repeated) {
+    Server(SendsAfter begin, String once, String repeated) throws IOException {
+      Thread.ofVirtual().start(() -> serve(begin, once, repeated));
+    }
+
+    private void serve(SendsAfter begin, String once, String repeated) {
       try (Socket connection = socket.accept()) {
-        connection.getInputStream().read(new byte[4096]);
         OutputStream out = connection.getOutputStream();
+        switch (begin) {
+          case CONNECT -> {}
+          case REQUEST -> connection.getInputStream().read(new byte[4096]);
+          case TWO_RESPONSES -> {
+            respond(connection);
+            respond(connection);
+            Thread.sleep(IDLE_MILLIS);
+          }
+        }
         out.write(once.getBytes(StandardCharsets.US_ASCII));
         byte[] block = repeated.repeat(REPEATS).getBytes(StandardCharsets.US_ASCII);
         while (block.length > 0) {
@@ -164,9 +246,18 @@
         connection.getInputStream().read();
       } catch (IOException e) {
         closed.complete(null);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
       }
     }
 
+    private static void respond(Socket connection) throws IOException {
+      connection.getInputStream().read(new byte[4096]);
+      connection
+          .getOutputStream()
+          .write((HEAD + "Content-Length: 2\r\n\r\nok").getBytes(StandardCharsets.US_ASCII));
+    }
+
     HttpRequest call() {
       return HttpRequest.get(URI.create("http://127.0.0.1:" + socket.getLocalPort() + "/"));
     }
