--- a/runtime/src/test/java/org/hornbeamusher/http/EarlierResponseTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/http/EarlierResponseTest.java
@@ -158,7 +158,7 @@
 
   /** Guards against a copy that ends early and takes the begin of the next response with it. */
   @Test
-  void responseBehindACutCopyIsNotTakenForASuccess() {
+  void responseBehindCutCopyIsNotTakenForSuccess() {
     responses.add(response(200, "a", "first"));
     responses.add(
         response(503, "a", "refused").replace("refused", "ref") + response(200, "b", "own"));
@@ -188,7 +188,7 @@
 
   /** Returns the body of the response, or the type of the failure. */
   private String send(String id) {
-    return response(id)
+    return responseTo(id)
         .handle(
             (done, failure) ->
                 failure == null
@@ -199,7 +199,7 @@
 
   /** Sends a request; returns whether it fails because its response has no end. */
   private boolean isUnbounded(String id) {
-    Throwable cause = response(id).handle((done, failure) -> failure).join();
+    Throwable cause = responseTo(id).handle((done, failure) -> failure).join();
     while (cause != null) {
       if (cause instanceof HornbeamusherException typed
           && typed.type() == FailureType.RESPONSE_UNBOUNDED) {
@@ -210,7 +210,7 @@
     return false;
   }
 
-  private CompletableFuture<HttpResponse> response(String id) {
+  private CompletableFuture<HttpResponse> responseTo(String id) {
     HttpRequest call =
         new HttpRequest("POST", uri(), "h", "/x", List.of(new HttpHeader(ID, id)), new byte[1]);
     TransferTimeouts limits = new TransferTimeouts(TIMEOUT_MILLIS, TIMEOUT_MILLIS);
--- a/runtime/src/test/java/org/hornbeamusher/http/EndlessResponseTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/http/EndlessResponseTest.java
@@ -227,14 +227,12 @@
     private void serve(SendsAfter begin, String once, String repeated) {
       try (Socket connection = socket.accept()) {
         OutputStream out = connection.getOutputStream();
-        switch (begin) {
-          case CONNECT -> {}
-          case REQUEST -> connection.getInputStream().read(new byte[4096]);
-          case TWO_RESPONSES -> {
-            respond(connection);
-            respond(connection);
-            Thread.sleep(IDLE_MILLIS);
-          }
+        if (begin == SendsAfter.REQUEST) {
+          connection.getInputStream().read(new byte[4096]);
+        } else if (begin == SendsAfter.TWO_RESPONSES) {
+          respond(connection);
+          respond(connection);
+          Thread.sleep(IDLE_MILLIS);
         }
         out.write(once.getBytes(StandardCharsets.US_ASCII));
         byte[] block = repeated.repeat(REPEATS).getBytes(StandardCharsets.US_ASCII);
