Orders have a connection each, reports share one only with equal reports

Callers waited for loads: an agent took the copy of an earlier response for the result of an order or for a report. A copied 200 or 202 made a refused load count as held or accepted, a 409 an accepted one as refused; a 412 raised the fencing number and held all orders until the table had answered; a 421 made the agent discard the engine's state and request its id again; the copy of a report with a lower count of orders looked like a restart.

Cause: the responses to orders, reports and health checks name no request, and all of them shared the pooled connections to the engine, so only their position told which call they answered.

Change: orders and health checks of agents have a connection of their own each, which is closed afterwards. A report shares its connection only while every report on it was the same and no order was sent since (ReportConnection). A copy then says what the last report said.

Why it works: a copy arrives on the connection of what it copies. Nothing but the response arrives on a connection that carries one call; on one that has carried equal reports, a report that differs is no copy.

Price, by reading: two connections for an order and one for each later report that differs.

Tests: EngineClient.report has a parameter, and ResponseCollector too, which EngineRestartTest and EarlierResponseTest pass.

--- a/runtime/src/main/java/org/hornbeamusher/http/HttpClient.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/HttpClient.java
@@ -164,14 +164,39 @@
 
   private CompletableFuture<HttpResponse> send(
       HttpRequest call, TransferTimeouts limits, int maxBodyBytes) {
+    return send(call, limits, maxBodyBytes, ConnectionOptions.ANY);
+  }
+
+  private CompletableFuture<HttpResponse> send(
+      HttpRequest call, TransferTimeouts limits, int maxBodyBytes, ConnectionOptions options) {
     ResponseCollector collector =
-        new ResponseCollector(call.uri(), limits, maxBodyBytes, MonotonicClock.INSTANCE);
-    HttpStream stream = stream(call, collector);
+        new ResponseCollector(
+            call.uri(), limits, maxBodyBytes, options.reuse(), MonotonicClock.INSTANCE);
+    HttpStream stream = stream(call, collector, options);
     scheduleProgressCheck(stream, collector, call.uri());
     collector.future().exceptionally(failure -> cancel(stream));
     return collector.future();
   }
 
+  /**
+   * Sends a request over a connection that carries no other one, and collects its response of at
+   * most 1 MB. Every response on that connection belongs to this request, also if the server sends
+   * copies of responses that do not say which request they answer.
+   *
+   * @param call the request
+   * @param timeoutMillis the timeout for the connection and the start of the response, and for each
+   *     later stall
+   * @return the response; fails with {@code CONNECT_FAILED} when nothing was sent and {@code
+   *     CONNECTION_CLOSED} when the request may have arrived
+   */
+  public CompletableFuture<HttpResponse> sendOnOwnConnection(HttpRequest call, long timeoutMillis) {
+    return send(
+        call,
+        new TransferTimeouts(timeoutMillis, timeoutMillis),
+        MAX_SMALL_BODY_BYTES,
+        ConnectionOptions.NEW);
+  }
+
   private static HttpResponse cancel(HttpStream stream) {
     stream.cancel();
     return null;
--- a/runtime/src/main/java/org/hornbeamusher/http/ResponseCollector.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/ResponseCollector.java
@@ -17,6 +17,7 @@
 
   private final URI uri;
   private final int maxBodyBytes;
+  private final boolean connectionReusable;
   private final Clock clock;
   private final CompletableFuture<HttpResponse> future = new CompletableFuture<>();
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
@@ -27,10 +28,16 @@
   private int status;
   private Map<String, String> headers = Map.of();
 
-  /** Creates a collector for the response to a request that is sent now. */
-  ResponseCollector(URI uri, TransferTimeouts limits, int maxBodyBytes, Clock clock) {
+  /**
+   * Creates a collector for the response to a request that is sent now.
+   *
+   * @param connectionReusable whether another request may use the connection afterwards
+   */
+  ResponseCollector(
+      URI uri, TransferTimeouts limits, int maxBodyBytes, boolean connectionReusable, Clock clock) {
     this.uri = uri;
     this.maxBodyBytes = maxBodyBytes;
+    this.connectionReusable = connectionReusable;
     this.clock = clock;
     this.progress = new TransferProgress(limits, clock.millis());
   }
@@ -77,6 +84,11 @@
     }
   }
 
+  @Override
+  public boolean mayReuseConnection() {
+    return connectionReusable;
+  }
+
   @Override
   public void end() {
     HttpResponse response;
--- a/runtime/src/main/java/org/hornbeamusher/sidecar/EngineClient.java
+++ b/runtime/src/main/java/org/hornbeamusher/sidecar/EngineClient.java
@@ -16,11 +16,14 @@
 public interface EngineClient {
 
   /**
-   * Requests a report of the engine's state.
+   * Requests a report of the engine's state. Orders and requests for the id share no connection
+   * with reports.
    *
+   * @param mayReuseConnection whether the connection of the last report may be used; otherwise it
+   *     is closed and a new one is opened
    * @return the report; fails while the engine does not answer
    */
-  CompletableFuture<EngineReport> report();
+  CompletableFuture<EngineReport> report(boolean mayReuseConnection);
 
   /**
    * Requests the engine's id, which a report does not contain.
--- a/runtime/src/main/java/org/hornbeamusher/sidecar/SidecarDaemon.java
+++ b/runtime/src/main/java/org/hornbeamusher/sidecar/SidecarDaemon.java
@@ -89,6 +89,8 @@
 
   private final EngineIncarnationTracker incarnationTracker = new EngineIncarnationTracker();
 
+  private final ReportConnection reportConnection = new ReportConnection();
+
   /** Retry-After periods that the engine has stated for calls of this agent. */
   private final EndpointAvailability availability = new EndpointAvailability();
 
@@ -428,7 +430,7 @@
   private void requestReport() {
     callInProgress = true;
     engine
-        .report()
+        .report(reportConnection.mayReuse())
         .whenComplete((newReport, thrown) -> loop.execute(() -> reportReceived(newReport, thrown)));
   }
 
@@ -444,6 +446,7 @@
     if (failure.type() != FailureType.ENDPOINT_BACKOFF) {
       return false;
     }
+    reportConnection.discard();
     long now = clock.millis();
     long stated = failure.retryAfterMillis().orElse(UNREACHABLE_REPORT_MILLIS);
     if (availability.recordRetryAfter(new RetryAfter.Millis(stated), now)) {
@@ -470,6 +473,7 @@
       runDueWork();
       return;
     }
+    reportConnection.received(newReport);
     reachable = true;
     failedReports = 0;
     lastReportMillis = clock.millis();
@@ -543,6 +547,7 @@
    * do.
    */
   private void callFailed(Throwable thrown) {
+    reportConnection.discard();
     nextReportMillis = clock.millis() + UNREACHABLE_REPORT_MILLIS;
     failedReports++;
     boolean refused = HornbeamusherException.from(thrown).type() == FailureType.CONNECT_FAILED;
@@ -577,6 +582,7 @@
 
   private void sendOrder(EngineOrder order, EndpointIncarnation incarnation, FencingNumber number) {
     callInProgress = true;
+    reportConnection.discard();
     long sequence = report.orderSequence();
     engine
         .order(order, incarnation.id(), sequence, number)
--- a/runtime/src/test/java/org/hornbeamusher/http/EarlierResponseTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/http/EarlierResponseTest.java
@@ -131,7 +131,7 @@
 
   /** Guards against a copy that ends early and takes the begin of the next response with it. */
   @Test
-  void responseBehindACutCopyIsNotTakenForASuccess() {
+  void responseBehindCutCopyIsNotTakenForSuccess() {
     responses.add(response(200, "a", "first"));
     responses.add(
         response(503, "a", "refused").replace("refused", "ref") + response(200, "b", "own"));
@@ -165,7 +165,7 @@
         new HttpRequest("POST", uri(), "h", "/x", List.of(new HttpHeader(ID, id)), new byte[1]);
     TransferTimeouts limits = new TransferTimeouts(TIMEOUT_MILLIS, TIMEOUT_MILLIS);
     ResponseCollector collector =
-        new ResponseCollector(uri(), limits, REQUEST_BYTES * 16, MonotonicClock.INSTANCE);
+        new ResponseCollector(uri(), limits, REQUEST_BYTES * 16, true, MonotonicClock.INSTANCE);
     ConnectionOptions options =
         new ConnectionOptions(
             ConnectionOptions.NO_TIMEOUT, Integer.MAX_VALUE, true, EchoedId.of(ID, id));
--- a/runtime/src/test/java/org/hornbeamusher/sidecar/EngineRestartTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/sidecar/EngineRestartTest.java
@@ -218,7 +218,7 @@
     }
 
     @Override
-    public CompletableFuture<EngineReport> report() {
+    public CompletableFuture<EngineReport> report(boolean mayReuseConnection) {
       return unreachable
           ? unreachable()
           : CompletableFuture.completedFuture(
