The entry's health check has a connection of its own

After a crash under a request, the copy of a refusal was taken for the response to the health check of its endpoint, so the check showed nothing and was made again later. The other way round, the check's own response names no request and its connection went back to the pool of requests: a copy of it would end a later request that may run once, with an unknown outcome.

Cause: the check used the pooled connections of the requests.

Change: it uses a connection that carries nothing else and is closed afterwards, as the check of an unseen engine does already.

Evidence: EndpointHealthCheckTest, 2 of 2 failed before ("expected ALIVE but was UNKNOWN"; one connection for both), 0 after. That the copy of a check's response ends a booking is read in Attempt, not shown by a test.

The check is not counted against the connections that an entry may open to an endpoint, as before.

--- a/runtime/src/main/java/org/hornbeamusher/forwarding/EndpointHealthCheck.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/EndpointHealthCheck.java
@@ -14,7 +14,11 @@
 import org.hornbeamusher.routes.CurrentConfiguration;
 import org.hornbeamusher.routes.ServiceSpec;
 
-/** Checks an endpoint by the health check of its service, whose response contains its id. */
+/**
+ * Checks an endpoint by the health check of its service, whose response contains its id. Each check
+ * has its own connection, because the response names no request: on a shared one, the copy of
+ * another response could be taken for it, or its copy for the response to a request.
+ */
 final class EndpointHealthCheck implements EndpointCheck {
 
   private static final long TIMEOUT_MILLIS = 500;
@@ -41,7 +45,7 @@
       return CompletableFuture.completedFuture(Result.UNKNOWN);
     }
     HttpRequest request = HttpRequest.get(endpoint.endpoint().uri().resolve(path.get()));
-    return http.send(request, TIMEOUT_MILLIS)
+    return http.sendOnOwnConnection(request, TIMEOUT_MILLIS)
         .handle(
             (response, thrown) ->
                 thrown == null ? result(endpoint.id(), response) : result(thrown));
