Calls of the product's own agent to its engine have a connection each

The copy of a refused order was taken for the result of a later one: a load failed as stale although the engine had executed it, or counted as done although the engine had refused it; the copy of an order's result was read as the engine's state.

Cause: the responses name no call, and the calls shared pooled connections. The requests of the same agent have had a connection each for this reason (AgentAttempt).

Change: EngineOrderClient sends each call on a connection of its own.

--- a/runtime/src/main/java/org/hornbeamusher/endpoint/EngineOrderClient.java
+++ b/runtime/src/main/java/org/hornbeamusher/endpoint/EngineOrderClient.java
@@ -22,7 +22,10 @@
 import org.hornbeamusher.ids.EndpointId;
 import org.hornbeamusher.ids.FencingNumber;
 
-/** A client that sends load, unload and cancel orders to one engine and reads its state. */
+/**
+ * A client that sends load, unload and cancel orders to one engine and reads its state. Each call
+ * has its own connection, because an engine does not say which call it answers.
+ */
 public final class EngineOrderClient {
 
   private static final ObjectMapper JSON = new ObjectMapper();
@@ -63,7 +66,7 @@
   }
 
   private CompletableFuture<HttpResponse> send(HttpRequest call, long timeoutMillis) {
-    return http.send(call, timeoutMillis)
+    return http.sendOnOwnConnection(call, timeoutMillis)
         .whenComplete(
             (response, thrown) -> {
               if (thrown == null) {
