--- a/runtime/src/test/java/org/hornbeamusher/http/EarlierResponseTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/http/EarlierResponseTest.java
@@ -215,7 +215,7 @@
         new HttpRequest("POST", uri(), "h", "/x", List.of(new HttpHeader(ID, id)), new byte[1]);
     TransferTimeouts limits = new TransferTimeouts(TIMEOUT_MILLIS, TIMEOUT_MILLIS);
     ResponseCollector collector =
-        new ResponseCollector(uri(), limits, REQUEST_BYTES * 16, MonotonicClock.INSTANCE);
+        new ResponseCollector(uri(), limits, REQUEST_BYTES * 16, true, MonotonicClock.INSTANCE);
     ConnectionOptions options =
         new ConnectionOptions(
             ConnectionOptions.NO_TIMEOUT, Integer.MAX_VALUE, true, EchoedId.of(ID, id));
