Heads of many connections are bounded together

Callers of an entry lost their requests, all of them: the entry ended with an OutOfMemoryError beside six workers whose heads had no end.

Cause: the limit of 128 KiB holds for one connection. The client library stores a head as objects, 50 connections with 127 KiB of short headers each took 4.0 MB of heap a connection (2.5 MB with values of five bytes, 0.7 MB with values of 40 bytes; trial). 30 of them fill the 120 MB of an entry. A trailer is stored in the same way, and a complete head is kept until its response has ended, but was no longer counted.

Evidence: EndlessHeadMemoryTest starts an entry with the heap of deploy/system.toml and sends 80 requests to workers that send 120 KiB of a head at once and the rest slowly. Before: OutOfMemoryError in the log of the entry, 3 of 100 requests to another service served (81 requests had reached the workers). After: no error, the entry serves, for short and for longer headers. FramingBudgetTest: before, 20 of 20 connections with 60 KiB of an incomplete head, trailer, or of a complete head of an unfinished response stay open; after, at most 5 with a capacity of 256 KiB.

Change: FramingBudget counts what the connections of a client hold, each beyond 2 KiB. A connection may hold up to half of what the others leave, so the sum stays below the capacity, 1/256 of the heap at up to 32 bytes of heap for a byte of a head. A head is read only up to that limit; a trailer or the size of a chunk is checked once everything that has arrived was read. Heads below 2 KiB are received also while the budget is used up.

The worst sum of an entry is worked out in docs/design/request-memory.md: 15 MB, 64 KB for each further connection (25 MB for 400), and the 48 MB of the memory budget, of 120 MB.

--- a/runtime/src/main/java/org/hornbeamusher/http/ConnectionPool.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/ConnectionPool.java
@@ -59,10 +59,16 @@
   private final ConcurrentHashMap<XnioIoThread, LimitedConnector> connectors =
       new ConcurrentHashMap<>();
 
+  private final FramingBudget framingBudget;
   private UndertowClient client;
   private XnioWorker worker;
   private ByteBufferPool buffers;
 
+  /** Creates a pool that is not started, whose connections share a budget. */
+  ConnectionPool(FramingBudget framingBudget) {
+    this.framingBudget = framingBudget;
+  }
+
   void start(UndertowClient client, XnioWorker worker, ByteBufferPool buffers) {
     this.client = client;
     this.worker = worker;
@@ -94,7 +100,8 @@
       return NOTHING_TO_STOP;
     }
     LimitedConnector connector =
-        connectors.computeIfAbsent(worker.getIoThread(), LimitedConnector::new);
+        connectors.computeIfAbsent(
+            worker.getIoThread(), thread -> new LimitedConnector(thread, framingBudget));
     ClientCallback<ClientConnection> opened = opened(callback, connector, count);
     client.connect(opened, uri, connector, buffers, OPTIONS);
     IoFuture<StreamConnection> opening = connector.takeOpening();
@@ -118,9 +125,11 @@
     return new ClientCallback<>() {
       @Override
       public void completed(ClientConnection opened) {
-        openConnections.put(opened, connector.opened());
+        OpenConnection state = connector.opened();
+        openConnections.put(opened, state);
         opened.addCloseListener(
             closed -> {
+              state.limit().connectionClosed();
               openConnections.remove(opened);
               count.decrementAndGet();
             });
--- a/runtime/src/main/java/org/hornbeamusher/http/HttpClient.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/HttpClient.java
@@ -36,7 +36,8 @@
   private static final int MAX_BODY_BYTES = 8 * 1024 * 1024;
 
   private final int ioThreads;
-  private final ConnectionPool connections = new ConnectionPool();
+  private final FramingBudget framingBudget;
+  private final ConnectionPool connections;
   private XnioWorker worker;
 
   /**
@@ -45,7 +46,18 @@
    * @param ioThreads the number of I/O threads
    */
   public HttpClient(int ioThreads) {
+    this(ioThreads, FramingBudget.ofHeap());
+  }
+
+  HttpClient(int ioThreads, FramingBudget framingBudget) {
     this.ioThreads = ioThreads;
+    this.framingBudget = framingBudget;
+    this.connections = new ConnectionPool(framingBudget);
+  }
+
+  /** Returns what the connections hold together, each beyond its minimum. */
+  long framingBytes() {
+    return framingBudget.usedBytes();
   }
 
   /**
--- a/runtime/src/main/java/org/hornbeamusher/http/HttpExchange.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/HttpExchange.java
@@ -34,6 +34,9 @@
 
   private static final int MIN_FINAL_STATUS = 200;
 
+  /** Colon, space and line end. */
+  private static final int HEADER_SEPARATOR_BYTES = 4;
+
   /** After this time without a pause other connections of the I/O thread get their turn. */
   private static final long MAX_TURN_MILLIS = 5;
 
@@ -236,8 +239,11 @@
     if (hasEnded()) {
       return;
     }
-    progressed();
     HttpHead head = headOf(exchange);
+    OpenConnection current = state;
+    if (current != null) {
+      current.limit().headReceived(sizeOf(head));
+    }
     if (head.status() < MIN_FINAL_STATUS) {
       fail(new IOException("status " + head.status() + " without a request for an upgrade"));
       return;
@@ -268,6 +274,7 @@
         buffer.clear();
         int count = channel.read(buffer);
         if (count == 0) {
+          noData();
           return;
         }
         if (count < 0) {
@@ -303,6 +310,13 @@
     }
   }
 
+  private void noData() throws IOException {
+    OpenConnection current = state;
+    if (current != null) {
+      current.limit().noData();
+    }
+  }
+
   private void progressed() {
     OpenConnection current = state;
     if (current != null) {
@@ -327,6 +341,10 @@
   }
 
   private void finished() {
+    OpenConnection current = state;
+    if (current != null) {
+      current.limit().responseEnded();
+    }
     releaseConnection();
     listener.end();
   }
@@ -413,6 +431,14 @@
     return new HttpHead(exchange.getResponse().getResponseCode(), headers);
   }
 
+  private static long sizeOf(HttpHead head) {
+    long size = 0;
+    for (HttpHeader header : head.headers()) {
+      size += header.name().length() + header.value().length() + HEADER_SEPARATOR_BYTES;
+    }
+    return size;
+  }
+
   /**
    * The connect timeout and the connection may be handled by different threads. The timeout ends an
    * exchange only while it is connecting, so that one that is reported as not sent is never sent.
--- a/runtime/src/main/java/org/hornbeamusher/http/LimitedConnector.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/LimitedConnector.java
@@ -18,6 +18,7 @@
 final class LimitedConnector extends XnioIoThread {
 
   private final XnioIoThread thread;
+  private final FramingBudget budget;
 
   /** The connection that is being opened; read by the callback that receives it. */
   private OpenConnection opened;
@@ -25,8 +26,9 @@
   /** What the current thread has begun to open last. */
   private final ThreadLocal<IoFuture<StreamConnection>> opening = new ThreadLocal<>();
 
-  LimitedConnector(XnioIoThread thread) {
+  LimitedConnector(XnioIoThread thread, FramingBudget budget) {
     super(thread.getWorker(), thread.getNumber());
+    this.budget = budget;
     this.thread = thread;
   }
 
@@ -59,7 +61,8 @@
   private void filter(
       StreamConnection connection, ChannelListener<? super StreamConnection> openListener) {
     CarriedRequests carried = new CarriedRequests();
-    ResponseByteLimit limit = new ResponseByteLimit(connection.getSourceChannel().getConduit());
+    ResponseByteLimit limit =
+        new ResponseByteLimit(connection.getSourceChannel().getConduit(), budget);
     InterimResponseFilter interim = new InterimResponseFilter(limit);
     EarlierResponseFilter earlier = new EarlierResponseFilter(interim, carried);
     connection.getSourceChannel().setConduit(earlier);
--- a/runtime/src/main/java/org/hornbeamusher/http/OpenConnection.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/OpenConnection.java
@@ -50,6 +50,7 @@
 
   /** Counts a request that is sent next; called on the connection's I/O thread. */
   ConnectionUse requestSent(Optional<EchoedId> id) {
+    limit.awaitResponse();
     interim.awaitResponse();
     earlier.awaitResponse(id, requests == 0);
     id.ifPresent(sent -> carried.add(sent.value()));
