Tests of faults count tokens from before the request that they wait for

Seen: FaultsTest.stoppingEntryCompletesItsRequests failed once beside 14 busy loops, and in 1 of 8 runs today beside 12, with "condition not met in time".

Cause: awaitRunning read the engine's tokens after the request was sent. A response has 400 tokens of 2 ms each. A test thread that does not run for 0.8 s reads the count when the response is complete, and then waits for tokens that nobody generates. The product is not the cause.

Change: the count is read before the request is sent, in the four tests that wait so. They still wait until this engine generates the request's tokens, with the same number and time.

--- a/tool/src/test/java/org/hornbeamusher/path/FaultsTest.java
+++ b/tool/src/test/java/org/hornbeamusher/path/FaultsTest.java
@@ -45,9 +45,10 @@
     HttpResponse first = path.complete(0, adapter, "warm", 4).join();
     EngineStandin engine = path.engine(first.headers().get("x-endpoint"));
 
+    long tokens = engine.counts().tokens();
     CompletableFuture<HttpResponse> response =
         path.complete(0, adapter, "roster", LONG_RESPONSE_TOKENS);
-    awaitRunning(engine);
+    awaitRunning(engine, tokens);
     engine.restart();
 
     assertEquals(
@@ -116,10 +117,11 @@
     EngineStandin engine = path.engine(first.headers().get("x-endpoint"));
     String key = PathFixture.newKey();
 
+    long tokens = engine.counts().tokens();
     CompletableFuture<HttpResponse> pending =
         path.complete(
             0, adapter, "booking", LONG_RESPONSE_TOKENS, PathFixture.nonRepeatableHeaders(key));
-    awaitRunning(engine);
+    awaitRunning(engine, tokens);
     engine.restart();
 
     HttpResponse response = pending.join();
@@ -190,9 +192,10 @@
     String endpoint = first.headers().get("x-endpoint");
     AgentDaemon agent = path.deployment().agents().get(new EndpointId(endpoint));
 
+    long tokens = path.engine(endpoint).counts().tokens();
     final CompletableFuture<HttpResponse> response =
         path.complete(0, adapter, "roster", LONG_RESPONSE_TOKENS);
-    awaitRunning(path.engine(endpoint));
+    awaitRunning(path.engine(endpoint), tokens);
     int before = path.entry(0).routableEndpointCount();
     agent.drain();
     PathFixture.await(() -> path.entry(0).routableEndpointCount() == before - 1);
@@ -215,9 +218,11 @@
   void stoppingEntryCompletesItsRequests() throws InterruptedException {
     AdapterRef adapter = PathFixture.adapter(1);
     HttpResponse first = path.complete(0, adapter, "warm", 4).join();
+    EngineStandin engine = path.engine(first.headers().get("x-endpoint"));
+    long tokens = engine.counts().tokens();
     CompletableFuture<HttpResponse> response =
         path.complete(0, adapter, "roster", LONG_RESPONSE_TOKENS);
-    awaitRunning(path.engine(first.headers().get("x-endpoint")));
+    awaitRunning(engine, tokens);
 
     path.entry(0).stop();
 
@@ -355,8 +360,8 @@
     return response;
   }
 
-  private static void awaitRunning(EngineStandin engine) {
-    long before = engine.counts().tokens();
-    PathFixture.await(() -> engine.counts().tokens() > before + 2);
+  /** Waits until an engine runs a request; the count of its tokens is from before the request. */
+  private static void awaitRunning(EngineStandin engine, long tokensBefore) {
+    PathFixture.await(() -> engine.counts().tokens() > tokensBefore + 2);
   }
 }
