Heads with thousands of lines fail before they are parsed

Callers of other services got 503 "deadline-too-near" beside workers whose heads consist of short headers: the entry served nothing for 0.1 to 0.2 s at a time, and its estimates of the waiting time grew.

Cause: the client library parses all that has arrived of a head at once and creates objects for each header. A head of 120 KiB in headers of four or five bytes has more than 20000.

Evidence: HeaderCountLimitTest, before: 257 headers are received as a valid head (red); after: green.

Change: HeaderCountLimit counts the lines of a head in what is passed to the library and fails the connection beyond 256, more than servers accept by default. Bodies, interim responses and copies of earlier responses are not counted. Trailers are not covered.

--- a/runtime/src/main/java/org/hornbeamusher/http/HttpExchange.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/HttpExchange.java
@@ -387,7 +387,7 @@
   private void fail(IOException e) {
     if (end()) {
       closeConnection();
-      boolean unbounded = state != null && state.limit().isExceeded();
+      boolean unbounded = state != null && state.hasExceededLimit();
       FailureType type = unbounded ? FailureType.RESPONSE_UNBOUNDED : FailureType.CONNECTION_CLOSED;
       listener.failed(
           HornbeamusherException.of(type, Outcome.UNKNOWN, call.uri().getAuthority()).causedBy(e));
--- a/runtime/src/main/java/org/hornbeamusher/http/LimitedConnector.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/LimitedConnector.java
@@ -65,8 +65,9 @@
         new ResponseByteLimit(connection.getSourceChannel().getConduit(), budget);
     InterimResponseFilter interim = new InterimResponseFilter(limit);
     EarlierResponseFilter earlier = new EarlierResponseFilter(interim, carried);
-    connection.getSourceChannel().setConduit(earlier);
-    opened = new OpenConnection(limit, interim, earlier, carried);
+    HeaderCountLimit headers = new HeaderCountLimit(earlier);
+    connection.getSourceChannel().setConduit(headers);
+    opened = new OpenConnection(limit, interim, earlier, headers, carried);
     @SuppressWarnings("unchecked")
     ChannelListener<StreamConnection> listener = (ChannelListener<StreamConnection>) openListener;
     listener.handleEvent(connection);
--- a/runtime/src/main/java/org/hornbeamusher/http/OpenConnection.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/OpenConnection.java
@@ -13,6 +13,7 @@
   private final ResponseByteLimit limit;
   private final InterimResponseFilter interim;
   private final EarlierResponseFilter earlier;
+  private final HeaderCountLimit headers;
   private final long openedMillis = MonotonicClock.INSTANCE.millis();
   private final CarriedRequests carried;
   private int requests;
@@ -21,10 +22,12 @@
       ResponseByteLimit limit,
       InterimResponseFilter interim,
       EarlierResponseFilter earlier,
+      HeaderCountLimit headers,
       CarriedRequests carried) {
     this.limit = limit;
     this.interim = interim;
     this.earlier = earlier;
+    this.headers = headers;
     this.carried = carried;
   }
 
@@ -33,6 +36,11 @@
     return limit;
   }
 
+  /** Returns whether it failed because a response exceeded a limit. */
+  boolean hasExceededLimit() {
+    return limit.isExceeded() || headers.isExceeded();
+  }
+
   /** Returns whether it may carry this request; called while the connection is idle. */
   boolean mayCarry(Optional<EchoedId> id) {
     return id.isEmpty() || !carried.contains(id.get().value());
@@ -52,6 +60,7 @@
   ConnectionUse requestSent(Optional<EchoedId> id) {
     limit.awaitResponse();
     interim.awaitResponse();
+    headers.awaitResponse();
     earlier.awaitResponse(id, requests == 0);
     id.ifPresent(sent -> carried.add(sent.value()));
     return new ConnectionUse(number, requests++, MonotonicClock.INSTANCE.millis() - openedMillis);
