--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
@@ -490,12 +490,16 @@
   }
 
   /**
-   * Refuses a request that may still run when this entry stops, while it is known not to have run:
-   * its caller can send it elsewhere at once. One that may have run is better sent again, because
-   * its caller can no longer be told that it did not.
+   * Refuses a request that may run only once and may still run when this entry stops, while it is
+   * known not to have run: its caller can send it elsewhere at once. A repeatable one is sent: if
+   * the stop ends it, its caller can still repeat it.
    */
   private Optional<HornbeamusherException> stopRefusal() {
-    boolean refused = !mayHaveRun && !relay.started() && listener.stopsBefore(deadlineMillis);
+    boolean refused =
+        !route.repeatable()
+            && !mayHaveRun
+            && !relay.started()
+            && listener.stopsBefore(deadlineMillis);
     return refused ? Optional.of(shuttingDown()) : Optional.empty();
   }
 
--- a/runtime/src/test/java/org/hornbeamusher/http/EndlessResponseTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/http/EndlessResponseTest.java
@@ -186,7 +186,7 @@
     TransferTimeouts limits = new TransferTimeouts(TIMEOUT_MILLIS, TIMEOUT_MILLIS);
     HttpRequest call = server.call();
     ResponseCollector collector =
-        new ResponseCollector(call.uri(), limits, 1_000, MonotonicClock.INSTANCE);
+        new ResponseCollector(call.uri(), limits, 1_000, true, MonotonicClock.INSTANCE);
     client.stream(
         call,
         collector,
