A request that was not sent when a drain ends is refused as not run

Callers got 502, "unknown", at the end of a drain although nothing of their request had been sent: its connection was still being opened. They may not send it elsewhere, and its charge on the quota stood.

Cause: ForwardedRequest.abort said "unknown" for all requests.

--- a/runtime/src/main/java/org/hornbeamusher/forwarding/Attempt.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/Attempt.java
@@ -60,6 +60,7 @@
   private ResponseMetadata metadata = ResponseMetadata.NONE;
   private ConnectionUse connection = ConnectionUse.NONE;
   private boolean ended;
+  private boolean sendStarted;
   private boolean paused;
   private int pauses;
 
@@ -181,6 +182,11 @@
     return pauses;
   }
 
+  /** Returns whether any part of the request may have reached the endpoint. */
+  boolean mayHaveBeenSent() {
+    return sendStarted;
+  }
+
   /** Cancels the attempt; the listener is not called any more. */
   void cancel() {
     ended = true;
@@ -198,6 +204,7 @@
   public boolean shouldSend() {
     boolean accepted = endpoint.takesRequests(clock.millis()) && listener.maySend();
     if (accepted) {
+      sendStarted = true;
       listener.sending(this);
     }
     return accepted;
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
@@ -833,11 +833,22 @@
 
   /** Ends the request because the drain time is over. */
   void abort() {
-    if (!finished) {
-      cancelAttempt();
-      releaseEndpoint();
+    if (finished) {
+      return;
+    }
+    boolean atEndpoint = attempt != null;
+    boolean sent = atEndpoint && attempt.mayHaveBeenSent();
+    cancelAttempt();
+    releaseEndpoint();
+    if (sent) {
       fail(HornbeamusherException.of(FailureType.SHUTTING_DOWN, Outcome.UNKNOWN));
+      return;
+    }
+    if (atEndpoint) {
+      sends--;
+      routed.charge().lastSendDidNotRun();
     }
+    giveUp(shuttingDown());
   }
 
   /** Releases everything that the request holds at its endpoint. */
