Behind the copy of a response: no lost bytes, no false crash, no endless wait

Four faults of the filter that skips copies, found by a review that had not seen the work:

- a response of which the filter held more than one read buffer could wait for its deadline although it had arrived completely: nothing caused the next read.
The filter now causes it;
- what follows a copy that is shorter than it states failed as a lost connection, which counts as a sign that the request crashed its endpoint.
It is a response that cannot be attributed (FOREIGN_ANSWER);
- the begin of what follows a copy is checked as soon as it arrives, and also when it begins a read, instead of waiting for the end of a head that may never come;
- each copy has the limit on bytes of its own, instead of all copies and the own head together; at most 16 heads are skipped.

Evidence: EarlierResponseTest: longChunkedResponseBehindCopyArrivesCompletely, requestFailsAtOnceIfNoResponseFollowsCopy and severalLongCopiesAreSkipped pass; whether each fails on the code before was not run.

--- a/runtime/src/main/java/org/hornbeamusher/forwarding/Attempt.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/Attempt.java
@@ -337,7 +337,7 @@
           case CONNECT_FAILED -> new AttemptOutcome.NotSent();
           case SEND_WITHDRAWN -> new AttemptOutcome.Withdrawn();
           case CONNECTIONS_IN_USE -> new AttemptOutcome.NoConnection();
-          case RESPONSE_UNBOUNDED -> new AttemptOutcome.Failed(type);
+          case RESPONSE_UNBOUNDED, FOREIGN_ANSWER -> new AttemptOutcome.Failed(type);
           default -> {
             endedByPeer = true;
             yield new AttemptOutcome.Failed(FailureType.ENDPOINT_LOST);
--- a/runtime/src/main/java/org/hornbeamusher/http/EarlierResponseFilter.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/EarlierResponseFilter.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import org.xnio.conduits.AbstractStreamSourceConduit;
 import org.xnio.conduits.StreamSourceConduit;
@@ -28,9 +29,14 @@
  */
 final class EarlierResponseFilter extends AbstractStreamSourceConduit<StreamSourceConduit> {
 
+  private static final byte[] VERSION = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
   private static final int MIN_BUFFER_BYTES = 4 * 1024;
 
+  /** The maximum number of copies and interim responses; more would occupy the I/O thread. */
+  private static final int MAX_SKIPPED_HEADS = 16;
+
   private final CarriedRequests carried;
+  private final ResponseByteLimit limit;
   private Optional<EchoedId> expected = Optional.empty();
   private Position position = Position.OWN_RESPONSE;
 
@@ -44,10 +50,14 @@
   private SkippedBody body = SkippedBody.NONE;
 
   private int skipped;
+  private int skippedHeads;
+  private boolean outOfStep;
 
-  EarlierResponseFilter(StreamSourceConduit next, CarriedRequests carried) {
+  EarlierResponseFilter(
+      StreamSourceConduit next, CarriedRequests carried, ResponseByteLimit limit) {
     super(next);
     this.carried = carried;
+    this.limit = limit;
   }
 
   /**
@@ -59,6 +69,7 @@
   void awaitResponse(Optional<EchoedId> id, boolean first) {
     expected = id;
     skipped = 0;
+    skippedHeads = 0;
     position = id.isEmpty() || first ? Position.OWN_RESPONSE : Position.HEAD;
   }
 
@@ -72,6 +83,13 @@
     return heldFrom < heldTo;
   }
 
+  /**
+   * Returns whether the connection failed because something else than a response followed a copy.
+   */
+  boolean isOutOfStep() {
+    return outOfStep;
+  }
+
   @Override
   public int read(ByteBuffer target) throws IOException {
     while (position != Position.OWN_RESPONSE) {
@@ -84,7 +102,7 @@
         position = Position.OWN_RESPONSE;
         break;
       }
-      if (position == Position.HEAD && !holdsBytes() && beginsOwnResponse(target, begin)) {
+      if (position == Position.HEAD && isFirstRead() && beginsOwnResponse(target, begin)) {
         position = Position.OWN_RESPONSE;
         return count;
       }
@@ -107,6 +125,10 @@
     return 0;
   }
 
+  private boolean isFirstRead() {
+    return skipped == 0 && !holdsBytes();
+  }
+
   /** Recognises nearly all responses without a copy of their bytes. */
   private boolean beginsOwnResponse(ByteBuffer target, int begin) {
     Optional<ResponseHead> head =
@@ -150,13 +172,15 @@
   private boolean readHead() throws IOException {
     Optional<ResponseHead> head =
         ResponseHead.parse(ByteBuffer.wrap(held), heldFrom, heldTo, expected.get().header());
-    if (head.isEmpty()) {
-      return false;
-    }
-    if (skipped > 0 && !head.get().hasStatusLine()) {
+    boolean response = head.map(ResponseHead::hasStatusLine).orElseGet(this::mayBeginStatusLine);
+    if (skipped > 0 && !response) {
       // The copy was shorter than it stated, so what follows it is not the begin of a response.
+      outOfStep = true;
       throw new IOException("no status line after the copy of a response");
     }
+    if (head.isEmpty()) {
+      return false;
+    }
     if (!isSkipped(head.get())) {
       position = Position.OWN_RESPONSE;
       return true;
@@ -168,12 +192,27 @@
     return true;
   }
 
+  /** Returns whether what is held begins like a status line, as far as it has arrived. */
+  private boolean mayBeginStatusLine() {
+    for (int i = 0; i < Math.min(VERSION.length, heldTo - heldFrom); i++) {
+      if (held[heldFrom + i] != VERSION[i]) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   /** Returns whether the body was held completely. */
-  private boolean skipBody() {
+  private boolean skipBody() throws IOException {
     heldFrom += body.skip(held, heldFrom, heldTo);
     if (!body.isComplete()) {
       return false;
     }
+    skippedHeads++;
+    if (skippedHeads > MAX_SKIPPED_HEADS) {
+      throw new IOException("more than " + MAX_SKIPPED_HEADS + " responses were skipped");
+    }
+    limit.progressed();
     position = Position.HEAD;
     return true;
   }
@@ -182,7 +221,10 @@
     int count = Math.min(target.remaining(), heldTo - heldFrom);
     target.put(held, heldFrom, count);
     heldFrom += count;
-    if (!holdsBytes()) {
+    if (holdsBytes()) {
+      // The socket may have nothing more to read, so nothing else would cause the next read.
+      next.wakeupReads();
+    } else {
       held = new byte[0];
       heldFrom = 0;
       heldTo = 0;
--- a/runtime/src/main/java/org/hornbeamusher/http/HttpExchange.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/HttpExchange.java
@@ -387,11 +387,21 @@
   private void fail(IOException e) {
     if (end()) {
       closeConnection();
-      boolean unbounded = state != null && state.hasExceededLimit();
-      FailureType type = unbounded ? FailureType.RESPONSE_UNBOUNDED : FailureType.CONNECTION_CLOSED;
       listener.failed(
-          HornbeamusherException.of(type, Outcome.UNKNOWN, call.uri().getAuthority()).causedBy(e));
+          HornbeamusherException.of(failureType(), Outcome.UNKNOWN, call.uri().getAuthority())
+              .causedBy(e));
+    }
+  }
+
+  /** A response that this client rejects is not the end of the connection by the peer. */
+  private FailureType failureType() {
+    OpenConnection current = state;
+    if (current != null && current.hasExceededLimit()) {
+      return FailureType.RESPONSE_UNBOUNDED;
     }
+    return current != null && current.isOutOfStep()
+        ? FailureType.FOREIGN_ANSWER
+        : FailureType.CONNECTION_CLOSED;
   }
 
   private void closeConnection() {
--- a/runtime/src/main/java/org/hornbeamusher/http/HttpStreamListener.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/HttpStreamListener.java
@@ -56,8 +56,9 @@
    * The exchange failed; no further method is called.
    *
    * @param failure {@code CONNECT_FAILED}, {@code CONNECTIONS_IN_USE} or {@code SEND_WITHDRAWN}
-   *     when nothing was sent, {@code RESPONSE_UNBOUNDED} when the response has no end, otherwise
-   *     {@code CONNECTION_CLOSED}
+   *     when nothing was sent, {@code RESPONSE_UNBOUNDED} when the response has no end, {@code
+   *     FOREIGN_ANSWER} when what arrived is no response to the request, otherwise {@code
+   *     CONNECTION_CLOSED}
    */
   void failed(Throwable failure);
 }
--- a/runtime/src/main/java/org/hornbeamusher/http/LimitedConnector.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/LimitedConnector.java
@@ -64,7 +64,7 @@
     ResponseByteLimit limit =
         new ResponseByteLimit(connection.getSourceChannel().getConduit(), budget);
     InterimResponseFilter interim = new InterimResponseFilter(limit);
-    EarlierResponseFilter earlier = new EarlierResponseFilter(interim, carried);
+    EarlierResponseFilter earlier = new EarlierResponseFilter(interim, carried, limit);
     HeaderCountLimit headers = new HeaderCountLimit(earlier);
     connection.getSourceChannel().setConduit(headers);
     opened = new OpenConnection(limit, interim, earlier, headers, carried);
--- a/runtime/src/main/java/org/hornbeamusher/http/OpenConnection.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/OpenConnection.java
@@ -41,6 +41,11 @@
     return limit.isExceeded() || headers.isExceeded();
   }
 
+  /** Returns whether it failed because what followed the copy of a response is no response. */
+  boolean isOutOfStep() {
+    return earlier.isOutOfStep();
+  }
+
   /** Returns whether it may carry this request; called while the connection is idle. */
   boolean mayCarry(Optional<EchoedId> id) {
     return id.isEmpty() || !carried.contains(id.get().value());
--- a/runtime/src/test/java/org/hornbeamusher/http/EarlierResponseTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/http/EarlierResponseTest.java
@@ -166,6 +166,44 @@
     assertEquals("CONNECTION_CLOSED", send("b"));
   }
 
+  /** Guards against a response whose rest was read already and that waits for more bytes. */
+  @Test
+  void longChunkedResponseBehindCopyArrivesCompletely() {
+    String body = "0123456789abcdef".repeat(4_096);
+    StringBuilder own = new StringBuilder("HTTP/1.1 200 x\r\n%s: b\r\n".formatted(ID));
+    own.append("Transfer-Encoding: chunked\r\n\r\n");
+    for (int i = 0; i < body.length(); i += 16) {
+      own.append("10\r\n").append(body, i, i + 16).append("\r\n");
+    }
+    own.append("0\r\n\r\n");
+    for (int split = 1; split < 60; split += 7) {
+      responses.add(response(200, "a", "first"));
+      responses.add(response(503, "a", "") + own.substring(0, split) + "|" + own.substring(split));
+      assertEquals("first", send("a"));
+      assertEquals(body, send("b"), "split at " + split);
+      client.purge(uri());
+    }
+  }
+
+  /** Guards against a wait for a response of which a cut copy has taken the begin. */
+  @Test
+  void requestFailsAtOnceIfNoResponseFollowsCopy() {
+    responses.add(response(200, "a", "first"));
+    responses.add(response(503, "a", "refused").replace("refused", "r") + "no response");
+    assertEquals("first", send("a"));
+    assertEquals("CONNECTION_CLOSED", send("b"));
+  }
+
+  /** Guards against copies that are counted together and fail the response behind them. */
+  @Test
+  void severalLongCopiesAreSkipped() {
+    String copy = response(200, "a", "x".repeat(ResponseByteLimit.MAX_BYTES / 2));
+    responses.add(response(200, "a", "first"));
+    responses.add(copy + copy + copy + response(200, "b", "own"));
+    assertEquals("first", send("a"));
+    assertEquals("own", send("b"));
+  }
+
   /** Guards against a connection that is reused with a copy that arrived with its response. */
   @Test
   void connectionOnWhichMoreThanTheResponseArrivedIsNotReused() {
