An unattributed refusal is no statement about the endpoint, and counts as an attempt

An unnamed 421 that may belong to an earlier request made the right endpoint of a repeatable request look misdirected, and such a request could be sent more often than its route allows, since the send that may have run counted as a refusal.

Change: only an attributed 421 counts against the endpoint; after an unattributed refusal the route's maximum of attempts applies. Found by review; no test of its own.

--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
@@ -685,14 +685,15 @@
       mayHaveRun = true;
     }
     refusals++;
-    if (status == MISDIRECTED) {
+    if (attributed && status == MISDIRECTED) {
       left.misdirected(now());
     }
     tried.add(left.incarnation());
-    if (refusals > MAX_REFUSALS || !takeRetry()) {
-      giveUp(notRun(FailureType.ENDPOINT_REFUSED, left.id()));
-    } else {
+    boolean retry = attributed ? refusals <= MAX_REFUSALS && takeRetry() : mayRetry();
+    if (retry) {
       place();
+    } else {
+      giveUp(notRun(FailureType.ENDPOINT_REFUSED, left.id()));
     }
   }
 
