--- a/runtime/src/main/java/org/hornbeamusher/http/HeaderCountLimit.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/HeaderCountLimit.java
@@ -14,7 +14,7 @@
  */
 final class HeaderCountLimit extends AbstractStreamSourceConduit<StreamSourceConduit> {
 
-  /** More than the headers of any valid response. */
+  /** Usual responses have a few dozen headers. */
   static final int MAX_LINES = 256;
 
   private int lines;
--- a/runtime/src/main/java/org/hornbeamusher/http/ResponseByteLimit.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/ResponseByteLimit.java
@@ -19,7 +19,7 @@
  */
 final class ResponseByteLimit extends AbstractStreamSourceConduit<StreamSourceConduit> {
 
-  /** More than the headers of any valid response. */
+  /** Usual heads have a few hundred bytes. */
   static final int MAX_BYTES = 128 * 1024;
 
   private final FramingBudget budget;
