Logs tell apart how an account exceeded its quota

Callers saw an account beyond its quota, and no line said since when an entry had known nothing of the usage of the others, or why. QUOTA_VIEW_CHANGED says it, once a second at most, with the relays that are connected, that report, and whose updates answer a recent report. FURTHER_RUN_CHARGED states the sums before the charge; QUOTA_CHARGED what was charged beyond admissions, dated anew and refunded since the line before. QuotaLogTest bounds the lines.

No decision is changed.

--- a/runtime/src/main/java/org/hornbeamusher/events/EventType.java
+++ b/runtime/src/main/java/org/hornbeamusher/events/EventType.java
@@ -50,6 +50,10 @@
       "A request of an account near its quota was admitted; at most one line a second for each."),
   QUOTA_REFUNDED(1119, Level.INFO, "The quota charge of a request that did not run was returned."),
   FURTHER_RUN_CHARGED(1124, Level.INFO, "An account was charged for a further run of a request."),
+  QUOTA_VIEW_CHANGED(
+      1125,
+      Level.INFO,
+      "The entry knows the usage of all, some or no other entries; once a second at most."),
   QUOTA_USAGE_DECREASED(
       1123,
       Level.INFO,
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/QuotaLog.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/QuotaLog.java
@@ -22,6 +22,9 @@
   /** When a line about admitted requests was last written. */
   private final Map<AccountName, Long> admitted = new LatestAccounts<>();
 
+  /** What was charged and refunded beyond admissions since the last such line of an account. */
+  private final Map<AccountName, Corrections> corrections = new LatestAccounts<>();
+
   /** What was not written yet of the decreases of an account. */
   private final Map<AccountName, Decrease> decreases = new LatestAccounts<>();
 
@@ -34,6 +37,8 @@
       return;
     }
     admitted.put(account, now);
+    Corrections since = corrections.getOrDefault(account, new Corrections());
+    corrections.remove(account);
     EventLog.log(
         EventType.QUOTA_CHARGED,
         "id",
@@ -57,7 +62,53 @@
         "entries",
         state.entries(),
         "update_age_ms",
-        state.updateAgeMillis());
+        state.updateAgeMillis(),
+        "coverage",
+        state.coverage().label(),
+        "further_units",
+        since.furtherUnits,
+        "renewed_units",
+        since.renewedUnits,
+        "refunded_units",
+        since.refundedUnits);
+  }
+
+  /** Records that the charge of a request that waits was dated anew. */
+  void renewed(QuotaCharge charge) {
+    corrections(charge.account()).renewedUnits += charge.units();
+  }
+
+  /** Logs the charge of a send after one that may have run, and what was known before it. */
+  void furtherRun(String id, QuotaCharge charge, int earlierRuns, QuotaState state) {
+    corrections(charge.account()).furtherUnits += charge.units();
+    EventLog.log(
+        EventType.FURTHER_RUN_CHARGED,
+        "id",
+        id,
+        "account",
+        charge.account(),
+        "units",
+        charge.units(),
+        "earlier_runs",
+        earlierRuns,
+        "local_units",
+        state.localUnits(),
+        "remote_units",
+        state.remoteUnits(),
+        "limit_units",
+        state.limitUnits(),
+        "reachable",
+        state.reachable(),
+        "entries",
+        state.entries(),
+        "update_age_ms",
+        state.updateAgeMillis(),
+        "coverage",
+        state.coverage().label());
+  }
+
+  private Corrections corrections(AccountName account) {
+    return corrections.computeIfAbsent(account, unused -> new Corrections());
   }
 
   void refused(
@@ -95,11 +146,14 @@
         state.entries(),
         "update_age_ms",
         state.updateAgeMillis(),
+        "coverage",
+        state.coverage().label(),
         "retry_after_ms",
         decision.retryAfterMillis());
   }
 
   void refunded(String id, QuotaCharge charge, long now) {
+    corrections(charge.account()).refundedUnits += charge.units();
     EventLog.log(
         EventType.QUOTA_REFUNDED,
         "id",
@@ -133,6 +187,13 @@
     }
   }
 
+  private static final class Corrections {
+
+    private long furtherUnits;
+    private long renewedUnits;
+    private long refundedUnits;
+  }
+
   private static final class Decrease {
 
     private long units;
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/RequestCharge.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/RequestCharge.java
@@ -2,10 +2,9 @@
 
 import java.util.Optional;
 import org.hornbeamusher.clock.Clock;
-import org.hornbeamusher.events.EventLog;
-import org.hornbeamusher.events.EventType;
 import org.hornbeamusher.quota.QuotaCharge;
 import org.hornbeamusher.quota.QuotaMeter;
+import org.hornbeamusher.quota.QuotaState;
 
 /**
  * What the client account of one request is charged: the admission, and each further send after one
@@ -61,22 +60,16 @@
   }
 
   private QuotaCharge renew(QuotaCharge charge) {
+    log.renewed(charge);
     return meter.renew(charge, clock.millis());
   }
 
   private QuotaCharge chargeAgain(QuotaCharge before) {
-    QuotaCharge further = meter.charge(before.account(), before.units(), clock.millis());
+    long now = clock.millis();
+    QuotaState state = meter.state(before.account(), now);
+    QuotaCharge further = meter.charge(before.account(), before.units(), now);
     if (further.units() > 0) {
-      EventLog.log(
-          EventType.FURTHER_RUN_CHARGED,
-          "id",
-          requestId,
-          "account",
-          further.account(),
-          "units",
-          further.units(),
-          "earlier_runs",
-          possibleRuns);
+      log.furtherRun(requestId, further, possibleRuns, state);
     }
     return further;
   }
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/UsageExchange.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/UsageExchange.java
@@ -30,6 +30,7 @@
   private final EventLoop loop;
   private final Clock clock;
   private final QuotaLog log = new QuotaLog();
+  private final QuotaViewLog viewLog = new QuotaViewLog();
   private final RelaySelection selection = new RelaySelection();
   private boolean started;
   private boolean reportingSoon;
@@ -102,6 +103,7 @@
             now)
         .forEach((account, units) -> log.remoteUsageDecreased(account, agent, units, now));
     shares.usageReported(agent, update.step(), byShare.get(true), now);
+    viewLog.observed(meter.view(now), now);
   }
 
   /** Called when the usage of an account has changed at this entry. */
@@ -124,6 +126,7 @@
 
   private void report() {
     long now = clock.millis();
+    viewLog.observed(meter.view(now), now);
     for (InetSocketAddress relay : selection.relays()) {
       List<UsageAtStep> usage = new ArrayList<>(meter.takeReport(relay, now));
       usage.addAll(shares.takeReport(relay, now));
--- a/runtime/src/main/java/org/hornbeamusher/quota/KnownEntries.java
+++ b/runtime/src/main/java/org/hornbeamusher/quota/KnownEntries.java
@@ -20,6 +20,13 @@
     return reachable >= entries;
   }
 
+  UsageCoverage coverage() {
+    if (all()) {
+      return UsageCoverage.COMPLETE;
+    }
+    return isAlone() ? UsageCoverage.ISOLATED : UsageCoverage.PARTIAL;
+  }
+
   double reachableFraction() {
     return (double) Math.min(reachable, entries) / entries;
   }
--- a/runtime/src/main/java/org/hornbeamusher/quota/QuotaBucket.java
+++ b/runtime/src/main/java/org/hornbeamusher/quota/QuotaBucket.java
@@ -72,7 +72,8 @@
         Math.round(level),
         known.reachable(),
         known.entries(),
-        updateAgeMillis);
+        updateAgeMillis,
+        known.coverage());
   }
 
   /** Refills the bucket for the time since the last call. */
--- a/runtime/src/main/java/org/hornbeamusher/quota/QuotaMeter.java
+++ b/runtime/src/main/java/org/hornbeamusher/quota/QuotaMeter.java
@@ -56,7 +56,8 @@
 
   private static final long RENEWALS_PER_WINDOW = 8;
 
-  private static final QuotaState UNLIMITED = new QuotaState(0, 0, 0, 0, 1, 1, -1);
+  private static final QuotaState UNLIMITED =
+      new QuotaState(0, 0, 0, 0, 1, 1, -1, UsageCoverage.COMPLETE);
 
   private final QuotaSettings settings;
   private final QuotaTolerance tolerance;
@@ -336,10 +337,48 @@
     return new KnownEntries(reachableEntryCount(now), entryCount(), windowKnown);
   }
 
+  private boolean isReporting(RelayState relay, long now) {
+    return now - relay.reportedMillis <= settings.unreachableAfterMillis(entryCount());
+  }
+
   private boolean isCurrent(RelayState relay, long now) {
-    int entries = entryCount();
-    return now - relay.reportedMillis <= settings.unreachableAfterMillis(entries)
-        && now - relay.status.answeredMillis() <= settings.staleAfterMillis(entries);
+    return isReporting(relay, now)
+        && now - relay.status.answeredMillis() <= settings.staleAfterMillis(entryCount());
+  }
+
+  /**
+   * Returns what is known of the usage of the other entries.
+   *
+   * @param now milliseconds
+   * @return the same for all accounts
+   */
+  public QuotaView view(long now) {
+    KnownEntries known = knownEntries(now);
+    long reporting = relays.values().stream().filter(relay -> isReporting(relay, now)).count();
+    long current = relays.values().stream().filter(relay -> isCurrent(relay, now)).count();
+    return new QuotaView(
+        known.coverage(),
+        known.reachable(),
+        known.entries(),
+        known.windowKnown(),
+        relays.size(),
+        (int) reporting,
+        (int) current,
+        updateAgeMillis(now));
+  }
+
+  /**
+   * Returns what is known of the usage of an account.
+   *
+   * @param account the account
+   * @param now milliseconds
+   * @return what a decision at this time would be based on
+   */
+  public QuotaState state(AccountName account, long now) {
+    QuotaBucket bucket = bucket(account);
+    return bucket == null
+        ? UNLIMITED
+        : bucket.state(usage.remote(account, now), knownEntries(now), updateAgeMillis(now), now);
   }
 
   /**
--- a/runtime/src/main/java/org/hornbeamusher/quota/QuotaState.java
+++ b/runtime/src/main/java/org/hornbeamusher/quota/QuotaState.java
@@ -10,6 +10,7 @@
  * @param reachable number of entries whose usage is known, including this one
  * @param entries number of entries that share the quota
  * @param updateAgeMillis age of the last update of the usage of the others; -1 before the first
+ * @param coverage of how many entries the usage is known
  */
 public record QuotaState(
     long localUnits,
@@ -18,7 +19,8 @@
     long level,
     int reachable,
     int entries,
-    long updateAgeMillis) {
+    long updateAgeMillis,
+    UsageCoverage coverage) {
 
   private static final double NEAR_LIMIT_FRACTION = 0.5;
 
--- /dev/null
+++ b/runtime/src/main/java/org/hornbeamusher/quota/QuotaView.java
@@ -0,0 +1,23 @@
+package org.hornbeamusher.quota;
+
+/**
+ * What an entry knows of the usage of the others, for all accounts alike.
+ *
+ * @param coverage of how many entries the usage is known
+ * @param reachable number of entries whose usage is known, including this one
+ * @param entries number of entries that share the quotas
+ * @param windowKnown whether a relay has added up usage for a whole window
+ * @param connectedRelays number of agents that are connected and could relay
+ * @param reportingRelays number of relays whose last update arrived recently
+ * @param currentRelays number of relays of these whose last update answers a recent report
+ * @param updateAgeMillis age of the newest update of a connected relay; -1 if there is none
+ */
+public record QuotaView(
+    UsageCoverage coverage,
+    int reachable,
+    int entries,
+    boolean windowKnown,
+    int connectedRelays,
+    int reportingRelays,
+    int currentRelays,
+    long updateAgeMillis) {}
--- a/runtime/src/test/java/org/hornbeamusher/forwarding/QuotaLogTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/forwarding/QuotaLogTest.java
@@ -4,6 +4,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.LongConsumer;
 import java.util.logging.Handler;
 import java.util.logging.Level;
 import java.util.logging.LogRecord;
@@ -13,6 +14,8 @@
 import org.hornbeamusher.quota.QuotaCharge;
 import org.hornbeamusher.quota.QuotaDecision;
 import org.hornbeamusher.quota.QuotaState;
+import org.hornbeamusher.quota.QuotaView;
+import org.hornbeamusher.quota.UsageCoverage;
 import org.junit.jupiter.api.Test;
 
 /** How many lines about quotas are written. */
@@ -26,6 +29,41 @@
   /** Guards against a line for each request or refund of an account that exceeds its quota. */
   @Test
   void linesOfOneAccountAreLimited() {
+    QuotaDecision.Admitted admitted =
+        new QuotaDecision.Admitted(
+            new QuotaCharge(ACCOUNT, 10, 0),
+            new QuotaState(400, 400, 1_000, 10, 2, 2, 5, UsageCoverage.COMPLETE));
+    assertEquals(
+        2 * SECONDS,
+        lines(
+            now -> {
+              log.admitted("id", admitted, 1, now);
+              log.remoteUsageDecreased(ACCOUNT, "relay", 7, now);
+            }));
+  }
+
+  /** Guards against a line for each change of an entry whose relays come and go. */
+  @Test
+  void linesOfViewThatChangesOftenAreLimited() {
+    QuotaViewLog views = new QuotaViewLog();
+    assertEquals(SECONDS, lines(now -> views.observed(view(now % 20 == 0), now)));
+  }
+
+  /** Guards against a line for each update although nothing has changed. */
+  @Test
+  void unchangedViewIsLoggedOnce() {
+    QuotaViewLog views = new QuotaViewLog();
+    assertEquals(1, lines(now -> views.observed(view(true), now)));
+  }
+
+  private static QuotaView view(boolean complete) {
+    return complete
+        ? new QuotaView(UsageCoverage.COMPLETE, 21, 21, true, 40, 2, 2, 30)
+        : new QuotaView(UsageCoverage.ISOLATED, 1, 21, false, 38, 0, 0, 900);
+  }
+
+  /** Returns how many lines an action writes that is repeated every 10 ms. */
+  private static int lines(LongConsumer action) {
     List<LogRecord> lines = new ArrayList<>();
     Handler handler = new Collector(lines);
     Logger events = Logger.getLogger(EventLog.class.getName());
@@ -33,18 +71,14 @@
     events.setLevel(Level.INFO);
     events.addHandler(handler);
     try {
-      QuotaDecision.Admitted admitted =
-          new QuotaDecision.Admitted(
-              new QuotaCharge(ACCOUNT, 10, 0), new QuotaState(400, 400, 1_000, 10, 2, 2, 5));
       for (long now = 0; now < SECONDS * 1_000; now += 10) {
-        log.admitted("id", admitted, 1, now);
-        log.remoteUsageDecreased(ACCOUNT, "relay", 7, now);
+        action.accept(now);
       }
     } finally {
       events.removeHandler(handler);
       events.setLevel(level);
     }
-    assertEquals(2 * SECONDS, lines.size());
+    return lines.size();
   }
 
   private static final class Collector extends Handler {
--- a/runtime/src/test/java/org/hornbeamusher/quota/QuotaMeterTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/quota/QuotaMeterTest.java
@@ -348,7 +348,8 @@
     admitted(meter, 300, 1_000);
     report(meter, "self", 200, 2, 2, 1_010);
     assertEquals(
-        new QuotaState(300, 200, 11_000, 522, 2, 2, 10), admitted(meter, 1, 1_020).state());
+        new QuotaState(300, 200, 11_000, 522, 2, 2, 10, UsageCoverage.COMPLETE),
+        admitted(meter, 1, 1_020).state());
   }
 
   /** Guards against known usage that decreases without a log line. */
