Tests: four ways in which an account exceeds its quota fail

Callers saw an account beyond its quota.

The simulation learns callers that reach only some entries, connections of single entries to single agents, connections that open one after another, and endpoints that end with what runs there. It counts a further run as the product does. The existing properties draw the same numbers as before.

--- a/runtime/src/test/java/org/hornbeamusher/quota/QuotaMeterTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/quota/QuotaMeterTest.java
@@ -9,6 +9,7 @@
 import java.util.OptionalInt;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import net.jqwik.api.Tag;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.LongRange;
 import org.hornbeamusher.accounts.AccountName;
@@ -292,6 +293,87 @@
         "admitted " + all.admittedSince(all.now() - 8_000) + " of " + 8 * rate);
   }
 
+  /** Guards against isolated entries that forget what the others have used. */
+  @Tag("known-red")
+  @Property(tries = 20, seed = "20261206")
+  void callersThatMoveWhileNoRelayIsReceivedDoNotRaiseTheQuota(
+      @ForAll @LongRange(min = 29_000, max = 300_000) long rate,
+      @ForAll @IntRange(min = 2, max = 6) int before,
+      @ForAll boolean toAll,
+      @ForAll @LongRange(min = 500, max = 3_000) long silentMillis,
+      @ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
+    QuotaSimulation all =
+        new QuotaSimulation(
+            ENTRIES, QuotaSimulation.tokens(rate, 2 * rate), true, 3, seed, TOLERANCE);
+    all.runAt(12_000, rate * 6.0, LONG_PROMPT, 0, before);
+    for (int i = 0; i < ENTRIES; i++) {
+      all.setPartitioned(i, true);
+    }
+    int first = toAll ? 0 : before;
+    all.runAt(silentMillis, rate * 6.0, LONG_PROMPT, first, ENTRIES);
+    for (int i = 0; i < ENTRIES; i++) {
+      all.setPartitioned(i, false);
+    }
+    all.runAt(9_000, rate * 6.0, LONG_PROMPT, first, ENTRIES);
+    assertWithin(all, rate, 2 * rate, 0);
+  }
+
+  /** Guards against further runs that are never refused when endpoints end together. */
+  @Tag("known-red")
+  @Property(tries = 20, seed = "20261206")
+  void endpointsThatEndTogetherDoNotRaiseTheQuota(
+      @ForAll @LongRange(min = 29_000, max = 300_000) long rate,
+      @ForAll @IntRange(min = 1, max = ENTRIES) int reached,
+      @ForAll @IntRange(min = 10, max = 60) int lostPercent,
+      @ForAll @LongRange(min = 1_000, max = 6_000) long runMillis,
+      @ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
+    QuotaSimulation all =
+        new QuotaSimulation(
+            ENTRIES, QuotaSimulation.tokens(rate, 2 * rate), true, 3, seed, TOLERANCE);
+    all.runAt(12_000, rate * 6.0, LONG_PROMPT, 0, reached);
+    all.loseEndpoints(lostPercent / 100.0, runMillis);
+    all.runAt(9_000, rate * 6.0, LONG_PROMPT, 0, reached);
+    assertWithin(all, rate, 2 * rate, 0);
+  }
+
+  /** Guards against entries that report to different relays and each use nearly the whole quota. */
+  @Tag("known-red")
+  @Property(tries = 20, seed = "20261206")
+  void entriesThatReachDifferentRelaysDoNotRaiseTheQuota(
+      @ForAll @LongRange(min = 29_000, max = 300_000) long rate,
+      @ForAll @IntRange(min = 1, max = 4) int each,
+      @ForAll boolean othersRequest,
+      @ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
+    QuotaSimulation all =
+        new QuotaSimulation(
+            ENTRIES, QuotaSimulation.tokens(rate, 2 * rate), true, 3, seed, TOLERANCE);
+    int end = othersRequest ? ENTRIES : 2 * each;
+    all.runAt(10_000, rate / 1.8, LONG_PROMPT, 0, end);
+    for (int i = 0; i < 2 * each; i++) {
+      for (int agent = i < each ? 1 : 0; agent < QuotaSimulation.AGENTS; agent += 2) {
+        all.disconnect(i, agent);
+      }
+    }
+    all.runAt(16_000, rate * 6.0, LONG_PROMPT, 0, end);
+    assertWithin(all, rate, 2 * rate, 0);
+  }
+
+  /** Guards against entries that have just started and count those connected first as all. */
+  @Tag("known-red")
+  @Property(tries = 20, seed = "20261206")
+  void connectionsThatOpenSlowlyAfterRestartOfAllDoNotRaiseTheQuota(
+      @ForAll @LongRange(min = 29_000, max = 300_000) long rate,
+      @ForAll @LongRange(min = 500, max = 6_000) long openMillis,
+      @ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
+    QuotaSimulation all =
+        new QuotaSimulation(
+            ENTRIES, QuotaSimulation.tokens(rate, 2 * rate), true, 3, seed, TOLERANCE);
+    all.run(12_000, rate * 6.0, LONG_PROMPT, 1);
+    all.restartAll(openMillis);
+    all.run(10_000, rate * 6.0, LONG_PROMPT, 1);
+    assertWithin(all, rate, 2 * rate, 0);
+  }
+
   /** Guards against a permanently lost relay that hides what entries admitted. */
   @Test
   void secondRelayReportsUsageThatTheFirstMissed() {
--- a/runtime/src/test/java/org/hornbeamusher/quota/QuotaSimulation.java
+++ b/runtime/src/test/java/org/hornbeamusher/quota/QuotaSimulation.java
@@ -1,11 +1,13 @@
 package org.hornbeamusher.quota;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalInt;
 import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.stream.IntStream;
 import org.hornbeamusher.accounts.AccountName;
 import org.hornbeamusher.accounts.ClientAccount;
 import org.hornbeamusher.accounts.Quota;
@@ -13,15 +15,18 @@
 
 /**
  * Simulation of entries that share the quota of one account through two of four agents: messages
- * are delayed, entries are cut off and restarted, agents are lost, requests are refused after they
- * were charged, and callers reach the entries unevenly.
+ * are delayed, entries are cut off and restarted, agents are lost, entries are connected to
+ * different agents, requests are refused after they were charged or sent again when their endpoints
+ * end, and callers reach the entries unevenly or only some of them.
  */
 final class QuotaSimulation {
 
   static final AccountName ACCOUNT = new AccountName("a");
   private static final long STEP_MILLIS = 5;
-  private static final int AGENTS = 4;
+  static final int AGENTS = 4;
   private static final int RELAYS = 2;
+  private static final int LOSS_NOTICED_MILLIS = 300;
+  private static final long LONGEST_RUN_MILLIS = 10_000;
 
   private final QuotaSettings settings;
   private final QuotaTolerance tolerance;
@@ -32,7 +37,7 @@
   private final List<Entry> entries = new ArrayList<>();
   private final List<UsageRelay<Integer>> relays = new ArrayList<>();
   private final long[] relayDueMillis = new long[AGENTS];
-  private int lostAgents;
+  private final boolean[] lostAgents = new boolean[AGENTS];
   private long incarnations;
   private final PriorityQueue<Delivery> network =
       new PriorityQueue<>((a, b) -> Long.compare(a.atMillis, b.atMillis));
@@ -45,6 +50,12 @@
       new PriorityQueue<>((a, b) -> Long.compare(a.dueMillis, b.dueMillis));
   private long waitMillis;
   private double runAgainFraction;
+  private final Random endpointDraws;
+  private final List<Run> runs = new ArrayList<>();
+  private final PriorityQueue<FurtherRun> furtherRuns =
+      new PriorityQueue<>((a, b) -> Long.compare(a.dueMillis, b.dueMillis));
+  private final PriorityQueue<Opening> openings =
+      new PriorityQueue<>((a, b) -> Long.compare(a.atMillis, b.atMillis));
   private Quota quota;
   private long now = 1_000;
   private double idealLevel;
@@ -84,6 +95,7 @@
     this.delayMillis = delayMillis;
     this.random = new Random(seed);
     this.draws = new Random(~seed);
+    this.endpointDraws = new Random(seed + 1);
     for (int i = 0; i < AGENTS; i++) {
       relays.add(new UsageRelay<>(settings));
     }
@@ -95,30 +107,83 @@
 
   /** Restarts an entry, which loses its state. */
   void restart(int entry) {
+    Entry restarted = entries.get(entry);
+    begin(entry);
+    for (int agent = 0; exchanging && agent < AGENTS; agent++) {
+      if (!lostAgents[agent]) {
+        relays.get(agent).entryDisconnected(entry, now);
+        connect(entry, agent);
+      }
+    }
+  }
+
+  private void begin(int entry) {
     Entry restarted = entries.get(entry);
     restarted.meter = new QuotaMeter<>(settings, tolerance, draws::nextDouble);
-    restarted.generation++;
     restarted.incarnation = ++incarnations;
     restarted.dueMillis = now;
+    Arrays.fill(restarted.connected, false);
     configure(restarted);
-    for (int relay = lostAgents; exchanging && relay < AGENTS; relay++) {
-      relays.get(relay).entryDisconnected(entry, now);
-      relays.get(relay).entryConnected(entry, "e" + entry, restarted.incarnation);
-      restarted.meter.relayConnected(relay, now);
+  }
+
+  /**
+   * Restarts all entries and agents at once.
+   *
+   * @param openMillis within which time each connection of an entry to an agent opens
+   */
+  void restartAll(long openMillis) {
+    network.clear();
+    runs.clear();
+    for (int agent = 0; agent < AGENTS; agent++) {
+      relays.set(agent, new UsageRelay<>(settings));
+    }
+    for (int entry = 0; entry < entries.size(); entry++) {
+      begin(entry);
+      for (int agent = 0; agent < AGENTS; agent++) {
+        long at = now + Math.round(endpointDraws.nextDouble() * openMillis);
+        openings.add(new Opening(at, entry, agent));
+      }
+    }
+  }
+
+  private void openConnections() {
+    while (!openings.isEmpty() && openings.peek().atMillis <= now) {
+      Opening opening = openings.poll();
+      connect(opening.entry, opening.agent);
     }
   }
 
+  private void connect(int entry, int agent) {
+    Entry to = entries.get(entry);
+    to.connected[agent] = true;
+    to.generations[agent]++;
+    relays.get(agent).entryConnected(entry, "e" + entry, to.incarnation);
+    to.meter.relayConnected(agent, now);
+  }
+
+  /** Closes the connection of one entry to one agent; both ends notice it at once. */
+  void disconnect(int entry, int agent) {
+    Entry from = entries.get(entry);
+    from.connected[agent] = false;
+    from.generations[agent]++;
+    relays.get(agent).entryDisconnected(entry, now);
+    from.meter.relayDisconnected(agent);
+  }
+
   /** Loses the two agents that relay usage; the entries choose the next two. */
   void loseRelays() {
-    for (int relay = lostAgents; relay < lostAgents + RELAYS; relay++) {
+    int first = 0;
+    while (lostAgents[first]) {
+      first++;
+    }
+    for (int relay = first; relay < first + RELAYS; relay++) {
+      lostAgents[relay] = true;
       for (Entry entry : entries) {
+        entry.connected[relay] = false;
+        entry.generations[relay]++;
         entry.meter.relayDisconnected(relay);
       }
     }
-    lostAgents += RELAYS;
-    for (Entry entry : entries) {
-      entry.generation++;
-    }
   }
 
   /**
@@ -150,6 +215,25 @@
     runAgainFraction = fraction;
   }
 
+  /**
+   * Ends endpoints at once. What runs there is sent again as soon as that is noticed.
+   *
+   * @param fraction of the requests that run there
+   * @param runMillis how long a request runs
+   */
+  void loseEndpoints(double fraction, long runMillis) {
+    List<Run> lost =
+        runs.stream()
+            .filter(run -> run.sentMillis > now - runMillis)
+            .filter(run -> endpointDraws.nextDouble() < fraction)
+            .toList();
+    for (Run run : lost) {
+      long noticed = now + endpointDraws.nextInt(LOSS_NOTICED_MILLIS);
+      furtherRuns.add(new FurtherRun(noticed, run.meter, run.charge));
+    }
+    runs.removeAll(lost);
+  }
+
   /** Takes the account out of the configuration of all entries. */
   void removeAccount() {
     entries.forEach(entry -> entry.meter.updateAccounts(Map.of(), now));
@@ -174,16 +258,14 @@
    * Lets both ends of an entry's connections detect that it is cut off, or that it is reachable.
    */
   void setPartitionDetected(int entry, boolean partitioned) {
-    Entry changed = entries.get(entry);
-    changed.generation++;
-    changed.partitionDetected = partitioned;
-    for (int relay = lostAgents; relay < AGENTS; relay++) {
+    for (int agent = 0; agent < AGENTS; agent++) {
+      if (lostAgents[agent]) {
+        continue;
+      }
       if (partitioned) {
-        relays.get(relay).entryDisconnected(entry, now);
-        changed.meter.relayDisconnected(relay);
+        disconnect(entry, agent);
       } else {
-        relays.get(relay).entryConnected(entry, "e" + entry, changed.incarnation);
-        changed.meter.relayConnected(relay, now);
+        connect(entry, agent);
       }
     }
   }
@@ -196,10 +278,29 @@
    * @param uneven how unevenly the requests are distributed over the entries; 0 for evenly
    */
   void run(long millis, double perSecond, long cost, double uneven) {
-    double[] shares = shares(uneven);
+    play(millis, perSecond, cost, shares(uneven));
+  }
+
+  /**
+   * Advances the time while callers send requests evenly to some entries.
+   *
+   * @param perSecond units requested per second at these entries together
+   * @param cost units of each request
+   * @param first the first of these entries
+   * @param end the entry after the last of them
+   */
+  void runAt(long millis, double perSecond, long cost, int first, int end) {
+    double[] shares = new double[entries.size()];
+    Arrays.fill(shares, first, end, 1.0 / (end - first));
+    play(millis, perSecond, cost, shares);
+  }
+
+  private void play(long millis, double perSecond, long cost, double[] shares) {
     for (long end = now + millis; now < end; now += STEP_MILLIS) {
+      openConnections();
       deliver();
       refund();
+      runFurther();
       serveWaiting();
       for (int i = 0; i < entries.size(); i++) {
         double expected = perSecond * shares[i] * STEP_MILLIS / 1_000 / cost;
@@ -244,7 +345,7 @@
       } else if (waitMillis > 0) {
         waiting.add(Waiting.of(now, now + waitMillis, at.meter, decision.charge()));
       } else {
-        ran(at.meter, cost);
+        ran(at.meter, decision.charge());
       }
       if (at.meter.reportUrgent(ACCOUNT, now)) {
         at.dueMillis = Math.min(at.dueMillis, now + settings.urgentMillis());
@@ -254,21 +355,33 @@
     }
   }
 
-  private void ran(QuotaMeter<Integer> meter, long cost) {
+  private void ran(QuotaMeter<Integer> meter, QuotaCharge charge) {
+    long cost = charge.units();
     admitted.add(new long[] {now, cost});
+    runs.add(new Run(now, meter, charge));
     if (runAgainFraction > 0 && random.nextDouble() < runAgainFraction) {
       meter.charge(ACCOUNT, cost, now);
       admitted.add(new long[] {now, cost});
     }
   }
 
+  private void runFurther() {
+    while (!furtherRuns.isEmpty() && furtherRuns.peek().dueMillis <= now) {
+      FurtherRun next = furtherRuns.poll();
+      QuotaCharge further = next.meter.charge(ACCOUNT, next.before.units(), now);
+      admitted.add(new long[] {now, further.units()});
+      runs.add(new Run(now, next.meter, further));
+    }
+    runs.removeIf(run -> run.sentMillis < now - LONGEST_RUN_MILLIS);
+  }
+
   /** Lets requests wait on, or run if their time has come. */
   private void serveWaiting() {
     while (!waiting.isEmpty() && waiting.peek().dueMillis <= now) {
       Waiting next = waiting.poll();
       QuotaCharge renewed = next.meter.renew(next.charge, now);
       if (next.runMillis <= now) {
-        ran(next.meter, renewed.units());
+        ran(next.meter, renewed);
       } else {
         waiting.add(Waiting.of(now, next.runMillis, next.meter, renewed));
       }
@@ -284,20 +397,20 @@
 
   private void report(int number) {
     Entry entry = entries.get(number);
-    if (!exchanging || entry.partitionDetected || now < entry.dueMillis) {
+    if (!exchanging || now < entry.dueMillis) {
       return;
     }
     entry.dueMillis = now + settings.intervalMillis(entry.meter.entryCount());
-    int generation = entry.generation;
-    for (int i = lostAgents; i < lostAgents + RELAYS; i++) {
+    for (int i : entry.relays()) {
       UsageRelay<Integer> to = relays.get(i);
+      int generation = entry.generations[i];
       long sentMillis = now;
       List<UsageAtStep> usage = entry.meter.takeReport(i, now);
       int relay = i;
       send(
           number,
           () -> {
-            if (entries.get(number).generation == generation) {
+            if (entries.get(number).generations[relay] == generation) {
               to.recordReport(number, tolerance.windowMillis(), sentMillis, usage, now);
               if (to.hasUnforwardedUsage()) {
                 relayDueMillis[relay] =
@@ -309,8 +422,8 @@
   }
 
   private void relay() {
-    for (int i = lostAgents; i < lostAgents + RELAYS; i++) {
-      if (exchanging && now >= relayDueMillis[i]) {
+    for (int i = 0; i < AGENTS; i++) {
+      if (exchanging && !lostAgents[i] && now >= relayDueMillis[i]) {
         UsageRelay<Integer> from = relays.get(i);
         relayDueMillis[i] = now + settings.intervalMillis(entries.size());
         int reachable = from.reportingEntryCount(now);
@@ -320,11 +433,11 @@
         from.forwardUsage(
             now,
             (number, usage, answeredMillis) -> {
-              int generation = entries.get(number).generation;
+              int generation = entries.get(number).generations[relay];
               send(
                   number,
                   () -> {
-                    if (entries.get(number).generation == generation) {
+                    if (entries.get(number).generations[relay] == generation) {
                       entries
                           .get(number)
                           .meter
@@ -409,14 +522,27 @@
 
   private static final class Entry {
 
+    private final boolean[] connected = new boolean[AGENTS];
+
+    /** Counts the connections to each agent; a message belongs to one of them. */
+    private final int[] generations = new int[AGENTS];
+
     private QuotaMeter<Integer> meter;
-    private int generation;
     private long incarnation;
     private long dueMillis;
     private boolean partitioned;
-    private boolean partitionDetected;
+
+    private int[] relays() {
+      return IntStream.range(0, AGENTS).filter(i -> connected[i]).limit(RELAYS).toArray();
+    }
   }
 
+  private record Run(long sentMillis, QuotaMeter<Integer> meter, QuotaCharge charge) {}
+
+  private record FurtherRun(long dueMillis, QuotaMeter<Integer> meter, QuotaCharge before) {}
+
+  private record Opening(long atMillis, int entry, int agent) {}
+
   private record Refusal(long atMillis, int entry, QuotaCharge charge) {}
 
   private record Waiting(
