An entry that knows less than others keeps to its share of the quota

Callers saw an account beyond its quota: two entries that reported to different relays knew 20 of 21 entries each, and not each other, and used 20 of 21 parts of the quota each.

Cause: what an entry knows was a number, and nothing decided by which entries it was.

Now relays state the names of the entries that do not report to them (none in normal operation, 64 at most), so an entry knows which of them no relay of its own knows, and reports how many. A relay passes on the fewest that one of the others stated. An entry that lacks more than another keeps to its even share of what was left to all. In a partition all entries of a side lack the same, and use their part of the quota together as before.

--- a/runtime/src/main/java/org/hornbeamusher/forwarding/QuotaViewLog.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/QuotaViewLog.java
@@ -43,6 +43,8 @@
         view.reachable(),
         "entries",
         view.entries(),
+        "unknown",
+        view.unknown(),
         "window_known",
         view.windowKnown(),
         "connected_relays",
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/UsageExchange.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/UsageExchange.java
@@ -99,7 +99,9 @@
                 update.answeredMillis(),
                 update.knownMillis(),
                 update.reachableEntryCount(),
-                update.entryCount()),
+                update.entryCount(),
+                update.silentEntries(),
+                update.fewestUnknownEntries()),
             now)
         .forEach((account, units) -> log.remoteUsageDecreased(account, agent, units, now));
     shares.usageReported(agent, update.step(), byShare.get(true), now);
@@ -127,10 +129,11 @@
   private void report() {
     long now = clock.millis();
     viewLog.observed(meter.view(now), now);
+    int unknown = meter.unknownEntryCount(now);
     for (InetSocketAddress relay : selection.relays()) {
       List<UsageAtStep> usage = new ArrayList<>(meter.takeReport(relay, now));
       usage.addAll(shares.takeReport(relay, now));
-      transport.send(relay, new Message.UsageReport(meter.windowMillis(), now, usage));
+      transport.send(relay, new Message.UsageReport(meter.windowMillis(), now, usage, unknown));
     }
   }
 }
--- a/runtime/src/main/java/org/hornbeamusher/quota/QuotaBucket.java
+++ b/runtime/src/main/java/org/hornbeamusher/quota/QuotaBucket.java
@@ -18,11 +18,12 @@
  * <p>The level of the bucket decreases immediately by what this entry admits, and by what other
  * entries admit as soon as that is reported; it may become negative.
  *
- * <p>An entry that no longer knows what the others use keeps to its even share of what was left to
- * all when it last knew: the quota of a window less what all had used in it, of which more leaves
- * the window as time passes. A share may be smaller than a request. Entries then round it up or
- * down, each by a random fraction that stays the same until it knows the others again, so that
- * their sum is the sum of the shares on average, however often callers retry (stochastic rounding).
+ * <p>An entry that no longer knows what the others use, or less than others know, keeps to its even
+ * share of what was left to all when it last knew: the quota of a window less what all had used in
+ * it, of which more leaves the window as time passes. A share may be smaller than a request.
+ * Entries then round it up or down, each by a random fraction that stays the same until it knows
+ * the others again, so that their sum is the sum of the shares on average, however often callers
+ * retry (stochastic rounding).
  *
  * <p>When endpoints end together, all that ran there is to be run again at once, at all entries,
  * after the quota has been used. A further run therefore needs units, too, of a limit above that of
@@ -206,7 +207,9 @@
         localUsage.totalBefore(known.sharedUntilMillis(), now)
             + remoteUsage.totalBefore(known.sharedUntilMillis(), now);
     double leftToAll = Math.max(0, tolerance.withoutTolerance(quota) - usedBefore);
-    return leftToAll / known.entries() - usedSince(known, now);
+    double unused =
+        tolerance.withoutTolerance(quota) - localUsage.total(now) - remoteUsage.total(now);
+    return Math.min(unused, leftToAll / known.entries() - usedSince(known, now));
   }
 
   /** Returns what was used here that others may not know. */
--- a/runtime/src/main/java/org/hornbeamusher/quota/QuotaMeter.java
+++ b/runtime/src/main/java/org/hornbeamusher/quota/QuotaMeter.java
@@ -1,8 +1,10 @@
 package org.hornbeamusher.quota;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.DoubleSupplier;
 import org.hornbeamusher.accounts.AccountName;
 import org.hornbeamusher.accounts.ClientAccount;
@@ -27,6 +29,10 @@
  *       that no relay reaches limits itself to its even share of what was left to all when it was
  *       last reached. So the sum stays within the limit when entries cannot reach each other, and
  *       when callers move from entries that have used the quota to others at that time.
+ *   <li>Two entries may know all others and not each other, if they report to different relays.
+ *       Entries therefore state how many they do not know, and one that knows fewer than another
+ *       limits itself to its even share, too. In a partition all entries of a side know the same,
+ *       and use their part of the quota together.
  *   <li>While no relay has added up usage for a whole window, what ended processes admitted in it
  *       may be unknown. Until then no part of the tolerance of the quota is used.
  *   <li>A further run of a request that may have run is charged, too, and is admitted up to a limit
@@ -307,7 +313,7 @@
     from.status = status;
     from.reportedMillis = now;
     entryCounts.record(status.entries(), now);
-    if (isCurrent(from, now)) {
+    if (isCurrent(from, now) && !knownEntries(now).keepsToShare()) {
       sharedUntilMillis = Math.max(sharedUntilMillis, status.answeredMillis());
     }
     // An entry that keeps to its share refills that share alone.
@@ -360,7 +366,49 @@
                 relay ->
                     isCurrent(relay, now)
                         && relay.status.knownMillis() >= tolerance.windowMillis());
-    return new KnownEntries(reachableEntryCount(now), entryCount(), windowKnown, sharedUntilMillis);
+    return new KnownEntries(
+        reachableEntryCount(now),
+        entryCount(),
+        windowKnown,
+        othersKnowMore(now),
+        sharedUntilMillis);
+  }
+
+  private boolean othersKnowMore(long now) {
+    int unknown = unknownEntryCount(now);
+    return unknown > 0
+        && relays.values().stream()
+            .anyMatch(relay -> isCurrent(relay, now) && relay.status.fewestUnknown() < unknown);
+  }
+
+  /**
+   * Returns the number of entries whose usage is not known here.
+   *
+   * @param now milliseconds
+   * @return 0 if each entry reports to one of the relays of this one
+   */
+  public int unknownEntryCount(long now) {
+    int entries = entryCount();
+    int fewest = entries - 1;
+    Set<String> unknown = null;
+    for (RelayState relay : relays.values()) {
+      if (isCurrent(relay, now)) {
+        int silent = Math.max(0, entries - relay.status.reachable());
+        fewest = Math.min(fewest, silent);
+        if (relay.status.silentEntries().size() >= silent) {
+          unknown = inBoth(unknown, relay.status.silentEntries());
+        }
+      }
+    }
+    return unknown == null ? fewest : Math.min(fewest, unknown.size());
+  }
+
+  private static Set<String> inBoth(Set<String> names, List<String> others) {
+    Set<String> both = new HashSet<>(others);
+    if (names != null) {
+      both.retainAll(names);
+    }
+    return both;
   }
 
   private boolean isReporting(RelayState relay, long now) {
@@ -386,6 +434,7 @@
         known.coverage(),
         known.reachable(),
         known.entries(),
+        unknownEntryCount(now),
         known.windowKnown(),
         relays.size(),
         (int) reporting,
@@ -432,7 +481,7 @@
 
     private static final long NEVER = Long.MIN_VALUE / 2;
 
-    private RelayStatus status = new RelayStatus(NEVER, 0, 1, 1);
+    private RelayStatus status = new RelayStatus(NEVER, 0, 1, 1, List.of(), Integer.MAX_VALUE);
     private long reportedMillis = NEVER;
 
     private boolean hasReported() {
--- a/runtime/src/main/java/org/hornbeamusher/quota/RelayStatus.java
+++ b/runtime/src/main/java/org/hornbeamusher/quota/RelayStatus.java
@@ -1,5 +1,7 @@
 package org.hornbeamusher.quota;
 
+import java.util.List;
+
 /**
  * What a relay knows of the entries.
  *
@@ -7,5 +9,14 @@
  * @param knownMillis for how long it has added up usage
  * @param reachable number of entries that report to it
  * @param entries number of entries that share the quotas, as counted by it
+ * @param silentEntries names of entries that do not report to it; not all if they are many
+ * @param fewestUnknown the fewest entries whose usage one of the other entries does not know, of
+ *     those that report to it
  */
-public record RelayStatus(long answeredMillis, long knownMillis, int reachable, int entries) {}
+public record RelayStatus(
+    long answeredMillis,
+    long knownMillis,
+    int reachable,
+    int entries,
+    List<String> silentEntries,
+    int fewestUnknown) {}
--- a/runtime/src/main/java/org/hornbeamusher/quota/UsageRelay.java
+++ b/runtime/src/main/java/org/hornbeamusher/quota/UsageRelay.java
@@ -4,6 +4,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 
 /**
  * Adds up, at an agent, the usage of client accounts that entries report, of their quotas and of
@@ -31,6 +33,9 @@
   /** More than the number of entries that are lost in that time. */
   private static final int MAX_LOST_ENTRIES = 4_096;
 
+  /** Bounds an update; an entry then knows only how many are silent. */
+  private static final int MAX_SILENT_NAMES = 64;
+
   private final QuotaSettings settings;
 
   /** When the connection was lost, for each entry that has not reconnected. */
@@ -118,10 +123,16 @@
    * @param windowMillis for how long usage of quotas counts at the entry
    * @param sentMillis when the entry sent the report, by its own clock
    * @param usage the steps that have changed since its last report
+   * @param unknownEntries number of entries whose usage it does not know
    * @param now milliseconds
    */
   public void recordReport(
-      E entry, long windowMillis, long sentMillis, List<UsageAtStep> usage, long now) {
+      E entry,
+      long windowMillis,
+      long sentMillis,
+      List<UsageAtStep> usage,
+      int unknownEntries,
+      long now) {
     Entry from = entries.get(entry);
     if (from == null) {
       return;
@@ -131,6 +142,7 @@
     }
     from.reportedMillis = now;
     from.reportSentMillis = sentMillis;
+    from.unknownEntries = unknownEntries;
     long currentStep = UsageSteps.stepOf(sentMillis);
     quotas.extendWindow(Math.min(windowMillis, MAX_WINDOW_MILLIS));
     for (UsageAtStep one : usage) {
@@ -183,14 +195,39 @@
     changed = false;
     quotas.removeIdle(now);
     shares.removeIdle(now);
+    List<Entry> reporting =
+        entries.values().stream().filter(entry -> entry.isReporting(now)).toList();
+    int[] fewest = reporting.stream().mapToInt(entry -> entry.unknownEntries).sorted().toArray();
+    List<String> silent = silentEntries(reporting);
     entries.forEach(
         (connection, entry) -> {
           if (entry.isReporting(now)) {
-            send.forward(connection, entry.takeChanges(now), entry.reportSentMillis);
+            RelayStatus status =
+                new RelayStatus(
+                    entry.reportSentMillis,
+                    knownMillis(now),
+                    reporting.size(),
+                    entryCount(now),
+                    silent,
+                    fewestOfOthers(fewest, entry.unknownEntries));
+            send.forward(connection, entry.takeChanges(now), status);
           }
         });
   }
 
+  /** The fewest of all is that of another entry unless only the entry itself has it. */
+  private static int fewestOfOthers(int[] sorted, int own) {
+    int at = own == sorted[0] ? 1 : 0;
+    return at < sorted.length ? sorted[at] : Integer.MAX_VALUE;
+  }
+
+  private List<String> silentEntries(List<Entry> reporting) {
+    Set<String> silent = new TreeSet<>(lostEntries.keySet());
+    entries.values().forEach(entry -> silent.add(entry.name));
+    reporting.forEach(entry -> silent.remove(entry.name));
+    return silent.stream().limit(MAX_SILENT_NAMES).toList();
+  }
+
   /**
    * Sends an update to an entry.
    *
@@ -204,9 +241,9 @@
      *
      * @param entry its connection
      * @param usage the steps in which the usage of others has changed
-     * @param answeredMillis when the entry sent its last report, by its own clock
+     * @param status what the relay knows of the entries
      */
-    void forward(E entry, List<UsageAtStep> usage, long answeredMillis);
+    void forward(E entry, List<UsageAtStep> usage, RelayStatus status);
   }
 
   /**
@@ -235,6 +272,8 @@
     /** When the last report was sent, by the clock of the entry. */
     private long reportSentMillis;
 
+    private int unknownEntries;
+
     Entry(String name, long incarnation) {
       this.name = name;
       this.incarnation = new RelayedUsage.EntryIncarnation(name, incarnation);
--- a/runtime/src/main/java/org/hornbeamusher/sidecar/UsageRelayService.java
+++ b/runtime/src/main/java/org/hornbeamusher/sidecar/UsageRelayService.java
@@ -46,7 +46,12 @@
 
   void received(WireConnection entry, Message.UsageReport report) {
     relay.recordReport(
-        entry, report.windowMillis(), report.sentMillis(), report.usage(), clock.millis());
+        entry,
+        report.windowMillis(),
+        report.sentMillis(),
+        report.usage(),
+        report.unknownEntryCount(),
+        clock.millis());
     if (relay.hasUnforwardedUsage() && !updateScheduled) {
       updateScheduled = true;
       loop.after(
@@ -73,18 +78,18 @@
 
   private void sendUpdates() {
     long now = clock.millis();
-    int reachable = relay.reportingEntryCount(now);
-    int entries = relay.entryCount(now);
     relay.forwardUsage(
         now,
-        (entry, usage, answeredMillis) ->
+        (entry, usage, status) ->
             entry.send(
                 new Message.UsageUpdate(
                     UsageSteps.stepOf(now),
                     usage,
-                    answeredMillis,
-                    relay.knownMillis(now),
-                    reachable,
-                    entries)));
+                    status.answeredMillis(),
+                    status.knownMillis(),
+                    status.reachable(),
+                    status.entries(),
+                    status.silentEntries(),
+                    status.fewestUnknown())));
   }
 }
--- a/runtime/src/main/java/org/hornbeamusher/wire/Message.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/Message.java
@@ -426,8 +426,10 @@
    * @param windowMillis for how long usage of quotas counts
    * @param sentMillis the entry's time when it sent the report
    * @param usage the steps that have changed since the last report on this connection
+   * @param unknownEntryCount the number of entries whose usage the sender does not know
    */
-  record UsageReport(long windowMillis, long sentMillis, List<UsageAtStep> usage)
+  record UsageReport(
+      long windowMillis, long sentMillis, List<UsageAtStep> usage, int unknownEntryCount)
       implements Message {}
 
   /**
@@ -441,6 +443,10 @@
    * @param reachableEntryCount the number of entries that report to the agent, including the
    *     receiver
    * @param entryCount the number of entries that are connected to the agent
+   * @param silentEntries the names of entries that do not report to the agent; not all if they are
+   *     many
+   * @param fewestUnknownEntries the fewest entries whose usage one of the other entries does not
+   *     know, of those that report to the agent
    */
   record UsageUpdate(
       long step,
@@ -448,7 +454,9 @@
       long answeredMillis,
       long knownMillis,
       int reachableEntryCount,
-      int entryCount)
+      int entryCount,
+      List<String> silentEntries,
+      int fewestUnknownEntries)
       implements Message {}
 
   /**
--- a/runtime/src/main/java/org/hornbeamusher/wire/MessageCodec.java
+++ b/runtime/src/main/java/org/hornbeamusher/wire/MessageCodec.java
@@ -203,15 +203,18 @@
               .packLong(m.slotWaitMillis())
               .packInt(m.cachedAdapters());
       case Message.UsageReport m -> {
-        packHeader(p, USAGE_REPORT, 3).packLong(m.windowMillis()).packLong(m.sentMillis());
+        packHeader(p, USAGE_REPORT, 4).packLong(m.windowMillis()).packLong(m.sentMillis());
         packUsage(p, UsageSteps.stepOf(m.sentMillis()), m.usage());
+        p.packInt(m.unknownEntryCount());
       }
       case Message.UsageUpdate m -> {
-        packUsage(packHeader(p, USAGE_UPDATE, 6).packLong(m.step()), m.step(), m.usage());
+        packUsage(packHeader(p, USAGE_UPDATE, 8).packLong(m.step()), m.step(), m.usage());
         p.packLong(m.answeredMillis())
             .packLong(m.knownMillis())
             .packInt(m.reachableEntryCount())
             .packInt(m.entryCount());
+        packStrings(p, m.silentEntries());
+        p.packInt(m.fewestUnknownEntries());
       }
       case Message.RatePermitRequest m ->
           packHeader(p, RATE_PERMIT_REQUEST, 5)
@@ -328,7 +331,10 @@
     long windowMillis = r.readLong();
     long sentMillis = r.readLong();
     return new Message.UsageReport(
-        windowMillis, sentMillis, r.readUsage(UsageSteps.stepOf(sentMillis), USAGE_FIELDS));
+        windowMillis,
+        sentMillis,
+        r.readUsage(UsageSteps.stepOf(sentMillis), USAGE_FIELDS),
+        r.readInt());
   }
 
   private static Message readUsageUpdate(FieldReader r) throws IOException {
@@ -339,6 +345,8 @@
         r.readLong(),
         r.readLong(),
         r.readInt(),
+        r.readInt(),
+        r.readStrings(),
         r.readInt());
   }
 
--- a/runtime/src/test/java/org/hornbeamusher/forwarding/QuotaLogTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/forwarding/QuotaLogTest.java
@@ -58,8 +58,8 @@
 
   private static QuotaView view(boolean complete) {
     return complete
-        ? new QuotaView(UsageCoverage.COMPLETE, 21, 21, true, 40, 2, 2, 30)
-        : new QuotaView(UsageCoverage.ISOLATED, 1, 21, false, 38, 0, 0, 900);
+        ? new QuotaView(UsageCoverage.COMPLETE, 21, 21, 0, true, 40, 2, 2, 30)
+        : new QuotaView(UsageCoverage.ISOLATED, 1, 21, 20, false, 38, 0, 0, 900);
   }
 
   /** Returns how many lines an action writes that is repeated every 10 ms. */
--- a/runtime/src/test/java/org/hornbeamusher/quota/QuotaBucketTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/quota/QuotaBucketTest.java
@@ -14,7 +14,7 @@
 class QuotaBucketTest {
 
   private static final long WINDOW_MILLIS = 8_000;
-  private static final KnownEntries ENTRIES = new KnownEntries(3, 3, true, 0);
+  private static final KnownEntries ENTRIES = new KnownEntries(3, 3, true, false, 0);
   private static final long COST = 1;
   private static final long STEP_MILLIS = 100;
   private static final Quota QUOTA = new Quota(QuotaUnit.REQUESTS, 100, 50, 1);
@@ -34,7 +34,7 @@
   void accountIsAdmittedAfterItsRetryAfterAtAnIsolatedEntry(
       @ForAll @Size(min = 1, max = 30) List<@IntRange(min = -300, max = 300) Integer> taken,
       @ForAll @IntRange(min = 0, max = 3_000) int sharedUntil) {
-    assertAdmittedAfterRetryAfter(taken, new KnownEntries(1, 3, false, sharedUntil));
+    assertAdmittedAfterRetryAfter(taken, new KnownEntries(1, 3, false, false, sharedUntil));
   }
 
   private static void assertAdmittedAfterRetryAfter(List<Integer> taken, KnownEntries known) {
--- a/runtime/src/test/java/org/hornbeamusher/quota/QuotaMeterTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/quota/QuotaMeterTest.java
@@ -335,7 +335,6 @@
   }
 
   /** Guards against entries that report to different relays and each use nearly the whole quota. */
-  @Tag("known-red")
   @Property(tries = 20, seed = "20261206")
   void entriesThatReachDifferentRelaysDoNotRaiseTheQuota(
       @ForAll @LongRange(min = 29_000, max = 300_000) long rate,
@@ -473,7 +472,11 @@
     long step = UsageSteps.stepOf(now);
     List<UsageAtStep> usage = units == 0 ? List.of() : List.of(new UsageAtStep("a", step, units));
     return meter.usageReported(
-        relay, step, usage, new RelayStatus(now, WINDOW_MILLIS, reachable, entries), now);
+        relay,
+        step,
+        usage,
+        new RelayStatus(now, WINDOW_MILLIS, reachable, entries, List.of(), 0),
+        now);
   }
 
   private static QuotaDecision.Admitted admitted(QuotaMeter<String> meter, long cost, long now) {
--- a/runtime/src/test/java/org/hornbeamusher/quota/QuotaSimulation.java
+++ b/runtime/src/test/java/org/hornbeamusher/quota/QuotaSimulation.java
@@ -410,6 +410,7 @@
       return;
     }
     entry.dueMillis = now + settings.intervalMillis(entry.meter.entryCount());
+    int unknown = entry.meter.unknownEntryCount(now);
     for (int i : entry.relays()) {
       UsageRelay<Integer> to = relays.get(i);
       int generation = entry.generations[i];
@@ -420,7 +421,7 @@
           number,
           () -> {
             if (entries.get(number).generations[relay] == generation) {
-              to.recordReport(number, tolerance.windowMillis(), sentMillis, usage, now);
+              to.recordReport(number, tolerance.windowMillis(), sentMillis, usage, unknown, now);
               if (to.hasUnforwardedUsage()) {
                 relayDueMillis[relay] =
                     Math.min(relayDueMillis[relay], now + settings.urgentMillis());
@@ -435,28 +436,17 @@
       if (exchanging && !lostAgents[i] && now >= relayDueMillis[i]) {
         UsageRelay<Integer> from = relays.get(i);
         relayDueMillis[i] = now + settings.intervalMillis(entries.size());
-        int reachable = from.reportingEntryCount(now);
         int relay = i;
         long step = UsageSteps.stepOf(now);
-        long knownMillis = from.knownMillis(now);
         from.forwardUsage(
             now,
-            (number, usage, answeredMillis) -> {
+            (number, usage, status) -> {
               int generation = entries.get(number).generations[relay];
               send(
                   number,
                   () -> {
                     if (entries.get(number).generations[relay] == generation) {
-                      entries
-                          .get(number)
-                          .meter
-                          .usageReported(
-                              relay,
-                              step,
-                              usage,
-                              new RelayStatus(
-                                  answeredMillis, knownMillis, reachable, from.entryCount(now)),
-                              now);
+                      entries.get(number).meter.usageReported(relay, step, usage, status, now);
                     }
                   });
             });
--- a/runtime/src/test/java/org/hornbeamusher/shares/ShareSimulation.java
+++ b/runtime/src/test/java/org/hornbeamusher/shares/ShareSimulation.java
@@ -168,14 +168,14 @@
         if (links.up(entry, relay)) {
           relays
               .get(relay)
-              .recordReport(entry, 0, now, entries.get(entry).takeReport(relay, now), now);
+              .recordReport(entry, 0, now, entries.get(entry).takeReport(relay, now), 0, now);
         }
       }
       relays
           .get(relay)
           .forwardUsage(
               now,
-              (entry, usage, answeredMillis) -> {
+              (entry, usage, status) -> {
                 if (links.up(entry, to)) {
                   entries.get(entry).usageReported(to, step, usage, now);
                 }
