Decisions on quotas go over the relays that have reported, not over all connected agents

Each decision and each update went over every connected agent several times, 1,400 at the size that this is built for, although two of them relay. Only agents that have reported are kept now.

--- a/runtime/src/main/java/org/hornbeamusher/quota/QuotaMeter.java
+++ b/runtime/src/main/java/org/hornbeamusher/quota/QuotaMeter.java
@@ -1,6 +1,7 @@
 package org.hornbeamusher.quota;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -82,7 +83,11 @@
   private final Map<AccountName, QuotaBucket> retired = new HashMap<>();
 
   private final WindowedUsage<R, AccountName> usage;
+  private final Set<R> connected = new HashSet<>();
+
+  /** The connected relays that have reported; few of many that could. */
   private final Map<R, RelayState> relays = new HashMap<>();
+
   private final RecentMaximumPeerCount entryCounts =
       new RecentMaximumPeerCount(ENTRY_COUNT_WINDOW_MILLIS);
 
@@ -271,7 +276,8 @@
    */
   public void relayConnected(R relay, long now) {
     usage.relayConnected(relay, now);
-    relays.put(relay, new RelayState());
+    connected.add(relay);
+    relays.remove(relay);
   }
 
   /**
@@ -281,6 +287,7 @@
    */
   public void relayDisconnected(R relay) {
     usage.relayDisconnected(relay);
+    connected.remove(relay);
     relays.remove(relay);
   }
 
@@ -317,10 +324,10 @@
    */
   public Map<AccountName, Long> usageReported(
       R relay, long step, List<UsageAtStep> reported, RelayStatus status, long now) {
-    RelayState from = relays.get(relay);
-    if (from == null) {
+    if (!connected.contains(relay)) {
       return Map.of();
     }
+    RelayState from = relays.computeIfAbsent(relay, unused -> new RelayState());
     from.status = status;
     from.reportedMillis = now;
     entryCounts.record(status.entries(), now);
@@ -433,7 +440,7 @@
         known.entries(),
         unknownEntries(now).size(),
         known.windowKnown(),
-        relays.size(),
+        connected.size(),
         (int) reporting,
         (int) current,
         updateAgeMillis(now));
@@ -469,7 +476,6 @@
   /** Returns the age of the newest update of a connected relay, or -1 if there is none. */
   private long updateAgeMillis(long now) {
     return relays.values().stream()
-        .filter(RelayState::hasReported)
         .mapToLong(relay -> now - relay.status.answeredMillis())
         .min()
         .orElse(-1);
@@ -482,9 +488,5 @@
 
     private RelayStatus status = new RelayStatus(NEVER, 0, 0, 1, 1, List.of(), false);
     private long reportedMillis = NEVER;
-
-    private boolean hasReported() {
-      return reportedMillis != NEVER;
-    }
   }
 }
