Further runs at few entries wait until the others know of the ones before

Callers saw an account beyond its quota: endpoints ended while callers reached five entries, and each of these charged its part of what was left again with each update, several times before the others could know of the first.

Cause: any update confirmed the further runs charged before it, also one that left the relay before it had received them.

Now they count until a relay has answered a report that contains them.

--- a/runtime/src/main/java/org/hornbeamusher/quota/QuotaBucket.java
+++ b/runtime/src/main/java/org/hornbeamusher/quota/QuotaBucket.java
@@ -27,8 +27,8 @@
  *
  * <p>When endpoints end together, all that ran there is to be run again at once, at all entries,
  * after the quota has been used. A further run therefore needs units, too, of a limit above that of
- * admissions. Until the next update, an entry charges no more of what is left to that limit than
- * its part of the usage, as it cannot have more to run again.
+ * admissions. Until the others know what it has charged, an entry charges no more of what is left
+ * to that limit than its part of the usage, as it cannot have more to run again.
  */
 final class QuotaBucket {
 
@@ -54,9 +54,12 @@
   /** Units charged at this entry since the last update of the usage of other entries. */
   private long unconfirmedUnits;
 
-  /** Of these, units of further runs. */
+  /** Units of further runs that the others may not know. */
   private long furtherUnits;
 
+  /** When the last of them was charged. */
+  private long furtherRunMillis;
+
   /** The level at that update, at least 0. */
   private double confirmedLevel;
 
@@ -244,6 +247,7 @@
   void chargeFurtherRun(long units, long now) {
     charge(units, now);
     furtherUnits += units;
+    furtherRunMillis = now;
   }
 
   void refund(long units, long chargedMillis, long now) {
@@ -262,7 +266,9 @@
   /** Records that the usage of the other entries is known up to now. */
   void remoteUsageUpdated(WindowSum remoteUsage, KnownEntries known, long now) {
     unconfirmedUnits = 0;
-    furtherUnits = 0;
+    if (known.sharedUntilMillis() >= furtherRunMillis) {
+      furtherUnits = 0;
+    }
     if (!keptToShare) {
       rounding = UNDRAWN;
     }
--- a/runtime/src/test/java/org/hornbeamusher/quota/QuotaSoakTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/quota/QuotaSoakTest.java
@@ -36,10 +36,17 @@
     new Play(seed).run();
   }
 
-  /** Seeds that exceed the quota by up to 1.3 in 100. */
+  /** Guards against entries that charge further runs again before the others know of the first. */
+  @ParameterizedTest
+  @ValueSource(longs = 268)
+  void furtherRunsOfFewEntriesDoNotRaiseTheQuota(long seed) {
+    new Play(seed).run();
+  }
+
+  /** A seed that exceeds the quota by 0.7 in 100. */
   @Tag("known-red")
   @ParameterizedTest
-  @ValueSource(longs = {84, 268})
+  @ValueSource(longs = 84)
   void overlappingDisturbancesDoNotRaiseTheQuota(long seed) {
     new Play(seed).run();
   }
