A relay counts its entries once for an update, not once for each entry

The count is taken once before the loop. It cannot change within it, as the relay is confined to its event loop. Not measured at that size. UsageRelayTest, WindowedUsageTest, QuotaMeterTest, QuotaSoakTest, QuotaBucketTest, FairSharesTest and MessageCodecTest pass.

--- a/runtime/src/main/java/org/hornbeamusher/quota/UsageRelay.java
+++ b/runtime/src/main/java/org/hornbeamusher/quota/UsageRelay.java
@@ -209,6 +209,7 @@
     Set<String> hidden = new HashSet<>();
     reporting.forEach(entry -> hidden.addAll(entry.unknownEntries));
     List<String> silent = silentEntries(reporting);
+    int entryCount = entryCount(now);
     entries.forEach(
         (connection, entry) -> {
           if (entry.isReporting(now)) {
@@ -218,7 +219,7 @@
                     knownMillis(now),
                     now - newEntryMillis,
                     reporting.size(),
-                    entryCount(now),
+                    entryCount,
                     silent,
                     hidden.contains(entry.name));
             send.forward(connection, entry.takeChanges(now), status);
