Logs: what each relay states of an account, which relays an entry goes by, how long a send waited

QUOTA_CHARGED states what each relay states of the account's usage (relay_units, also of relays lost within the window), whether a relay knows the whole window, and the rate and burst in force. QUOTA_VIEW_CHANGED names the relays and for how long they have added up usage, and is also written when these change; up to four lines a second instead of one, as one a second hid all but the first change after a start or a loss of relays. ATTEMPT_ENDED says how long a send waited for its connection after its charge was dated.

limit_units of FURTHER_RUN_CHARGED and FURTHER_RUN_DELAYED was the limit of admissions; it is the higher one that decided. QuotaLog writes the fields of a decision in one place instead of three.

--- a/runtime/src/main/java/org/hornbeamusher/events/EventType.java
+++ b/runtime/src/main/java/org/hornbeamusher/events/EventType.java
@@ -55,7 +55,8 @@
   QUOTA_VIEW_CHANGED(
       1125,
       Level.INFO,
-      "The entry knows the usage of all, some or no other entries; once a second at most."),
+      "The entry knows the usage of all, some or no others, by other relays; four lines a second at"
+          + " most."),
   QUOTA_USAGE_DECREASED(
       1123,
       Level.INFO,
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/Attempt.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/Attempt.java
@@ -61,6 +61,10 @@
   private ConnectionUse connection = ConnectionUse.NONE;
   private boolean ended;
   private boolean sendStarted;
+
+  /** When the first byte was written. */
+  private long firstByteMillis;
+
   private boolean paused;
   private int pauses;
 
@@ -110,6 +114,11 @@
     return sentMillis;
   }
 
+  /** Returns how long the request waited for its connection; -1 if nothing was sent. */
+  long connectionWaitMillis() {
+    return sendStarted ? firstByteMillis - sentMillis : -1;
+  }
+
   /** Returns the status of the response; 0 before it arrives. */
   int status() {
     return status;
@@ -205,6 +214,7 @@
     boolean accepted = endpoint.takesRequests(clock.millis()) && listener.maySend();
     if (accepted) {
       sendStarted = true;
+      firstByteMillis = clock.millis();
       listener.sending(this);
     }
     return accepted;
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/QuotaLog.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/QuotaLog.java
@@ -1,7 +1,12 @@
 package org.hornbeamusher.forwarding;
 
+import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
 import org.hornbeamusher.accounts.AccountName;
 import org.hornbeamusher.accounts.ClientAccount;
 import org.hornbeamusher.events.EventLog;
@@ -10,6 +15,7 @@
 import org.hornbeamusher.quota.QuotaCharge;
 import org.hornbeamusher.quota.QuotaDecision;
 import org.hornbeamusher.quota.QuotaState;
+import org.hornbeamusher.quota.StatedUnits;
 
 /** Logs how the quotas of client accounts were applied. Confined to the event loop. */
 final class QuotaLog {
@@ -28,9 +34,19 @@
   /** What was not written yet of the decreases of an account. */
   private final Map<AccountName, Decrease> decreases = new LatestAccounts<>();
 
-  /** Logs what an admission was based on if its account is near its limit. */
-  void admitted(String id, QuotaDecision.Admitted decision, long configuration, long now) {
-    AccountName account = decision.charge().account();
+  /**
+   * Logs what an admission was based on if its account is near its limit.
+   *
+   * @param stated what each relay states of the usage of the account
+   */
+  void admitted(
+      String id,
+      ClientAccount holder,
+      QuotaDecision.Admitted decision,
+      long configuration,
+      Supplier<List<StatedUnits>> stated,
+      long now) {
+    AccountName account = holder.name();
     QuotaState state = decision.state();
     if (!state.isNearLimit()
         || now - admitted.getOrDefault(account, now - INTERVAL_MILLIS) < INTERVAL_MILLIS) {
@@ -39,32 +55,23 @@
     admitted.put(account, now);
     Corrections since = corrections.getOrDefault(account, new Corrections());
     corrections.remove(account);
-    EventLog.log(
+    log(
         EventType.QUOTA_CHARGED,
-        "id",
         id,
-        "account",
         account,
+        state,
         "configuration",
         configuration,
         "cost",
         decision.charge().units(),
-        "local_units",
-        state.localUnits(),
-        "remote_units",
-        state.remoteUnits(),
-        "limit_units",
-        state.limitUnits(),
+        "rate_per_s",
+        holder.quota().ratePerSecond(),
+        "burst",
+        holder.quota().burst(),
         "level",
         state.level(),
-        "reachable",
-        state.reachable(),
-        "entries",
-        state.entries(),
-        "update_age_ms",
-        state.updateAgeMillis(),
-        "coverage",
-        state.coverage().label(),
+        "relay_units",
+        stated.get().stream().map(QuotaLog::text).collect(Collectors.joining(",")),
         "further_units",
         since.furtherUnits,
         "renewed_units",
@@ -104,34 +111,53 @@
       int earlierRuns,
       QuotaState state,
       long waitMillis) {
-    EventLog.log(
+    log(
         event,
-        "id",
         id,
-        "account",
         charge.account(),
+        state,
         "units",
         charge.units(),
         "earlier_runs",
         earlierRuns,
-        "local_units",
-        state.localUnits(),
-        "remote_units",
-        state.remoteUnits(),
-        "limit_units",
-        state.limitUnits(),
-        "reachable",
-        state.reachable(),
-        "entries",
-        state.entries(),
-        "update_age_ms",
-        state.updateAgeMillis(),
-        "coverage",
-        state.coverage().label(),
         "wait_ms",
         waitMillis);
   }
 
+  /** Logs an event with what a decision was based on. */
+  private static void log(
+      EventType event, String id, AccountName account, QuotaState state, Object... fields) {
+    List<Object> all =
+        new ArrayList<>(
+            List.of(
+                "id",
+                id,
+                "account",
+                account,
+                "local_units",
+                state.localUnits(),
+                "remote_units",
+                state.remoteUnits(),
+                "limit_units",
+                state.limitUnits(),
+                "reachable",
+                state.reachable(),
+                "entries",
+                state.entries(),
+                "update_age_ms",
+                state.updateAgeMillis(),
+                "coverage",
+                state.coverage().label(),
+                "window_known",
+                state.windowKnown()));
+    all.addAll(Arrays.asList(fields));
+    EventLog.log(event, all.toArray());
+  }
+
+  private static String text(StatedUnits stated) {
+    return stated.relay() + "=" + stated.units() + (stated.connected() ? "" : " lost");
+  }
+
   private Corrections corrections(AccountName account) {
     return corrections.computeIfAbsent(account, unused -> new Corrections());
   }
@@ -143,12 +169,11 @@
       QuotaDecision.Exceeded decision,
       long configuration) {
     QuotaState state = decision.state();
-    EventLog.log(
+    log(
         EventType.ACCOUNT_REFUSED,
-        "id",
         id,
-        "account",
         account.name(),
+        state,
         "cause",
         FailureType.QUOTA_EXCEEDED.label(),
         "configuration",
@@ -159,20 +184,6 @@
         state.level(),
         "rate_per_s",
         account.quota().ratePerSecond(),
-        "local_units",
-        state.localUnits(),
-        "remote_units",
-        state.remoteUnits(),
-        "limit_units",
-        state.limitUnits(),
-        "reachable",
-        state.reachable(),
-        "entries",
-        state.entries(),
-        "update_age_ms",
-        state.updateAgeMillis(),
-        "coverage",
-        state.coverage().label(),
         "retry_after_ms",
         decision.retryAfterMillis());
   }
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/RequestAdmission.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/RequestAdmission.java
@@ -170,7 +170,13 @@
     long now = clock.millis();
     return switch (meter.admit(account.name(), cost, now)) {
       case QuotaDecision.Admitted admitted -> {
-        quotaLog.admitted(metadata.id(), admitted, current.version(), now);
+        quotaLog.admitted(
+            metadata.id(),
+            account,
+            admitted,
+            current.version(),
+            () -> meter.statedUnits(account.name(), now),
+            now);
         usage.changed(account.name());
         yield admitted.charge();
       }
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/RequestLog.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/RequestLog.java
@@ -226,6 +226,8 @@
         attempt.skippedResponses(),
         "connection_age_ms",
         attempt.connection().ageMillis(),
+        "connection_wait_ms",
+        attempt.connectionWaitMillis(),
         "ended_by_peer",
         attempt.endedByPeer(),
         "left",
--- a/runtime/src/main/java/org/hornbeamusher/quota/QuotaBucket.java
+++ b/runtime/src/main/java/org/hornbeamusher/quota/QuotaBucket.java
@@ -94,16 +94,29 @@
     level = Math.min(level, next.burst());
   }
 
+  /** Returns what a decision on a request is based on. */
   QuotaState state(WindowSum remoteUsage, KnownEntries known, long updateAgeMillis, long now) {
+    return stateWith(windowLimit(known), remoteUsage, known, updateAgeMillis, now);
+  }
+
+  /** Returns what a decision on a further run is based on. */
+  QuotaState furtherRunState(
+      WindowSum remoteUsage, KnownEntries known, long updateAgeMillis, long now) {
+    return stateWith(furtherRunLimit(known), remoteUsage, known, updateAgeMillis, now);
+  }
+
+  private QuotaState stateWith(
+      double limit, WindowSum remoteUsage, KnownEntries known, long updateAgeMillis, long now) {
     return new QuotaState(
         localUsage.total(now),
         remoteUsage.total(now),
-        Math.round(windowLimit(known)),
+        Math.round(limit),
         Math.round(level),
         known.reachable(),
         known.entries(),
         updateAgeMillis,
-        known.coverage());
+        known.coverage(),
+        known.windowKnown());
   }
 
   /** Refills the bucket for the time since the last call. */
--- a/runtime/src/main/java/org/hornbeamusher/quota/QuotaMeter.java
+++ b/runtime/src/main/java/org/hornbeamusher/quota/QuotaMeter.java
@@ -1,5 +1,6 @@
 package org.hornbeamusher.quota;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -72,7 +73,7 @@
   private static final long RENEWALS_PER_WINDOW = 8;
 
   private static final QuotaState UNLIMITED =
-      new QuotaState(0, 0, 0, 0, 1, 1, -1, UsageCoverage.COMPLETE);
+      new QuotaState(0, 0, 0, 0, 1, 1, -1, UsageCoverage.COMPLETE, true);
 
   private final QuotaSettings settings;
   private final QuotaTolerance tolerance;
@@ -197,7 +198,7 @@
     refill(bucket, now);
     KnownEntries known = knownEntries(now);
     WindowSum remote = usage.remote(account, now);
-    QuotaState state = bucket.state(remote, known, updateAgeMillis(now), now);
+    QuotaState state = bucket.furtherRunState(remote, known, updateAgeMillis(now), now);
     if (!bucket.mayRunAgain(cost, remote, known, random.getAsDouble(), now)) {
       return new QuotaDecision.Exceeded(
           bucket.furtherRunAfterMillis(cost, remote, known, now), state);
@@ -433,7 +434,14 @@
   public QuotaView view(long now) {
     KnownEntries known = knownEntries(now);
     long reporting = relays.values().stream().filter(relay -> isReporting(relay, now)).count();
-    long current = relays.values().stream().filter(relay -> isCurrent(relay, now)).count();
+    List<R> current = new ArrayList<>();
+    long knownMillis = -1;
+    for (Map.Entry<R, RelayState> relay : relays.entrySet()) {
+      if (isCurrent(relay.getValue(), now)) {
+        current.add(relay.getKey());
+        knownMillis = Math.max(knownMillis, relay.getValue().status.knownMillis());
+      }
+    }
     return new QuotaView(
         known.coverage(),
         known.reachable(),
@@ -442,10 +450,22 @@
         known.windowKnown(),
         connected.size(),
         (int) reporting,
-        (int) current,
+        current.stream().map(Object::toString).sorted().toList(),
+        knownMillis,
         updateAgeMillis(now));
   }
 
+  /**
+   * Returns what each relay states of the usage of an account by the other entries.
+   *
+   * @param account the account
+   * @param now milliseconds
+   * @return units by relay, also of relays that were lost within the window
+   */
+  public List<StatedUnits> statedUnits(AccountName account, long now) {
+    return usage.stated(account, now);
+  }
+
   /**
    * Returns the number of entries that share the quotas.
    *
--- a/runtime/src/main/java/org/hornbeamusher/quota/QuotaView.java
+++ b/runtime/src/main/java/org/hornbeamusher/quota/QuotaView.java
@@ -1,5 +1,7 @@
 package org.hornbeamusher.quota;
 
+import java.util.List;
+
 /**
  * What an entry knows of the usage of the others, for all accounts alike.
  *
@@ -10,7 +12,8 @@
  * @param windowKnown whether a relay has added up usage for a whole window
  * @param connectedRelays number of agents that are connected and could relay
  * @param reportingRelays number of relays whose last update arrived recently
- * @param currentRelays number of relays of these whose last update answers a recent report
+ * @param currentRelays names of the relays of these whose last update answers a recent report
+ * @param knownMillis the longest for which one of these has added up usage; -1 if there is none
  * @param updateAgeMillis age of the newest update of a connected relay; -1 if there is none
  */
 public record QuotaView(
@@ -21,5 +24,6 @@
     boolean windowKnown,
     int connectedRelays,
     int reportingRelays,
-    int currentRelays,
+    List<String> currentRelays,
+    long knownMillis,
     long updateAgeMillis) {}
--- a/runtime/src/main/java/org/hornbeamusher/quota/WindowedUsage.java
+++ b/runtime/src/main/java/org/hornbeamusher/quota/WindowedUsage.java
@@ -34,10 +34,10 @@
   private final long windowMillis;
   private final Function<K, String> name;
   private final UsageHistory<K> local;
-  private final Map<R, RelayView<K>> relays = new HashMap<>();
+  private final Map<R, RelayView<R, K>> relays = new HashMap<>();
 
   /** The views of relays, also of lost ones, that have stated usage of the window. */
-  private final List<RelayView<K>> stating = new ArrayList<>();
+  private final List<RelayView<R, K>> stating = new ArrayList<>();
 
   private final WindowSum none;
   private long idleRemovedMillis = Long.MIN_VALUE / 2;
@@ -74,7 +74,7 @@
    * @param now milliseconds
    */
   public void relayConnected(R relay, long now) {
-    relays.put(relay, new RelayView<>(windowMillis, now));
+    relays.put(relay, new RelayView<>(relay, windowMillis, now));
   }
 
   /**
@@ -104,7 +104,7 @@
    * @return the steps that have changed; empty if there are none
    */
   public List<UsageAtStep> takeReport(R relay, long now) {
-    RelayView<K> to = relays.get(relay);
+    RelayView<R, K> to = relays.get(relay);
     List<UsageAtStep> report = new ArrayList<>();
     local.forEachChangedSince(
         to.reportedChange,
@@ -128,7 +128,7 @@
    */
   public long receive(R relay, K key, long step, long currentStep, long units, long now) {
     removeIdle(now);
-    RelayView<K> from = relays.get(relay);
+    RelayView<R, K> from = relays.get(relay);
     if (!stating.contains(from)) {
       stating.add(from);
     }
@@ -141,7 +141,7 @@
   /** Returns the usage of other entries by the relay that states most of it. */
   WindowSum remote(K key, long now) {
     WindowSum most = none;
-    for (RelayView<K> view : stating) {
+    for (RelayView<R, K> view : stating) {
       WindowSum sum = view.sums.get(key);
       if (sum != null && sum.total(now) > most.total(now)) {
         most = sum;
@@ -150,6 +150,25 @@
     return most;
   }
 
+  /**
+   * Returns what each relay states, also those that were lost within the window.
+   *
+   * @param key what uses
+   * @param now milliseconds
+   * @return the units that other entries used, by relay
+   */
+  public List<StatedUnits> stated(K key, long now) {
+    List<StatedUnits> stated = new ArrayList<>();
+    for (RelayView<R, K> view : stating) {
+      WindowSum sum = view.sums.get(key);
+      if (sum != null && sum.total(now) > 0) {
+        stated.add(
+            new StatedUnits(view.relay.toString(), relays.get(view.relay) == view, sum.total(now)));
+      }
+    }
+    return stated;
+  }
+
   private long remoteTotal(K key, long now) {
     return remote(key, now).total(now);
   }
@@ -163,15 +182,17 @@
   }
 
   /** What was stated to and by one relay since its connection opened. */
-  private static final class RelayView<K> {
+  private static final class RelayView<R, K> {
 
+    private final R relay;
     private final long windowMillis;
     private final long openedMillis;
     private final StatedUsage<K> stated;
     private final Map<K, WindowSum> sums = new HashMap<>();
     private long reportedChange;
 
-    RelayView(long windowMillis, long openedMillis) {
+    RelayView(R relay, long windowMillis, long openedMillis) {
+      this.relay = relay;
       this.windowMillis = windowMillis;
       this.openedMillis = openedMillis;
       this.stated = new StatedUsage<>(windowMillis);
