Permits of a lost agent are requested again from its successor

An agent grants permits for a rate-limited endpoint up to the time that a request can wait ahead. When it was lost, or another agent took over the endpoint, its successor began anew and granted the same time to other requests, while entries went on to use the permits that had been granted for later.

Now a permit that becomes valid later is requested again when its agent is lost, or when it becomes valid and another agent paces the endpoint.

--- a/runtime/src/main/java/org/hornbeamusher/forwarding/AgentConnections.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/AgentConnections.java
@@ -37,7 +37,7 @@
  *
  * <p>Confined to the event loop; callbacks of the connections' threads are handed over to it.
  */
-final class AgentConnections {
+final class AgentConnections implements PacingAgents {
 
   /**
    * A restarting engine is missing from the list for some seconds while its agent keeps running. If
@@ -113,7 +113,8 @@
    * connected, otherwise one chosen by rendezvous hashing, so that all entries that are connected
    * to the same agents choose the same one.
    */
-  Optional<InetSocketAddress> pacer(EndpointIncarnation endpoint) {
+  @Override
+  public Optional<InetSocketAddress> pacer(EndpointIncarnation endpoint) {
     long key = RendezvousHash.hash(endpoint.id().value());
     return connections.values().stream()
         .filter(link -> link.connection != null)
@@ -152,7 +153,8 @@
   }
 
   /** Sends a message to the agent at an address; dropped if it is not connected. */
-  void send(InetSocketAddress agent, Message message) {
+  @Override
+  public void send(InetSocketAddress agent, Message message) {
     AgentConnection link = connections.get(agent);
     if (link != null) {
       link.send(message);
@@ -208,7 +210,8 @@
   }
 
   /** Returns the number of entries; an assumed one until the first report of an agent. */
-  int entries() {
+  @Override
+  public int entries() {
     return knownEntries().orElse(QuotaSettings.DEFAULT.assumedEntries());
   }
 
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/EndpointRateLimiter.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/EndpointRateLimiter.java
@@ -2,9 +2,11 @@
 
 import java.net.InetSocketAddress;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
+import java.util.Set;
 import java.util.WeakHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import org.hornbeamusher.clock.Clock;
@@ -24,7 +26,10 @@
  * <p>A request to an endpoint without a limit is sent at once. Otherwise the entry requests a
  * permit from the agent that paces the endpoint ({@link org.hornbeamusher.ratelimit.RatePermits}).
  * If no agent is connected or it does not respond in time, the entry keeps to its even share.
- * Confined to the event loop.
+ *
+ * <p>A permit that becomes valid later is requested again if its agent is lost or no longer paces
+ * the endpoint by then: the successor does not know what was granted, and grants the same time to
+ * others. Confined to the event loop.
  */
 final class EndpointRateLimiter implements AgentConnections.PermitListener {
 
@@ -33,11 +38,15 @@
 
   private static final double MILLIS_PER_SECOND = 1_000;
 
-  private final AgentConnections agents;
+  private final PacingAgents agents;
   private final ForwardMetrics metrics;
   private final EventLoop loop;
   private final Clock clock;
   private final Map<Long, PendingRatePermit> pending = new HashMap<>();
+
+  /** The permits that agents have granted and that are not valid yet. */
+  private final Set<PendingRatePermit> waiting = new HashSet<>();
+
   private final Map<EndpointView, EvenShareLimiter> shares = new WeakHashMap<>();
   private long lastNumber;
 
@@ -49,8 +58,7 @@
    * @param loop the event loop
    * @param clock monotonic
    */
-  EndpointRateLimiter(
-      AgentConnections agents, ForwardMetrics metrics, EventLoop loop, Clock clock) {
+  EndpointRateLimiter(PacingAgents agents, ForwardMetrics metrics, EventLoop loop, Clock clock) {
     this.agents = agents;
     this.metrics = metrics;
     this.loop = loop;
@@ -97,14 +105,20 @@
       String requestId,
       long maxWaitMillis,
       PendingRatePermit.Listener listener) {
-    double limit = endpoint.limit().requestsPerSecond().orElseThrow();
-    PendingRatePermit permit = new PendingRatePermit(endpoint, requestId, maxWaitMillis, listener);
+    PendingRatePermit permit =
+        new PendingRatePermit(endpoint, requestId, clock.millis() + maxWaitMillis, listener);
+    request(permit);
+    return permit;
+  }
+
+  private void request(PendingRatePermit permit) {
+    OptionalDouble limit = permit.endpoint().limit().requestsPerSecond();
     agents
-        .pacer(endpoint.incarnation())
+        .pacer(permit.endpoint().incarnation())
+        .filter(agent -> limit.isPresent())
         .ifPresentOrElse(
-            agent -> requestFromAgent(permit, agent, limit),
+            agent -> requestFromAgent(permit, agent, limit.getAsDouble()),
             () -> loop.execute(() -> decideLocally(permit)));
-    return permit;
   }
 
   private void requestFromAgent(PendingRatePermit permit, InetSocketAddress agent, double limit) {
@@ -125,7 +139,7 @@
             permit.endpoint().id().value(),
             limit,
             clock.millis() - permit.endpoint().limit().advertisedMillis(),
-            permit.maxWaitMillis()));
+            permit.waitLeftMillis(clock.millis())));
   }
 
   @Override
@@ -147,12 +161,24 @@
         pending.values().stream().filter(permit -> permit.isRequestedFrom(agent)).toList();
     pending.values().removeAll(unanswered);
     unanswered.forEach(this::decideLocally);
+    List<PendingRatePermit> granted =
+        waiting.stream().filter(permit -> permit.isRequestedFrom(agent)).toList();
+    granted.forEach(this::requestAgain);
+  }
+
+  private void requestAgain(PendingRatePermit permit) {
+    waiting.remove(permit);
+    if (!permit.isDone()) {
+      permit.withdrawn();
+      request(permit);
+    }
   }
 
   private void decideLocally(PendingRatePermit permit) {
     if (permit.isDone()) {
       return;
     }
+    permit.withdrawn();
     OptionalDouble limit = permit.endpoint().limit().requestsPerSecond();
     if (limit.isEmpty()) {
       permit.permit();
@@ -165,7 +191,10 @@
     decided(
         permit,
         share.tryAcquire(
-            limit.getAsDouble(), agents.entries(), permit.maxWaitMillis(), clock.millis()),
+            limit.getAsDouble(),
+            agents.entries(),
+            permit.waitLeftMillis(clock.millis()),
+            clock.millis()),
         "even-share");
   }
 
@@ -194,6 +223,8 @@
       return;
     }
     permit.endpoint().limit().defer(waitMillis + interval(permit), clock.millis());
+    waiting.removeIf(PendingRatePermit::isDone);
+    waiting.add(permit);
     permit.grantedLater(loop.after(waitMillis, () -> permitDue(permit)));
   }
 
@@ -206,14 +237,18 @@
 
   /** The endpoint may have stated in the meantime that it accepts no requests. */
   private void permitDue(PendingRatePermit permit) {
-    if (permit.endpoint().takesRequests(clock.millis())) {
+    waiting.remove(permit);
+    if (permit.agent().isPresent()
+        && !permit.agent().equals(agents.pacer(permit.endpoint().incarnation()))) {
+      requestAgain(permit);
+    } else if (permit.endpoint().takesRequests(clock.millis())) {
       permit.permit();
     } else {
       permit.refuse();
     }
   }
 
-  private static void log(PendingRatePermit permit, boolean granted, long waitMillis, String by) {
+  private void log(PendingRatePermit permit, boolean granted, long waitMillis, String by) {
     EventLog.log(
         EventType.RATE_PERMIT_DECIDED,
         "id",
@@ -225,7 +260,7 @@
         "wait_ms",
         waitMillis,
         "most_wait_ms",
-        permit.maxWaitMillis(),
+        permit.waitLeftMillis(clock.millis()),
         "limit_per_s",
         text(permit.endpoint().limit().requestsPerSecond()),
         "by",
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/PendingRatePermit.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/PendingRatePermit.java
@@ -1,6 +1,7 @@
 package org.hornbeamusher.forwarding;
 
 import java.net.InetSocketAddress;
+import java.util.Optional;
 import org.hornbeamusher.loop.EventLoop;
 import org.hornbeamusher.placement.EndpointView;
 
@@ -12,20 +13,20 @@
 
   private final EndpointView endpoint;
   private final String requestId;
-  private final long maxWaitMillis;
+  private final long deadlineMillis;
   private final Listener listener;
 
-  /** The agent that decides; null before the permit is requested and after it is granted. */
-  private InetSocketAddress agent;
+  /** The agent that decides or has granted the permit; empty if this entry decides. */
+  private Optional<InetSocketAddress> agent = Optional.empty();
 
   private EventLoop.Timer timer = () -> {};
   private boolean done;
 
   PendingRatePermit(
-      EndpointView endpoint, String requestId, long maxWaitMillis, Listener listener) {
+      EndpointView endpoint, String requestId, long deadlineMillis, Listener listener) {
     this.endpoint = endpoint;
     this.requestId = requestId;
-    this.maxWaitMillis = maxWaitMillis;
+    this.deadlineMillis = deadlineMillis;
     this.listener = listener;
   }
 
@@ -37,24 +38,34 @@
     return requestId;
   }
 
-  long maxWaitMillis() {
-    return maxWaitMillis;
+  /** Returns how long the request can still wait. */
+  long waitLeftMillis(long now) {
+    return Math.max(0, deadlineMillis - now);
+  }
+
+  Optional<InetSocketAddress> agent() {
+    return agent;
   }
 
   /** Records the request to an agent; the timer limits the wait for its response. */
   void requestedFrom(InetSocketAddress pacer, EventLoop.Timer timeout) {
-    agent = pacer;
+    agent = Optional.of(pacer);
     timer = timeout;
   }
 
   boolean isRequestedFrom(InetSocketAddress pacer) {
-    return pacer.equals(agent);
+    return agent.filter(pacer::equals).isPresent();
+  }
+
+  /** Records that its agent does not decide on it any more. */
+  void withdrawn() {
+    timer.cancel();
+    agent = Optional.empty();
   }
 
   /** Records that the permit was granted; the timer fires when it becomes valid. */
   void grantedLater(EventLoop.Timer due) {
     timer.cancel();
-    agent = null;
     timer = due;
   }
 
