--- a/runtime/src/main/java/org/hornbeamusher/quota/WindowedUsage.java
+++ b/runtime/src/main/java/org/hornbeamusher/quota/WindowedUsage.java
@@ -1,6 +1,8 @@
 package org.hornbeamusher.quota;
 
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -168,11 +170,12 @@
         endsMillis.add(view.updatedMillis);
       }
     }
-    return switch (sums.size()) {
-      case 0 -> none;
-      case 1 -> sums.getFirst();
-      default -> WindowSum.largestParts(sums, endsMillis, now);
-    };
+    if (sums.isEmpty()) {
+      return none;
+    }
+    return sums.size() == 1 || endsMillis.isEmpty()
+        ? Collections.max(sums, Comparator.comparingLong(sum -> sum.total(now)))
+        : WindowSum.largestParts(sums, endsMillis, now);
   }
 
   private boolean isUpdated(RelayView<R, K> view, long now) {
