Names and texts of the divided window and its events

Read as a newcomer: two constants named a direction instead of what they cover, and the catalogue did not say that QUOTA_VIEW_CHANGED is written when the relays change.

--- a/runtime/src/main/java/org/hornbeamusher/events/EventType.java
+++ b/runtime/src/main/java/org/hornbeamusher/events/EventType.java
@@ -55,8 +55,7 @@
   QUOTA_VIEW_CHANGED(
       1125,
       Level.INFO,
-      "The entry knows the usage of all, some or no others, by other relays; four lines a second at"
-          + " most."),
+      "Whose usage the entry knows, or by which relays, has changed; 4 lines a second at most."),
   QUOTA_USAGE_DECREASED(
       1123,
       Level.INFO,
--- a/runtime/src/main/java/org/hornbeamusher/quota/WindowSum.java
+++ b/runtime/src/main/java/org/hornbeamusher/quota/WindowSum.java
@@ -11,10 +11,11 @@
 
   private static final int STEPS_PER_WINDOW = 80;
 
-  /** Usage is first known this long after it, and placed up to a step of a report apart. */
-  private static final long PLACED_BEFORE_MILLIS = 200;
+  /** The last usage before a boundary may not have been reported by then. */
+  private static final long UNREPORTED_MILLIS = 200;
 
-  private static final long PLACED_AFTER_MILLIS = 100;
+  /** Two sums place the same units up to a step of a report apart. */
+  private static final long PLACED_APART_MILLIS = 100;
 
   /** The step that the window's begin falls into counts as a whole. */
   private static final int STEPS = STEPS_PER_WINDOW + 1;
@@ -47,8 +48,8 @@
     long first = largest.currentStep - STEPS + 1;
     boolean[] begins = new boolean[STEPS];
     for (long boundary : boundariesMillis) {
-      long from = Math.floorDiv(boundary - PLACED_BEFORE_MILLIS, largest.stepMillis);
-      long to = Math.floorDiv(boundary + PLACED_AFTER_MILLIS, largest.stepMillis) + 1;
+      long from = Math.floorDiv(boundary - UNREPORTED_MILLIS, largest.stepMillis);
+      long to = Math.floorDiv(boundary + PLACED_APART_MILLIS, largest.stepMillis) + 1;
       for (long step = Math.max(first, from); step <= Math.min(largest.currentStep, to); step++) {
         begins[(int) (step - first)] = true;
       }
