--- a/runtime/src/test/java/org/hornbeamusher/quota/QuotaMeterTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/quota/QuotaMeterTest.java
@@ -157,9 +157,7 @@
       @ForAll @IntRange(min = 20, max = 80) int refusedPercent,
       @ForAll @LongRange(min = 1_000, max = 12_000) long wait,
       @ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
-    QuotaSimulation all =
-        new QuotaSimulation(
-            ENTRIES, QuotaSimulation.tokens(rate, 2 * rate), true, 3, seed, TOLERANCE);
+    QuotaSimulation all = simulation(rate, seed);
     all.run(4_000, rate / 1.8, LONG_PROMPT, 1);
     all.refuseAfterCharge(refusedPercent / 100.0, wait);
     all.run(wait + 4_000, rate * 6.0, LONG_PROMPT, 1);
@@ -174,9 +172,7 @@
       @ForAll @LongRange(min = 29_000, max = 300_000) long rate,
       @ForAll @LongRange(min = 500, max = 15_000) long wait,
       @ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
-    QuotaSimulation all =
-        new QuotaSimulation(
-            ENTRIES, QuotaSimulation.tokens(rate, 2 * rate), true, 3, seed, TOLERANCE);
+    QuotaSimulation all = simulation(rate, seed);
     all.run(10_000, rate / 1.8, LONG_PROMPT, 1);
     all.waitBeforeRun(wait);
     all.run(wait, rate * 6.0, LONG_PROMPT, 1);
@@ -191,9 +187,7 @@
       @ForAll @LongRange(min = 29_000, max = 300_000) long rate,
       @ForAll @IntRange(min = 5, max = 60) int againPercent,
       @ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
-    QuotaSimulation all =
-        new QuotaSimulation(
-            ENTRIES, QuotaSimulation.tokens(rate, 2 * rate), true, 3, seed, TOLERANCE);
+    QuotaSimulation all = simulation(rate, seed);
     all.runAgain(againPercent / 100.0);
     all.run(10_000, rate / 1.8, LONG_PROMPT, 1);
     all.run(16_000, rate * 6.0, LONG_PROMPT, 1);
@@ -207,9 +201,7 @@
       @ForAll @IntRange(min = 1, max = 5) int restarted,
       @ForAll @LongRange(min = 0, max = 20_000) long betweenMillis,
       @ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
-    QuotaSimulation all =
-        new QuotaSimulation(
-            ENTRIES, QuotaSimulation.tokens(rate, 2 * rate), true, 3, seed, TOLERANCE);
+    QuotaSimulation all = simulation(rate, seed);
     all.run(10_000, rate * 6.0, LONG_PROMPT, 1);
     for (int i = 0; i < restarted; i++) {
       all.restart(i);
@@ -226,9 +218,7 @@
       @ForAll @LongRange(min = 29_000, max = 300_000) long rate,
       @ForAll @LongRange(min = 500, max = 8_000) long beforeMillis,
       @ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
-    QuotaSimulation all =
-        new QuotaSimulation(
-            ENTRIES, QuotaSimulation.tokens(rate, 2 * rate), true, 3, seed, TOLERANCE);
+    QuotaSimulation all = simulation(rate, seed);
     all.run(10_000, 0, LONG_PROMPT, 1);
     all.run(beforeMillis, rate * 6.0, LONG_PROMPT, 1);
     for (int i = 0; i < ENTRIES; i++) {
@@ -262,9 +252,7 @@
       @ForAll @IntRange(min = 1, max = ENTRIES) int isolated,
       @ForAll @LongRange(min = 500, max = 8_000) long isolatedMillis,
       @ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
-    QuotaSimulation all =
-        new QuotaSimulation(
-            ENTRIES, QuotaSimulation.tokens(rate, 2 * rate), true, 3, seed, TOLERANCE);
+    QuotaSimulation all = simulation(rate, seed);
     all.run(10_000, rate * 6.0, LONG_PROMPT, 1);
     for (int i = 0; i < isolated; i++) {
       all.setPartitionDetected(i, true);
@@ -302,9 +290,7 @@
       @ForAll boolean toAll,
       @ForAll @LongRange(min = 500, max = 3_000) long silentMillis,
       @ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
-    QuotaSimulation all =
-        new QuotaSimulation(
-            ENTRIES, QuotaSimulation.tokens(rate, 2 * rate), true, 3, seed, TOLERANCE);
+    QuotaSimulation all = simulation(rate, seed);
     all.runAt(12_000, rate * 6.0, LONG_PROMPT, 0, before);
     for (int i = 0; i < ENTRIES; i++) {
       all.setPartitioned(i, true);
@@ -326,9 +312,7 @@
       @ForAll @IntRange(min = 10, max = 60) int lostPercent,
       @ForAll @LongRange(min = 1_000, max = 6_000) long runMillis,
       @ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
-    QuotaSimulation all =
-        new QuotaSimulation(
-            ENTRIES, QuotaSimulation.tokens(rate, 2 * rate), true, 3, seed, TOLERANCE);
+    QuotaSimulation all = simulation(rate, seed);
     all.runAt(12_000, rate * 6.0, LONG_PROMPT, 0, reached);
     all.loseEndpoints(lostPercent / 100.0, runMillis);
     all.runAt(9_000, rate * 6.0, LONG_PROMPT, 0, reached);
@@ -342,9 +326,7 @@
       @ForAll @IntRange(min = 1, max = 4) int each,
       @ForAll boolean othersRequest,
       @ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
-    QuotaSimulation all =
-        new QuotaSimulation(
-            ENTRIES, QuotaSimulation.tokens(rate, 2 * rate), true, 3, seed, TOLERANCE);
+    QuotaSimulation all = simulation(rate, seed);
     int end = othersRequest ? ENTRIES : 2 * each;
     all.runAt(10_000, rate / 1.8, LONG_PROMPT, 0, end);
     for (int i = 0; i < 2 * each; i++) {
@@ -362,9 +344,7 @@
       @ForAll @LongRange(min = 29_000, max = 300_000) long rate,
       @ForAll @LongRange(min = 500, max = 6_000) long openMillis,
       @ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
-    QuotaSimulation all =
-        new QuotaSimulation(
-            ENTRIES, QuotaSimulation.tokens(rate, 2 * rate), true, 3, seed, TOLERANCE);
+    QuotaSimulation all = simulation(rate, seed);
     all.run(12_000, rate * 6.0, LONG_PROMPT, 1);
     all.restartAll(openMillis);
     all.run(10_000, rate * 6.0, LONG_PROMPT, 1);
@@ -542,6 +522,11 @@
         QuotaDecision.Admitted.class, meter.admit(QuotaSimulation.ACCOUNT, cost, now));
   }
 
+  private static QuotaSimulation simulation(long rate, long seed) {
+    return new QuotaSimulation(
+        ENTRIES, QuotaSimulation.tokens(rate, 2 * rate), true, 3, seed, TOLERANCE);
+  }
+
   private static void assertWithin(QuotaSimulation all, long rate, long since) {
     assertWithin(all, rate, rate, since);
   }
