Malformed chunks and trailers fail their response

What callers saw: complete responses with other bytes than the endpoint's: of the chunk size 4 for five bytes "hell", of 6 for five bytes "hello" and a carriage return; also sizes like "5x", and trailers with lines that are no headers.

The client library reads a size up to the first byte that is no digit, ignores what stands between the data and the next line end, and takes any line for a trailer.

Evidence: MalformedChunkTest on, whole and byte by byte: 46 of 118 responses are complete with status 200 (80 plays of sizes, 12 of ends of chunks, 26 of trailers); the other 72 fail as connection-closed, as they did before (sizes "x", "-5", "0x5", beyond 64 bits, a body that does not end with its chunk).

Why it works: sizes, ends and trailers are parsed once, strictly, before the library reads them. ChunkedBodyProperties compares what the whole client returns with the grammar as regular expressions (300 changed bodies).

--- a/runtime/src/main/java/org/hornbeamusher/http/FieldLineParser.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/FieldLineParser.java
@@ -1,8 +1,8 @@
 package org.hornbeamusher.http;
 
 /**
- * Parses the header lines of a head as they arrive, up to the empty line behind them (RFC 9112,
- * section 5).
+ * Parses the header lines of a head or of a trailer as they arrive, up to the empty line behind
+ * them (RFC 9112, section 5).
  *
  * <p>A line that is not a header is an error and never skipped: what one reader skips, another one
  * may take for the length of the body.
@@ -17,6 +17,18 @@
 
     /** Called for each header whose value is needed; the value has no surrounding blanks. */
     void field(String name, String value) throws MalformedResponseException;
+
+    /** Needs no header. */
+    Receiver NONE =
+        new Receiver() {
+          @Override
+          public boolean needs(CharSequence name) {
+            return false;
+          }
+
+          @Override
+          public void field(String name, String value) {}
+        };
   }
 
   /** The characters of a token besides letters and digits (RFC 9110, section 5.6.2). */
--- a/runtime/src/main/java/org/hornbeamusher/http/ResponseFault.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/ResponseFault.java
@@ -27,7 +27,13 @@
   /** The length of the body is stated in two ways. */
   LENGTH_AND_CODING("a content length beside a transfer coding"),
   /** The body of a response whose status allows none is stated to have bytes. */
-  UNEXPECTED_BODY("a body that the status does not allow");
+  UNEXPECTED_BODY("a body that the status does not allow"),
+  /** The size of a chunk is not a hexadecimal number. */
+  CHUNK_SIZE("a size of a chunk that is not a number"),
+  /** The extension of a chunk contains a control character. */
+  CHUNK_EXTENSION("a control character in the extension of a chunk"),
+  /** No line end follows the data of a chunk. */
+  CHUNK_END("a chunk that does not end behind its data");
 
   private final String text;
 
--- a/runtime/src/main/java/org/hornbeamusher/http/ResponseReader.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/ResponseReader.java
@@ -30,6 +30,8 @@
  *   <li>pass on every other response: the own one, one without an id, one that names a request
  *       which the connection never carried, and a copy that ends with the connection. The listener
  *       decides about them;
+ *   <li>fail the connection where the chunks of a body are malformed, see {@link ResponseBody};
+ *       what precedes that place is passed on, so that it does not depend on how the bytes arrive;
  *   <li>end the input behind the response. What follows it belongs to no request.
  * </ol>
  *
@@ -142,6 +144,7 @@
       if (position == Position.END && surplus) {
         return END_OF_INPUT;
       }
+      requireSoundBody();
       final int begin = target.position();
       int count = super.read(target);
       if (count <= 0) {
@@ -175,6 +178,14 @@
     return Conduits.transfer(this, count, through, target);
   }
 
+  /** Throws if the rest of the body cannot be read; what precedes it was passed on. */
+  private void requireSoundBody() throws MalformedResponseException {
+    fault = body.fault();
+    if (fault.isPresent()) {
+      throw new MalformedResponseException(fault.get());
+    }
+  }
+
   private boolean isPassedOn() {
     return position == Position.BODY || position == Position.END;
   }
@@ -202,6 +213,7 @@
         behind = parseHead(target, behind, end);
       } else {
         behind += body.accept(target, behind, end);
+        requireSoundBody();
       }
       if (position == Position.SKIPPED_BODY) {
         discardHeld();
