A malformed response is no crash of its endpoint

What callers saw: a sound request refused with 503 (crashes-endpoints), although three endpoints had answered it and only ended afterwards. Under the product's own interface every malformed response of a plain service counted as a crash at once.

Cause: a response that the client rejected ended as endpoint-lost with ended_by_peer, as if the endpoint's side had ended the connection, and such a loss counts as a crash when the endpoint ends. An agent asks for the state of its engine after each failed response, and takes an endpoint without a state for one that crashed.

Change: an attempt whose response is malformed has an outcome of its own (AttemptOutcome.Malformed), logged with what was found (ATTEMPT_ENDED, field "malformed"). The endpoint counts as failing, a request that may be repeated is sent elsewhere, one that must run once ends with 502. Agents report response-malformed and response-unbounded as they are, never as a crash.

Why it works: only an outcome that connectionLost() names reaches the records of crashes, and this one is not among them.

--- a/runtime/src/main/java/org/hornbeamusher/agent/EndpointExecutor.java
+++ b/runtime/src/main/java/org/hornbeamusher/agent/EndpointExecutor.java
@@ -23,6 +23,7 @@
 import org.hornbeamusher.http.ConnectionOptions;
 import org.hornbeamusher.http.HttpClient;
 import org.hornbeamusher.http.HttpRequest;
+import org.hornbeamusher.http.ResponseFault;
 import org.hornbeamusher.ids.AdapterRef;
 import org.hornbeamusher.ids.CallerId;
 import org.hornbeamusher.ids.EndpointId;
@@ -477,6 +478,12 @@
       requestEngineState();
       return;
     }
+    if (isRejectedResponse(failure.type())) {
+      String detail = ResponseFault.of(failure).map(ResponseFault::text).orElse("");
+      sendFailed(attempt, failure.type(), Outcome.UNKNOWN, detail, false);
+      finish(attempt);
+      return;
+    }
     String before = attempt.startedOn();
     requestEngineState()
         .handle((state, thrown) -> thrown != null || !state.incarnation().equals(before))
@@ -487,6 +494,13 @@
             });
   }
 
+  /**
+   * Returns whether the endpoint has responded, so that it did not crash, in a way that is none.
+   */
+  private static boolean isRejectedResponse(FailureType type) {
+    return type == FailureType.RESPONSE_MALFORMED || type == FailureType.RESPONSE_UNBOUNDED;
+  }
+
   /** Requests the engine's state and applies it. A plain service has no state. */
   CompletableFuture<EngineState> requestEngineState() {
     if (!parameters.model()) {
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/Attempt.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/Attempt.java
@@ -12,6 +12,7 @@
 import org.hornbeamusher.http.HttpRequest;
 import org.hornbeamusher.http.HttpStream;
 import org.hornbeamusher.http.HttpStreamListener;
+import org.hornbeamusher.http.ResponseFault;
 import org.hornbeamusher.placement.EndpointView;
 
 /**
@@ -340,19 +341,23 @@
       listener.ended(this, new AttemptOutcome.Refused(refused.status()));
       return;
     }
-    FailureType type = HornbeamusherException.from(failure).type();
+    Optional<ResponseFault> fault = ResponseFault.of(failure);
     listener.ended(
-        this,
-        switch (type) {
-          case CONNECT_FAILED -> new AttemptOutcome.NotSent();
-          case SEND_WITHDRAWN -> new AttemptOutcome.Withdrawn();
-          case CONNECTIONS_IN_USE -> new AttemptOutcome.NoConnection();
-          case RESPONSE_UNBOUNDED, FOREIGN_ANSWER -> new AttemptOutcome.Failed(type);
-          default -> {
-            endedByPeer = true;
-            yield new AttemptOutcome.Failed(FailureType.ENDPOINT_LOST);
-          }
-        });
+        this, fault.isPresent() ? new AttemptOutcome.Malformed(fault.get()) : outcome(failure));
+  }
+
+  private AttemptOutcome outcome(Throwable failure) {
+    FailureType type = HornbeamusherException.from(failure).type();
+    return switch (type) {
+      case CONNECT_FAILED -> new AttemptOutcome.NotSent();
+      case SEND_WITHDRAWN -> new AttemptOutcome.Withdrawn();
+      case CONNECTIONS_IN_USE -> new AttemptOutcome.NoConnection();
+      case RESPONSE_UNBOUNDED, FOREIGN_ANSWER -> new AttemptOutcome.Failed(type);
+      default -> {
+        endedByPeer = true;
+        yield new AttemptOutcome.Failed(FailureType.ENDPOINT_LOST);
+      }
+    };
   }
 
   /** Receives the progress of an attempt. */
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/AttemptOutcome.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/AttemptOutcome.java
@@ -1,6 +1,7 @@
 package org.hornbeamusher.forwarding;
 
 import org.hornbeamusher.failure.FailureType;
+import org.hornbeamusher.http.ResponseFault;
 
 /** The outcome of one send to an endpoint. */
 sealed interface AttemptOutcome {
@@ -13,6 +14,7 @@
       case Withdrawn withdrawn -> "withdrawn";
       case NoConnection none -> "no-connection";
       case Refused refused -> "refused-" + refused.status();
+      case Malformed malformed -> FailureType.RESPONSE_MALFORMED.label();
       case Failed failed -> failed.cause().label();
       case Left left -> FailureType.ENDPOINT_LOST.label();
     };
@@ -41,6 +43,9 @@
   /** The endpoint stated that it did not run the request. */
   record Refused(int status) implements AttemptOutcome {}
 
+  /** The response does not follow the protocol. The request may have run. */
+  record Malformed(ResponseFault fault) implements AttemptOutcome {}
+
   /** The request may have run, but there is no valid response. */
   record Failed(FailureType cause) implements AttemptOutcome {}
 
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/ForwardedRequest.java
@@ -627,6 +627,8 @@
         }
         refused(left, refused.status(), from.isAttributed());
       }
+      case AttemptOutcome.Malformed malformed ->
+          failed(left, FailureType.RESPONSE_MALFORMED, malformed.fault().text());
       case AttemptOutcome.Failed failed -> failed(left, failed.cause());
       case AttemptOutcome.Left gone -> failed(left, FailureType.ENDPOINT_LOST);
     }
@@ -713,6 +715,10 @@
   }
 
   private void failed(EndpointView left, FailureType cause) {
+    failed(left, cause, cause.label());
+  }
+
+  private void failed(EndpointView left, FailureType cause, String detail) {
     mayHaveRun = true;
     left.failed(now());
     tried.add(left.incarnation());
@@ -720,7 +726,7 @@
       place();
       return;
     }
-    giveUp(HornbeamusherException.of(cause, Outcome.UNKNOWN, left.id(), cause.label()));
+    giveUp(HornbeamusherException.of(cause, Outcome.UNKNOWN, left.id(), detail));
   }
 
   private boolean mayRetry() {
--- a/runtime/src/main/java/org/hornbeamusher/forwarding/RequestLog.java
+++ b/runtime/src/main/java/org/hornbeamusher/forwarding/RequestLog.java
@@ -232,6 +232,8 @@
         attempt.endedByPeer(),
         "left",
         outcome instanceof AttemptOutcome.Left left ? left.reason().label() : "",
+        "malformed",
+        outcome instanceof AttemptOutcome.Malformed malformed ? malformed.fault().text() : "",
         "endpoint_silent_ms",
         attempt.endpoint().silentMillis(now),
         "earlier_runs",
--- a/runtime/src/main/java/org/hornbeamusher/http/HttpExchange.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/HttpExchange.java
@@ -381,27 +381,32 @@
   private void fail(IOException e) {
     if (end()) {
       closeConnection();
-      listener.failed(failure().causedBy(e));
+      listener.failed(failure(e));
     }
   }
 
   /** A response that this client rejects is not the end of the connection by the peer. */
-  private HornbeamusherException failure() {
+  private HornbeamusherException failure(IOException e) {
     String server = call.uri().getAuthority();
     OpenConnection current = state;
     if (current == null) {
-      return unknown(FailureType.CONNECTION_CLOSED, server);
+      return unknown(FailureType.CONNECTION_CLOSED, server).causedBy(e);
     }
     if (current.hasExceededLimit()) {
-      return unknown(FailureType.RESPONSE_UNBOUNDED, server);
+      return unknown(FailureType.RESPONSE_UNBOUNDED, server).causedBy(e);
     }
     if (current.isOutOfStep()) {
-      return unknown(FailureType.FOREIGN_ANSWER, server);
+      return unknown(FailureType.FOREIGN_ANSWER, server).causedBy(e);
     }
     return current
         .fault()
-        .map(fault -> unknown(FailureType.RESPONSE_MALFORMED, server, fault.text()))
-        .orElseGet(() -> unknown(FailureType.CONNECTION_CLOSED, server));
+        .map(fault -> malformed(server, fault))
+        .orElseGet(() -> unknown(FailureType.CONNECTION_CLOSED, server).causedBy(e));
+  }
+
+  private static HornbeamusherException malformed(String server, ResponseFault fault) {
+    return unknown(FailureType.RESPONSE_MALFORMED, server, fault.text())
+        .causedBy(new MalformedResponseException(fault));
   }
 
   private static HornbeamusherException unknown(FailureType type, Object... arguments) {
--- a/runtime/src/main/java/org/hornbeamusher/http/ResponseFault.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/ResponseFault.java
@@ -1,5 +1,7 @@
 package org.hornbeamusher.http;
 
+import java.util.Optional;
+
 /** What makes a response malformed (RFC 9110, RFC 9112). */
 public enum ResponseFault {
   /** It does not begin with a status line of HTTP/1. */
@@ -41,6 +43,21 @@
     this.text = text;
   }
 
+  /**
+   * Finds the fault that caused an exception.
+   *
+   * @param thrown any exception
+   * @return empty if it was not caused by a malformed response
+   */
+  public static Optional<ResponseFault> of(Throwable thrown) {
+    for (Throwable cause = thrown; cause != null; cause = cause.getCause()) {
+      if (cause instanceof MalformedResponseException malformed) {
+        return Optional.of(malformed.fault());
+      }
+    }
+    return Optional.empty();
+  }
+
   /**
    * Returns the text for logs.
    *
--- a/runtime/src/main/java/org/hornbeamusher/retry/RetryPolicy.java
+++ b/runtime/src/main/java/org/hornbeamusher/retry/RetryPolicy.java
@@ -100,6 +100,7 @@
           LOAD_FAILED,
           ANSWER_CUT,
           RESPONSE_UNBOUNDED,
+          RESPONSE_MALFORMED,
           DISPATCH_EXPIRED,
           ENDPOINT_LEAVING,
           WRONG_ADAPTER,
--- a/runtime/src/test/java/org/hornbeamusher/retry/RetryPolicyTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/retry/RetryPolicyTest.java
@@ -68,6 +68,21 @@
             failure(FailureType.ENDPOINT_LEAVING, Outcome.NOT_RUN, false, 1, 0, 9_000, false), 0));
   }
 
+  // Guards against giving up a request that another endpoint can serve.
+  @Test
+  void repeatableRequestIsRetriedAfterMalformedResponse() {
+    RetryPolicy policy = new RetryPolicy(SETTINGS);
+    assertInstanceOf(
+        RetryDecision.Retry.class,
+        policy.decide(
+            failure(FailureType.RESPONSE_MALFORMED, Outcome.UNKNOWN, true, 1, 0, 9_000, false), 0));
+    assertGivesUp(
+        FailureType.RESPONSE_MALFORMED,
+        policy.decide(
+            failure(FailureType.RESPONSE_MALFORMED, Outcome.UNKNOWN, false, 1, 0, 9_000, false),
+            0));
+  }
+
   // Guards against appending a second response to one that has partly reached the caller.
   @Test
   void partlyDeliveredResponseIsNotRetried() {
