A response that ends with its connection is complete only once the request is written

What callers saw: the part of a response as a complete one, where an endpoint answered a long request early with a 200 without a length, ended its output and then reset the connection while the request was still being written.

The reset behind it is reported by the next write, which was not awaited.

Change: HttpExchange goes on with the request when such a response ends before the request is written, and ends the exchange only then; a write that fails, fails it.

Why it works: after a reset no write succeeds, while an endpoint that reads on takes the rest. A response with a length or chunks states its own end and waits for nothing.

What remains: a request that fits into the buffers of the sockets counts as written; a reset behind the end of the output then comes too late to be noticed.

--- a/runtime/src/main/java/org/hornbeamusher/http/HttpExchange.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/HttpExchange.java
@@ -69,9 +69,15 @@
   /** For how long the connection may be reused after the response is complete. */
   private volatile long usableMillis;
 
-  /** Whether the request was written completely. */
+  /** Whether the request was written completely, and in one turn. */
   private volatile boolean bodySent;
 
+  /** Whether the request was written completely. Used by the I/O thread only, as the next field. */
+  private boolean requestWritten;
+
+  /** Whether the response has ended with the input of the connection before that. */
+  private boolean inputEnded;
+
   HttpExchange(HttpRequest call, HttpStreamListener listener, ConnectionPool connections) {
     this.call = call;
     this.listener = listener;
@@ -196,6 +202,7 @@
       if (writeAll(sink, body)) {
         sink.shutdownWrites();
         bodySent = sink.flush();
+        requestWritten = bodySent;
       }
       if (!bodySent) {
         sink.getWriteSetter().set(channel -> continueBody(channel, body));
@@ -216,6 +223,10 @@
     try {
       if (writeAll(sink, body) && sink.flush()) {
         sink.suspendWrites();
+        requestWritten = true;
+        if (inputEnded) {
+          finish();
+        }
       }
     } catch (IOException e) {
       fail(e);
@@ -247,7 +258,7 @@
     listener.head(head);
     source.getReadSetter().set(this::read);
     read(source);
-    if (!hasEnded()) {
+    if (!hasEnded() && !inputEnded) {
       source.resumeReads();
     }
   }
@@ -272,7 +283,7 @@
           return;
         }
         if (count < 0) {
-          finish();
+          endOfInput();
           return;
         }
         progressed();
@@ -299,7 +310,7 @@
   }
 
   private void resumeReads(StreamSourceChannel channel) {
-    if (!hasEnded() && !paused) {
+    if (!hasEnded() && !paused && !inputEnded) {
       channel.wakeupReads();
     }
   }
@@ -318,6 +329,21 @@
     }
   }
 
+  /**
+   * Ends the exchange, unless the response ends with the connection and the request is still being
+   * written. A peer that has responded early may read the rest, or reset the connection behind the
+   * end of its output, so that its response is not complete. Only the next writes show which.
+   */
+  private void endOfInput() {
+    OpenConnection current = state;
+    inputEnded = current != null && current.responseEndsWithConnection();
+    if (requestWritten || !inputEnded) {
+      finish();
+    } else {
+      source.suspendReads();
+    }
+  }
+
   /**
    * Ends the exchange after a turn of the event loop. Until then the client library has closed the
    * connection if more than the response has arrived on it.
--- a/runtime/src/main/java/org/hornbeamusher/http/OpenConnection.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/OpenConnection.java
@@ -42,6 +42,11 @@
     return reader.fault();
   }
 
+  /** Returns whether nothing but the end of the connection ends the response. */
+  boolean responseEndsWithConnection() {
+    return reader.endsWithConnection();
+  }
+
   /** Returns whether it may carry this request; called while the connection is idle. */
   boolean mayCarry(Optional<EchoedId> id) {
     return id.isEmpty() || !carried.contains(id.get().value());
