Interim responses without end behind a copy fail the request again

Cause: with the filters joined in one reader, each skipped interim response behind a copy reset the limit on bytes that become no response, as only copies, of which 16 are allowed, may.

Change: only the end of a skipped copy resets the limit. After: the request fails as response-unbounded.

--- a/runtime/src/main/java/org/hornbeamusher/http/ResponseReader.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/ResponseReader.java
@@ -77,6 +77,7 @@
   private int heldTo;
 
   private int copies;
+  private boolean skipsCopy;
   private boolean surplus;
   private boolean tooManyLines;
   private boolean outOfStep;
@@ -259,9 +260,9 @@
   private void endHead(ResponseHead parsed) {
     head = null;
     body = parsed.body();
-    boolean copy = isCopy(parsed);
-    copies += copy ? 1 : 0;
-    position = copy || parsed.isInterim() ? Position.SKIPPED_BODY : Position.BODY;
+    skipsCopy = isCopy(parsed);
+    copies += skipsCopy ? 1 : 0;
+    position = skipsCopy || parsed.isInterim() ? Position.SKIPPED_BODY : Position.BODY;
     if (position == Position.BODY && !bodyExpected) {
       body = ResponseBody.NONE;
     }
@@ -277,7 +278,10 @@
     return !id.equals(expected.get().value()) && carried.contains(id);
   }
 
-  /** Begins the next head if the body that is skipped is complete. */
+  /**
+   * Begins the next head if the body that is skipped is complete. Interim responses are not
+   * counted, so their bytes remain counted by the limit.
+   */
   private void endSkipped() throws IOException {
     if (!body.isComplete()) {
       return;
@@ -285,7 +289,7 @@
     if (copies > MAX_COPIES) {
       throw new IOException("more than " + MAX_COPIES + " responses were skipped");
     }
-    if (copies > 0) {
+    if (skipsCopy) {
       limit.progressed();
     }
     beginHead();
--- a/runtime/src/test/java/org/hornbeamusher/http/EarlierResponseTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/http/EarlierResponseTest.java
@@ -25,6 +25,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -166,6 +167,16 @@
     assertEquals("CONNECTION_CLOSED", send("b"));
   }
 
+  /** Guards against interim responses without end that are skipped because a copy precedes them. */
+  @Test
+  @Timeout(value = 30, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+  void interimResponsesWithoutEndBehindCopyFailTheRequest() {
+    responses.add(response(200, "a", "first"));
+    responses.add(response(503, "a", "") + INTERIM.repeat(ResponseByteLimit.MAX_BYTES / 10));
+    assertEquals("first", send("a"));
+    assertTrue(isUnbounded("b"));
+  }
+
   /** Guards against a response whose rest was read already and that waits for more bytes. */
   @Test
   void longChunkedResponseBehindCopyArrivesCompletely() {
--- a/runtime/src/test/java/org/hornbeamusher/http/MalformedHeadTest.java
+++ b/runtime/src/test/java/org/hornbeamusher/http/MalformedHeadTest.java
@@ -240,6 +240,7 @@
         sound("HTTP/1.1 200 ä\t.", "Content-Length: 5") + BODY,
         sound("HTTP/1.0 200 OK", "Content-Length: 5") + BODY,
         sound("HTTP/1.0 200 OK") + BODY,
+        sound("HTTP/1.2 200 OK", "Content-Length: 5") + BODY,
         sound("HTTP/1.1 200 OK") + BODY,
         sound("HTTP/1.1 200 OK", "Content-Length:5") + BODY,
         sound("HTTP/1.1 200 OK", "content-length:\t 5\t ") + BODY,
