A found fault stays with its connection; names of what was written of a request

Cause: ResponseReader replaced a fault that it had found in a head by the one of the body, usually none, at the next read. If the client library reads again before it reports the failure, a malformed response would be logged as a lost connection, and count as one. Found by reading; no test shows that the library does so.

Change: the first fault stays and every later read fails with it. HttpExchange names what decides about reuse (connectionReusable) apart from what ends a response (requestWritten); both were a form of "sent".

--- a/runtime/src/main/java/org/hornbeamusher/agent/EndpointExecutor.java
+++ b/runtime/src/main/java/org/hornbeamusher/agent/EndpointExecutor.java
@@ -495,7 +495,8 @@
   }
 
   /**
-   * Returns whether the endpoint has responded, so that it did not crash, in a way that is none.
+   * Returns whether this agent has rejected what the endpoint sent. The endpoint did not crash
+   * then.
    */
   private static boolean isRejectedResponse(FailureType type) {
     return type == FailureType.RESPONSE_MALFORMED || type == FailureType.RESPONSE_UNBOUNDED;
--- a/runtime/src/main/java/org/hornbeamusher/http/HttpExchange.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/HttpExchange.java
@@ -69,13 +69,13 @@
   /** For how long the connection may be reused after the response is complete. */
   private volatile long usableMillis;
 
-  /** Whether the request was written completely, and in one turn. */
-  private volatile boolean bodySent;
+  /** Whether the library takes another request: this one was written completely in one turn. */
+  private volatile boolean connectionReusable;
 
-  /** Whether the request was written completely. Used by the I/O thread only, as the next field. */
+  /** Whether the request was written completely, in any number of turns. */
   private boolean requestWritten;
 
-  /** Whether the response has ended with the input of the connection before that. */
+  /** Whether the input of the connection has ended, and the response with it. */
   private boolean inputEnded;
 
   HttpExchange(HttpRequest call, HttpStreamListener listener, ConnectionPool connections) {
@@ -201,10 +201,10 @@
     try {
       if (writeAll(sink, body)) {
         sink.shutdownWrites();
-        bodySent = sink.flush();
-        requestWritten = bodySent;
+        requestWritten = sink.flush();
+        connectionReusable = requestWritten;
       }
-      if (!bodySent) {
+      if (!requestWritten) {
         sink.getWriteSetter().set(channel -> continueBody(channel, body));
         sink.resumeWrites();
       }
@@ -376,7 +376,7 @@
    * for another one.
    */
   private void releaseConnection() {
-    if (bodySent && listener.mayReuseConnection()) {
+    if (connectionReusable && listener.mayReuseConnection()) {
       connections.release(call.uri(), connection, usableMillis);
     } else {
       closeConnection();
--- a/runtime/src/main/java/org/hornbeamusher/http/ResponseReader.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/ResponseReader.java
@@ -145,7 +145,7 @@
       if (position == Position.END && surplus) {
         return END_OF_INPUT;
       }
-      requireSoundBody();
+      requireNoFault();
       final int begin = target.position();
       int count = super.read(target);
       if (count <= 0) {
@@ -179,9 +179,11 @@
     return Conduits.transfer(this, count, through, target);
   }
 
-  /** Throws if the rest of the body cannot be read; what precedes it was passed on. */
-  private void requireSoundBody() throws MalformedResponseException {
-    fault = body.fault();
+  /** Throws if a fault was found; what precedes it in a body was passed on. */
+  private void requireNoFault() throws MalformedResponseException {
+    if (fault.isEmpty()) {
+      fault = body.fault();
+    }
     if (fault.isPresent()) {
       throw new MalformedResponseException(fault.get());
     }
@@ -214,7 +216,7 @@
         behind = parseHead(target, behind, end);
       } else {
         behind += body.accept(target, behind, end);
-        requireSoundBody();
+        requireNoFault();
       }
       if (position == Position.SKIPPED_BODY) {
         discardHeld();
