--- a/runtime/src/main/java/org/hornbeamusher/http/ResponseHeadParser.java
+++ b/runtime/src/main/java/org/hornbeamusher/http/ResponseHeadParser.java
@@ -85,7 +85,7 @@
     return lines;
   }
 
-  /** Returns what the head tells, once it is complete. */
+  /** Returns the parsed head, once it is complete. */
   ResponseHead head() throws MalformedResponseException {
     require(status != SWITCHING_PROTOCOLS, ResponseFault.UPGRADE);
     return new ResponseHead(status, differentIds ? Optional.empty() : id, body());
